Carry a request from caller to endpoint and back

Ruled out: a brain that performs its own I/O (its failures could not be enumerated under paused time); a token row beside the ownership row (the ownership row's own sequence settles lost answers and fences at once). Change: schema, frames with a mutual proof of membership, settings, rings, table client, decision core, owner and follower, grantor, two binaries, stand-ins, demo.

--- /dev/null
+++ b/crates/agent/src/metrics.rs
@@ -0,0 +1,42 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use quincewheel_peer::Traffic;
+
+use crate::brain::Status;
+
+/// The metrics page, in the OpenMetrics text format.
+pub(crate) fn page(status: &Status, traffic: &Arc<Traffic>) -> String {
+    let mut registry = Registry::with_prefix("quincewheel_agent");
+    let attached = i64::from(status.attached.load(Ordering::Relaxed));
+    let configuration = status.configuration.load(Ordering::Relaxed) as i64;
+    let granted = status.granted.load(Ordering::Relaxed) as i64;
+    let listed = [
+        ("attached", "1 if an owner is connected", attached),
+        ("granted_accelerators", "Accelerators granted now", granted),
+        ("configuration", "Configuration version in force", configuration),
+        ("peer_sent_bytes", "Bytes of frames sent since the start", traffic.sent() as i64),
+        (
+            "peer_received_bytes",
+            "Bytes of frames received since the start",
+            traffic.received() as i64,
+        ),
+        ("peer_frames", "Frames both ways since the start", traffic.frames() as i64),
+        (
+            "peer_refused",
+            "Connections refused or closed for their frames",
+            traffic.refused() as i64,
+        ),
+    ];
+    for (name, help, value) in listed {
+        let gauge: Gauge = Gauge::default();
+        gauge.set(value);
+        registry.register(name, help, gauge);
+    }
+    let mut text = String::new();
+    encode(&mut text, &registry).expect("writing to a string cannot fail");
+    text
+}
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,130 @@
+use std::io;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use quincewheel_conf::{Command, parse};
+use quincewheel_grant::{self as grant, Grantor, Input};
+use quincewheel_http::{Reply, Server};
+use quincewheel_peer::{Hub, Traffic};
+use quincewheel_ring as ring;
+use quincewheel_store::Service;
+use quincewheel_wire::{Hello, Key, Role};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::Instant;
+
+use crate::brain::{Brain, Inbox, Status};
+use crate::endpoint::Endpoint;
+use crate::metrics;
+use crate::settings::{DEFINITIONS, PROGRAM, Settings};
+
+/// Events that may wait for the brain.
+const PEERS: usize = 1024;
+const INPUTS: usize = 1024;
+const STORED: usize = 16;
+/// A read of the table without an answer has failed after this time.
+const TABLE: Duration = Duration::from_millis(2000);
+
+/// Runs the program with these arguments.
+pub fn run(args: &[String]) -> ExitCode {
+    let fail = |errors: Vec<quincewheel_conf::Error>| {
+        for error in errors {
+            eprintln!("{}: {error}", PROGRAM.name);
+        }
+        ExitCode::from(2)
+    };
+    let (command, values) = match parse(&PROGRAM, args, |name| std::env::var(name).ok()) {
+        Ok(Command::Print(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Ok(Command::Run(command, values)) => (command, values),
+        Err(errors) => return fail(errors),
+    };
+    match Settings::resolve(&values) {
+        Err(errors) => fail(errors),
+        Ok(_) if command == "check" => {
+            print!("{}", values.show(DEFINITIONS));
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => match serve(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{}: {error}", PROGRAM.name);
+                ExitCode::FAILURE
+            }
+        },
+    }
+}
+
+fn serve(settings: Settings) -> io::Result<()> {
+    let worker = settings.member.worker.clone();
+    quincewheel_log::open(&worker, settings.log_level).map_err(io::Error::other)?;
+    let (peers, peers_in) = ring::open(PEERS);
+    let (inputs, inputs_in) = ring::open(INPUTS);
+    let (stored, stored_in) = ring::open(STORED);
+    let hello = Hello { role: Role::Agent, name: worker.clone(), incarnation: rand::random() };
+    let key = Key::new(settings.fleet_key.as_bytes());
+    let hub = Hub::bind(&settings.member.address, key, hello, peers, |event| event)
+        .map_err(io::Error::other)?;
+    let traffic = hub.traffic();
+    let service = Service::spawn(&settings.platform, TABLE, stored, |_, result| result)?;
+    let endpoint = Endpoint::spawn(&settings.endpoint, &settings.platform, inputs.clone())?;
+    let status = Arc::new(Status::default());
+    let grantor = Grantor::open(grant::Settings {
+        member: settings.member.clone(),
+        ..grant::Settings::default()
+    });
+    let events = settings.events.then_some(worker);
+    let inbox = Inbox { peers: peers_in, stored: stored_in, inputs: inputs_in };
+    Brain::spawn(grantor, hub, service, endpoint, Arc::clone(&status), events, inbox)?;
+    let shown = Arc::clone(&status);
+    let _pages = Server::bind("pages", &settings.pages, move |request| {
+        let reply = page(request.path(), &shown, &traffic);
+        async move { reply }
+    })?;
+    log::info!(step = "start", peer = settings.member.address.as_str(); "serving");
+    let runtime = actix_rt::Runtime::new()?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        log::info!(step = "drain"; "shutting down");
+        drain(&inputs, &status, settings.drain).await;
+        log::info!(step = "drain"; "ended");
+        Ok(())
+    })
+}
+
+/// Takes nothing new and waits until all that runs has ended and is recorded,
+/// but no longer than `bound`.
+async fn drain(inputs: &ring::Sender<Input>, status: &Status, bound: Duration) {
+    inputs.send(Input::Drain).await;
+    let end = Instant::now() + bound;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    while !status.empty.load(Ordering::Relaxed) && Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // The last frames leave before the process does.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+}
+
+fn page(path: &str, status: &Status, traffic: &Arc<Traffic>) -> Reply {
+    let text = "text/plain; charset=utf-8";
+    match path {
+        "/healthz" => quincewheel_http::reply(200, text, "alive\n"),
+        "/readyz" if status.attached.load(Ordering::Relaxed) => {
+            quincewheel_http::reply(200, text, "ready\n")
+        }
+        "/readyz" => quincewheel_http::reply(503, text, "not ready: no owner is connected\n"),
+        "/metrics" => {
+            let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+            quincewheel_http::reply(200, kind, metrics::page(status, traffic))
+        }
+        _ => quincewheel_http::reply(404, text, "no such page\n"),
+    }
+}
--- /dev/null
+++ b/crates/conf/src/common.rs
@@ -0,0 +1,38 @@
+//! Settings that both binaries have.
+
+use crate::definition::Definition;
+
+/// Where other processes of the system connect.
+pub const LISTEN: Definition = Definition::required(
+    "listen",
+    "IP:PORT",
+    "Address on which the system's other processes reach this one",
+);
+
+/// Where the platform's services are.
+pub const PLATFORM: Definition = Definition::required(
+    "platform",
+    "IP:PORT",
+    "Address of the platform's table service and object store",
+);
+
+/// What proves membership.
+pub const FLEET_KEY: Definition = Definition::required(
+    "fleet-key",
+    "SECRET",
+    "Key that all processes of the system share; 16 characters or more. Prefer the variable: \
+     flags can be read by others on the machine",
+)
+.secret();
+
+/// How much is logged.
+pub const LOG_LEVEL: Definition =
+    Definition::optional("log-level", "LEVEL", "info", "One of error, warn, info, debug, trace");
+
+/// Whether events for the checker are written.
+pub const EVENTS: Definition = Definition::optional(
+    "events",
+    "",
+    "false",
+    "Write events for the invariant checker to standard output, one JSON object a line",
+);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,19 @@
-//! .
+//! The entry process: admits calls, and owns or forwards to the shard's owner.
+//!
+//! Duties and their threads: `rpc` speaks HTTP with callers and operators,
+//! `brain` runs the [`quincewheel_shard::Node`], `peers` keeps connections to
+//! other processes, `store` calls the table service. Bounded rings join them.
+
+mod brain;
+mod burn;
+mod burn_report;
+mod connect;
+mod convert;
+mod metrics;
+mod routes;
+mod run;
+mod settings;
+
+pub use burn::{Burn, Objective};
+pub use run::run;
+pub use settings::{DEFINITIONS, PROGRAM, Settings};
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,172 @@
+use std::io;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
+
+use quincewheel_conf::{Command, Values, parse};
+use quincewheel_http::Server;
+use quincewheel_peer::{Hub, Traffic};
+use quincewheel_ring as ring;
+use quincewheel_shard::{self as shard, Node};
+use quincewheel_store::Service;
+use quincewheel_wire::{Hello, Key, Role};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::Instant;
+
+use crate::brain::{Brain, Inbox, Status, Stored, Work};
+use crate::burn::Burn;
+use crate::burn_report;
+use crate::metrics::Metrics;
+use crate::routes::Routes;
+use crate::settings::{DEFINITIONS, PROGRAM, Settings};
+
+/// Calls that may wait for the brain; more are refused at once.
+const WORK: usize = 4096;
+/// Events of other processes that may wait for the brain.
+const PEERS: usize = 4096;
+/// Answers of the table that may wait for the brain.
+const STORED: usize = 128;
+/// A call to the table without an answer is unclear after this time.
+const TABLE: Duration = Duration::from_millis(2000);
+
+/// Runs the program with these arguments.
+pub fn run(args: &[String]) -> ExitCode {
+    let fail = |errors: Vec<quincewheel_conf::Error>| {
+        for error in errors {
+            eprintln!("{}: {error}", PROGRAM.name);
+        }
+        ExitCode::from(2)
+    };
+    let (command, values) = match parse(&PROGRAM, args, |name| std::env::var(name).ok()) {
+        Ok(Command::Print(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Ok(Command::Run(command, values)) => (command, values),
+        Err(errors) => return fail(errors),
+    };
+    if command == "burn" {
+        return match Settings::resolve_burn(&values) {
+            Ok((rpc, key)) => burn_report::print(&rpc, &key),
+            Err(errors) => fail(errors),
+        };
+    }
+    match Settings::resolve(&values) {
+        Err(errors) => fail(errors),
+        Ok(_) if command == "check" => check(&values),
+        Ok(settings) => match serve(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("{}: {error}", PROGRAM.name);
+                ExitCode::FAILURE
+            }
+        },
+    }
+}
+
+fn check(values: &Values) -> ExitCode {
+    print!("{}", values.show(DEFINITIONS));
+    ExitCode::SUCCESS
+}
+
+fn serve(settings: Settings) -> io::Result<()> {
+    quincewheel_log::open(&settings.name, settings.log_level).map_err(io::Error::other)?;
+    let start = Instant::now();
+    let incarnation: u64 = rand::random();
+    let (work, work_in) = ring::open(WORK);
+    let (peers, peers_in) = ring::open(PEERS);
+    let (stored, stored_in) = ring::open(STORED);
+    let hello = Hello { role: Role::Entry, name: settings.name.clone(), incarnation };
+    let key = Key::new(settings.fleet_key.as_bytes());
+    let hub =
+        Hub::bind(&settings.listen, key, hello, peers, |event| event).map_err(io::Error::other)?;
+    let traffic = hub.traffic();
+    let service = Service::spawn(&settings.platform, TABLE, stored, Stored)?;
+    let status = Arc::new(Status::default());
+    let node = Node::open(node_settings(&settings, incarnation));
+    let events = settings.events.then(|| settings.name.clone());
+    let inbox = Inbox { stored: stored_in, peers: peers_in, work: work_in };
+    Brain::spawn(node, hub, service, Arc::clone(&status), events, inbox)?;
+    let draining = Arc::new(AtomicBool::new(false));
+    let routes = routes(&settings, &work, &status, traffic, &draining, start);
+    let server = Server::bind("rpc", &settings.rpc, move |request| routes.clone().serve(request))
+        .map_err(|error| {
+        let text = format!("listen for callers on {}: {error}", settings.rpc);
+        io::Error::new(error.kind(), text)
+    })?;
+    log::info!(step = "start", peer = settings.rpc.as_str(); "serving");
+    let runtime = actix_rt::Runtime::new()?;
+    runtime.block_on(async {
+        terminated().await?;
+        log::info!(step = "drain"; "shutting down");
+        drain(&work, &status, &draining, settings.drain).await;
+        server.stop().await;
+        log::info!(step = "drain"; "ended");
+        Ok(())
+    })
+}
+
+fn routes(
+    settings: &Settings,
+    work: &ring::Sender<Work>,
+    status: &Arc<Status>,
+    traffic: Arc<Traffic>,
+    draining: &Arc<AtomicBool>,
+    start: Instant,
+) -> Routes {
+    Routes {
+        name: settings.name.clone(),
+        work: work.clone(),
+        status: Arc::clone(status),
+        metrics: Arc::new(Metrics::open(Arc::clone(status), traffic)),
+        burn: Arc::new(Mutex::new(Burn::default())),
+        draining: Arc::clone(draining),
+        start,
+    }
+}
+
+fn node_settings(settings: &Settings, incarnation: u64) -> shard::Settings {
+    let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    shard::Settings {
+        name: settings.name.clone(),
+        incarnation,
+        address: settings.listen.clone(),
+        operator_digest: settings.operator_digest.clone(),
+        wall,
+        seed: incarnation,
+        grace: settings.grace,
+        limits: settings.limits,
+        attempts: settings.attempts,
+        retention: settings.retention,
+        ..shard::Settings::default()
+    }
+}
+
+async fn terminated() -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    Ok(())
+}
+
+/// Takes nothing new, hands ownership over and waits until every call in
+/// flight is answered, but no longer than `bound`.
+async fn drain(work: &ring::Sender<Work>, status: &Status, draining: &AtomicBool, bound: Duration) {
+    draining.store(true, Ordering::Relaxed);
+    work.send(Work::Drain).await;
+    let end = Instant::now() + bound;
+    // The brain publishes its state after each round: two rounds see the drain.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    loop {
+        let idle = status.pending.load(Ordering::Relaxed) == 0;
+        let handed_over = !status.owner.load(Ordering::Relaxed);
+        if (idle && handed_over) || Instant::now() >= end {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,160 @@
+use std::time::Duration;
+
+use log::LevelFilter;
+use quincewheel_conf::{Definition, EVENTS, Error, FLEET_KEY, LISTEN, LOG_LEVEL, PLATFORM};
+use quincewheel_conf::{Program, Resolver, Values};
+use quincewheel_pool::Limits;
+
+const NAME: Definition =
+    Definition::required("name", "NAME", "Name of this instance, unique among the entries");
+const RPC: Definition =
+    Definition::required("rpc", "IP:PORT", "Address on which callers and operators call");
+const OPERATOR: Definition = Definition::required(
+    "operator-key-digest",
+    "HEX",
+    "SHA-256 of the operators' bearer key, in hexadecimal",
+);
+const DRAIN: Definition = Definition::optional(
+    "drain-ms",
+    "MS",
+    "30000",
+    "Milliseconds that calls in flight have to end after SIGTERM, 0 to 600000",
+);
+const GRACE: Definition = Definition::optional(
+    "grace-ms",
+    "MS",
+    "5000",
+    "Milliseconds that a task has to checkpoint before it is stopped, 0 to 600000",
+);
+const QUEUE: Definition = Definition::optional(
+    "queue",
+    "JOBS",
+    "1000",
+    "Most jobs that wait per team; more are refused with a retry-after, 1 to 100000",
+);
+const RESERVE: Definition = Definition::optional(
+    "reserve",
+    "WORKERS",
+    "1",
+    "Workers that may fail without breaking a guarantee, 0 to 1000",
+);
+const PATIENCE: Definition = Definition::optional(
+    "patience-ms",
+    "MS",
+    "60000",
+    "Milliseconds after which a waiting job stops later ones from overtaking it, 0 to 86400000",
+);
+const STRIKES: Definition = Definition::optional(
+    "strikes",
+    "JOBS",
+    "3",
+    "Distinct jobs in a row that fail on a worker before it is quarantined, 1 to 100",
+);
+const ATTEMPTS: Definition = Definition::optional(
+    "attempts",
+    "STARTS",
+    "3",
+    "Starts of one idempotent job before its failure is final, 1 to 100",
+);
+const RETENTION: Definition = Definition::optional(
+    "retention-s",
+    "S",
+    "86400",
+    "Seconds that a recorded outcome is kept, 60 to 2592000",
+);
+const KEY: Definition = Definition::optional(
+    "operator-key",
+    "SECRET",
+    "",
+    "Operators' bearer key, for the subcommand burn only",
+)
+.secret();
+
+/// All settings of an entry.
+pub const DEFINITIONS: &[Definition] = &[
+    NAME, RPC, LISTEN, PLATFORM, FLEET_KEY, OPERATOR, DRAIN, GRACE, QUEUE, RESERVE, PATIENCE,
+    STRIKES, ATTEMPTS, RETENTION, LOG_LEVEL, EVENTS, KEY,
+];
+
+/// The command line of an entry.
+pub const PROGRAM: Program = Program {
+    name: "quincewheel-entry",
+    about: "Entry of quincewheel, a scheduler for multi-accelerator jobs under team guarantees.",
+    commands: &[
+        ("serve", "Serve callers and operators until SIGTERM"),
+        ("check", "Check the settings and print those in effect"),
+        ("burn", "Print the service-level burn report of the entry at --rpc"),
+    ],
+    definitions: DEFINITIONS,
+};
+
+/// Checked settings of an entry.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the instance.
+    pub name: String,
+    /// Where callers call.
+    pub rpc: String,
+    /// Where other processes connect.
+    pub listen: String,
+    /// Where the platform is.
+    pub platform: String,
+    /// Proves membership.
+    pub fleet_key: String,
+    /// SHA-256 of the operators' key.
+    pub operator_digest: String,
+    /// Time for calls in flight after SIGTERM.
+    pub drain: Duration,
+    /// Time for a task to checkpoint.
+    pub grace: Duration,
+    /// Bounds of the pool.
+    pub limits: Limits,
+    /// Starts of one idempotent job.
+    pub attempts: u32,
+    /// How long outcomes are kept.
+    pub retention: Duration,
+    /// How much is logged.
+    pub log_level: LevelFilter,
+    /// Whether events are written.
+    pub events: bool,
+}
+
+impl Settings {
+    /// Checks all values and reports every mistake.
+    pub fn resolve(values: &Values) -> Result<Settings, Vec<Error>> {
+        let mut r = Resolver::new(values);
+        let settings = Settings {
+            name: r.name(&NAME),
+            rpc: r.address(&RPC),
+            listen: r.address(&LISTEN),
+            platform: r.address(&PLATFORM),
+            fleet_key: r.secret(&FLEET_KEY, 16),
+            operator_digest: r.digest(&OPERATOR),
+            drain: r.millis(&DRAIN, 0, 600_000),
+            grace: r.millis(&GRACE, 0, 600_000),
+            limits: Limits {
+                queue: r.number(&QUEUE, 1, 100_000),
+                reserve: r.number(&RESERVE, 0, 1000),
+                patience: r.millis(&PATIENCE, 0, 86_400_000),
+                strikes: r.number(&STRIKES, 1, 100),
+            },
+            attempts: r.number(&ATTEMPTS, 1, 100),
+            retention: Duration::from_secs(r.number(&RETENTION, 60, 2_592_000)),
+            log_level: r.one_of(
+                &LOG_LEVEL,
+                "error, warn, info, debug, trace",
+                |text| text.parse().ok(),
+                LevelFilter::Info,
+            ),
+            events: r.switch(&EVENTS),
+        };
+        r.finish(settings)
+    }
+
+    /// What the burn report needs: where to ask and the operators' key.
+    pub(crate) fn resolve_burn(values: &Values) -> Result<(String, String), Vec<Error>> {
+        let mut r = Resolver::new(values);
+        let burn = (r.address(&RPC), r.secret(&KEY, 1));
+        r.finish(burn)
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,22 @@
+//! Serves HTTP from a thread of its own.
+//!
+//! `actix-http` is used without a framework above it: the product has one
+//! table of routes, and what a framework adds would only hide it.
+
+mod body;
+mod server;
+
+pub use actix_http::{HttpMessage, Request, Response, StatusCode};
+pub use body::{Body, read};
+pub use server::Server;
+
+/// A response with a whole body.
+pub type Reply = Response<bytes::Bytes>;
+
+/// A response with this status, content type and body.
+pub fn reply(status: u16, content_type: &str, body: impl Into<bytes::Bytes>) -> Reply {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut builder = Response::build(status);
+    builder.insert_header(("content-type", content_type));
+    builder.message_body(body.into()).expect("status and headers are valid")
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,79 @@
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
+
+use actix_http::{HttpService, Request};
+use actix_server::{Server as Listeners, ServerHandle};
+
+use crate::Reply;
+
+/// A running HTTP server.
+pub struct Server {
+    address: SocketAddr,
+    handle: ServerHandle,
+}
+
+/// Connections that may be open at once.
+const CONNECTIONS: usize = 4096;
+/// A connection without a request is closed after this time.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// A client that does not finish its headers is cut off after this time.
+const HEADERS: Duration = Duration::from_secs(5);
+
+impl Server {
+    /// Listens on `address` and serves with `handler` from a new thread.
+    pub fn bind<F, R>(name: &str, address: &str, handler: F) -> io::Result<Server>
+    where
+        F: Fn(Request) -> R + Clone + Send + 'static,
+        R: Future<Output = Reply> + 'static,
+    {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let (tell, told) = std::sync::mpsc::channel();
+        let service = name.to_owned();
+        thread::Builder::new().name(name.to_owned()).spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let factory = move || {
+                    let handler = handler.clone();
+                    HttpService::build()
+                        .keep_alive(KEEP_ALIVE)
+                        .client_request_timeout(HEADERS)
+                        .finish(move |request: Request| {
+                            let reply = handler(request);
+                            async move { Ok::<Reply, Infallible>(reply.await) }
+                        })
+                        .tcp_auto_h2c()
+                };
+                let built = Listeners::build()
+                    .workers(1)
+                    .max_concurrent_connections(CONNECTIONS)
+                    .disable_signals()
+                    .shutdown_timeout(1)
+                    .listen(service, listener, factory);
+                match built {
+                    Ok(builder) => {
+                        let server = builder.run();
+                        let _ = tell.send(Ok(server.handle()));
+                        let _ = server.await;
+                    }
+                    Err(error) => drop(tell.send(Err(error))),
+                }
+            });
+        })?;
+        let handle = told.recv().map_err(|_| io::Error::other("server thread ended"))??;
+        Ok(Server { address, handle })
+    }
+
+    /// Where the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets requests in flight end and ends the thread.
+    pub async fn stop(&self) {
+        self.handle.stop(true).await;
+    }
+}
--- /dev/null
+++ b/crates/peer/src/traffic.rs
@@ -0,0 +1,46 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts of what went over all connections.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+    frames: AtomicU64,
+    refused: AtomicU64,
+}
+
+impl Traffic {
+    /// Bytes of frames sent.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Bytes of frames received.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    /// Frames in both directions.
+    pub fn frames(&self) -> u64 {
+        self.frames.load(Ordering::Relaxed)
+    }
+
+    /// Connections that were refused or closed for what came over them.
+    pub fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn add_sent(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.frames.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn add_received(&self, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.frames.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn add_refused(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/pool/src/cell.rs
@@ -0,0 +1,39 @@
+//! Aligned cells within one worker's accelerator mask.
+
+/// Mask of the lowest `count` accelerators.
+pub fn full(count: u32) -> u64 {
+    if count >= 64 { u64::MAX } else { (1 << count) - 1 }
+}
+
+/// Masks of the aligned cells of `size` that lie wholly within `free`.
+pub fn within(free: u64, size: u32) -> impl Iterator<Item = u64> {
+    let cell = full(size);
+    (0..64 / size).map(move |i| cell << (i * size)).filter(move |mask| free & mask == *mask)
+}
+
+/// Number of aligned cells of `size` within `free`.
+pub fn count(free: u64, size: u32) -> u32 {
+    within(free, size).count() as u32
+}
+
+/// The cell of `size` whose taking breaks the smallest larger cell. Splitting
+/// a pair that is already broken keeps quads and whole workers for the gangs
+/// that need them.
+pub fn tightest(free: u64, size: u32) -> Option<u64> {
+    within(free, size).min_by_key(|mask| enclosing(free, *mask, size))
+}
+
+/// Size of the largest aligned, wholly free cell around `mask`.
+fn enclosing(free: u64, mask: u64, size: u32) -> u32 {
+    let at = mask.trailing_zeros();
+    let mut size = size;
+    while size < 64 {
+        let wider = size * 2;
+        let cell = full(wider) << (at / wider * wider);
+        if free & cell != cell {
+            break;
+        }
+        size = wider;
+    }
+    size
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -1,1 +1,43 @@
-//! .
+//! The decision core: which job starts where, and which work must give way.
+//!
+//! The pool knows workers, teams, their guaranteed shapes and the jobs that
+//! wait or hold accelerators. It performs no I/O and reads no clock: callers
+//! pass the time in. Commands (`command`) change it; queries (`query`) do not.
+//! Decisions come from [`Pool::decide`], which is a command because it hands
+//! out the accelerators it decides on.
+//!
+//! A worker's accelerators are cells in a buddy hierarchy (single, pair, quad,
+//! octet), the published idea of HiveD (Zhao et al., OSDI '20). Unlike there,
+//! guaranteed cells are not bound to places in advance: a guaranteed job may
+//! take any cells that leave all other unused guarantees packable, with
+//! borrowed work counted as reclaimable.
+
+mod adjacency;
+mod cell;
+mod command;
+mod decision;
+mod demand;
+mod guarantee;
+mod plan;
+mod pool;
+mod query;
+mod shape;
+mod share;
+mod tally;
+mod team;
+mod worker;
+
+pub use adjacency::Adjacency;
+pub use decision::Decision;
+pub use demand::Demand;
+pub use pool::{Limits, Pool};
+pub use query::{TeamView, WorkerView};
+pub use shape::Shape;
+pub use share::Share;
+pub use worker::Condition;
+
+/// Names a job within one pool. Handed out by the pool's user.
+pub type JobId = u64;
+
+/// Where a gang's tasks go: worker and accelerator mask, by rank.
+pub type Placement = Vec<(String, u64)>;
--- /dev/null
+++ b/crates/pool/src/query.rs
@@ -0,0 +1,149 @@
+//! Queries: they read the pool and change nothing.
+
+use crate::JobId;
+use crate::guarantee;
+use crate::pool::Pool;
+use crate::shape::Shape;
+use crate::share::Share;
+use crate::tally::{Spot, Tally};
+use crate::worker::Condition;
+use crate::{Placement, cell};
+
+/// What operators see of a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkerView<'a> {
+    /// The worker's name.
+    pub worker: &'a str,
+    /// Its availability zone.
+    pub zone: &'a str,
+    /// Its rack.
+    pub rack: &'a str,
+    /// Accelerators it has.
+    pub accelerators: u32,
+    /// Accelerators that nobody holds.
+    pub free: u32,
+    /// Whether it may be given work.
+    pub condition: Condition,
+    /// Tasks that hold accelerators there.
+    pub tasks: u32,
+}
+
+/// What operators see of a team.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TeamView<'a> {
+    /// The team's name.
+    pub team: &'a str,
+    /// Most accelerators it may hold.
+    pub quota: u32,
+    /// Its guaranteed shapes.
+    pub shares: &'a [Share],
+    /// Accelerators it holds.
+    pub held: u32,
+    /// Its waiting jobs.
+    pub queued: u32,
+    /// False while its unused guarantee does not fit the serving workers.
+    pub fits: bool,
+}
+
+impl Pool {
+    /// All workers.
+    pub fn workers(&self) -> impl Iterator<Item = WorkerView<'_>> {
+        self.workers.iter().map(|(name, worker)| WorkerView {
+            worker: name,
+            zone: &worker.zone,
+            rack: &worker.rack,
+            accelerators: worker.accelerators,
+            free: worker.free().count_ones(),
+            condition: worker.condition,
+            tasks: worker.tasks,
+        })
+    }
+
+    /// All teams.
+    pub fn teams(&self) -> Vec<TeamView<'_>> {
+        let missing = self.missing();
+        let mut views = Vec::new();
+        for (name, team) in &self.teams {
+            let owed = |shape| team.shares.iter().any(|share| share.shape == shape);
+            views.push(TeamView {
+                team: name,
+                quota: team.quota,
+                shares: &team.shares,
+                held: self.held_by(name),
+                queued: self.queued(name) as u32,
+                fits: !missing.is_some_and(owed),
+            });
+        }
+        views
+    }
+
+    /// Number of the team's waiting jobs.
+    pub fn queued(&self, team: &str) -> usize {
+        self.waiting.values().filter(|demand| demand.team == team).count()
+    }
+
+    /// True if the team's queue takes no more.
+    pub fn full(&self, team: &str) -> bool {
+        self.queued(team) >= self.limits.queue
+    }
+
+    /// The first unused guaranteed shape that could not be reclaimed now.
+    pub fn missing(&self) -> Option<Shape> {
+        guarantee::pack(self.reclaimable(&[]), &mut self.unused(None))
+    }
+
+    /// The first shape of the set that does not fit if `team` were given
+    /// `shares`, after `reserve` of the largest workers failed.
+    pub fn misfit(&self, team: &str, shares: &[Share]) -> Option<Shape> {
+        let mut shapes: Vec<Shape> = Vec::new();
+        let others = self.teams.iter().filter(|(name, _)| *name != team);
+        let all = others.flat_map(|(_, team)| &team.shares).chain(shares);
+        for share in all {
+            shapes.extend(std::iter::repeat_n(share.shape, share.count as usize));
+        }
+        guarantee::pack(self.reserved(), &mut shapes)
+    }
+
+    /// The empty pool without the operators' failure reserve. Drained and
+    /// suspect workers count: a guarantee outlives their absence.
+    fn reserved(&self) -> Tally {
+        let mut workers: Vec<_> = self.workers.iter().collect();
+        workers.sort_by_key(|(_, worker)| worker.accelerators);
+        workers.truncate(workers.len().saturating_sub(self.limits.reserve));
+        let mut tally = Tally::default();
+        for (name, worker) in workers {
+            let free = cell::full(worker.accelerators);
+            let spot = Spot { worker: name.clone(), free, slots: worker.slots };
+            tally.add(&worker.zone, &worker.rack, spot);
+        }
+        tally
+    }
+
+    /// True if the shape could be placed were the pool empty and all workers
+    /// served. A job for which this is false can never run.
+    pub fn possible(&self, shape: &Shape) -> bool {
+        let mut tally = Tally::default();
+        for (name, worker) in &self.workers {
+            let free = cell::full(worker.accelerators);
+            let spot = Spot { worker: name.clone(), free, slots: worker.slots };
+            tally.add(&worker.zone, &worker.rack, spot);
+        }
+        crate::plan::take(&mut tally, shape).is_some()
+    }
+
+    /// Where a job's accelerators are, if it holds any.
+    pub fn placement(&self, job: JobId) -> Option<&Placement> {
+        self.holdings.get(&job).map(|holding| &holding.places)
+    }
+
+    /// Share of the free accelerators that gangs of `shape` cannot use.
+    pub fn fragmentation(&self, shape: &Shape) -> f64 {
+        let mut tally = self.vacant(&[]);
+        let free: u32 = tally.spots().iter().map(|spot| spot.free.count_ones()).sum();
+        let mut used = 0;
+        while crate::plan::take(&mut tally, shape).is_some() {
+            used += shape.total();
+        }
+        if free == 0 { 0.0 } else { f64::from(free - used) / f64::from(free) }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/shape.rs
@@ -0,0 +1,46 @@
+use serde::{Deserialize, Serialize};
+
+use crate::adjacency::Adjacency;
+
+/// A gang: `tasks` tasks that run together, each on `accelerators` adjacent
+/// accelerators of one worker.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Shape {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Accelerators per task.
+    pub accelerators: u32,
+    /// How near the tasks must be to one another.
+    pub adjacency: Adjacency,
+}
+
+impl Shape {
+    /// Most tasks in one gang.
+    pub const MAX_TASKS: u32 = 256;
+    /// Most accelerators per task: a whole worker of the largest kind.
+    pub const MAX_ACCELERATORS: u32 = 8;
+
+    /// A gang of `tasks` tasks with `accelerators` each.
+    pub fn new(tasks: u32, accelerators: u32, adjacency: Adjacency) -> Shape {
+        Shape { tasks, accelerators, adjacency }
+    }
+
+    /// Accelerators in the cell that one task takes. Rounded up to a power of
+    /// two, since only aligned powers of two stay adjacent when cells are
+    /// split and joined again.
+    pub fn cell(&self) -> u32 {
+        self.accelerators.next_power_of_two()
+    }
+
+    /// Accelerators that the whole gang takes.
+    pub fn total(&self) -> u32 {
+        self.tasks * self.cell()
+    }
+
+    /// True if a place for `self` is also a place for `other`.
+    pub fn covers(&self, other: &Shape) -> bool {
+        self.tasks >= other.tasks
+            && self.cell() >= other.cell()
+            && self.adjacency >= other.adjacency
+    }
+}
--- /dev/null
+++ b/crates/pool/src/worker.rs
@@ -0,0 +1,54 @@
+use std::collections::BTreeMap;
+
+use crate::JobId;
+use crate::cell;
+
+/// Whether a worker may be given new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Condition {
+    /// It may.
+    Serving,
+    /// Its agent was not heard for a while; it may come back.
+    Suspect,
+    /// Its endpoint or its agent is about to leave.
+    Leaving,
+    /// An operator drained it.
+    Drained,
+    /// It failed several distinct jobs in a row.
+    Quarantined,
+}
+
+impl Condition {
+    /// The name that operators see.
+    pub fn name(self) -> &'static str {
+        match self {
+            Condition::Serving => "serving",
+            Condition::Suspect => "suspect",
+            Condition::Leaving => "leaving",
+            Condition::Drained => "drained",
+            Condition::Quarantined => "quarantined",
+        }
+    }
+}
+
+/// One worker and who holds its accelerators.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub zone: String,
+    pub rack: String,
+    pub accelerators: u32,
+    pub slots: u32,
+    pub condition: Condition,
+    pub held: BTreeMap<JobId, u64>,
+    pub tasks: u32,
+}
+
+impl Worker {
+    pub fn free(&self) -> u64 {
+        self.held.values().fold(cell::full(self.accelerators), |free, mask| free & !mask)
+    }
+
+    pub fn serving(&self) -> bool {
+        self.condition == Condition::Serving
+    }
+}
--- /dev/null
+++ b/crates/shard/src/config.rs
@@ -0,0 +1,154 @@
+use std::collections::BTreeMap;
+
+use quincewheel_schema::v1::{DrainRow, GuaranteeRow, TeamRow};
+
+/// The configuration in force at this process. Only ever moves forward: a row
+/// replaces one of a lower configuration version, nothing else, so that a late
+/// or doubled message cannot bring back what was in force before.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    version: u64,
+    teams: BTreeMap<String, TeamRow>,
+    guarantees: BTreeMap<String, GuaranteeRow>,
+    drains: BTreeMap<String, DrainRow>,
+}
+
+/// Start of the keys of all configuration rows.
+pub(crate) const PREFIX: &str = "conf/";
+
+/// One configuration row, by kind.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Item {
+    Team(TeamRow),
+    Guarantee(GuaranteeRow),
+    Drain(DrainRow),
+}
+
+impl Item {
+    /// Reads a stored row. `None` for keys of other kinds or later versions.
+    pub fn parse(key: &str, value: &str) -> Option<Item> {
+        let (kind, _) = key.strip_prefix(PREFIX)?.split_once('/')?;
+        match kind {
+            "team" => serde_json::from_str(value).ok().map(Item::Team),
+            "guarantee" => serde_json::from_str(value).ok().map(Item::Guarantee),
+            "drain" => serde_json::from_str(value).ok().map(Item::Drain),
+            _ => None,
+        }
+    }
+
+    pub fn key(&self) -> String {
+        match self {
+            Item::Team(row) => format!("{PREFIX}team/{}", row.team),
+            Item::Guarantee(row) => format!("{PREFIX}guarantee/{}", row.team),
+            Item::Drain(row) => format!("{PREFIX}drain/{}", row.worker),
+        }
+    }
+
+    pub fn value(&self) -> String {
+        let value = match self {
+            Item::Team(row) => serde_json::to_string(row),
+            Item::Guarantee(row) => serde_json::to_string(row),
+            Item::Drain(row) => serde_json::to_string(row),
+        };
+        value.expect("rows are plain data")
+    }
+
+    pub fn configuration(&self) -> u64 {
+        match self {
+            Item::Team(row) => row.configuration,
+            Item::Guarantee(row) => row.configuration,
+            Item::Drain(row) => row.configuration,
+        }
+    }
+
+    /// The row's own version.
+    pub fn version(&self) -> u64 {
+        match self {
+            Item::Team(row) => row.version,
+            Item::Guarantee(row) => row.version,
+            Item::Drain(row) => row.version,
+        }
+    }
+}
+
+impl Config {
+    /// The version in force. 0 until a configuration was seen.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The team's row.
+    pub fn team(&self, team: &str) -> Option<&TeamRow> {
+        self.teams.get(team)
+    }
+
+    /// The team's guarantee.
+    pub fn guarantee(&self, team: &str) -> Option<&GuaranteeRow> {
+        self.guarantees.get(team)
+    }
+
+    /// True if an operator drained the worker.
+    pub fn drained(&self, worker: &str) -> bool {
+        self.drains.get(worker).is_some_and(|row| row.drained)
+    }
+
+    pub(crate) fn current(&self, key: &str) -> u64 {
+        let name = key.rsplit('/').next().unwrap_or_default();
+        let (kind, _) =
+            key.strip_prefix(PREFIX).and_then(|k| k.split_once('/')).unwrap_or(("", ""));
+        match kind {
+            "team" => self.teams.get(name).map_or(0, |row| row.version),
+            "guarantee" => self.guarantees.get(name).map_or(0, |row| row.version),
+            _ => self.drains.get(name).map_or(0, |row| row.version),
+        }
+    }
+
+    /// Puts a row in force unless a newer one is. True if it was taken.
+    pub(crate) fn apply(&mut self, item: &Item) -> bool {
+        let version = item.configuration();
+        let before = match item {
+            Item::Team(row) => self.teams.get(&row.team).map(|old| old.configuration),
+            Item::Guarantee(row) => self.guarantees.get(&row.team).map(|old| old.configuration),
+            Item::Drain(row) => self.drains.get(&row.worker).map(|old| old.configuration),
+        };
+        if before.is_some_and(|before| before >= version) {
+            return false;
+        }
+        match item {
+            Item::Team(row) => drop(self.teams.insert(row.team.clone(), row.clone())),
+            Item::Guarantee(row) => drop(self.guarantees.insert(row.team.clone(), row.clone())),
+            Item::Drain(row) => drop(self.drains.insert(row.worker.clone(), row.clone())),
+        }
+        true
+    }
+
+    /// Notes that all rows up to `version` are in force. True if it is news.
+    pub(crate) fn reach(&mut self, version: u64) -> bool {
+        let news = version > self.version;
+        self.version = self.version.max(version);
+        news
+    }
+
+    /// All rows, for a process that joins.
+    pub(crate) fn rows(&self) -> Vec<(String, String)> {
+        let teams = self.teams.values().cloned().map(Item::Team);
+        let guarantees = self.guarantees.values().cloned().map(Item::Guarantee);
+        let drains = self.drains.values().cloned().map(Item::Drain);
+        let all = teams.chain(guarantees).chain(drains);
+        all.map(|item| (item.key(), item.value())).collect()
+    }
+
+    /// The row that says whether the worker is drained.
+    pub(crate) fn drain_row(&self, worker: &str) -> Option<(String, String)> {
+        let item = Item::Drain(self.drains.get(worker)?.clone());
+        Some((item.key(), item.value()))
+    }
+
+    pub(crate) fn teams(&self) -> impl Iterator<Item = &TeamRow> {
+        self.teams.values()
+    }
+
+    pub(crate) fn guarantees(&self) -> impl Iterator<Item = &GuaranteeRow> {
+        self.guarantees.values()
+    }
+}
--- /dev/null
+++ b/crates/shard/src/views.rs
@@ -0,0 +1,207 @@
+//! Operators' calls: changes of the configuration, and views.
+
+use std::time::Duration;
+
+use quincewheel_audit::Kind;
+use quincewheel_pool::{Shape, Share};
+use quincewheel_schema::v1::{DrainRow, GuaranteeRow, TeamRow};
+use quincewheel_wire::{Answer, Ask, Frame, LinkId, Refusal, Team, Worker};
+
+use crate::config::{Item, PREFIX};
+use crate::context::{Context, Waiter};
+use crate::ledger::{Tag, Write};
+use crate::member::Peer;
+use crate::owner::{Owner, Staged};
+use crate::rows;
+
+impl Owner {
+    /// Checks a change and writes it. It is in force, and told so, once it is
+    /// recorded.
+    pub(crate) fn change(&mut self, cx: &mut Context, waiter: Waiter, ask: Ask) {
+        if self.store_down(cx) {
+            cx.unavailable(&waiter, "the table service does not answer; nothing was changed");
+            return;
+        }
+        let pending = self.staged.values().map(|staged| staged.item.configuration());
+        let configuration = pending.max().unwrap_or(0).max(cx.config.version()) + 1;
+        match self.check_change(cx, ask, configuration) {
+            Err(refusal) => cx.refuse(&waiter, refusal),
+            Ok(item) => {
+                let (key, value) = (item.key(), item.value());
+                let tag = Tag::Config(key.clone());
+                self.ledger.put(Write { tag, key: key.clone(), value: Some(value) });
+                self.staged.insert(key, Staged { item, waiter, since: cx.now });
+            }
+        }
+    }
+
+    fn check_change(&self, cx: &Context, ask: Ask, configuration: u64) -> Result<Item, Refusal> {
+        match ask {
+            Ask::PutTeam { team, expected, key_digest, quota } => {
+                let version = self.next_version(cx, &format!("{PREFIX}team/{team}"), expected)?;
+                Ok(Item::Team(TeamRow { team, version, key_digest, quota, configuration }))
+            }
+            Ask::PutGuarantee { team, expected, shares } => {
+                if cx.config.team(&team).is_none() {
+                    let message = format!("there is no team {team:?}; create it with PutTeam");
+                    return Err(Refusal::NotFound { field: "team".to_owned(), message });
+                }
+                let key = format!("{PREFIX}guarantee/{team}");
+                let version = self.next_version(cx, &key, expected)?;
+                self.check_fit(&team, &shares)?;
+                let shares = rows::shares_to_row(&shares);
+                Ok(Item::Guarantee(GuaranteeRow { team, version, shares, configuration }))
+            }
+            Ask::PutDrain { worker, expected, drained } => {
+                let key = format!("{PREFIX}drain/{worker}");
+                let version = self.next_version(cx, &key, expected)?;
+                Ok(Item::Drain(DrainRow { worker, version, drained, configuration }))
+            }
+            _ => unreachable!("only changes come here"),
+        }
+    }
+
+    /// The version that the change would give the item. Of operators that race
+    /// each other, the first to be staged wins and the others learn of it.
+    fn next_version(&self, cx: &Context, key: &str, expected: u64) -> Result<u64, Refusal> {
+        let staged = self.staged.get(key).map(|staged| staged.item.version());
+        let current = staged.unwrap_or_else(|| cx.config.current(key));
+        if staged.is_some() || expected != current {
+            return Err(Refusal::Conflict {
+                field: "expected_version".to_owned(),
+                message: format!("the version in force is {current}; read it and decide anew"),
+                current,
+            });
+        }
+        Ok(current + 1)
+    }
+
+    fn check_fit(&self, team: &str, shares: &[Share]) -> Result<(), Refusal> {
+        if self.staged.values().any(|staged| matches!(staged.item, Item::Guarantee(_))) {
+            // Two that fit one by one need not fit together.
+            return Err(Refusal::Unavailable {
+                message: "another guarantee is being recorded".to_owned(),
+                retry_after: Duration::from_millis(200),
+            });
+        }
+        let Some(misfit) = self.pool.misfit(team, shares) else { return Ok(()) };
+        let mut fits = 0;
+        let smaller = |count| [Share { shape: misfit, count }];
+        while fits < 256 && self.pool.misfit(team, &smaller(fits + 1)).is_none() {
+            fits += 1;
+        }
+        Err(Refusal::Unfit {
+            message: format!(
+                "not all guaranteed shapes fit together with the failure reserve: no room for {}; \
+                 alone, {fits} of that shape would fit beside the other teams' guarantees",
+                describe(&misfit)
+            ),
+        })
+    }
+
+    /// A change is recorded: it is in force from now on, first here.
+    pub(crate) fn config_recorded(&mut self, cx: &mut Context, key: &str) {
+        let Some(staged) = self.staged.remove(key) else { return };
+        let version = staged.item.configuration();
+        let after = cx.config.version();
+        cx.config.apply(&staged.item);
+        cx.config.reach(version);
+        cx.event(Kind::Recorded { version });
+        cx.event(Kind::Applied { version });
+        match &staged.item {
+            Item::Team(row) => self.pool.put_team(&row.team, row.quota),
+            Item::Guarantee(row) => {
+                self.pool.put_shares(&row.team, rows::shares_from_row(&row.shares));
+            }
+            Item::Drain(row) => self.refresh_condition(cx, &row.worker),
+        }
+        self.dirty = true;
+        let epoch = self.row.epoch;
+        let value = staged.item.value();
+        let links: Vec<LinkId> = self.peers.keys().copied().collect();
+        for link in links {
+            let concerned = match (&self.peers[&link], &staged.item) {
+                (Peer::Entry { .. }, _) => true,
+                (Peer::Agent { worker }, Item::Drain(row)) => row.worker == *worker,
+                (Peer::Agent { .. }, _) => false,
+            };
+            let rows = if concerned { vec![(key.to_owned(), value.clone())] } else { Vec::new() };
+            cx.send(link, Frame::Configure { epoch, after, version, rows });
+        }
+        let answer = Answer::Changed { version: staged.item.version(), configuration: version };
+        cx.answer(&staged.waiter, answer);
+    }
+
+    /// While the table is down: changes that are not in flight are taken back,
+    /// callers of the others learn that it is unclear.
+    pub(crate) fn give_up_changes(&mut self, cx: &mut Context) {
+        let keys: Vec<String> = self.staged.keys().cloned().collect();
+        for key in keys {
+            if self.ledger.withdraw(&Tag::Config(key.clone())) {
+                let Some(staged) = self.staged.remove(&key) else { continue };
+                let text = "the table service does not answer; nothing was changed";
+                cx.unavailable(&staged.waiter, text);
+                continue;
+            }
+            let staged = &self.staged[&key];
+            if cx.now.saturating_sub(staged.since) >= cx.settings.store_patience {
+                let text = "the table service did not answer whether the change is recorded; \
+                            read the version before trying again";
+                cx.unavailable(&staged.waiter.clone(), text);
+            }
+        }
+    }
+
+    pub(crate) fn pool_view(&self, cx: &Context) -> Answer {
+        let workers = self.pool.workers().map(|worker| Worker {
+            worker: worker.worker.to_owned(),
+            zone: worker.zone.to_owned(),
+            rack: worker.rack.to_owned(),
+            accelerators: worker.accelerators,
+            free: worker.free,
+            condition: worker.condition.name().to_owned(),
+            tasks: worker.tasks,
+        });
+        let teams = self.pool.teams().into_iter().map(|team| Team {
+            team: team.team.to_owned(),
+            version: cx.config.team(team.team).map_or(0, |row| row.version),
+            quota: team.quota,
+            guarantee_version: cx.config.guarantee(team.team).map_or(0, |row| row.version),
+            shares: team.shares.to_vec(),
+            held: team.held,
+            queued: team.queued,
+            fits: team.fits,
+        });
+        Answer::Pool {
+            epoch: self.row.epoch,
+            owner: self.row.holder.clone(),
+            store: !self.store_down(cx),
+            workers: workers.collect(),
+            teams: teams.collect(),
+        }
+    }
+
+    pub(crate) fn configuration_view(&self, cx: &Context) -> Answer {
+        let mut processes = vec![(cx.settings.name.clone(), cx.config.version())];
+        for peer in self.peers.values() {
+            match peer {
+                Peer::Entry { name, lag, .. } => processes.push((name.clone(), lag.version)),
+                Peer::Agent { worker } => {
+                    let version = self.agents.get(worker).map_or(0, |agent| agent.lag.version);
+                    processes.push((worker.clone(), version));
+                }
+            }
+        }
+        processes.sort();
+        Answer::Configuration { recorded: cx.config.version(), processes }
+    }
+}
+
+fn describe(shape: &Shape) -> String {
+    format!(
+        "{} task(s) with {} adjacent accelerator(s) each, adjacency {:?}",
+        shape.tasks,
+        shape.cell(),
+        shape.adjacency
+    )
+}
