Say go after a takeover only when all members were heard

Cause: a new owner answered a member's 'what is to become of it' with go as soon as the row said started, although another member had buried the attempt under the owner before and the caller had been told that the gang did not run. Found by the mutant that skips the wait: no test noticed it, so one was written, and it failed without the mutant too. Ruled out: a late go of the earlier owner; the trace shows the new owner's own. Change: an unsure member is told go only if go was said to it before.

--- a/crates/grant/src/grantor.rs
+++ b/crates/grant/src/grantor.rs
@@ -182,7 +182,7 @@
     fn linked(&mut self, link: LinkId, hello: &Hello, dialled: &str) {
         self.dialling.remove(dialled);
         match hello.role {
-            Role::Entry if dialled == self.address && self.owner.is_none() => {
+            Role::Entry if self.epoch > 0 && dialled == self.address && self.owner.is_none() => {
                 self.owner = Some(link);
                 self.heard = self.now;
                 self.announce(link);
--- a/crates/shard/src/starts.rs
+++ b/crates/shard/src/starts.rs
@@ -108,12 +108,13 @@
         let Some(worker) = self.worker_of(link) else { return };
         let known = self.attempts.get(&attempt).and_then(|id| self.jobs[id].attempt());
         let current = known.filter(|known| known.attempt == attempt);
-        match current.map(|current| (current.step, current.stopping)) {
-            Some((Step::Started, None)) => {
-                cx.send(link, Frame::Go { epoch: self.row.epoch, attempt });
-            }
-            Some((_, None)) => self.prepared(cx, link, attempt),
-            _ => self.send_stop(cx, &worker, attempt, Duration::ZERO),
+        let current = current.filter(|current| current.stopping.is_none());
+        match current.and_then(|current| current.parts.get(&worker)) {
+            // Go was said and got lost. That the start is recorded is not
+            // enough: another member may have buried it under an earlier owner.
+            Some(Part::Running) => cx.send(link, Frame::Go { epoch: self.row.epoch, attempt }),
+            Some(_) => self.prepared(cx, link, attempt),
+            None => self.send_stop(cx, &worker, attempt, Duration::ZERO),
         }
     }
 
--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -45,8 +45,11 @@
     pub platform: String,
     /// The entries' addresses for callers.
     pub rpcs: Vec<String>,
+    /// The entries' addresses for other processes.
+    pub entry_listen: Vec<String>,
     /// The workers.
     pub workers: Vec<Worker>,
+    logs: Arc<Mutex<String>>,
     processes: Vec<Process>,
     events: Arc<Mutex<Vec<Event>>>,
     quiet: bool,
@@ -71,7 +74,9 @@
             bin,
             platform: address(),
             rpcs: Vec::new(),
+            entry_listen: Vec::new(),
             workers: Vec::new(),
+            logs: Arc::default(),
             processes: Vec::new(),
             events: Arc::default(),
             quiet,
@@ -119,6 +124,7 @@
         ];
         self.start(&name, "quincewheel-entry", &args, true)?;
         self.rpcs.push(rpc.clone());
+        self.entry_listen.push(listen);
         Ok(rpc)
     }
 
@@ -160,7 +166,7 @@
         command.args(args).env("QUINCEWHEEL_FLEET_KEY", FLEET_KEY).stdin(Stdio::null());
         command.stdout(if events { Stdio::piped() } else { Stdio::null() });
         if self.quiet {
-            command.stderr(Stdio::null());
+            command.stderr(Stdio::piped());
         }
         let mut child = command.spawn().map_err(|error| {
             let text = format!("start {bin}: {error}; run cargo build --workspace first");
@@ -176,6 +182,16 @@
                 }
             });
         }
+        if let Some(output) = child.stderr.take() {
+            let logs = Arc::clone(&self.logs);
+            thread::spawn(move || {
+                for line in BufReader::new(output).lines().map_while(Result::ok) {
+                    let mut logs = logs.lock().unwrap_or_else(|p| p.into_inner());
+                    logs.push_str(&line);
+                    logs.push('\n');
+                }
+            });
+        }
         self.processes.push(Process { name: name.to_owned(), child });
         Ok(())
     }
@@ -243,6 +259,11 @@
         self.events.lock().unwrap_or_else(|p| p.into_inner()).clone()
     }
 
+    /// What quiet processes logged so far.
+    pub fn logs(&self) -> String {
+        self.logs.lock().unwrap_or_else(|p| p.into_inner()).clone()
+    }
+
     /// Resident memory of a process in KiB.
     pub fn memory(&self, name: &str) -> Option<u64> {
         let process = self.processes.iter().rev().find(|p| p.name == name)?;
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -2,7 +2,7 @@
 
 use quincewheel_wire::{Ask, Job};
 
-use crate::bed::{TEAM, Table, Who, World, job, ms, name, not_run, put_team, secs};
+use crate::bed::{TEAM, Table, Who, World, gang, job, ms, name, not_run, put_team, secs};
 
 /// Symptom: an outage of the table stops running work, or callers hang, or a
 /// job runs that was refused. Sequence: the table is down for two hours while
@@ -155,3 +155,39 @@
         @r#"refused within 1ms, 17 reads in the first second, ["done", "done"]"#
     );
 }
+
+/// Symptom: a gang is refused as not run, then one member of it starts. Sequence:
+/// the record of its start is taken and the answer lost; the owner gives up; one
+/// member buries the attempt, the other does not hear of it; the owner dies; the
+/// next one reads "started" and hears first from the member that waits. Cause:
+/// it says go before it has heard from all.
+#[actix_rt::test]
+async fn a_start_that_one_member_buried_stays_buried() {
+    let mut answers = Vec::new();
+    for at_step in 1..=8 {
+        let mut world = World::settled(3, 2, 5).await;
+        let (owner, at) = (world.owner().unwrap(), world.follower());
+        let call = world.submit(at, &gang("gang", false, ms(500), 2));
+        world.run(ms(at_step)).await;
+        world.table = Table::Deaf;
+        world.run(ms(20)).await;
+        world.lost.insert("stop");
+        world.cut(Who::Entry(owner), Who::Agent(1));
+        world.run(ms(900)).await;
+        world.lost.clear();
+        world.run(secs(3)).await;
+        world.kill(Who::Entry(owner));
+        world.table = Table::Up;
+        // The member that buried it reaches no other entry for a while.
+        for entry in (0..3).filter(|entry| *entry != owner) {
+            world.cut(Who::Entry(entry), Who::Agent(0));
+        }
+        world.run(secs(6)).await;
+        world.cuts.clear();
+        world.run(secs(30)).await;
+        world.check(&format!("buried, at {at_step} ms"));
+        answers.push(format!("{} {}", name(world.answer(call)), world.starts("gang").len()));
+    }
+    answers.dedup();
+    insta::assert_snapshot!(answers.join("; "), @r"not_run 0; done 2");
+}
