--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -44,6 +44,12 @@
     "60000",
     "Milliseconds after which a waiting job stops later ones from overtaking it, 0 to 86400000",
 );
+const WEIGHING: Definition = Definition::optional(
+    "weighing",
+    "PERCENT",
+    "0",
+    "0 weighs completion time alone, 100 fragmentation alone",
+);
 const STRIKES: Definition = Definition::optional(
     "strikes",
     "JOBS",
@@ -73,7 +79,7 @@
 /// All settings of an entry.
 pub const DEFINITIONS: &[Definition] = &[
     NAME, RPC, LISTEN, PLATFORM, FLEET_KEY, OPERATOR, DRAIN, GRACE, QUEUE, RESERVE, PATIENCE,
-    STRIKES, ATTEMPTS, RETENTION, LOG_LEVEL, EVENTS, KEY,
+    WEIGHING, STRIKES, ATTEMPTS, RETENTION, LOG_LEVEL, EVENTS, KEY,
 ];
 
 /// The command line of an entry.
@@ -136,6 +142,7 @@
                 queue: r.number(&QUEUE, 1, 100_000),
                 reserve: r.number(&RESERVE, 0, 1000),
                 patience: r.millis(&PATIENCE, 0, 86_400_000),
+                weighing: r.number(&WEIGHING, 0, 100),
                 strikes: r.number(&STRIKES, 1, 100),
             },
             attempts: r.number(&ATTEMPTS, 1, 100),
--- /dev/null
+++ b/crates/pool/src/decide.rs
@@ -0,0 +1,336 @@
+//! The command that starts and reclaims.
+
+use std::time::Duration;
+
+use crate::cell;
+use crate::decision::Decision;
+use crate::demand::Demand;
+use crate::guarantee;
+use crate::plan;
+use crate::pool::{Claim, Holding, Pool};
+use crate::shape::Shape;
+use crate::tally::Tally;
+use crate::{JobId, Placement};
+
+/// How much dearer it is to stop work that may not run again.
+const FINAL_LOSS: u128 = 1_000_000;
+/// What a checkpoint and a restart from it cost, as far as decisions go.
+const MOVE: Duration = Duration::from_secs(60);
+/// Places that are kept at once for waiting jobs until their holders end.
+const DRAINS: usize = 1;
+/// Waiting jobs looked at in one decision, once so many did not fit.
+const MISSES: usize = 64;
+
+impl Pool {
+    /// Starts what can start and asks borrowed work to give way where a
+    /// guaranteed job cannot start otherwise.
+    pub fn decide(&mut self, now: Duration) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        let mut stuck: Vec<(Shape, bool)> = Vec::new();
+        let mut misses = 0;
+        for job in self.order(now) {
+            let demand = self.waiting[&job].clone();
+            let covered = self.covered(job, &demand);
+            // Equal shapes fail alike; this keeps a long queue linear.
+            let alike = (demand.shape, covered);
+            let fresh = demand.avoid.is_empty() && !self.claims.contains_key(&job);
+            if fresh && stuck.contains(&alike) {
+                continue;
+            }
+            if self.try_start(job, &demand, now, &mut decisions) {
+                continue;
+            }
+            self.make_room(job, &demand, now, &mut decisions);
+            if fresh {
+                stuck.push(alike);
+            }
+            misses += 1;
+            if misses >= MISSES {
+                break;
+            }
+        }
+        decisions
+    }
+
+    fn covered(&self, job: JobId, demand: &Demand) -> bool {
+        self.claims.get(&job).is_some_and(|claim| claim.share.is_some())
+            || self.share_for(&demand.team, &demand.shape).is_some()
+    }
+
+    /// Starts the job, or sees that its place is being freed. False if there is
+    /// no place for it.
+    fn try_start(
+        &mut self,
+        job: JobId,
+        demand: &Demand,
+        now: Duration,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        let quota = self.teams.get(&demand.team).map_or(0, |team| team.quota);
+        if quota > 0 && self.held_by(&demand.team) + demand.shape.total() > quota {
+            return true;
+        }
+        if let Some(claim) = self.claims.get(&job) {
+            if self.is_free(&claim.placement) {
+                let claim = self.claims.remove(&job).expect("present above");
+                self.start(job, demand, claim.placement, claim.share, now, decisions);
+                return true;
+            }
+            let freeing = claim.ready.is_none()
+                && (claim.share.is_some() || self.being_freed(&claim.placement));
+            if freeing {
+                return true;
+            }
+            if claim.ready.is_none() {
+                // A guaranteed job took part of the place meanwhile.
+                self.claims.remove(&job);
+            }
+        }
+        let share = self.share_for(&demand.team, &demand.shape);
+        if let Some(placement) = plan::take(&mut self.vacant(demand, now), &demand.shape) {
+            // A borrowed job may sit anywhere, since it can be reclaimed. A
+            // guaranteed one may not break what other teams are still owed.
+            if share.is_none_or(|share| self.harmless(&placement, &demand.team, share)) {
+                self.claims.remove(&job);
+                self.start(job, demand, placement, share, now, decisions);
+                return true;
+            }
+        }
+        match share {
+            Some(share) => self.reclaim(job, demand, share, now, decisions),
+            None => self.claims.contains_key(&job),
+        }
+    }
+
+    fn is_free(&self, placement: &Placement) -> bool {
+        placement.iter().all(|(worker, mask)| {
+            self.workers.get(worker).is_some_and(|w| w.free() & mask == *mask)
+        })
+    }
+
+    fn being_freed(&self, placement: &Placement) -> bool {
+        let leaving = |id: &JobId| self.holdings.get(id).is_some_and(|holding| holding.reclaimed);
+        self.holders(placement).iter().all(leaving)
+    }
+
+    fn start(
+        &mut self,
+        job: JobId,
+        demand: &Demand,
+        placement: Placement,
+        share: Option<Shape>,
+        now: Duration,
+        decisions: &mut Vec<Decision>,
+    ) {
+        self.waiting.remove(&job);
+        for (worker, mask) in &placement {
+            self.hold(job, worker, *mask);
+        }
+        let holding = Holding {
+            team: demand.team.clone(),
+            shape: demand.shape,
+            since: now,
+            ends: now + self.estimates.expect(demand),
+            restartable: demand.restartable,
+            share,
+            reclaimed: false,
+            places: placement.clone(),
+        };
+        self.holdings.insert(job, holding);
+        decisions.push(Decision::Start { job, placement, guaranteed: share.is_some() });
+    }
+
+    /// True if all other unused guarantees still fit beside `placement`.
+    fn harmless(&self, placement: &Placement, team: &str, share: Shape) -> bool {
+        let mut tally = self.reclaimable(&[]);
+        for at in 0..tally.spots().len() {
+            let spot = tally.spot(at);
+            for (_, mask) in placement.iter().filter(|(worker, _)| *worker == spot.worker) {
+                spot.free &= !mask;
+                spot.slots = spot.slots.saturating_sub(1);
+            }
+        }
+        guarantee::pack(tally, &mut self.unused(Some((team, share)))).is_none()
+    }
+
+    /// Finds cells that borrowed work holds and asks it to leave.
+    fn reclaim(
+        &mut self,
+        job: JobId,
+        demand: &Demand,
+        share: Shape,
+        now: Duration,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        let mut tally = self.reclaimable(&demand.avoid);
+        self.give_slots_back(&mut tally);
+        let loss = |worker: &str, mask: u64| self.loss(worker, mask, now);
+        let Some(placement) = cheapest(&tally, &demand.shape, loss) else { return false };
+        if !self.harmless(&placement, &demand.team, share) {
+            return false;
+        }
+        self.evict(job, &placement, decisions);
+        self.claims.insert(job, Claim { placement, share: Some(share), ready: None });
+        true
+    }
+
+    /// Slots that borrowed work fills do not count against who reclaims.
+    fn give_slots_back(&self, tally: &mut Tally) {
+        for at in 0..tally.spots().len() {
+            let spot = tally.spot(at);
+            let held = self.workers[&spot.worker].held.keys();
+            let borrowed = held
+                .filter(|job| self.holdings.get(job).is_none_or(|holding| holding.share.is_none()));
+            spot.slots += borrowed.count() as u32;
+        }
+    }
+
+    /// Asks all that hold any accelerator of `placement` to leave.
+    fn evict(&mut self, claimant: JobId, placement: &Placement, decisions: &mut Vec<Decision>) {
+        for victim in self.holders(placement) {
+            let Some(holding) = self.holdings.get_mut(&victim) else { continue };
+            if !holding.reclaimed {
+                holding.reclaimed = true;
+                decisions.push(Decision::Reclaim { job: victim, claimant });
+            }
+        }
+    }
+
+    /// Jobs that hold any accelerator of `placement`.
+    fn holders(&self, placement: &Placement) -> Vec<JobId> {
+        let mut holders: Vec<JobId> = Vec::new();
+        for (worker, mask) in placement {
+            let held = &self.workers[worker].held;
+            holders.extend(held.iter().filter(|(_, m)| *m & mask != 0).map(|(job, _)| *job));
+        }
+        holders.sort();
+        holders.dedup();
+        holders
+    }
+
+    /// Work that is lost if the holders of a cell are stopped: accelerators
+    /// times the time they have run.
+    fn loss(&self, worker: &str, mask: u64, now: Duration) -> u128 {
+        let held = self.workers[worker].held.iter().filter(|(_, m)| *m & mask != 0);
+        let holdings = held.filter_map(|(job, _)| self.holdings.get(job));
+        let lost = holdings.map(|holding| {
+            let ran = now.saturating_sub(holding.since).as_millis() + 1;
+            let weight = if holding.restartable { 1 } else { FINAL_LOSS };
+            u128::from(holding.shape.total()) * ran * weight
+        });
+        lost.sum()
+    }
+
+    /// A job that has waited long and does not fit gets a place made for it:
+    /// by moving others where that pays, else by keeping a place until its
+    /// holders end. Otherwise narrower jobs would take each cell that falls free.
+    fn make_room(
+        &mut self,
+        job: JobId,
+        demand: &Demand,
+        now: Duration,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let waited = now.saturating_sub(demand.arrived);
+        if demand.shape.total() < 2 || waited < self.limits.patience {
+            return;
+        }
+        if self.compact(job, demand, waited, now, decisions) {
+            return;
+        }
+        let drains = self.claims.values().filter(|claim| claim.ready.is_some()).count();
+        if drains >= DRAINS {
+            return;
+        }
+        let ends = |worker: &str, mask: u64| {
+            let held = self.workers[worker].held.iter().filter(|(_, m)| *m & mask != 0);
+            let ends = held.filter_map(|(job, _)| self.holdings.get(job)).map(|h| h.ends.max(now));
+            ends.max().unwrap_or(now).as_millis()
+        };
+        let mut tally = self.whole(&demand.avoid);
+        for at in 0..tally.spots().len() {
+            let spot = tally.spot(at);
+            spot.slots = self.workers[&spot.worker].slots;
+        }
+        let Some(placement) = cheapest(&tally, &demand.shape, ends) else { return };
+        let ready = placement.iter().map(|(worker, mask)| ends(worker, *mask)).max();
+        let ready = ready.map(|ms| Duration::from_millis(ms as u64));
+        self.claims.insert(job, Claim { placement, share: None, ready });
+    }
+
+    /// Moves borrowed work off a nearly free place to other free cells, if what
+    /// that costs is less than what the wide job's wait is worth.
+    fn compact(
+        &mut self,
+        job: JobId,
+        demand: &Demand,
+        waited: Duration,
+        now: Duration,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        let mut tally = self.reclaimable(&demand.avoid);
+        self.give_slots_back(&mut tally);
+        let loss = |worker: &str, mask: u64| self.loss(worker, mask, now);
+        let Some(placement) = cheapest(&tally, &demand.shape, loss) else { return false };
+        let holders = self.holders(&placement);
+        let movable = |id: &JobId| {
+            self.holdings
+                .get(id)
+                .is_some_and(|h| h.restartable && !h.reclaimed && h.share.is_none())
+        };
+        if !holders.iter().all(movable) {
+            return false;
+        }
+        let mut spare = self.spare();
+        for (worker, mask) in &placement {
+            spare.without(worker, *mask);
+        }
+        let mut cost = Duration::ZERO;
+        for id in &holders {
+            let holding = &self.holdings[id];
+            if holding.shape.total() * 2 > demand.shape.total()
+                || plan::take(&mut spare, &holding.shape).is_none()
+            {
+                return false;
+            }
+            cost += MOVE * holding.shape.total();
+        }
+        let lean = 1 + self.limits.weighing.min(100) / 25;
+        if waited * demand.shape.total() * lean < cost * 2 {
+            return false;
+        }
+        self.evict(job, &placement, decisions);
+        self.claims.insert(job, Claim { placement, share: None, ready: None });
+        true
+    }
+}
+
+/// The place with the least cost, which is summed over its cells.
+fn cheapest(tally: &Tally, shape: &Shape, cost: impl Fn(&str, u64) -> u128) -> Option<Placement> {
+    let size = shape.cell();
+    let mut best: Option<(u128, Placement)> = None;
+    for domain in tally.domains(shape.adjacency) {
+        let room: u32 = domain.iter().map(|at| tally.spots()[*at].room(size)).sum();
+        if room < shape.tasks {
+            continue;
+        }
+        let mut cells: Vec<(u128, &str, u64)> = Vec::new();
+        for at in domain {
+            let spot = &tally.spots()[at];
+            let mut here: Vec<_> = cell::within(spot.free, size)
+                .map(|mask| (cost(&spot.worker, mask), spot.worker.as_str(), mask))
+                .collect();
+            here.sort();
+            here.truncate(spot.slots as usize);
+            cells.extend(here);
+        }
+        cells.sort();
+        cells.truncate(shape.tasks as usize);
+        let total = cells.iter().map(|(cost, ..)| cost).sum();
+        if best.as_ref().is_none_or(|(least, _)| total < *least) {
+            let placement = cells.iter().map(|(_, w, mask)| ((*w).to_owned(), *mask));
+            best = Some((total, placement.collect()));
+        }
+    }
+    best.map(|(_, placement)| placement)
+}
--- a/crates/pool/src/demand.rs
+++ b/crates/pool/src/demand.rs
@@ -15,6 +15,8 @@
     pub restartable: bool,
     /// When it came, on the caller's clock.
     pub arrived: Duration,
+    /// How long its caller says it runs. Corrected by what the team's jobs did.
+    pub declared: Duration,
     /// Workers that earlier attempts failed on, not to be tried again.
     pub avoid: Vec<String>,
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -15,12 +15,16 @@
 mod adjacency;
 mod cell;
 mod command;
+mod decide;
 mod decision;
 mod demand;
+mod estimate;
 mod guarantee;
 mod plan;
 mod pool;
 mod query;
+mod queue;
+mod room;
 mod shape;
 mod share;
 mod tally;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -2,11 +2,11 @@
 use std::time::Duration;
 
 use crate::demand::Demand;
+use crate::estimate::Estimates;
 use crate::shape::Shape;
-use crate::tally::{Spot, Tally};
 use crate::team::Team;
 use crate::worker::Worker;
-use crate::{JobId, Placement, cell};
+use crate::{JobId, Placement};
 
 /// Bounds that operators set.
 #[derive(Clone, Copy, Debug)]
@@ -17,13 +17,16 @@
     pub reserve: usize,
     /// After this wait a wide job stops narrower ones from overtaking it.
     pub patience: Duration,
+    /// 0 weighs completion time alone, 100 fragmentation alone.
+    pub weighing: u32,
     /// Distinct jobs in a row that fail on a worker before it is quarantined.
     pub strikes: usize,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { queue: 1000, reserve: 1, patience: Duration::from_secs(60), strikes: 3 }
+        let patience = Duration::from_secs(60);
+        Limits { queue: 1000, reserve: 1, patience, weighing: 0, strikes: 3 }
     }
 }
 
@@ -33,6 +36,8 @@
     pub team: String,
     pub shape: Shape,
     pub since: Duration,
+    /// When it is expected to end.
+    pub ends: Duration,
     pub restartable: bool,
     /// The share that pays for it, if the team's guarantee does.
     pub share: Option<Shape>,
@@ -41,11 +46,15 @@
     pub places: Placement,
 }
 
-/// A place kept for a guaranteed job until its victims have left.
+/// A place kept for a waiting job until those who hold it have left.
 #[derive(Clone, Debug)]
 pub(crate) struct Claim {
     pub placement: Placement,
-    pub share: Shape,
+    /// The share that pays for it, if a guarantee does.
+    pub share: Option<Shape>,
+    /// When the place is expected to be free, if nobody was asked to leave it.
+    /// Jobs that are expected to end before may use it meanwhile.
+    pub ready: Option<Duration>,
 }
 
 /// All workers, teams and jobs of one shard.
@@ -59,6 +68,7 @@
     pub(crate) claims: BTreeMap<JobId, Claim>,
     /// Distinct jobs that failed in a row, per worker.
     pub(crate) strikes: BTreeMap<String, Vec<JobId>>,
+    pub(crate) estimates: Estimates,
 }
 
 impl Pool {
@@ -67,41 +77,6 @@
         Pool { limits, ..Pool::default() }
     }
 
-    /// What a new job may use now: free cells on serving workers, less those
-    /// kept for claims.
-    pub(crate) fn vacant(&self, avoid: &[String]) -> Tally {
-        self.tally(avoid, |worker| worker.free())
-    }
-
-    /// What could be had for guarantees: all but what guaranteed jobs hold.
-    pub(crate) fn reclaimable(&self, avoid: &[String]) -> Tally {
-        self.tally(avoid, |worker| {
-            let secure = |job: &JobId| self.holdings.get(job).is_some_and(|h| h.share.is_some());
-            let held = worker.held.iter().filter(|(job, _)| secure(job));
-            held.fold(cell::full(worker.accelerators), |free, (_, mask)| free & !mask)
-        })
-    }
-
-    fn tally(&self, avoid: &[String], free: impl Fn(&Worker) -> u64) -> Tally {
-        let mut kept: BTreeMap<&str, (u64, u32)> = BTreeMap::new();
-        for (worker, mask) in self.claims.values().flat_map(|claim| &claim.placement) {
-            let entry = kept.entry(worker).or_default();
-            entry.0 |= mask;
-            entry.1 += 1;
-        }
-        let mut tally = Tally::default();
-        for (name, worker) in &self.workers {
-            if !worker.serving() || avoid.contains(name) {
-                continue;
-            }
-            let (claimed, tasks) = kept.get(name.as_str()).copied().unwrap_or_default();
-            let free = free(worker) & !claimed;
-            let slots = worker.slots.saturating_sub(worker.tasks + tasks);
-            tally.add(&worker.zone, &worker.rack, Spot { worker: name.clone(), free, slots });
-        }
-        tally
-    }
-
     /// The unused guaranteed shapes of all teams, but for one of `except`.
     pub(crate) fn unused(&self, except: Option<(&str, Shape)>) -> Vec<Shape> {
         let mut shapes = Vec::new();
@@ -122,7 +97,7 @@
     pub(crate) fn used(&self, team: &str, shape: &Shape) -> u32 {
         let held = self.holdings.values().filter(|h| h.team == team && h.share == Some(*shape));
         let claimed = self.claims.iter().filter(|(job, claim)| {
-            claim.share == *shape && self.waiting.get(job).is_some_and(|d| d.team == team)
+            claim.share == Some(*shape) && self.waiting.get(job).is_some_and(|d| d.team == team)
         });
         (held.count() + claimed.count()) as u32
     }
--- a/crates/pool/src/query.rs
+++ b/crates/pool/src/query.rs
@@ -138,7 +138,7 @@
 
     /// Share of the free accelerators that gangs of `shape` cannot use.
     pub fn fragmentation(&self, shape: &Shape) -> f64 {
-        let mut tally = self.vacant(&[]);
+        let mut tally = self.spare();
         let free: u32 = tally.spots().iter().map(|spot| spot.free.count_ones()).sum();
         let mut used = 0;
         while crate::plan::take(&mut tally, shape).is_some() {
--- /dev/null
+++ b/crates/pool/src/queue.rs
@@ -0,0 +1,83 @@
+//! The order in which waiting jobs are tried.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::JobId;
+use crate::demand::Demand;
+use crate::pool::Pool;
+use crate::shape::Shape;
+
+/// What a job of no size and no wait counts as having waited, in seconds: the
+/// smaller, the more the order is that of arrival.
+const GRAIN: f64 = 60.0;
+
+impl Pool {
+    /// Waiting jobs: what a guarantee covers first, urgent before other, then
+    /// by the expected work divided by the wait. Small work first shortens the
+    /// mean completion time; the wait lifts the large, so that none starves.
+    pub(crate) fn order(&self, now: Duration) -> Vec<JobId> {
+        let open = self.open_shares();
+        let mut held: BTreeMap<&str, u32> = BTreeMap::new();
+        for holding in self.holdings.values() {
+            *held.entry(&holding.team).or_default() += holding.shape.total();
+        }
+        let all: u32 = self.workers.values().map(|worker| worker.accelerators).sum();
+        let key = |(job, demand): (&JobId, &Demand)| {
+            let covered = self.claims.get(job).is_some_and(|claim| claim.share.is_some())
+                || open
+                    .get(demand.team.as_str())
+                    .is_some_and(|shapes| shapes.iter().any(|shape| shape.covers(&demand.shape)));
+            let rank = match (covered, demand.urgent) {
+                (true, true) => 0,
+                (true, false) => 1,
+                (false, true) => 2,
+                (false, false) => 3,
+            };
+            let share = f64::from(held.get(demand.team.as_str()).copied().unwrap_or(0))
+                / f64::from(all.max(1));
+            (rank, Score(self.score(demand, now) * (1.0 + share)), *job)
+        };
+        let mut keys: Vec<_> = self.waiting.iter().map(key).collect();
+        keys.sort();
+        keys.into_iter().map(|(_, _, job)| job).collect()
+    }
+
+    /// Expected work by wait. Toward fragmentation, wide shapes count for less:
+    /// they go first while there is room for them.
+    fn score(&self, demand: &Demand, now: Duration) -> f64 {
+        let waited = now.saturating_sub(demand.arrived).as_secs_f64();
+        let run = self.estimates.expect(demand).as_secs_f64();
+        let width = f64::from(demand.shape.total());
+        let lean = 1.0 - 1.5 * f64::from(self.limits.weighing.min(100)) / 100.0;
+        (run + 1.0) * width.powf(lean) / (waited + GRAIN)
+    }
+
+    /// Guaranteed shapes that are not used up, by team.
+    fn open_shares(&self) -> BTreeMap<&str, Vec<Shape>> {
+        let mut open = BTreeMap::new();
+        for (name, team) in &self.teams {
+            let left = team.shares.iter().filter(|s| self.used(name, &s.shape) < s.count);
+            open.insert(name.as_str(), left.map(|share| share.shape).collect());
+        }
+        open
+    }
+}
+
+/// A score that can be sorted by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Score(f64);
+
+impl Eq for Score {}
+
+impl PartialOrd for Score {
+    fn partial_cmp(&self, other: &Score) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Score {
+    fn cmp(&self, other: &Score) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
--- /dev/null
+++ b/crates/pool/src/room.rs
@@ -0,0 +1,68 @@
+//! What a search may use: views of the pool as a [`Tally`].
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::JobId;
+use crate::cell;
+use crate::demand::Demand;
+use crate::pool::{Claim, Pool};
+use crate::tally::{Spot, Tally};
+use crate::worker::Worker;
+
+impl Pool {
+    /// What a job may use now: free cells on serving workers, less those kept
+    /// for others. A place that is kept until its holders end by themselves may
+    /// be used by a job that is expected to end before them.
+    pub(crate) fn vacant(&self, demand: &Demand, now: Duration) -> Tally {
+        let ends = now + self.estimates.expect(demand);
+        let kept = |claim: &Claim| claim.ready.is_none_or(|ready| ends > ready);
+        self.tally(&demand.avoid, kept, Worker::free)
+    }
+
+    /// What is free and not kept for anybody.
+    pub(crate) fn spare(&self) -> Tally {
+        self.tally(&[], |_| true, Worker::free)
+    }
+
+    /// What could be had for guarantees: all but what guaranteed jobs hold.
+    pub(crate) fn reclaimable(&self, avoid: &[String]) -> Tally {
+        let kept = |claim: &Claim| claim.share.is_some();
+        self.tally(avoid, kept, |worker| {
+            let secure = |job: &JobId| self.holdings.get(job).is_some_and(|h| h.share.is_some());
+            let held = worker.held.iter().filter(|(job, _)| secure(job));
+            held.fold(cell::full(worker.accelerators), |free, (_, mask)| free & !mask)
+        })
+    }
+
+    /// Everything that serves and is not kept for anybody.
+    pub(crate) fn whole(&self, avoid: &[String]) -> Tally {
+        self.tally(avoid, |_| true, |worker| cell::full(worker.accelerators))
+    }
+
+    fn tally(
+        &self,
+        avoid: &[String],
+        kept: impl Fn(&Claim) -> bool,
+        free: impl Fn(&Worker) -> u64,
+    ) -> Tally {
+        let mut taken: BTreeMap<&str, (u64, u32)> = BTreeMap::new();
+        let claims = self.claims.values().filter(|claim| kept(claim));
+        for (worker, mask) in claims.flat_map(|claim| &claim.placement) {
+            let entry = taken.entry(worker).or_default();
+            entry.0 |= mask;
+            entry.1 += 1;
+        }
+        let mut tally = Tally::default();
+        for (name, worker) in &self.workers {
+            if !worker.serving() || avoid.contains(name) {
+                continue;
+            }
+            let (claimed, tasks) = taken.get(name.as_str()).copied().unwrap_or_default();
+            let free = free(worker) & !claimed;
+            let slots = worker.slots.saturating_sub(worker.tasks + tasks);
+            tally.add(&worker.zone, &worker.rack, Spot { worker: name.clone(), free, slots });
+        }
+        tally
+    }
+}
--- a/crates/pool/src/tally.rs
+++ b/crates/pool/src/tally.rs
@@ -33,6 +33,13 @@
         self.spots.push(spot);
     }
 
+    /// Takes cells of a worker out.
+    pub fn without(&mut self, worker: &str, mask: u64) {
+        for spot in self.spots.iter_mut().filter(|spot| spot.worker == worker) {
+            spot.free &= !mask;
+        }
+    }
+
     pub fn spot(&mut self, at: usize) -> &mut Spot {
         &mut self.spots[at]
     }
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -122,11 +122,11 @@
         true
     }
 
-    /// Notes that all rows up to `version` are in force. True if it is news.
+    /// Notes that all rows up to `version` are in force. True if that changed it.
     pub(crate) fn reach(&mut self, version: u64) -> bool {
-        let news = version > self.version;
+        let before = self.version;
         self.version = self.version.max(version);
-        news
+        self.version != before
     }
 
     /// All rows, for a process that joins.
--- a/crates/shard/src/job.rs
+++ b/crates/shard/src/job.rs
@@ -162,6 +162,7 @@
             urgent: record.job.urgent,
             restartable: record.job.idempotent,
             arrived: record.arrived,
+            declared: record.job.run,
             avoid: record.avoid.clone(),
         };
         self.pool.enqueue(id, demand);
--- a/crates/shard/src/reports.rs
+++ b/crates/shard/src/reports.rs
@@ -55,10 +55,15 @@
     ) {
         let Some(id) = self.attempts.get(&attempt).copied() else { return };
         let record = self.jobs.get_mut(&id).expect("attempts name records");
+        let (team, shape, declared) = (record.job.team.clone(), record.job.shape, record.job.run);
         let Some(current) = record.attempt_mut().filter(|t| t.attempt == attempt) else { return };
+        let since = current.since;
         let Some(part) = current.parts.get_mut(worker).filter(|part| part.live()) else { return };
         match &report {
-            Report::Done { .. } => self.pool.report(id, worker, true),
+            Report::Done { .. } => {
+                self.pool.report(id, worker, true);
+                self.pool.learn(&team, &shape, declared, cx.now.saturating_sub(since));
+            }
             Report::Failed { .. } => self.pool.report(id, worker, false),
             _ => {}
         }
@@ -198,6 +203,8 @@
         let record = self.jobs.get_mut(&id).expect("callers look it up");
         let not_run = matches!(outcome, Outcome::NotRun { .. });
         self.refusals.note(record.key(), &outcome, cx.now);
+        // What ended never runs again; its outcome is all that is kept.
+        record.job.payload = Vec::new();
         let write = record.job.recorded() && !(not_run && record.stored.is_none());
         // A row that still says "queued" or "started" would let the next owner
         // run what the caller was told is cancelled.
--- a/crates/stand-in/src/bin/bench.rs
+++ b/crates/stand-in/src/bin/bench.rs
@@ -28,23 +28,33 @@
     let owner = settle(&fleet, &operator).await;
     let other = fleet.rpcs.iter().find(|rpc| **rpc != owner).expect("two entries").clone();
     idle(&fleet).await;
-    let commit = median(commits(&fleet).await);
-    let call = median(endpoint_calls(&fleet).await);
+    for delay in [0, 2] {
+        println!("\n== the table answers {delay} ms late ==");
+        let faults = json!({ "slow_ms": delay }).to_string();
+        let url = format!("http://{}/faults", fleet.platform);
+        Client::default().post(url).send_body(faults).await.expect("the platform answers");
+        latency(&fleet, &owner, &other, delay).await;
+        load(&fleet, delay).await;
+    }
+    for name in ["entry-0", "entry-1", "worker-00"] {
+        println!("resident memory of {name:<19} {:>6} KiB", fleet.memory(name).unwrap_or(0));
+    }
+}
+
+async fn latency(fleet: &Fleet, owner: &str, other: &str, delay: u64) {
+    let commit = median(commits(fleet).await);
+    let call = median(endpoint_calls(fleet, delay).await);
     let floor = commit * COMMITS + call;
     println!("one table commit, bare                 {}", show(commit));
     println!("one endpoint call, bare                {}", show(call));
     println!("floor: {COMMITS} commits + 1 call              {}", show(floor));
-    for (name, rpc) in [("at the owner", &owner), ("at the other entry", &other)] {
-        let bond = median(requests(rpc, name, false).await);
+    for (name, rpc) in [("at the owner", owner), ("at the other entry", other)] {
+        let bond = median(requests(rpc, &format!("{name}-{delay}"), false).await);
         let ratio = bond.as_secs_f64() / floor.as_secs_f64();
         println!("non-idempotent, {name:<22} {}  ratio {ratio:.2}", show(bond));
-        let screen = median(requests(rpc, name, true).await);
-        let ratio = screen.as_secs_f64() / call.as_secs_f64();
-        println!("idempotent, {name:<26} {}  ratio to the call {ratio:.2}", show(screen));
-    }
-    load(&fleet).await;
-    for name in ["entry-0", "entry-1", "worker-00"] {
-        println!("resident memory of {name:<19} {:>6} KiB", fleet.memory(name).unwrap_or(0));
+        let screen = median(requests(rpc, &format!("{name}-{delay}"), true).await);
+        let added = screen.saturating_sub(call);
+        println!("idempotent, {name:<26} {}  {} added", show(screen), show(added));
     }
 }
 
@@ -110,13 +120,13 @@
     times
 }
 
-async fn endpoint_calls(fleet: &Fleet) -> Vec<Duration> {
+async fn endpoint_calls(fleet: &Fleet, round: u64) -> Vec<Duration> {
     let client = Client::default();
     let url = format!("http://{}/tasks", fleet.workers[10].endpoint);
     let mut times = Vec::new();
     for index in 0..SAMPLES {
         let body = json!({
-            "id": format!("bench-{index}"), "rank": 0, "accelerators": 1,
+            "id": format!("bench-{round}-{index}"), "rank": 0, "accelerators": 1,
             "payload": "aGVsbG8=", "task": {}, "wait_ms": 1000,
         });
         let began = Instant::now();
@@ -143,7 +153,7 @@
 }
 
 /// Table transactions per 1,000 non-idempotent requests with many callers.
-async fn load(fleet: &Fleet) {
+async fn load(fleet: &Fleet, delay: u64) {
     for callers in [16, 64, 256] {
         let total = 4096;
         let before = table_commits(fleet).await;
@@ -153,7 +163,7 @@
             async move {
                 let client = Caller::new(KEY);
                 for index in 0..total / callers {
-                    let request = format!("load-{callers}-{caller}-{index}");
+                    let request = format!("load-{delay}-{callers}-{caller}-{index}");
                     let job = Submission::new(TEAM, &request, "hello");
                     let answer = client.call(&rpc, "Submit", &job.body()).await;
                     assert!(matches!(answer, Ok((200, _))), "{answer:?}");
--- a/tests/bed/chaos.rs
+++ b/tests/bed/chaos.rs
@@ -1,7 +1,7 @@
 use quincewheel_wire::Ask;
 use rand::Rng;
 
-use super::world::{Table, Who, World};
+use super::world::{Table, Who, World, put_team};
 use super::{OTHER, TEAM, gang, job, ms, secs};
 
 /// A seeded schedule of failures under load.
@@ -41,6 +41,14 @@
     }
 
     fn load(&mut self, round: u32) {
+        if self.world.rng.random_bool(0.3) {
+            let at = self.world.rng.random_range(0..self.entries);
+            let team = if self.world.rng.random_bool(0.5) { TEAM } else { OTHER };
+            if self.world.alive(Who::Entry(at)) {
+                let expected = self.world.node(at).config().team(team).map_or(0, |row| row.version);
+                self.world.ask(at, put_team(team, expected));
+            }
+        }
         for index in 0..self.world.rng.random_range(1..4u32) {
             let at = self.world.rng.random_range(0..self.entries);
             if !self.world.alive(Who::Entry(at)) {
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -55,27 +55,27 @@
 async fn a_lost_answer_to_the_start_is_not_guessed() {
     let mut lines = Vec::new();
     for (what, fault) in [("deaf", Table::Deaf), ("mute", Table::Mute), ("silent", Table::Silent)] {
-        for dies in [false, true] {
+        for dies in [None, Some(1300), Some(4000)] {
             for at_step in 1..=8 {
                 let mut world = World::settled(3, 3, 2).await;
                 let (owner, at) = (world.owner().unwrap(), world.follower());
                 let bond = world.submit(at, &job("bond", false, ms(5)));
                 world.run(ms(at_step)).await;
                 world.table = fault;
-                world.run(secs(4)).await;
+                world.run(ms(dies.unwrap_or(4000))).await;
                 let first = name(world.answer(bond));
-                if dies {
+                if dies.is_some() {
                     world.kill(Who::Entry(owner));
                 }
                 world.table = Table::Up;
                 world.run(secs(30)).await;
                 let retry = world.submit(at, &Job { first: false, ..job("bond", false, ms(5)) });
                 world.run(secs(15)).await;
-                world.check(&format!("{what} at {at_step} ms, owner dies: {dies}"));
+                world.check(&format!("{what} at {at_step} ms, owner dies: {dies:?}"));
                 let last = name(world.answer(retry));
                 let starts = world.starts("bond").len();
                 assert!(starts <= 1 && (first != "done" || last == "done"));
-                let line = format!("{what}, dies {dies}: {first}, then {last}, starts {starts}");
+                let line = format!("{what}, dies {dies:?}: {first}, then {last}, starts {starts}");
                 if lines.last() != Some(&line) {
                     lines.push(line);
                 }
@@ -83,16 +83,21 @@
         }
     }
     insta::assert_snapshot!(lines.join("\n"), @r"
-    deaf, dies false: done, then done, starts 1
-    deaf, dies true: done, then done, starts 1
-    mute, dies false: not_run, then done, starts 1
-    mute, dies false: done, then done, starts 1
-    mute, dies true: not_run, then done, starts 1
-    mute, dies true: done, then done, starts 1
-    silent, dies false: not_run, then done, starts 1
-    silent, dies false: done, then done, starts 1
-    silent, dies true: not_run, then done, starts 1
-    silent, dies true: done, then done, starts 1
+    deaf, dies None: done, then done, starts 1
+    deaf, dies Some(1300): done, then done, starts 1
+    deaf, dies Some(4000): done, then done, starts 1
+    mute, dies None: not_run, then done, starts 1
+    mute, dies None: done, then done, starts 1
+    mute, dies Some(1300): not_run, then done, starts 1
+    mute, dies Some(1300): done, then done, starts 1
+    mute, dies Some(4000): not_run, then done, starts 1
+    mute, dies Some(4000): done, then done, starts 1
+    silent, dies None: not_run, then done, starts 1
+    silent, dies None: done, then done, starts 1
+    silent, dies Some(1300): not_run, then done, starts 1
+    silent, dies Some(1300): done, then done, starts 1
+    silent, dies Some(4000): not_run, then done, starts 1
+    silent, dies Some(4000): done, then done, starts 1
     ");
 }
 
