--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -264,6 +264,14 @@
         self.logs.lock().unwrap_or_else(|p| p.into_inner()).clone()
     }
 
+    /// Processor time of a process so far, in clock ticks.
+    pub fn ticks(&self, name: &str) -> Option<u64> {
+        let process = self.processes.iter().rev().find(|p| p.name == name)?;
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", process.child.id())).ok()?;
+        let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+        Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
+    }
+
     /// Resident memory of a process in KiB.
     pub fn memory(&self, name: &str) -> Option<u64> {
         let process = self.processes.iter().rev().find(|p| p.name == name)?;
