--- a/crates/entry/src/convert.rs
+++ b/crates/entry/src/convert.rs
@@ -258,7 +258,11 @@
     let Answer::Configuration { recorded, processes } = answer else {
         return v1::ConfigurationReply::default();
     };
-    let view = |(process, configuration)| v1::ProcessView { process, configuration };
+    let view = |process: quincewheel_wire::Process| v1::ProcessView {
+        process: process.name,
+        configuration: process.configuration,
+        entry: process.entry,
+    };
     let processes = processes.into_iter().map(view).collect();
     v1::ConfigurationReply { configuration: recorded, processes }
 }
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -209,7 +209,8 @@
                 return Err(convert::fault(refusal));
             }
             Answer::Configuration { processes, .. } => {
-                processes.into_iter().map(|(name, _)| name).filter(|n| *n != self.name).collect()
+                let others = processes.into_iter().filter(|process| process.entry);
+                others.map(|process| process.name).filter(|name| *name != self.name).collect()
             }
             _ => vec!["all other entries: no owner tells which there are".to_owned()],
         };
--- a/crates/pool/src/query.rs
+++ b/crates/pool/src/query.rs
@@ -94,16 +94,37 @@
         guarantee::pack(self.reclaimable(&[]), &mut self.unused(None))
     }
 
-    /// The first shape of the set that does not fit if `team` were given
-    /// `shares`, after `reserve` of the largest workers failed.
-    pub fn misfit(&self, team: &str, shares: &[Share]) -> Option<Shape> {
-        let mut shapes: Vec<Shape> = Vec::new();
+    /// What does not fit if `team` were given `shares`, after `reserve` of the
+    /// largest workers failed: the first shape of which not all fit beside the
+    /// other teams' guarantees and the shares before it, and how many do.
+    pub fn misfit(&self, team: &str, shares: &[Share]) -> Option<Share> {
         let others = self.teams.iter().filter(|(name, _)| *name != team);
-        let all = others.flat_map(|(_, team)| &team.shares).chain(shares);
-        for share in all {
-            shapes.extend(std::iter::repeat_n(share.shape, share.count as usize));
+        let mut set: Vec<Share> = others.flat_map(|(_, team)| &team.shares).copied().collect();
+        for share in shares {
+            set.push(*share);
+            if self.fits(&set) {
+                continue;
+            }
+            let fits = |count: &u32| {
+                let mut fewer = set.clone();
+                fewer.last_mut().expect("just pushed").count = *count;
+                self.fits(&fewer)
+            };
+            let count = (0..share.count).rev().find(fits).unwrap_or(0);
+            return Some(Share { shape: share.shape, count });
         }
-        guarantee::pack(self.reserved(), &mut shapes)
+        None
+    }
+
+    fn fits(&self, shares: &[Share]) -> bool {
+        let all = shares.iter().map(|share| share.shape.total() * share.count).sum::<u32>();
+        let room: u32 = self.workers.values().map(|worker| worker.accelerators).sum();
+        if all > room {
+            return false;
+        }
+        let repeat = |share: &Share| std::iter::repeat_n(share.shape, share.count as usize);
+        let mut shapes: Vec<Shape> = shares.iter().flat_map(repeat).collect();
+        guarantee::pack(self.reserved(), &mut shapes).is_none()
     }
 
     /// The empty pool without the operators' failure reserve. Drained and
--- a/crates/schema/src/gen/quincewheel.v1.rs
+++ b/crates/schema/src/gen/quincewheel.v1.rs
@@ -227,6 +227,9 @@
     /// The configuration version in force there.
     #[prost(uint64, tag = "2")]
     pub configuration: u64,
+    /// True for an entry, false for an agent.
+    #[prost(bool, tag = "3")]
+    pub entry: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ConfigurationReply {
--- a/crates/schema/src/gen/quincewheel.v1.serde.rs
+++ b/crates/schema/src/gen/quincewheel.v1.serde.rs
@@ -2545,6 +2545,9 @@
         if true {
             len += 1;
         }
+        if true {
+            len += 1;
+        }
         let mut struct_ser = serializer.serialize_struct("quincewheel.v1.ProcessView", len)?;
         if true {
             struct_ser.serialize_field("process", &self.process)?;
@@ -2554,6 +2557,9 @@
             #[allow(clippy::needless_borrows_for_generic_args)]
             struct_ser.serialize_field("configuration", ToString::to_string(&self.configuration).as_str())?;
         }
+        if true {
+            struct_ser.serialize_field("entry", &self.entry)?;
+        }
         struct_ser.end()
     }
 }
@@ -2566,12 +2572,14 @@
         const FIELDS: &[&str] = &[
             "process",
             "configuration",
+            "entry",
         ];
 
         #[allow(clippy::enum_variant_names)]
         enum GeneratedField {
             Process,
             Configuration,
+            Entry,
         }
         impl<'de> serde::Deserialize<'de> for GeneratedField {
             fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
@@ -2595,6 +2603,7 @@
                         match value {
                             "process" => Ok(GeneratedField::Process),
                             "configuration" => Ok(GeneratedField::Configuration),
+                            "entry" => Ok(GeneratedField::Entry),
                             _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
                         }
                     }
@@ -2616,6 +2625,7 @@
             {
                 let mut process__ = None;
                 let mut configuration__ = None;
+                let mut entry__ = None;
                 while let Some(k) = map_.next_key()? {
                     match k {
                         GeneratedField::Process => {
@@ -2632,11 +2642,18 @@
                                 Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
                             ;
                         }
+                        GeneratedField::Entry => {
+                            if entry__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("entry"));
+                            }
+                            entry__ = Some(map_.next_value()?);
+                        }
                     }
                 }
                 Ok(ProcessView {
                     process: process__.unwrap_or_default(),
                     configuration: configuration__.unwrap_or_default(),
+                    entry: entry__.unwrap_or_default(),
                 })
             }
         }
--- a/crates/shard/src/views.rs
+++ b/crates/shard/src/views.rs
@@ -5,7 +5,7 @@
 use quincewheel_audit::Kind;
 use quincewheel_pool::{Shape, Share};
 use quincewheel_schema::v1::{DrainRow, GuaranteeRow, TeamRow};
-use quincewheel_wire::{Answer, Ask, Frame, LinkId, Refusal, Team, Worker};
+use quincewheel_wire::{Answer, Ask, Frame, LinkId, Process, Refusal, Team, Worker};
 
 use crate::config::{Item, PREFIX};
 use crate::context::{Context, Waiter};
@@ -85,16 +85,12 @@
             });
         }
         let Some(misfit) = self.pool.misfit(team, shares) else { return Ok(()) };
-        let mut fits = 0;
-        let smaller = |count| [Share { shape: misfit, count }];
-        while fits < 256 && self.pool.misfit(team, &smaller(fits + 1)).is_none() {
-            fits += 1;
-        }
         Err(Refusal::Unfit {
             message: format!(
-                "not all guaranteed shapes fit together with the failure reserve: no room for {}; \
-                 alone, {fits} of that shape would fit beside the other teams' guarantees",
-                describe(&misfit)
+                "the guaranteed shapes do not all fit with the failure reserve: of {} only {} fit \
+                 beside the other teams' guarantees and the shares listed before",
+                describe(&misfit.shape),
+                misfit.count
             ),
         })
     }
@@ -182,15 +178,20 @@
     }
 
     pub(crate) fn configuration_view(&self, cx: &Context) -> Answer {
-        let mut processes = vec![(cx.settings.name.clone(), cx.config.version())];
+        let own = cx.config.version();
+        let mut processes =
+            vec![Process { name: cx.settings.name.clone(), configuration: own, entry: true }];
         for peer in self.peers.values() {
-            match peer {
-                Peer::Entry { name, lag, .. } => processes.push((name.clone(), lag.version)),
-                Peer::Agent { worker } => {
-                    let version = self.agents.get(worker).map_or(0, |agent| agent.lag.version);
-                    processes.push((worker.clone(), version));
+            processes.push(match peer {
+                Peer::Entry { name, lag, .. } => {
+                    Process { name: name.clone(), configuration: lag.version, entry: true }
                 }
-            }
+                Peer::Agent { worker } => Process {
+                    name: worker.clone(),
+                    configuration: self.agents.get(worker).map_or(0, |agent| agent.lag.version),
+                    entry: false,
+                },
+            });
         }
         processes.sort();
         Answer::Configuration { recorded: cx.config.version(), processes }
--- a/crates/stand-in/src/bin/demo.rs
+++ b/crates/stand-in/src/bin/demo.rs
@@ -31,6 +31,9 @@
     configure(&operator, &fleet).await?;
     work(&fleet).await?;
     show(&operator, &fleet).await?;
+    if std::env::args().any(|arg| arg == "--hold") {
+        hold(&fleet).await;
+    }
     println!("\n== the end ==");
     let bad = fleet.end();
     if !bad.is_empty() {
@@ -172,6 +175,26 @@
     Ok(())
 }
 
+/// Leaves the deployment up until Enter is pressed, ten minutes at most.
+async fn hold(fleet: &Fleet) {
+    println!("\nheld for ten minutes or until Enter; try:");
+    println!(
+        "curl -s http://{}/quincewheel.v1.Scheduler/Submit -H 'Content-Type: application/json' \\\n  \
+         -H 'Authorization: Bearer {}-key' -d '{}'",
+        fleet.rpcs[0],
+        TEAMS[0],
+        Submission::new(TEAMS[0], "bond-2001", "bid bond").body()
+    );
+    let (tell, told) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let _ = tell.send(std::io::stdin().read_line(&mut String::new()));
+    });
+    let end = Instant::now() + Duration::from_secs(600);
+    while told.try_recv().is_err() && Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
 fn expect(answer: Result<(u16, Value), String>) -> Result<Value, String> {
     match answer? {
         (200, value) => Ok(value),
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -39,8 +39,8 @@
     Configuration {
         /// Version recorded by the owner.
         recorded: u64,
-        /// Version in force, by process.
-        processes: Vec<(String, u64)>,
+        /// All processes that are connected.
+        processes: Vec<Process>,
     },
     /// The call was not taken up.
     Refused(Refusal),
@@ -65,6 +65,17 @@
     pub tasks: u32,
 }
 
+/// One process and the configuration in force there.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Process {
+    /// Its name.
+    pub name: String,
+    /// The version in force.
+    pub configuration: u64,
+    /// True for an entry, false for an agent.
+    pub entry: bool,
+}
+
 /// One team, as operators see it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Team {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
 mod proof;
 mod task;
 
-pub use answer::{Answer, Refusal, Team, Worker};
+pub use answer::{Answer, Process, Refusal, Team, Worker};
 pub use ask::Ask;
 pub use attempt::Attempt;
 pub use error::Error;
