Race operators across owners and outages; prove the agent's grant by itself

Cause: the mutant that lets an agent grant twice went unnoticed once timings had shifted, and races had been tried only while nothing else failed. Change: a test of the grant alone; races at twelve moments with the owner's death, lost answers, and both.

--- a/crates/grant/tests/fencing.rs
+++ b/crates/grant/tests/fencing.rs
@@ -117,3 +117,20 @@
     go:
     ");
 }
+
+/// Symptom: two tasks on one accelerator. Sequence: an owner that believes it
+/// free, as after a takeover, prepares an attempt there. Cause: the owner's
+/// belief decides instead of the agent's grant.
+#[test]
+fn accelerators_are_granted_to_one_attempt() {
+    let mut grantor = attached();
+    let (first, second) = (Attempt::new(5, 1), Attempt::new(5, 2));
+    let mut other = task(second);
+    other.ranks = vec![(0, 0b11)];
+    let names = [
+        frame(&mut grantor, Frame::Prepare { epoch: 5, task: task(first) }),
+        frame(&mut grantor, Frame::Prepare { epoch: 5, task: other }),
+    ];
+    assert_eq!(names, ["prepared", "declined announce"]);
+    assert_eq!(grantor.granted(), 1);
+}
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -4,7 +4,7 @@
 
 use quincewheel_wire::{Ask, Job};
 
-use crate::bed::{OTHER, TEAM, Who, World, job, ms, name, put_team, secs};
+use crate::bed::{OTHER, TEAM, Table, Who, World, job, ms, name, put_team, secs};
 
 /// Milliseconds from the owner's loss until urgent work that came at the same
 /// moment starts, the longest of many moments within the owner's renewals.
@@ -134,6 +134,58 @@
     ");
 }
 
+/// Symptom: two operators both read that their change won, or a change that was
+/// accepted is gone. Sequence: they race while the owner dies, or while answers
+/// of the table are lost, at any moment. Cause: the next owner judges by what it
+/// remembers instead of by the rows.
+#[actix_rt::test]
+async fn of_racing_operators_one_wins_also_across_owners_and_outages() {
+    let mut tally = std::collections::BTreeMap::<String, u32>::new();
+    for fault in ["owner dies", "answers lost", "both"] {
+        for moment in 0..12 {
+            let mut world = World::settled(3, 2, 9).await;
+            let owner = world.owner().unwrap();
+            let others: Vec<usize> = (0..3).filter(|at| *at != owner).collect();
+            let calls = [
+                world.ask(others[0], put_team(OTHER, 1)),
+                world.ask(others[1], put_team(OTHER, 1)),
+            ];
+            world.run(ms(moment)).await;
+            if fault != "owner dies" {
+                world.table = Table::Mute;
+                world.run(secs(2)).await;
+            }
+            if fault != "answers lost" {
+                world.kill(Who::Entry(owner));
+            }
+            world.table = Table::Up;
+            world.run(secs(15)).await;
+            world.check(&format!("{fault} after {moment} ms"));
+            let names = calls.map(|call| name(world.answer(call)));
+            let won = names.iter().filter(|name| name.starts_with("changed")).count();
+            let version = world.node(others[0]).config().team(OTHER).unwrap().version;
+            assert!(won <= 1, "{fault} after {moment} ms: {names:?}");
+            assert!(won == 0 || version == 2, "{fault} after {moment} ms: version {version}");
+            let mut names = names.to_vec();
+            names.sort();
+            *tally
+                .entry(format!("{fault}: {}, version {version}", names.join(" / ")))
+                .or_default() += 1;
+        }
+    }
+    let lines: Vec<String> = tally.iter().map(|(what, n)| format!("{n:>3} {what}")).collect();
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    9 answers lost: changed to 2 / conflict, current 2, version 2
+    1 answers lost: conflict, current 2 / unavailable, version 1
+    2 answers lost: conflict, current 2 / unavailable, version 2
+    9 both: changed to 2 / conflict, current 2, version 2
+    1 both: conflict, current 2 / unavailable, version 1
+    2 both: conflict, current 2 / unavailable, version 2
+    9 owner dies: changed to 2 / conflict, current 2, version 2
+    3 owner dies: conflict, current 2 / conflict, current 2, version 2
+    ");
+}
+
 /// Time until all processes have the change in force.
 async fn spread(world: &mut World, expected: u64, version: u64) -> Duration {
     let at = world.follower();
