Tell the loser of a race once the winner's change is in force

Ruled out: the next owner's reading; version 1 was right. Change: who wants to change a row that is being changed waits for that change: a conflict once it is recorded, unavailable if it was taken back or is unclear. Before: 'conflict, current 2' with version 1 in force. After: unavailable.

--- a/crates/shard/src/owner.rs
+++ b/crates/shard/src/owner.rs
@@ -53,6 +53,9 @@
 pub(crate) struct Staged {
     pub item: Item,
     pub waiter: Waiter,
+    /// Callers that wanted to change the same row meanwhile. They are told the
+    /// version in force once it is in force, not before.
+    pub losers: Vec<Waiter>,
     pub since: Duration,
 }
 
--- a/crates/shard/src/views.rs
+++ b/crates/shard/src/views.rs
@@ -22,6 +22,10 @@
             cx.unavailable(&waiter, "the table service does not answer; nothing was changed");
             return;
         }
+        if let Some(staged) = change_key(&ask).and_then(|key| self.staged.get_mut(&key)) {
+            staged.losers.push(waiter);
+            return;
+        }
         let pending = self.staged.values().map(|staged| staged.item.configuration());
         let configuration = pending.max().unwrap_or(0).max(cx.config.version()) + 1;
         match self.check_change(cx, ask, configuration) {
@@ -30,7 +34,8 @@
                 let (key, value) = (item.key(), item.value());
                 let tag = Tag::Config(key.clone());
                 self.ledger.put(Write { tag, key: key.clone(), value: Some(value) });
-                self.staged.insert(key, Staged { item, waiter, since: cx.now });
+                let (losers, since) = (Vec::new(), cx.now);
+                self.staged.insert(key, Staged { item, waiter, losers, since });
             }
         }
     }
@@ -61,17 +66,11 @@
         }
     }
 
-    /// The version that the change would give the item. Of operators that race
-    /// each other, the first to be staged wins and the others learn of it.
+    /// The version that the change would give the item.
     fn next_version(&self, cx: &Context, key: &str, expected: u64) -> Result<u64, Refusal> {
-        let staged = self.staged.get(key).map(|staged| staged.item.version());
-        let current = staged.unwrap_or_else(|| cx.config.current(key));
-        if staged.is_some() || expected != current {
-            return Err(Refusal::Conflict {
-                field: "expected_version".to_owned(),
-                message: format!("the version in force is {current}; read it and decide anew"),
-                current,
-            });
+        let current = cx.config.current(key);
+        if expected != current {
+            return Err(conflict(current));
         }
         Ok(current + 1)
     }
@@ -126,6 +125,9 @@
         }
         let answer = Answer::Changed { version: staged.item.version(), configuration: version };
         cx.answer(&staged.waiter, answer);
+        for loser in &staged.losers {
+            cx.refuse(loser, conflict(staged.item.version()));
+        }
     }
 
     /// While the table is down: changes that are not in flight are taken back,
@@ -136,14 +138,19 @@
             if self.ledger.withdraw(&Tag::Config(key.clone())) {
                 let Some(staged) = self.staged.remove(&key) else { continue };
                 let text = "the table service does not answer; nothing was changed";
-                cx.unavailable(&staged.waiter, text);
+                for waiter in staged.losers.iter().chain([&staged.waiter]) {
+                    cx.unavailable(waiter, text);
+                }
                 continue;
             }
-            let staged = &self.staged[&key];
+            let staged = self.staged.get_mut(&key).expect("listed above");
             if cx.now.saturating_sub(staged.since) >= cx.settings.store_patience {
                 let text = "the table service did not answer whether the change is recorded; \
                             read the version before trying again";
-                cx.unavailable(&staged.waiter.clone(), text);
+                cx.unavailable(&staged.waiter, text);
+                for loser in std::mem::take(&mut staged.losers) {
+                    cx.unavailable(&loser, text);
+                }
             }
         }
     }
@@ -198,6 +205,24 @@
     }
 }
 
+/// The row that a change is about.
+fn change_key(ask: &Ask) -> Option<String> {
+    match ask {
+        Ask::PutTeam { team, .. } => Some(format!("{PREFIX}team/{team}")),
+        Ask::PutGuarantee { team, .. } => Some(format!("{PREFIX}guarantee/{team}")),
+        Ask::PutDrain { worker, .. } => Some(format!("{PREFIX}drain/{worker}")),
+        _ => None,
+    }
+}
+
+fn conflict(current: u64) -> Refusal {
+    Refusal::Conflict {
+        field: "expected_version".to_owned(),
+        message: format!("the version in force is {current}; read it and decide anew"),
+        current,
+    }
+}
+
 fn describe(shape: &Shape) -> String {
     format!(
         "{} task(s) with {} adjacent accelerator(s) each, adjacency {:?}",
