Give test deployments ports that the kernel does not hand out

Cause: in a fresh clone two of eight process tests timed out: workers did not all serve. Ports were found by binding port 0 and letting go; outgoing connections of other deployments and other tests take ports from the same range between the choice and the start. Ruled out: a slow machine (settling takes about 2 s; the bound is 60 s). Change: ports are counted up below the range of outgoing connections. Before: 6 of 8 in that run.

--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use std::{io, thread};
@@ -55,10 +56,25 @@
     quiet: bool,
 }
 
-/// A loopback address with a port that was free just now.
+/// First of the ports that deployments use: below those that the kernel gives
+/// to outgoing connections, or one of these would now and then take a port
+/// between its choice and the start of the process that is to listen there.
+const FIRST_PORT: u16 = 10_000;
+/// Ports set aside for the deployments of one process.
+const PORTS: u16 = 1_000;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// A loopback address that nothing else in this process was given.
 pub fn address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("it is bound").to_string()
+    let block = (std::process::id() % 20) as u16;
+    loop {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = format!("127.0.0.1:{}", FIRST_PORT + block * PORTS + next);
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Fleet {
