--- a/crates/agent/src/brain.rs
+++ b/crates/agent/src/brain.rs
@@ -11,7 +11,7 @@
 use quincewheel_ring as ring;
 use quincewheel_schema::v1::OwnerRow;
 use quincewheel_store::{Error, Op, Read, Reply, Service};
-use quincewheel_wire::{Attempt, Task};
+use quincewheel_wire::{Attempt, Frame, Task};
 use tokio::time::Instant;
 
 use crate::endpoint::{Command, Endpoint};
@@ -32,7 +32,7 @@
 
 /// The receiving ends of all rings into the brain.
 pub(crate) struct Inbox {
-    pub peers: ring::Receiver<peer::Event>,
+    pub peers: ring::Receiver<peer::Event<Frame>>,
     pub stored: ring::Receiver<Result<Reply, Error>>,
     pub inputs: ring::Receiver<Input>,
 }
@@ -40,7 +40,7 @@
 /// The thread that runs the grantor.
 pub(crate) struct Brain {
     grantor: Grantor,
-    hub: Hub,
+    hub: Hub<Frame>,
     service: Service,
     endpoint: Endpoint,
     status: Arc<Status>,
@@ -53,7 +53,7 @@
 impl Brain {
     pub fn spawn(
         grantor: Grantor,
-        hub: Hub,
+        hub: Hub<Frame>,
         service: Service,
         endpoint: Endpoint,
         status: Arc<Status>,
@@ -106,7 +106,7 @@
         self.carry_out(outputs);
     }
 
-    fn peer(&mut self, event: peer::Event) {
+    fn peer(&mut self, event: peer::Event<Frame>) {
         self.input(match event {
             peer::Event::Linked { link, hello, dialled } => Input::Linked { link, hello, dialled },
             peer::Event::Unlinked { link } => Input::Unlinked { link },
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod run;
 mod settings;
+mod site;
 
 pub use run::run;
 pub use settings::{DEFINITIONS, PROGRAM, Settings};
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -17,6 +17,7 @@
 use crate::endpoint::Endpoint;
 use crate::metrics;
 use crate::settings::{DEFINITIONS, PROGRAM, Settings};
+use crate::site;
 
 /// Events that may wait for the brain.
 const PEERS: usize = 1024;
@@ -27,6 +28,11 @@
 
 /// Runs the program with these arguments.
 pub fn run(args: &[String]) -> ExitCode {
+    if let Some(path) = quincewheel_platform::path()
+        && args.is_empty()
+    {
+        return PROGRAM.end(site::serve(&path));
+    }
     let (command, values) = match PROGRAM.launch(args) {
         Ok(launched) => launched,
         Err(code) => return code,
--- /dev/null
+++ b/crates/agent/src/site.rs
@@ -0,0 +1,199 @@
+//! An agent on the users' platform.
+//!
+//! One thread takes the worker's reports, one keeps the connections to the
+//! system's other processes, and one carries orders to the worker.
+
+use std::cell::RefCell;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use quincewheel_conf::FLEET_KEY;
+use quincewheel_dispatch::rows::{self, Node};
+use quincewheel_http::{Body, Reply, Request, Server};
+use quincewheel_peer::{Command, Event, Hub};
+use quincewheel_platform::{self as platform, Report, Table};
+use quincewheel_ring as ring;
+use quincewheel_runner::{Output, Runner, Settings};
+use quincewheel_store::{Commit, Put};
+use quincewheel_wire::{Hello, Key, Notice, Order, Role};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+
+/// Reports of the worker that may wait.
+const REPORTS: usize = 256;
+/// Frames of owners that may wait.
+const PEERS: usize = 1024;
+/// Largest report that is read.
+const MAX_REPORT: usize = 4 << 20;
+/// A write of the agent's own row is repeated after this time.
+const TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause before it is tried again.
+const PAUSE: Duration = Duration::from_millis(300);
+/// What is left of the time for shutting down when the process ends.
+const LAST: Duration = Duration::from_millis(500);
+
+struct Agent {
+    runner: RefCell<Runner>,
+    hub: Hub<Notice>,
+    worker: platform::Caller,
+    wake: Notify,
+}
+
+/// Serves until the process is told to end.
+pub(crate) fn serve(settings: &Path) -> io::Result<()> {
+    let fleet_key = std::env::var(FLEET_KEY.variable())
+        .map_err(|_| io::Error::other(format!("{} must be set", FLEET_KEY.variable())))?;
+    let site = platform::read(settings).map_err(io::Error::other)?;
+    let Some(side) = site.side.clone() else {
+        return Err(io::Error::other("the settings name no address for a worker's reports"));
+    };
+    quincewheel_log::open(&site.name, log::LevelFilter::Info).map_err(io::Error::other)?;
+    let (reports, reports_in) = ring::open::<Report>(REPORTS);
+    let (peers, peers_in) = ring::open::<Event<Order>>(PEERS);
+    let hello = Hello { role: Role::Agent, name: site.name.clone(), incarnation: rand::random() };
+    let key = Key::new(fleet_key.as_bytes());
+    let hub: Hub<Notice> =
+        Hub::bind(&site.peers, key, hello, peers, |event| event).map_err(io::Error::other)?;
+    let server =
+        Server::bind("reports", &side.reports, move |request| take(request, reports.clone()))?;
+    log::info!(event = "start"; "agent");
+    let runtime = actix_rt::Runtime::new()?;
+    runtime.block_on(async move {
+        let settings = Settings { lease: site.lease, ..Settings::default() };
+        let agent = Rc::new(Agent {
+            runner: RefCell::new(Runner::open(settings)),
+            hub,
+            worker: platform::Caller::open(),
+            wake: Notify::new(),
+        });
+        actix_rt::spawn(announce(site.clone()));
+        actix_rt::spawn(hear_worker(Rc::clone(&agent), reports_in));
+        actix_rt::spawn(hear_owners(Rc::clone(&agent), peers_in));
+        actix_rt::spawn(keep_time(Rc::clone(&agent)));
+        wait_for_end().await?;
+        log::info!(event = "drain"; "shutting down");
+        tokio::time::sleep(Duration::from_millis(site.grace).saturating_sub(LAST)).await;
+        server.stop().await;
+        log::info!(event = "stop"; "ended");
+        Ok(())
+    })
+}
+
+/// Takes a report. It is acknowledged once it is on its way to the thread
+/// that refuses starts at a worker which leaves.
+async fn take(mut request: Request, reports: ring::Sender<Report>) -> Reply {
+    let method = request.method().as_str().to_owned();
+    let path = request.path().to_owned();
+    let Body::Whole(body) = quincewheel_http::read(&mut request, MAX_REPORT).await else {
+        return quincewheel_http::reply(413, "application/json", "{}");
+    };
+    let status = match platform::report(&method, &path, &body) {
+        None => 404,
+        Some(Err(detail)) => {
+            log::warn!(event = "bad report"; "{detail}");
+            400
+        }
+        Some(Ok(report)) => match reports.try_send(report) {
+            Ok(()) => 200,
+            Err(_) => 503,
+        },
+    };
+    quincewheel_http::reply(status, "application/json", "{}")
+}
+
+/// Writes where this agent is, so that owners find it.
+async fn announce(site: platform::Site) {
+    let table = Table::open(&site.table);
+    let node = Node { address: site.peers.clone() };
+    let value = serde_json::to_string(&node).expect("rows are plain data");
+    let row = Put { key: rows::node(&site.name), value };
+    let commit = Commit { put: vec![row], ..Commit::default() };
+    while let Err(error) = table.commit(&commit, TIMEOUT).await {
+        log::warn!(event = "table"; "{error}");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn hear_worker(agent: Rc<Agent>, reports: ring::Receiver<Report>) {
+    while let Some(report) = reports.recv().await {
+        let now = quincewheel_clock::boot();
+        match report {
+            Report::Beat { worker, address, clock } => {
+                agent.runner.borrow_mut().beat(&worker, &address, clock, now);
+            }
+            Report::Leave { id } => agent.runner.borrow_mut().leave(&id, now),
+        }
+        carry_out(&agent);
+        agent.wake.notify_one();
+    }
+}
+
+async fn hear_owners(agent: Rc<Agent>, events: ring::Receiver<Event<Order>>) {
+    while let Some(event) = events.recv().await {
+        let now = quincewheel_clock::boot();
+        match event {
+            Event::Frame { link, frame } => agent.runner.borrow_mut().order(link, frame, now),
+            Event::Unlinked { link } => agent.runner.borrow_mut().unlinked(link),
+            Event::Linked { .. } | Event::Undialled { .. } => {}
+        }
+        carry_out(&agent);
+        agent.wake.notify_one();
+    }
+}
+
+/// Lets time pass for the runner.
+async fn keep_time(agent: Rc<Agent>) {
+    loop {
+        let now = quincewheel_clock::boot();
+        agent.runner.borrow_mut().tick(now);
+        carry_out(&agent);
+        let wake = agent.runner.borrow().wake();
+        let pause = Duration::from_millis(wake.saturating_sub(quincewheel_clock::boot()).max(5));
+        let _ = tokio::time::timeout(pause, agent.wake.notified()).await;
+    }
+}
+
+/// Carries out what the runner wants.
+fn carry_out(agent: &Rc<Agent>) {
+    let outputs = agent.runner.borrow_mut().outputs();
+    for output in outputs {
+        match output {
+            Output::Send { link, notice } => {
+                if !agent.hub.ask(Command::Send { link, frame: notice }) {
+                    log::warn!(event = "hub full", link = link; "connection closed");
+                    agent.hub.ask(Command::Close { link, reason: "too many notices wait" });
+                }
+            }
+            Output::Close { link } => {
+                agent.hub.ask(Command::Close { link, reason: "a later owner" });
+            }
+            Output::Call { id, call } => {
+                let agent = Rc::clone(agent);
+                actix_rt::spawn(async move {
+                    let answer = agent.worker.call(&call).await;
+                    if let Err(error) = &answer {
+                        log::info!(event = "worker silent", worker = call.worker.as_str(); "{error:?}");
+                    }
+                    agent.runner.borrow_mut().answer(id, answer, quincewheel_clock::boot());
+                    carry_out(&agent);
+                    agent.wake.notify_one();
+                });
+            }
+        }
+    }
+}
+
+async fn wait_for_end() -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = int.recv() => return Ok(()),
+            _ = hup.recv() => log::info!(event = "reload"; "settings read again"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/agent.rs
@@ -0,0 +1,37 @@
+use quincewheel_job::{Task, Worker};
+use quincewheel_wire::LinkId;
+
+/// What the owner knows of one agent and its worker.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Agent {
+    /// The open connection.
+    pub link: Option<LinkId>,
+    /// The worker, if the agent knows it.
+    pub worker: Option<Worker>,
+    /// The worker answered under this owner's epoch.
+    pub fenced: bool,
+    /// All leases that were granted through this agent have lapsed by then.
+    pub lapse: u64,
+    /// Since when the agent has known no worker; none while it knows one.
+    pub unknown: Option<u64>,
+    /// For how long the worker has owed an answer.
+    pub silent: u64,
+    /// The runs that the worker listed last.
+    pub listed: Vec<(Task, u64)>,
+    /// The last end that was taken note of.
+    pub noted: u64,
+    /// The last end that the worker was told to forget.
+    pub seen: u64,
+    /// The worker is the last choice until then.
+    pub doubted: u64,
+    /// Runs that failed there in a row.
+    pub failures: u32,
+}
+
+impl Agent {
+    /// True if runs may start there.
+    pub fn open(&self) -> bool {
+        let ready = self.worker.as_ref().is_some_and(|worker| !worker.draining);
+        self.link.is_some() && self.fenced && ready
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/batch.rs
@@ -0,0 +1,21 @@
+use quincewheel_job::{Id, Progress};
+
+/// What the owner wants recorded in one transaction.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Batch {
+    /// Jobs whose progress changed.
+    pub jobs: Vec<(Id, Progress)>,
+    /// What workers may forget once the batch is recorded.
+    pub seen: Vec<Seen>,
+}
+
+/// Ends up to `number` of one life of a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Seen {
+    /// The worker's agent.
+    pub agent: String,
+    /// Which life of the worker.
+    pub worker: String,
+    /// The last of the ends.
+    pub number: u64,
+}
--- /dev/null
+++ b/crates/dispatch/src/election.rs
@@ -0,0 +1,43 @@
+use crate::rows::Ownership;
+
+/// Decides when to take the ownership over.
+///
+/// An owner rewrites its row at least each second. A candidate that hears the
+/// table well, yet sees the row stand still, takes over. One that does not hear
+/// the table cannot tell, and waits: the owner may be well.
+#[derive(Debug)]
+pub struct Election {
+    name: String,
+    incarnation: u64,
+    /// Milliseconds for which the row must have stood still.
+    patience: u64,
+    /// The row's version, and since when it has been seen.
+    seen: Option<(u64, u64)>,
+}
+
+impl Election {
+    /// A candidate. Candidates wait a little longer one after the other, so
+    /// that they seldom race; a race costs the losers one refused write.
+    pub fn open(name: &str, incarnation: u64, patience: u64) -> Election {
+        let stagger = name.bytes().fold(0u64, |sum, byte| sum * 31 % 997 + u64::from(byte)) % 400;
+        Election { name: name.to_owned(), incarnation, patience: patience + stagger, seen: None }
+    }
+
+    /// Takes note of the row as the table has it now.
+    pub fn observe(&mut self, version: u64, now: u64) {
+        if self.seen.is_none_or(|(known, _)| known < version) {
+            self.seen = Some((version, now));
+        }
+    }
+
+    /// True if it is time to take over. `current` is when the table was last
+    /// known to have told all changes.
+    pub fn due(&self, owner: Option<&(Ownership, u64)>, current: u64, now: u64) -> bool {
+        let Some((owner, version)) = owner else { return true };
+        let mine = owner.holder == self.name && owner.incarnation != self.incarnation;
+        let held = self.seen.filter(|(known, _)| known == version);
+        let still = held.is_some_and(|(_, since)| current >= since + self.patience);
+        // The former life of this very process cannot act any more.
+        mine || owner.holder.is_empty() || (still && now < current + self.patience)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/entry.rs
@@ -0,0 +1,87 @@
+use std::collections::BTreeMap;
+
+use quincewheel_job::{Job, Progress, Step};
+
+/// An occurrence, a step and a task's index in it.
+pub(crate) type Key = (u32, u32, u32);
+
+/// An unfinished job.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    /// The job.
+    pub job: Job,
+    /// Orders jobs by when they were accepted.
+    pub version: u64,
+    /// How far it is.
+    pub progress: Progress,
+    /// Runs that may exist, by task.
+    pub runs: BTreeMap<Key, Placed>,
+    /// The newest checkpoint of each task, or of a gang under index 0.
+    pub saved: BTreeMap<Key, String>,
+    /// The last number given to a run of each task, or of a gang under index 0.
+    pub numbers: BTreeMap<Key, u64>,
+    /// Room that is being made for a step.
+    pub reserved: BTreeMap<(u32, u32), Reservation>,
+    /// The agents at which a task failed last, by task.
+    pub failed_at: BTreeMap<Key, String>,
+}
+
+/// A run that may exist.
+#[derive(Clone, Debug)]
+pub(crate) struct Placed {
+    /// The agent of its worker.
+    pub agent: String,
+    /// Which life of the worker.
+    pub worker: String,
+    /// Numbers the task's starts.
+    pub run: u64,
+    /// What the owner knows of it.
+    pub phase: Phase,
+    /// Since when it has been in this phase, or listed by the worker.
+    pub since: u64,
+    /// When it was started.
+    pub began: u64,
+    /// Names the unit that stops as a whole.
+    pub unit: u64,
+    /// How far it is, 0 to 100.
+    pub percent: u32,
+}
+
+/// What the owner knows of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Phase {
+    /// It was ordered.
+    Starting,
+    /// It was confirmed or listed.
+    Running,
+    /// Its stop was ordered.
+    Stopping,
+}
+
+/// Room that is being made for a step.
+#[derive(Clone, Debug)]
+pub(crate) struct Reservation {
+    /// An agent for each task.
+    pub agents: Vec<String>,
+    /// When it was made.
+    pub since: u64,
+}
+
+impl Entry {
+    /// The key under which a task's numbers, checkpoint and failures are kept.
+    pub fn key(&self, (occurrence, step, index): Key) -> Key {
+        let gang = self.job.steps.get(step as usize).is_some_and(|step| step.gang);
+        (occurrence, step, if gang { 0 } else { index })
+    }
+
+    /// The step of a task.
+    pub fn step(&self, key: Key) -> Option<&Step> {
+        self.job.steps.get(key.1 as usize)
+    }
+
+    /// True if a run of the step may exist.
+    pub fn placed(&self, occurrence: u32, step: u32) -> bool {
+        let all = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
+        self.runs.range(all).next().is_some()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,26 @@
+//! The owner's side of jobs.
+//!
+//! An [`Owner`] holds all unfinished jobs and a picture of all workers. It
+//! decides what starts where, takes note of ends, and says what must be
+//! recorded in the table before a worker may forget it. It performs no I/O and
+//! reads no clock. Two clocks are inputs: one that also counts while the
+//! machine is suspended, for leases, and the time of day, for jobs that run at
+//! set times.
+
+mod agent;
+mod batch;
+mod candidate;
+mod election;
+mod entry;
+mod mirror;
+mod owner;
+mod plan;
+mod reports;
+pub mod rows;
+mod settings;
+
+pub use batch::{Batch, Seen};
+pub use election::Election;
+pub use mirror::{Mirror, News, View};
+pub use owner::{Output, Owner};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/dispatch/src/mirror.rs
@@ -0,0 +1,134 @@
+use std::collections::BTreeMap;
+
+use quincewheel_job::{Id, Job, Progress, State};
+use quincewheel_store::Change;
+
+use crate::rows::{Node, OWNER, Ownership};
+
+/// The system's rows as one process knows them.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    /// Jobs by name.
+    pub jobs: BTreeMap<Id, View>,
+    /// Agents by name.
+    pub nodes: BTreeMap<String, Node>,
+    /// The ownership row and its version; none if nobody ever owned.
+    pub owner: Option<(Ownership, u64)>,
+    /// All changes up to this version are in.
+    pub version: u64,
+}
+
+/// What is known of one job.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The job and its row's version; none if only its cancellation is known.
+    pub job: Option<(Job, u64)>,
+    /// How far it is.
+    pub progress: Option<Progress>,
+    /// A client cancelled it.
+    pub cancelled: bool,
+}
+
+/// A change that matters beyond the mirror.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// A job was accepted.
+    Job(Id),
+    /// A job was cancelled.
+    Cancelled(Id),
+    /// An agent is new or moved.
+    Node(String),
+    /// The ownership row changed.
+    Owner,
+    /// A row does not hold what its key says.
+    Malformed {
+        /// The key.
+        key: String,
+        /// What is wrong with it.
+        detail: String,
+    },
+}
+
+impl View {
+    /// The job's state as a client is told.
+    pub fn state(&self) -> State {
+        let state = self.progress.as_ref().map_or(State::Queued, |progress| progress.state);
+        if self.cancelled && !state.ended() { State::Cancelled } else { state }
+    }
+}
+
+impl Mirror {
+    /// Takes a change in and tells what it means.
+    pub fn apply(&mut self, change: &Change) -> Option<News> {
+        if change.key == OWNER {
+            return self.apply_owner(change);
+        }
+        let (kind, name) = change.key.split_once('/')?;
+        let Some(value) = &change.value else {
+            self.drop(kind, name);
+            return None;
+        };
+        let read = match kind {
+            "job" => serde_json::from_str(value).map(|job| self.add_job(name, job, change.version)),
+            "run" => serde_json::from_str(value).map(|progress| {
+                self.jobs.entry(name.to_owned()).or_default().progress = Some(progress);
+                None
+            }),
+            "stop" => {
+                self.jobs.entry(name.to_owned()).or_default().cancelled = true;
+                Ok(Some(News::Cancelled(name.to_owned())))
+            }
+            "node" => serde_json::from_str(value).map(|node: Node| {
+                let known = self.nodes.insert(name.to_owned(), node.clone());
+                (known != Some(node)).then(|| News::Node(name.to_owned()))
+            }),
+            _ => Ok(None),
+        };
+        read.unwrap_or_else(|error| {
+            Some(News::Malformed { key: change.key.clone(), detail: error.to_string() })
+        })
+    }
+
+    /// Jobs of a queue that no task has started of.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits = |view: &&View| {
+            let job = view.job.as_ref().map(|(job, _)| job);
+            let here = job.is_some_and(|job| job.queue.name == queue);
+            here && view.state() == State::Queued
+        };
+        self.jobs.values().filter(waits).count()
+    }
+
+    fn add_job(&mut self, name: &str, job: Job, version: u64) -> Option<News> {
+        self.jobs.entry(name.to_owned()).or_default().job = Some((job, version));
+        Some(News::Job(name.to_owned()))
+    }
+
+    fn apply_owner(&mut self, change: &Change) -> Option<News> {
+        let value = change.value.as_ref()?;
+        if self.owner.as_ref().is_some_and(|(_, version)| *version >= change.version) {
+            return None;
+        }
+        match serde_json::from_str(value) {
+            Ok(owner) => {
+                self.owner = Some((owner, change.version));
+                Some(News::Owner)
+            }
+            Err(error) => {
+                Some(News::Malformed { key: OWNER.to_owned(), detail: error.to_string() })
+            }
+        }
+    }
+
+    fn drop(&mut self, kind: &str, name: &str) {
+        match kind {
+            "job" => {
+                self.jobs.remove(name);
+            }
+            "node" => {
+                self.nodes.remove(name);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/owner.rs
@@ -0,0 +1,401 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use quincewheel_job::{Config, Id, Job, Progress, State, Task};
+use quincewheel_wire::{LinkId, Notice, Order};
+
+use crate::agent::Agent;
+use crate::batch::{Batch, Seen};
+use crate::entry::{Entry, Key, Phase, Placed};
+use crate::settings::Settings;
+
+/// What the owner wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Output {
+    /// Give an order.
+    Send {
+        /// On which connection.
+        link: LinkId,
+        /// The order.
+        order: Order,
+    },
+    /// A later owner has taken over; this one must end.
+    Deposed {
+        /// The later epoch.
+        epoch: u64,
+    },
+    /// Something worth a line in the log.
+    Log {
+        /// What was decided.
+        event: &'static str,
+        /// The job or worker that it concerns.
+        subject: String,
+        /// What decided it.
+        detail: String,
+    },
+}
+
+/// Decides over all jobs.
+pub struct Owner {
+    pub(crate) settings: Settings,
+    pub(crate) epoch: u64,
+    pub(crate) claimed: u64,
+    /// The table's version at which the ownership was claimed.
+    pub(crate) claim_version: u64,
+    pub(crate) confirmed: u64,
+    pub(crate) config: Config,
+    pub(crate) jobs: BTreeMap<Id, Entry>,
+    pub(crate) agents: BTreeMap<String, Agent>,
+    pub(crate) links: BTreeMap<LinkId, String>,
+    pub(crate) dirty: BTreeSet<Id>,
+    /// A change of state that callers wait for is among the dirty ones.
+    pub(crate) urgent: bool,
+    pub(crate) recording: bool,
+    pub(crate) replan: bool,
+    pub(crate) next_unit: u64,
+    /// The next time at which a scheduled job is due, in time of day.
+    pub(crate) next_due: Option<u64>,
+    pub(crate) outputs: Vec<Output>,
+}
+
+/// Most jobs in one transaction; the table takes 100 rows, and some are the
+/// owner's own.
+const BATCH: usize = 80;
+
+impl Owner {
+    /// An owner under `epoch`, claimed when the table was at `version`.
+    pub fn open(settings: Settings, epoch: u64, version: u64, now: u64) -> Owner {
+        Owner {
+            settings,
+            epoch,
+            claimed: now,
+            claim_version: version,
+            confirmed: now,
+            config: Config::default(),
+            jobs: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            links: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            urgent: false,
+            recording: false,
+            replan: true,
+            next_unit: 1,
+            next_due: None,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Takes what is to be done.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The owner's epoch.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The configuration in force changed.
+    pub fn configure(&mut self, config: &Config) {
+        if config.version > self.config.version {
+            self.config = config.clone();
+            self.replan = true;
+        }
+    }
+
+    /// An agent exists. Those known at a takeover must be heard, or their
+    /// leases lapse, before work of the former owner starts again.
+    pub fn agent(&mut self, name: &str, now: u64) {
+        let lapse = match now.saturating_sub(self.claimed) {
+            // Known since the takeover: the former owner may have granted a
+            // lease up to the moment at which it was replaced.
+            0..=1000 => self.claimed + self.settings.lease + self.settings.margin,
+            _ => 0,
+        };
+        self.agents.entry(name.to_owned()).or_insert_with(|| Agent { lapse, ..Agent::default() });
+    }
+
+    /// A job's row was read: accepted just now, or found at a takeover.
+    pub fn job(&mut self, id: &str, job: Job, version: u64, progress: Option<Progress>) {
+        if self.jobs.contains_key(id) || progress.as_ref().is_some_and(|p| p.state.ended()) {
+            return;
+        }
+        let entry = Entry {
+            job,
+            version,
+            progress: progress.unwrap_or_default(),
+            runs: BTreeMap::new(),
+            saved: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            reserved: BTreeMap::new(),
+            failed_at: BTreeMap::new(),
+        };
+        self.jobs.insert(id.to_owned(), entry);
+        self.replan = true;
+    }
+
+    /// A job was cancelled.
+    pub fn cancel(&mut self, id: &str, now: u64) {
+        self.end_job(id, State::Cancelled, now);
+    }
+
+    /// A connection to an agent was opened.
+    pub fn linked(&mut self, agent: &str, link: LinkId, now: u64) {
+        self.agent(agent, now);
+        let epoch = self.epoch;
+        if let Some(known) = self.agents.get_mut(agent) {
+            if let Some(former) = known.link.replace(link) {
+                self.links.remove(&former);
+            }
+            known.fenced = false;
+            self.links.insert(link, agent.to_owned());
+            self.send(link, Order::Claim { epoch });
+        }
+    }
+
+    /// A connection is gone.
+    pub fn unlinked(&mut self, link: LinkId) {
+        if let Some(name) = self.links.remove(&link)
+            && let Some(agent) = self.agents.get_mut(&name)
+        {
+            agent.link = None;
+            agent.fenced = false;
+            self.log("agent lost", &name, String::new());
+        }
+    }
+
+    /// The table confirmed the ownership by a call that was sent at `sent`.
+    pub fn confirm(&mut self, sent: u64) {
+        self.confirmed = self.confirmed.max(sent);
+    }
+
+    /// An agent told something.
+    pub fn notice(&mut self, link: LinkId, notice: Notice, now: u64) {
+        let Some(name) = self.links.get(&link).cloned() else { return };
+        match notice {
+            Notice::Superseded { epoch } => self.outputs.push(Output::Deposed { epoch }),
+            Notice::Ping { stamp, silent } => {
+                if let Some(agent) = self.agents.get_mut(&name) {
+                    agent.silent = silent;
+                }
+                self.grant(&name, link, stamp, now);
+            }
+            Notice::Left { worker } => self.left(&name, &worker, now),
+            Notice::Status { stamp, worker, fenced, running, ended } => {
+                self.grant(&name, link, stamp, now);
+                self.status(&name, worker, fenced, &running, &ended, now);
+            }
+            Notice::Started { task, run } => self.started(&task, run, now),
+            Notice::Unstarted { task, run, why } => self.unstarted(&name, &task, run, why, now),
+            Notice::Stopped { task, run } => self.stopped(&task, run, now),
+        }
+    }
+
+    /// What is to be recorded now; none if nothing changed or a record is
+    /// under way.
+    pub fn record(&mut self) -> Option<Batch> {
+        let acks = self.agents.values().any(|agent| agent.noted > agent.seen);
+        if self.recording || (self.dirty.is_empty() && !acks) {
+            return None;
+        }
+        let ids: Vec<Id> = self.dirty.iter().take(BATCH).cloned().collect();
+        let mut batch = Batch::default();
+        for id in ids {
+            self.dirty.remove(&id);
+            if let Some(entry) = self.jobs.get(&id) {
+                batch.jobs.push((id, entry.progress.clone()));
+            }
+        }
+        if self.dirty.is_empty() {
+            for (name, agent) in self.agents.iter().filter(|(_, agent)| agent.noted > agent.seen) {
+                let Some(worker) = &agent.worker else { continue };
+                let (agent, worker, number) = (name.clone(), worker.id.clone(), agent.noted);
+                batch.seen.push(Seen { agent, worker, number });
+            }
+            self.urgent = false;
+        }
+        self.recording = true;
+        Some(batch)
+    }
+
+    /// True if callers wait for what is to be recorded.
+    pub fn urgent(&self) -> bool {
+        self.urgent
+    }
+
+    /// True if something is to be recorded.
+    pub fn unrecorded(&self) -> bool {
+        !self.dirty.is_empty() || self.agents.values().any(|agent| agent.noted > agent.seen)
+    }
+
+    /// A batch was recorded, or was not.
+    pub fn recorded(&mut self, batch: &Batch, done: bool) {
+        self.recording = false;
+        if !done {
+            for (id, _) in &batch.jobs {
+                self.dirty.insert(id.clone());
+            }
+            self.urgent = true;
+            return;
+        }
+        for seen in &batch.seen {
+            self.forget(seen);
+        }
+        for (id, progress) in &batch.jobs {
+            let idle = self.jobs.get(id).is_some_and(|entry| entry.runs.is_empty());
+            if progress.state.ended() && idle && !self.dirty.contains(id) {
+                self.jobs.remove(id);
+            }
+        }
+    }
+
+    /// Time passed: takes lapsed leases for lapsed, and decides what starts.
+    pub fn tick(&mut self, now: u64, wall: u64) {
+        self.lapse(now);
+        if self.next_due.is_some_and(|due| due <= wall) {
+            self.replan = true;
+        }
+        if self.replan {
+            self.replan = false;
+            self.plan(now, wall);
+        }
+    }
+
+    /// True if there is a connection to the agent.
+    pub fn is_linked(&self, agent: &str) -> bool {
+        self.agents.get(agent).is_some_and(|agent| agent.link.is_some())
+    }
+
+    /// All connections to agents.
+    pub fn links(&self) -> Vec<LinkId> {
+        self.links.keys().copied().collect()
+    }
+
+    /// Number of jobs that have not ended.
+    pub fn active(&self) -> usize {
+        self.jobs.len()
+    }
+
+    fn forget(&mut self, seen: &Seen) {
+        let Some(agent) = self.agents.get_mut(&seen.agent) else { return };
+        if agent.worker.as_ref().is_some_and(|worker| worker.id == seen.worker) {
+            agent.seen = agent.seen.max(seen.number);
+            if let Some(link) = agent.link {
+                let (worker, number) = (seen.worker.clone(), seen.number);
+                self.send(link, Order::Seen { worker, number });
+            }
+        }
+    }
+
+    /// Grants a lease from the moment at which the agent asked for it.
+    ///
+    /// An owner that the table has not confirmed for a while may have been
+    /// replaced without knowing. It goes on only while it speaks to most
+    /// agents, as a new owner cannot then reach them, and waits for them.
+    fn grant(&mut self, name: &str, link: LinkId, stamp: u64, now: u64) {
+        let linked = self.agents.values().filter(|agent| agent.link.is_some()).count();
+        let most = linked * 2 > self.agents.len();
+        if now.saturating_sub(self.confirmed) > self.settings.unconfirmed && !most {
+            return;
+        }
+        let lapse = now + self.settings.lease + self.settings.margin;
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.lapse = agent.lapse.max(lapse);
+        }
+        self.send(link, Order::Grant { stamp });
+    }
+
+    /// Takes runs for gone whose leases have lapsed without a word.
+    fn lapse(&mut self, now: u64) {
+        let bound = self.settings.lease + self.settings.margin;
+        let mut lost = Vec::new();
+        for (name, agent) in &mut self.agents {
+            let unlinked = agent.link.is_none() && now >= agent.lapse;
+            let unknown = agent.unknown.is_some_and(|since| now >= since + bound);
+            let silent = agent.silent >= bound;
+            if unlinked || unknown || silent {
+                lost.push(name.clone());
+            }
+        }
+        for name in lost {
+            let gone = self.runs_where(|placed| placed.agent == name);
+            for (id, key) in gone {
+                self.log("run lapsed", &id, format!("{key:?} at {name}"));
+                self.drop_run(&id, key, now);
+            }
+        }
+    }
+
+    /// Ends a job: whatever runs is stopped.
+    pub(crate) fn end_job(&mut self, id: &str, state: State, now: u64) {
+        let Some(entry) = self.jobs.get_mut(id) else { return };
+        if entry.progress.state.ended() {
+            return;
+        }
+        entry.progress.state = state;
+        entry.reserved.clear();
+        let keys: Vec<Key> = entry.runs.keys().copied().collect();
+        self.touch(id, true);
+        for key in keys {
+            self.stop(id, key, now);
+        }
+        self.log("job ended", id, format!("{state:?}"));
+    }
+
+    /// Orders the stop of a run.
+    pub(crate) fn stop(&mut self, id: &str, key: Key, now: u64) {
+        let Some(placed) = self.jobs.get_mut(id).and_then(|entry| entry.runs.get_mut(&key)) else {
+            return;
+        };
+        if placed.phase == Phase::Stopping {
+            return;
+        }
+        placed.phase = Phase::Stopping;
+        placed.since = now;
+        let (name, worker, run) = (placed.agent.clone(), placed.worker.clone(), placed.run);
+        self.order(&name, Order::Stop { worker, task: task(id, key), run });
+    }
+
+    /// Takes a run for gone.
+    pub(crate) fn drop_run(&mut self, id: &str, key: Key, _now: u64) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.runs.remove(&key);
+            self.replan = true;
+            if entry.progress.state.ended() && entry.runs.is_empty() && !self.dirty.contains(id) {
+                self.touch(id, false);
+            }
+        }
+    }
+
+    pub(crate) fn runs_where(&self, wanted: impl Fn(&Placed) -> bool) -> Vec<(Id, Key)> {
+        let runs = self
+            .jobs
+            .iter()
+            .flat_map(|(id, entry)| entry.runs.iter().map(move |(key, placed)| (id, *key, placed)));
+        runs.filter(|(_, _, placed)| wanted(placed)).map(|(id, key, _)| (id.clone(), key)).collect()
+    }
+
+    /// Marks a job's progress for the next record.
+    pub(crate) fn touch(&mut self, id: &str, urgent: bool) {
+        self.dirty.insert(id.to_owned());
+        self.urgent |= urgent;
+    }
+
+    pub(crate) fn order(&mut self, agent: &str, order: Order) {
+        if let Some(link) = self.agents.get(agent).and_then(|agent| agent.link) {
+            self.send(link, order);
+        }
+    }
+
+    pub(crate) fn send(&mut self, link: LinkId, order: Order) {
+        self.outputs.push(Output::Send { link, order });
+    }
+
+    pub(crate) fn log(&mut self, event: &'static str, subject: &str, detail: String) {
+        self.outputs.push(Output::Log { event, subject: subject.to_owned(), detail });
+    }
+}
+
+/// The name of a task.
+pub(crate) fn task(id: &str, (occurrence, step, index): Key) -> Task {
+    Task { job: id.to_owned(), occurrence, step, index }
+}
--- /dev/null
+++ b/crates/dispatch/src/plan.rs
@@ -0,0 +1,372 @@
+//! What starts next, and what gives way to it.
+
+use std::collections::BTreeMap;
+
+use quincewheel_job::{Id, Need, Step};
+use quincewheel_place::{Ask, Holder, Spot, pack, reclaim};
+use quincewheel_wire::Order;
+
+use crate::candidate::{Candidate, Rank};
+use crate::entry::{Entry, Key, Phase, Placed, Reservation};
+use crate::owner::{Owner, task};
+
+/// Accelerators count as so many cores where lost work is compared.
+const CORES_PER_ACCELERATOR: u64 = 8;
+
+/// The picture that one round of decisions works on.
+struct Board {
+    spots: Vec<Spot>,
+    /// What is truly free, reservations not taken away.
+    actual: Vec<Need>,
+    units: BTreeMap<u64, Vec<(Id, Key)>>,
+}
+
+impl Owner {
+    /// Decides what starts now.
+    pub(crate) fn plan(&mut self, now: u64, wall: u64) {
+        let mut candidates = self.candidates(now, wall);
+        candidates.sort_by(|a, b| a.rank.cmp(&b.rank));
+        let mut board = self.board(now);
+        for candidate in &candidates {
+            self.serve(candidate, &mut board, now);
+        }
+    }
+
+    /// Everything whose turn has come.
+    fn candidates(&mut self, now: u64, wall: u64) -> Vec<Candidate> {
+        let settled = self.settled(now);
+        let mut used = self.guaranteed_use();
+        let mut next_due = None;
+        let mut found = Vec::new();
+        let mut jobs: Vec<(&Id, &Entry)> = self.jobs.iter().collect();
+        jobs.sort_by_key(|(_, entry)| entry.version);
+        for (id, entry) in jobs {
+            // What a former owner may have started is known only once all
+            // agents were heard.
+            if entry.progress.state.ended() || (!settled && entry.version <= self.claim_version) {
+                continue;
+            }
+            for occurrence in 0..entry.job.occurrences() {
+                if let Some(schedule) = entry.job.schedule {
+                    let due = schedule.due(occurrence);
+                    if due > wall {
+                        next_due = Some(next_due.map_or(due, |known: u64| known.min(due)));
+                        break;
+                    }
+                }
+                for (number, step) in (0u32..).zip(&entry.job.steps) {
+                    let tasks = pending(entry, occurrence, number, step, id);
+                    if tasks.is_empty() {
+                        continue;
+                    }
+                    let need = step.need.accelerators * tasks.len() as u64;
+                    let guaranteed = entry.job.queue.priority == 0
+                        && covered(&mut used, &self.config, &entry.job.team, need);
+                    let rank = Rank {
+                        borrowed: !guaranteed,
+                        priority: entry.job.queue.priority,
+                        latest: latest(entry, occurrence),
+                        version: entry.version,
+                    };
+                    let id = id.clone();
+                    let step = number;
+                    found.push(Candidate { id, occurrence, step, tasks, guaranteed, rank });
+                }
+            }
+        }
+        self.next_due = next_due;
+        found
+    }
+
+    /// True once nothing that a former owner started can be unknown.
+    fn settled(&self, now: u64) -> bool {
+        self.agents.values().all(|agent| {
+            let heard = agent.link.is_some() && (agent.fenced || agent.worker.is_none());
+            heard || now >= agent.lapse.max(self.claimed)
+        })
+    }
+
+    /// Accelerators that each team's jobs of priority 0 hold.
+    fn guaranteed_use(&self) -> BTreeMap<String, u64> {
+        let mut used: BTreeMap<String, u64> = BTreeMap::new();
+        for entry in self.jobs.values().filter(|entry| entry.job.queue.priority == 0) {
+            for key in entry.runs.keys() {
+                let need = entry.step(*key).map_or(0, |step| step.need.accelerators);
+                *used.entry(entry.job.team.clone()).or_default() += need;
+            }
+        }
+        used
+    }
+
+    /// The workers as they are.
+    fn board(&self, now: u64) -> Board {
+        let mut spots: Vec<Spot> = Vec::new();
+        let mut places: BTreeMap<&str, usize> = BTreeMap::new();
+        for (name, agent) in &self.agents {
+            let Some(worker) = agent.worker.as_ref().filter(|_| agent.open()) else { continue };
+            places.insert(name, spots.len());
+            spots.push(Spot {
+                name: name.clone(),
+                pool: worker.pool.clone(),
+                rack: worker.rack.clone(),
+                labels: worker.labels.clone(),
+                capacity: worker.capacity,
+                free: worker.capacity,
+                doubtful: agent.doubted > now || agent.silent > self.settings.lease / 4,
+                holders: Vec::new(),
+            });
+        }
+        let mut units: BTreeMap<u64, Vec<(Id, Key)>> = BTreeMap::new();
+        for (id, entry) in &self.jobs {
+            for (key, placed) in &entry.runs {
+                let Some(step) = entry.step(*key) else { continue };
+                units.entry(placed.unit).or_default().push((id.clone(), *key));
+                let Some(&place) = places.get(placed.agent.as_str()) else { continue };
+                let need = step.charge();
+                spots[place].free.take(&need);
+                if placed.phase != Phase::Stopping && entry.job.queue.priority > 0 {
+                    let loss = loss(step, placed, now);
+                    spots[place].holders.push(Holder { unit: placed.unit, need, loss });
+                }
+            }
+        }
+        let actual = spots.iter().map(|spot| spot.free).collect();
+        Board { spots, actual, units }
+    }
+
+    /// Starts what it can of one candidate, or makes room for it.
+    fn serve(&mut self, candidate: &Candidate, board: &mut Board, now: u64) {
+        let Some(entry) = self.jobs.get(&candidate.id) else { return };
+        let place = (candidate.occurrence, candidate.step);
+        if let Some(reservation) = entry.reserved.get(&place).cloned() {
+            if self.redeem(candidate, &reservation, board, now) {
+                return;
+            }
+            if let Some(entry) = self.jobs.get_mut(&candidate.id) {
+                entry.reserved.remove(&place);
+            }
+        }
+        let Some(entry) = self.jobs.get(&candidate.id) else { return };
+        let Some(step) = entry.job.steps.get(candidate.step as usize).cloned() else { return };
+        let pool = self.pool(entry);
+        let held = held(entry, candidate, &board.spots);
+        let count = candidate.tasks.len() as u32;
+        let ask = Ask { step: &step, pool: &pool, count, held: &held };
+        let choices = pack(&board.spots, &ask);
+        let started = choices.len();
+        let pairs: Vec<(u32, usize)> =
+            candidate.tasks.iter().copied().zip(choices.iter().copied()).collect();
+        self.start(candidate, &step, &pairs, board, now);
+        if candidate.guaranteed && started < candidate.tasks.len() {
+            self.make_room(candidate, &step, &pool, started, board, now);
+        }
+    }
+
+    /// The pool that runs a job now: a configuration may have moved its queue.
+    fn pool(&self, entry: &Entry) -> String {
+        let queue = self.config.queues.get(&entry.job.queue.name);
+        queue.unwrap_or(&entry.job.queue).pool.clone()
+    }
+
+    /// Starts a step on the room that was kept for it. False if that is void.
+    fn redeem(
+        &mut self,
+        candidate: &Candidate,
+        reservation: &Reservation,
+        board: &mut Board,
+        now: u64,
+    ) -> bool {
+        let Some(entry) = self.jobs.get(&candidate.id) else { return false };
+        let Some(step) = entry.job.steps.get(candidate.step as usize).cloned() else {
+            return false;
+        };
+        let places: Vec<usize> = reservation
+            .agents
+            .iter()
+            .filter_map(|name| board.spots.iter().position(|spot| spot.name == *name))
+            .collect();
+        let valid = places.len() == candidate.tasks.len()
+            && now < reservation.since + self.settings.reservation;
+        if !valid {
+            return false;
+        }
+        let need = step.charge();
+        let mut actual = board.actual.clone();
+        let whole = places.iter().all(|&place| {
+            let fits = need.fits(&actual[place]);
+            actual[place].take(&need);
+            fits
+        });
+        if !whole {
+            for place in places {
+                board.spots[place].free.take(&need);
+            }
+            return true;
+        }
+        if let Some(entry) = self.jobs.get_mut(&candidate.id) {
+            entry.reserved.remove(&(candidate.occurrence, candidate.step));
+        }
+        let pairs: Vec<(u32, usize)> = candidate.tasks.iter().copied().zip(places).collect();
+        self.start(candidate, &step, &pairs, board, now);
+        true
+    }
+
+    /// Stops work that gives way, and keeps its room.
+    fn make_room(
+        &mut self,
+        candidate: &Candidate,
+        step: &Step,
+        pool: &str,
+        started: usize,
+        board: &mut Board,
+        now: u64,
+    ) {
+        let rest = &candidate.tasks[started..];
+        let Some(entry) = self.jobs.get(&candidate.id) else { return };
+        let held = held(entry, candidate, &board.spots);
+        let ask = Ask { step, pool, count: rest.len() as u32, held: &held };
+        let Some(claim) = reclaim(&board.spots, &ask) else { return };
+        let need = step.charge();
+        for &place in &claim.choices {
+            board.spots[place].free.take(&need);
+        }
+        for spot in &mut board.spots {
+            spot.holders.retain(|holder| !claim.units.contains(&holder.unit));
+        }
+        let agents = claim.choices.iter().map(|&place| board.spots[place].name.clone()).collect();
+        let reservation = Reservation { agents, since: now };
+        if let Some(entry) = self.jobs.get_mut(&candidate.id) {
+            entry.reserved.insert((candidate.occurrence, candidate.step), reservation);
+        }
+        self.log("room reclaimed", &candidate.id, format!("{} units stop", claim.units.len()));
+        for unit in claim.units {
+            for (id, key) in board.units.get(&unit).cloned().unwrap_or_default() {
+                self.stop(&id, key, now);
+            }
+        }
+    }
+
+    /// Orders the start of tasks on the chosen workers.
+    fn start(
+        &mut self,
+        candidate: &Candidate,
+        step: &Step,
+        pairs: &[(u32, usize)],
+        board: &mut Board,
+        now: u64,
+    ) {
+        let need = step.charge();
+        let gang_unit = self.next_unit;
+        for &(index, place) in pairs {
+            let spot = &mut board.spots[place];
+            spot.free.take(&need);
+            board.actual[place].take(&need);
+            let name = spot.name.clone();
+            let Some(worker) = self.agents.get(&name).and_then(|agent| agent.worker.as_ref())
+            else {
+                continue;
+            };
+            let worker = worker.id.clone();
+            let key = (candidate.occurrence, candidate.step, index);
+            let unit = if step.gang { gang_unit } else { self.next_unit };
+            self.next_unit = self.next_unit.max(unit) + 1;
+            let first = pairs.first().is_some_and(|pair| pair.0 == index);
+            let Some(entry) = self.jobs.get_mut(&candidate.id) else { return };
+            let slot = entry.key(key);
+            let base = (self.epoch - 1) * RUNS_PER_EPOCH;
+            let number = entry.numbers.entry(slot).or_insert(base);
+            *number = (*number).max(base);
+            if first || !step.gang {
+                *number += 1;
+            }
+            let run = *number;
+            let saved = entry.saved.get(&slot).cloned().unwrap_or_default();
+            let spec = entry.job.spec.clone();
+            let placed = Placed {
+                agent: name.clone(),
+                worker: worker.clone(),
+                run,
+                phase: Phase::Starting,
+                since: now,
+                began: now,
+                unit,
+                percent: 0,
+            };
+            entry.runs.insert(key, placed);
+            let task = task(&candidate.id, key);
+            self.log("start", &candidate.id, format!("{task} run {run} at {name}"));
+            self.order(&name, Order::Start { worker, task, run, spec, saved });
+        }
+    }
+}
+
+/// Numbers of runs that each epoch has for one task. An owner numbers runs
+/// from its epoch on, so that they rise over a takeover without a record of
+/// each start; no task starts so often under one owner.
+const RUNS_PER_EPOCH: u64 = 1000;
+
+/// The tasks of a step that wait for a place: all of a gang or none.
+fn pending(entry: &Entry, occurrence: u32, number: u32, step: &Step, id: &str) -> Vec<u32> {
+    let progress = &entry.progress;
+    if progress.step_done(occurrence, number, step)
+        || !progress.ready(&entry.job, occurrence, step)
+        || (step.gang && entry.placed(occurrence, number))
+    {
+        return Vec::new();
+    }
+    let open = |index: &u32| {
+        let key = (occurrence, number, *index);
+        !entry.runs.contains_key(&key) && !progress.done(&task(id, key))
+    };
+    (0..step.count).filter(open).collect()
+}
+
+/// Takes a step's accelerators from what the team is guaranteed and has not
+/// used. False if they are not covered.
+fn covered(
+    used: &mut BTreeMap<String, u64>,
+    config: &quincewheel_job::Config,
+    team: &str,
+    need: u64,
+) -> bool {
+    let guaranteed = config.teams.get(team).map_or(0, |team| team.guaranteed);
+    let used = used.entry(team.to_owned()).or_default();
+    if *used + need > guaranteed {
+        return false;
+    }
+    *used += need;
+    true
+}
+
+/// The latest start, in milliseconds since 1970, that keeps the objective.
+fn latest(entry: &Entry, occurrence: u32) -> i64 {
+    let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(occurrence));
+    let chain = entry.job.chain();
+    let objective = (entry.job.queue.stretch * chain as f64) as i64;
+    begin as i64 + objective + entry.job.queue.slack as i64 - chain as i64
+}
+
+/// Tasks of the step that each worker has.
+fn held(entry: &Entry, candidate: &Candidate, spots: &[Spot]) -> Vec<u32> {
+    let range = (candidate.occurrence, candidate.step, 0)
+        ..=(candidate.occurrence, candidate.step, u32::MAX);
+    let mut held = vec![0; spots.len()];
+    for (_, placed) in entry.runs.range(range) {
+        if let Some(place) = spots.iter().position(|spot| spot.name == placed.agent) {
+            held[place] += 1;
+        }
+    }
+    held
+}
+
+/// What stopping a run loses: all since its start, or since its last
+/// checkpoint, which is at most a second old.
+fn loss(step: &Step, placed: &Placed, now: u64) -> u64 {
+    let ran = now.saturating_sub(placed.began);
+    let unsaved = if step.checkpoints { ran.min(CHECKPOINT) } else { ran };
+    let weight = step.need.cpu / 1000 + CORES_PER_ACCELERATOR * step.need.accelerators;
+    unsaved * weight * u64::from(if step.gang { step.count } else { 1 })
+}
+
+/// Upper bound of the work that is lost with a checkpoint, in milliseconds.
+const CHECKPOINT: u64 = 1000;
--- /dev/null
+++ b/crates/dispatch/src/reports.rs
@@ -0,0 +1,324 @@
+//! What agents report, brought into the owner's picture.
+
+use quincewheel_job::{End, How, Run, State, Task, Worker};
+use quincewheel_wire::{Order, Refused};
+
+use crate::entry::{Key, Phase, Placed};
+use crate::owner::{Owner, task};
+
+impl Owner {
+    /// An agent told what its worker is and does.
+    pub(crate) fn status(
+        &mut self,
+        name: &str,
+        worker: Option<Worker>,
+        fenced: bool,
+        running: &[Run],
+        ended: &[End],
+        now: u64,
+    ) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        let Some(worker) = worker else {
+            agent.worker = None;
+            agent.fenced = false;
+            agent.unknown.get_or_insert(now);
+            return;
+        };
+        let id = worker.id.clone();
+        let reborn = agent.worker.as_ref().is_some_and(|known| known.id != id);
+        if agent.worker.as_ref().is_none_or(|known| known.id != id) {
+            agent.noted = 0;
+            agent.seen = 0;
+            agent.failures = 0;
+            agent.doubted = 0;
+        }
+        let first = fenced && !agent.fenced;
+        agent.unknown = None;
+        agent.worker = Some(worker);
+        agent.fenced = fenced;
+        agent.silent = 0;
+        agent.listed = running.iter().map(|run| (run.task.clone(), run.number)).collect();
+        if reborn || first {
+            self.replan = true;
+        }
+        // A worker's new life runs nothing of its former one.
+        let former = self.runs_where(|placed| placed.agent == name && placed.worker != id);
+        for (job, key) in former {
+            self.log("run lost", &job, format!("{key:?}: worker at {name} started anew"));
+            self.drop_run(&job, key, now);
+        }
+        for end in ended {
+            self.ended(name, &id, end, now);
+        }
+        for run in running {
+            self.running(name, &id, run, now);
+        }
+        if fenced {
+            self.missing(name, running, now);
+        }
+        if first {
+            self.resume(name, &id, now);
+        }
+    }
+
+    /// A worker said that it ends.
+    pub(crate) fn left(&mut self, name: &str, id: &str, now: u64) {
+        let gone = self.runs_where(|placed| placed.agent == name && placed.worker == id);
+        for (job, key) in gone {
+            self.log("run lost", &job, format!("{key:?}: worker at {name} left"));
+            self.drop_run(&job, key, now);
+        }
+    }
+
+    /// After a new connection, orders that may have been lost with the former
+    /// one are given again. Both are idempotent.
+    fn resume(&mut self, name: &str, id: &str, now: u64) {
+        for (job, key) in self.runs_where(|placed| placed.agent == name && placed.worker == id) {
+            let Some(entry) = self.jobs.get(&job) else { continue };
+            let Some(placed) = entry.runs.get(&key) else { continue };
+            let (worker, run) = (id.to_owned(), placed.run);
+            let order = match placed.phase {
+                Phase::Running => continue,
+                Phase::Stopping => Order::Stop { worker, task: task(&job, key), run },
+                Phase::Starting => {
+                    let spec = entry.job.spec.clone();
+                    let saved = entry.saved.get(&entry.key(key)).cloned().unwrap_or_default();
+                    Order::Start { worker, task: task(&job, key), run, spec, saved }
+                }
+            };
+            let _ = now;
+            self.order(name, order);
+        }
+    }
+
+    /// A worker lists a run.
+    fn running(&mut self, name: &str, id: &str, run: &Run, now: u64) {
+        let key = key(&run.task);
+        let Some(entry) = self.jobs.get_mut(&run.task.job) else {
+            return self.stop_stray(name, id, &run.task, run.number);
+        };
+        let slot = entry.key(key);
+        match entry.runs.get_mut(&key) {
+            Some(placed) if placed.worker == id && placed.run == run.number => {
+                placed.since = now;
+                placed.percent = run.percent;
+                if placed.phase == Phase::Starting {
+                    placed.phase = Phase::Running;
+                }
+                if !run.saved.is_empty() {
+                    entry.saved.insert(slot, run.saved.clone());
+                }
+            }
+            // A later run of the task exists, or it is done: this one is a
+            // remnant that nobody waits for.
+            Some(_) => self.stop_stray(name, id, &run.task, run.number),
+            None if entry.progress.done(&run.task) || entry.progress.state.ended() => {
+                self.stop_stray(name, id, &run.task, run.number);
+            }
+            None => {
+                // Started by a former owner.
+                let unit = self.next_unit;
+                self.next_unit += 1;
+                let placed = Placed {
+                    agent: name.to_owned(),
+                    worker: id.to_owned(),
+                    run: run.number,
+                    phase: Phase::Running,
+                    since: now,
+                    began: now,
+                    unit,
+                    percent: run.percent,
+                };
+                let unit = entry.runs.range((key.0, key.1, 0)..=(key.0, key.1, u32::MAX));
+                let gang = entry.job.steps.get(key.1 as usize).is_some_and(|step| step.gang);
+                let unit = unit.map(|(_, other)| other.unit).next().filter(|_| gang);
+                let placed = Placed { unit: unit.unwrap_or(placed.unit), ..placed };
+                entry.runs.insert(key, placed);
+                entry.numbers.insert(slot, run.number);
+                if !run.saved.is_empty() {
+                    entry.saved.insert(slot, run.saved.clone());
+                }
+                if entry.progress.state == State::Queued {
+                    entry.progress.state = State::Running;
+                    self.touch(&run.task.job, false);
+                }
+                self.log("run adopted", &run.task.job, format!("{key:?} at {name}"));
+            }
+        }
+    }
+
+    fn stop_stray(&mut self, name: &str, id: &str, task: &Task, run: u64) {
+        self.log("stray run stopped", &task.job, format!("{task} run {run} at {name}"));
+        self.order(name, Order::Stop { worker: id.to_owned(), task: task.clone(), run });
+    }
+
+    /// Runs that the worker should list and does not.
+    fn missing(&mut self, name: &str, running: &[Run], now: u64) {
+        let bound = self.settings.missing;
+        let old = self.runs_where(|placed| {
+            placed.agent == name && placed.phase != Phase::Starting && now >= placed.since + bound
+        });
+        for (job, key) in old {
+            let listed = running.iter().any(|run| run.task == task(&job, key));
+            if !listed {
+                self.log("run missing", &job, format!("{key:?} at {name}"));
+                self.drop_run(&job, key, now);
+            }
+        }
+    }
+
+    /// A worker lists an end.
+    fn ended(&mut self, name: &str, id: &str, end: &End, now: u64) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        if end.number <= agent.noted {
+            return;
+        }
+        agent.noted = end.number;
+        let key = key(&end.task);
+        let job = end.task.job.clone();
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        let slot = entry.key(key);
+        let known = entry.runs.get(&key);
+        let vacant = known.is_none();
+        let current = known.is_some_and(|placed| placed.worker == id && placed.run == end.run);
+        if current {
+            entry.runs.remove(&key);
+            self.replan = true;
+        }
+        if !end.saved.is_empty() && (current || vacant) {
+            entry.saved.insert(slot, end.saved.clone());
+        }
+        self.log(
+            "run ended",
+            &job,
+            format!("{} run {} {:?} at {name}", end.task, end.run, end.how),
+        );
+        match end.how {
+            How::Done => self.done(name, &end.task, now),
+            How::Failed => self.failed(name, &end.task, now),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+        }
+        self.settle(&job);
+    }
+
+    /// A task is done, and with it its whole gang.
+    fn done(&mut self, name: &str, task: &Task, now: u64) {
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.failures = 0;
+            agent.doubted = 0;
+        }
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let before = entry.progress.state;
+        let step = entry.job.steps.get(task.step as usize);
+        if before.ended() || step.is_some_and(|step| step.perpetual) {
+            return;
+        }
+        entry.progress.finish(&entry.job, task);
+        let ended = entry.progress.state.ended();
+        // A copy of a task that is done must not go on.
+        let other = entry.runs.contains_key(&key(task));
+        let gang = step_is_gang(entry.job.steps.get(task.step as usize));
+        self.touch(&task.job, ended);
+        if other && !gang {
+            self.stop(&task.job, key(task), now);
+        }
+        if ended {
+            self.log("job ended", &task.job, "Succeeded".to_owned());
+        }
+    }
+
+    /// A task failed.
+    fn failed(&mut self, name: &str, task: &Task, now: u64) {
+        let doubt = self.settings.doubt;
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.failures += 1;
+            agent.doubted = now + doubt * u64::from(agent.failures.min(3));
+        }
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let perpetual = entry.step(key(task)).is_some_and(|step| step.perpetual);
+        if entry.progress.state.ended() || perpetual {
+            return;
+        }
+        let failures = entry.progress.fail(&entry.job, task);
+        entry.failed_at.insert(key(task), name.to_owned());
+        let last = failures >= entry.job.queue.attempts;
+        self.touch(&task.job, last);
+        if last {
+            self.end_job(&task.job, State::Failed, now);
+        }
+    }
+
+    /// Forgets an ended job once nothing of it runs.
+    fn settle(&mut self, id: &str) {
+        let over =
+            |entry: &crate::entry::Entry| entry.progress.state.ended() && entry.runs.is_empty();
+        if self.jobs.get(id).is_some_and(over) && !self.dirty.contains(id) && !self.recording {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// A start took effect.
+    pub(crate) fn started(&mut self, task: &Task, run: u64, now: u64) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let Some(placed) = entry.runs.get_mut(&key(task)) else { return };
+        if placed.run != run {
+            return;
+        }
+        placed.since = now;
+        if placed.phase == Phase::Starting {
+            placed.phase = Phase::Running;
+        }
+        if entry.progress.state == State::Queued {
+            entry.progress.state = State::Running;
+            self.touch(&task.job, false);
+        }
+    }
+
+    /// A start did not take effect.
+    pub(crate) fn unstarted(&mut self, name: &str, task: &Task, run: u64, why: Refused, now: u64) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let key = key(task);
+        if entry.runs.get(&key).is_none_or(|placed| placed.run != run) {
+            return;
+        }
+        entry.runs.remove(&key);
+        let gang = entry.step(key).is_some_and(|step| step.gang);
+        let range = (key.0, key.1, 0)..=(key.0, key.1, u32::MAX);
+        let others: Vec<Key> = entry.runs.range(range).map(|(key, _)| *key).collect();
+        self.replan = true;
+        self.log("start refused", &task.job, format!("{task} run {run} {why:?} at {name}"));
+        if matches!(why, Refused::Busy | Refused::Silent | Refused::Room | Refused::Invalid)
+            && let Some(agent) = self.agents.get_mut(name)
+        {
+            agent.doubted = agent.doubted.max(now + self.settings.doubt / 10);
+        }
+        if gang {
+            // The others would wait in vain and hold their places meanwhile.
+            for other in others {
+                self.stop(&task.job, other, now);
+            }
+        }
+    }
+
+    /// A stop was confirmed, and the worker has been looked at since: what it
+    /// does not list is gone.
+    pub(crate) fn stopped(&mut self, task: &Task, run: u64, now: u64) {
+        let Some(entry) = self.jobs.get(&task.job) else { return };
+        let Some(placed) = entry.runs.get(&key(task)) else { return };
+        let listed = self.agents.get(&placed.agent).is_some_and(|agent| {
+            agent.listed.iter().any(|(known, number)| known == task && *number == run)
+        });
+        if placed.run == run && !listed && placed.phase == Phase::Stopping {
+            let id = task.job.clone();
+            self.drop_run(&id, key(task), now);
+        }
+    }
+}
+
+pub(crate) fn key(task: &Task) -> Key {
+    (task.occurrence, task.step, task.index)
+}
+
+fn step_is_gang(step: Option<&quincewheel_job::Step>) -> bool {
+    step.is_some_and(|step| step.gang)
+}
--- /dev/null
+++ b/crates/dispatch/src/rows.rs
@@ -0,0 +1,51 @@
+//! The system's rows in the table: their keys and what they hold.
+//!
+//! An entry writes `job/ID` when it accepts a job and `stop/ID` when a client
+//! cancels it; the owner writes `run/ID`, the job's progress; every agent writes
+//! `node/NAME`; the owner and whoever replaces it write `owner`.
+
+use serde::{Deserialize, Serialize};
+
+/// Key of the ownership row.
+pub const OWNER: &str = "owner";
+
+/// Key of a job's row.
+pub fn job(id: &str) -> String {
+    format!("job/{id}")
+}
+
+/// Key of the row that tells how far a job is.
+pub fn run(id: &str) -> String {
+    format!("run/{id}")
+}
+
+/// Key of the row that cancels a job. It stays when the job is unknown, so
+/// that a submission which a network holds up finds it.
+pub fn stop(id: &str) -> String {
+    format!("stop/{id}")
+}
+
+/// Key of an agent's row.
+pub fn node(name: &str) -> String {
+    format!("node/{name}")
+}
+
+/// Who owns the deployment.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ownership {
+    /// The entry; empty if the last one handed over.
+    pub holder: String,
+    /// Drawn when its process started.
+    pub incarnation: u64,
+    /// Rises with each change of owner.
+    pub epoch: u64,
+    /// Rises with each record of one owner.
+    pub sequence: u64,
+}
+
+/// Where an agent is.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Node {
+    /// Where other processes reach it.
+    pub address: String,
+}
--- /dev/null
+++ b/crates/dispatch/src/settings.rs
@@ -0,0 +1,33 @@
+/// Bounds of an owner, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How long a lease lasts; the agents' setting.
+    pub lease: u64,
+    /// What an owner waits beyond a lease before it takes the lease for
+    /// lapsed. Covers late timers and a rounding to whole milliseconds.
+    pub margin: u64,
+    /// An owner that has not been confirmed by the table for so long grants
+    /// leases only while it speaks to most agents: another may have taken over.
+    pub unconfirmed: u64,
+    /// A worker on which a run failed is the last choice for so long.
+    pub doubt: u64,
+    /// Room that was made for a step is kept for it for so long. Several times
+    /// what a stop takes.
+    pub reservation: u64,
+    /// A run that a worker does not list, though its start was confirmed, is
+    /// taken for gone after this time: more than two looks.
+    pub missing: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            lease: 6000,
+            margin: 200,
+            unconfirmed: 3000,
+            doubt: 10_000,
+            reservation: 3000,
+            missing: 5000,
+        }
+    }
+}
--- a/crates/entry/src/brain.rs
+++ b/crates/entry/src/brain.rs
@@ -10,7 +10,7 @@
 use quincewheel_ring as ring;
 use quincewheel_shard::{Input, Node, Output};
 use quincewheel_store::{Error, Reply, Service};
-use quincewheel_wire::{Answer, Ask};
+use quincewheel_wire::{Answer, Ask, Frame};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -38,7 +38,7 @@
 /// keeps ownership must not wait behind callers.
 pub(crate) struct Inbox {
     pub stored: ring::Receiver<Stored>,
-    pub peers: ring::Receiver<peer::Event>,
+    pub peers: ring::Receiver<peer::Event<Frame>>,
     pub work: ring::Receiver<Work>,
 }
 
@@ -50,7 +50,7 @@
 /// The thread that runs the node.
 pub(crate) struct Brain {
     node: Node,
-    hub: Hub,
+    hub: Hub<Frame>,
     service: Service,
     status: Arc<Status>,
     replies: BTreeMap<u64, oneshot::Sender<Answer>>,
@@ -63,7 +63,7 @@
 impl Brain {
     pub fn spawn(
         node: Node,
-        hub: Hub,
+        hub: Hub<Frame>,
         service: Service,
         status: Arc<Status>,
         events: Option<String>,
@@ -127,7 +127,7 @@
         self.node.handle(self.now(), Input::Store { id, result });
     }
 
-    fn peer(&mut self, event: peer::Event) {
+    fn peer(&mut self, event: peer::Event<Frame>) {
         let input = match event {
             peer::Event::Linked { link, hello, dialled } => Input::Linked { link, hello, dialled },
             peer::Event::Unlinked { link } => Input::Unlinked { link },
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod routes;
 mod run;
 mod settings;
+mod site;
 
 pub use burn::{Burn, Objective};
 pub use run::run;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::routes::Routes;
 use crate::settings::{DEFINITIONS, PROGRAM, Settings};
+use crate::site;
 
 /// Calls that may wait for the brain; more are refused at once.
 const WORK: usize = 4096;
@@ -31,6 +32,11 @@
 
 /// Runs the program with these arguments.
 pub fn run(args: &[String]) -> ExitCode {
+    if let Some(path) = quincewheel_platform::path()
+        && args.is_empty()
+    {
+        return PROGRAM.end(site::serve(&path));
+    }
     let (command, values) = match PROGRAM.launch(args) {
         Ok(launched) => launched,
         Err(code) => return code,
--- /dev/null
+++ b/crates/entry/src/site.rs
@@ -0,0 +1,160 @@
+//! An entry on the users' platform.
+//!
+//! Two threads beside the hub's: one takes clients' calls, the other follows
+//! the table, answers, and, if this entry owns the deployment, decides.
+
+mod calls;
+mod follow;
+mod own;
+mod state;
+
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use quincewheel_conf::FLEET_KEY;
+use quincewheel_http::{Body, HttpMessage, Reply, Request, Server};
+use quincewheel_peer::{Event, Hub};
+use quincewheel_platform as platform;
+use quincewheel_ring as ring;
+use quincewheel_wire::{Hello, Key, Notice, Order, Role};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+
+use self::state::{Shared, Site};
+
+/// Calls that may wait for the deciding thread; more are refused at once.
+const WORK: usize = 4096;
+/// Frames of agents that may wait for the deciding thread.
+const PEERS: usize = 4096;
+/// Largest body that is read at all; the configuration may allow less.
+const MAX_BODY: usize = 1 << 20;
+
+/// A client's call, on its way to the deciding thread.
+pub(crate) struct Work {
+    method: String,
+    host: String,
+    path: String,
+    authorization: Option<String>,
+    body: Body,
+    reply: oneshot::Sender<platform::Answer>,
+}
+
+/// Serves until the process is told to end.
+pub(crate) fn serve(settings: &Path) -> io::Result<()> {
+    let fleet_key = std::env::var(FLEET_KEY.variable())
+        .map_err(|_| io::Error::other(format!("{} must be set", FLEET_KEY.variable())))?;
+    let site = platform::read(settings).map_err(io::Error::other)?;
+    let Some(entry) = site.entry.clone() else {
+        return Err(io::Error::other(
+            "the settings name no address for clients; run the agent here",
+        ));
+    };
+    quincewheel_log::open(&site.name, log::LevelFilter::Info).map_err(io::Error::other)?;
+    let incarnation: u64 = rand::random();
+    let (work, work_in) = ring::open::<Work>(WORK);
+    let (peers, peers_in) = ring::open::<Event<Notice>>(PEERS);
+    let hello = Hello { role: Role::Entry, name: site.name.clone(), incarnation };
+    let key = Key::new(fleet_key.as_bytes());
+    let hub: Hub<Order> =
+        Hub::bind(&site.peers, key, hello, peers, |event| event).map_err(io::Error::other)?;
+    let ready = Arc::new(AtomicBool::new(false));
+    let shown = Arc::clone(&ready);
+    let addresses = [entry.callers.as_str(), entry.ready.as_str()];
+    let server = Server::bind_all("callers", &addresses, move |request| {
+        take(request, work.clone(), Arc::clone(&shown))
+    })?;
+    log::info!(event = "start"; "entry");
+    let grace = Duration::from_millis(site.grace);
+    let runtime = actix_rt::Runtime::new()?;
+    runtime.block_on(async move {
+        let shared: Shared = Rc::new(Site::open(site, incarnation, hub, ready));
+        actix_rt::spawn(follow::configuration(Rc::clone(&shared)));
+        actix_rt::spawn(follow::rows(Rc::clone(&shared)));
+        actix_rt::spawn(own::listen(Rc::clone(&shared), peers_in));
+        actix_rt::spawn(own::run(Rc::clone(&shared)));
+        actix_rt::spawn(answer(Rc::clone(&shared), work_in));
+        wait_for_end().await?;
+        drain(&shared, grace).await;
+        server.stop().await;
+        log::info!(event = "stop"; "ended");
+        Ok(())
+    })
+}
+
+/// Hands a call to the deciding thread and waits for its answer.
+async fn take(mut request: Request, work: ring::Sender<Work>, ready: Arc<AtomicBool>) -> Reply {
+    if request.path() == platform::READY {
+        let status = if ready.load(Ordering::Relaxed) { 200 } else { 503 };
+        return quincewheel_http::reply(status, "text/plain", "");
+    }
+    let header = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.map(str::to_owned)
+    };
+    let host = header("host").or_else(|| request.uri().host().map(str::to_owned));
+    let (reply, answer) = oneshot::channel();
+    let item = Work {
+        method: request.method().as_str().to_owned(),
+        host: host.unwrap_or_default(),
+        path: request.path().to_owned(),
+        authorization: header("authorization"),
+        body: quincewheel_http::read(&mut request, MAX_BODY).await,
+        reply,
+    };
+    if work.try_send(item).is_err() {
+        return encode(&platform::Answer::Unavailable(1000));
+    }
+    encode(&answer.await.unwrap_or(platform::Answer::Unclear))
+}
+
+fn encode(answer: &platform::Answer) -> Reply {
+    let (status, body, after) = answer.encode();
+    let mut reply = quincewheel_http::reply(status, "application/json", body);
+    if let Some(seconds) = after {
+        quincewheel_http::retry_after(&mut reply, seconds);
+    }
+    reply
+}
+
+async fn answer(shared: Shared, work: ring::Receiver<Work>) {
+    while let Some(item) = work.recv().await {
+        let shared = Rc::clone(&shared);
+        actix_rt::spawn(async move {
+            let answer = calls::answer(&shared, &item).await;
+            // A client that went away needs no answer.
+            let _ = item.reply.send(answer);
+        });
+    }
+}
+
+/// Waits for SIGTERM or SIGINT. SIGHUP must not end the process: the settings
+/// that it announces hold nothing that a running entry uses.
+async fn wait_for_end() -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = int.recv() => return Ok(()),
+            _ = hup.recv() => log::info!(event = "reload"; "settings read again"),
+        }
+    }
+}
+
+/// Hands the ownership over at once and serves open connections for as long
+/// as the platform allows: clients keep using them until the process is gone.
+async fn drain(shared: &Shared, grace: Duration) {
+    log::info!(event = "drain"; "shutting down");
+    shared.start_drain();
+    own::hand_over(shared).await;
+    tokio::time::sleep(grace.saturating_sub(LAST)).await;
+}
+
+/// What is left of the time for shutting down when the last calls are
+/// answered and the process ends.
+const LAST: Duration = Duration::from_millis(700);
--- /dev/null
+++ b/crates/entry/src/site/follow.rs
@@ -0,0 +1,173 @@
+//! Follows the table: the operators' configuration and the system's own rows.
+
+use std::time::Duration;
+
+use quincewheel_dispatch::{Mirror, News};
+use quincewheel_platform::{self as platform, Space, Table};
+use quincewheel_store::{Change, Changes, Error, Read};
+
+use super::state::{Shared, Site};
+
+/// How long the table is asked to wait for a change. Bounds the age of what
+/// an entry knows where nothing changes.
+const WAIT: Duration = Duration::from_millis(1500);
+/// A call without an answer is given up after this time, beyond its wait.
+const TIMEOUT: Duration = Duration::from_millis(1000);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two polls of the system's own rows, so that changes that come
+/// close together cost one call.
+const GATHER: Duration = Duration::from_millis(40);
+/// Rows in one page; the most that the table gives.
+const PAGE: usize = 500;
+
+/// Follows the configuration for ever.
+pub(crate) async fn configuration(shared: Shared) {
+    let mut version = None;
+    loop {
+        let sent = quincewheel_clock::boot();
+        let result = match version {
+            None => read_all(&shared.feed, Space::Operator).await,
+            Some(after) => shared.feed.follow(Space::Operator, after, WAIT, TIMEOUT).await,
+        };
+        match result {
+            Ok(changes) => {
+                version = Some(changes.version);
+                for change in &changes.rows {
+                    configure(&shared, change);
+                }
+                shared.proved.set(sent);
+                shared.show_ready(quincewheel_clock::boot());
+            }
+            Err(error) => {
+                failed(&error, &mut version);
+                shared.show_ready(quincewheel_clock::boot());
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn configure(shared: &Site, change: &Change) {
+    let Some(value) = &change.value else { return };
+    match platform::config(&change.key, value) {
+        None => {}
+        Some(Err(detail)) => log::warn!(event = "bad configuration"; "{detail}"),
+        Some(Ok(config)) => {
+            let mut known = shared.config.borrow_mut();
+            if known.as_ref().is_none_or(|known| known.version < config.version) {
+                log::info!(event = "configuration", version = config.version; "in force");
+                *known = Some(config);
+                shared.wake.notify_one();
+            }
+        }
+    }
+}
+
+/// Follows the system's own rows for ever.
+pub(crate) async fn rows(shared: Shared) {
+    let mut version = None;
+    loop {
+        let result = match version {
+            None => read_all(&shared.feed, Space::Own).await,
+            Some(after) => shared.feed.follow(Space::Own, after, WAIT, TIMEOUT).await,
+        };
+        match result {
+            Ok(changes) => {
+                let whole = version.is_none();
+                version = Some(changes.version);
+                take(&shared, &changes, whole);
+                tokio::time::sleep(GATHER).await;
+            }
+            Err(error) => {
+                failed(&error, &mut version);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Takes changes in, or all rows.
+fn take(shared: &Site, changes: &Changes, whole: bool) {
+    let now = quincewheel_clock::boot();
+    let mut mirror = shared.mirror.borrow_mut();
+    if whole {
+        *mirror = Mirror { owner: mirror.owner.take(), ..Mirror::default() };
+    }
+    let mut news: Vec<News> =
+        changes.rows.iter().filter_map(|change| mirror.apply(change)).collect();
+    mirror.version = changes.version;
+    shared.heard.set(now);
+    if let Some((_, version)) = &mirror.owner {
+        shared.election.borrow_mut().observe(*version, now);
+    }
+    drop(mirror);
+    for news in news.drain(..) {
+        tell_owner(shared, news, now);
+    }
+    shared.show_ready(now);
+    shared.wake.notify_one();
+}
+
+/// Tells the owner, if this entry is it.
+fn tell_owner(shared: &Site, news: News, now: u64) {
+    let mirror = shared.mirror.borrow();
+    let mut owner = shared.owner.borrow_mut();
+    match news {
+        News::Malformed { key, detail } => {
+            log::warn!(event = "bad row", key = key.as_str(); "{detail}");
+        }
+        News::Owner => {}
+        News::Node(name) => {
+            if let Some(owner) = owner.as_mut() {
+                owner.agent(&name, now);
+            }
+        }
+        News::Cancelled(id) => {
+            if let Some(owner) = owner.as_mut() {
+                owner.cancel(&id, now);
+            }
+        }
+        News::Job(id) => {
+            let view = mirror.jobs.get(&id);
+            if let (Some(owner), Some(view)) = (owner.as_mut(), view)
+                && let Some((job, version)) = &view.job
+            {
+                owner.job(&id, job.clone(), *version, view.progress.clone());
+                if view.cancelled {
+                    owner.cancel(&id, now);
+                }
+            }
+        }
+    }
+}
+
+/// Reads all rows, as changes from nothing.
+pub(crate) async fn read_all(table: &Table, space: Space) -> Result<Changes, Error> {
+    let mut all = Changes::default();
+    let mut read = Read { prefix: String::new(), after: String::new(), limit: PAGE };
+    loop {
+        let (page, version) = table.read(space, &read, TIMEOUT).await?;
+        if all.version == 0 {
+            // Later pages may be newer; what changed meanwhile comes again.
+            all.version = version;
+        }
+        read.after = page.rows.last().map(|row| row.key.clone()).unwrap_or_default();
+        let rows = page.rows.into_iter();
+        all.rows.extend(rows.map(|row| Change {
+            key: row.key,
+            version: row.version,
+            value: Some(row.value),
+        }));
+        if !page.more || read.after.is_empty() {
+            return Ok(all);
+        }
+    }
+}
+
+fn failed(error: &Error, version: &mut Option<u64>) {
+    if *error == Error::Compacted {
+        *version = None;
+    }
+    log::warn!(event = "table"; "{error}");
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -20,3 +20,9 @@
     builder.insert_header(("content-type", content_type));
     builder.message_body(body.into()).expect("status and headers are valid")
 }
+
+/// Tells the client when to come back.
+pub fn retry_after(reply: &mut Reply, seconds: u64) {
+    let value = actix_http::header::HeaderValue::from(seconds);
+    reply.headers_mut().insert(actix_http::header::RETRY_AFTER, value);
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix_http::{HttpService, Request};
-use actix_server::{Server as Listeners, ServerHandle};
+use actix_server::{Server as Listeners, ServerBuilder, ServerHandle};
 
 use crate::Reply;
 
@@ -30,8 +30,24 @@
         F: Fn(Request) -> R + Clone + Send + 'static,
         R: Future<Output = Reply> + 'static,
     {
-        let listener = TcpListener::bind(address)?;
-        let address = listener.local_addr()?;
+        Server::bind_all(name, &[address], handler)
+    }
+
+    /// Listens on all `addresses` and serves with `handler` from a new thread.
+    pub fn bind_all<F, R>(name: &str, addresses: &[&str], handler: F) -> io::Result<Server>
+    where
+        F: Fn(Request) -> R + Clone + Send + 'static,
+        R: Future<Output = Reply> + 'static,
+    {
+        let mut listeners = Vec::with_capacity(addresses.len());
+        for address in addresses {
+            let listener = TcpListener::bind(address).map_err(|error| {
+                io::Error::new(error.kind(), format!("listen on {address}: {error}"))
+            })?;
+            listeners.push(listener);
+        }
+        let first = listeners.first().ok_or(io::ErrorKind::InvalidInput)?;
+        let address = first.local_addr()?;
         let (tell, told) = std::sync::mpsc::channel();
         let service = name.to_owned();
         thread::Builder::new().name(name.to_owned()).spawn(move || {
@@ -47,12 +63,16 @@
                         })
                         .tcp_auto_h2c()
                 };
-                let built = Listeners::build()
+                let mut built = Ok(Listeners::build()
                     .workers(1)
                     .max_concurrent_connections(CONNECTIONS)
                     .disable_signals()
-                    .shutdown_timeout(1)
-                    .listen(service, listener, factory);
+                    .shutdown_timeout(1));
+                for listener in listeners {
+                    built = built.and_then(|builder: ServerBuilder| {
+                        builder.listen(service.clone(), listener, factory.clone())
+                    });
+                }
                 match built {
                     Ok(builder) => {
                         let server = builder.run();
--- /dev/null
+++ b/crates/job/src/error.rs
@@ -0,0 +1,24 @@
+use std::fmt;
+
+/// What is wrong with a job, naming the field.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Error {
+    /// The field, as a path such as `steps[2].after`.
+    pub field: String,
+    /// What it must be.
+    pub text: String,
+}
+
+impl Error {
+    pub(crate) fn new(field: impl Into<String>, text: impl Into<String>) -> Error {
+        Error { field: field.into(), text: text.into() }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.field, self.text)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/job/src/lib.rs
@@ -0,0 +1,34 @@
+//! What a job is, how far it has come, and what it may run on.
+//!
+//! Plain data with checks and queries; no I/O and no clock. The entry stores a
+//! [`Job`] and, as the owner, its [`Progress`]; both are rows of the table, so
+//! their form is a contract between versions of the program.
+
+mod config;
+mod error;
+mod job;
+mod need;
+mod progress;
+mod queue;
+mod route;
+mod run;
+mod schedule;
+mod step;
+mod team;
+mod worker;
+
+pub use config::Config;
+pub use error::Error;
+pub use job::Job;
+pub use need::Need;
+pub use progress::{Progress, State};
+pub use queue::Queue;
+pub use route::Route;
+pub use run::{End, How, Run, Task};
+pub use schedule::Schedule;
+pub use step::Step;
+pub use team::Team;
+pub use worker::Worker;
+
+/// Names a job; chosen by its client, unique in the deployment.
+pub type Id = String;
--- /dev/null
+++ b/crates/job/src/progress.rs
@@ -0,0 +1,95 @@
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::job::Job;
+use crate::run::Task;
+use crate::step::Step;
+
+/// Where a job stands.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum State {
+    /// No task has started.
+    #[default]
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks are done.
+    Succeeded,
+    /// A task or gang failed too often.
+    Failed,
+    /// The client cancelled it.
+    Cancelled,
+}
+
+impl State {
+    /// True if nothing more will run.
+    pub fn ended(self) -> bool {
+        matches!(self, State::Succeeded | State::Failed | State::Cancelled)
+    }
+}
+
+/// How far a job has come: what the owner must not forget.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Progress {
+    /// Where it stands.
+    pub state: State,
+    /// Tasks that are done, by occurrence and step.
+    done: BTreeMap<u32, BTreeMap<u32, Vec<u32>>>,
+    /// How often each unfinished task failed, or the gang under index 0.
+    failed: BTreeMap<u32, BTreeMap<u32, BTreeMap<u32, u32>>>,
+}
+
+impl Progress {
+    /// True if the task is done.
+    pub fn done(&self, task: &Task) -> bool {
+        let tasks = self.done.get(&task.occurrence).and_then(|steps| steps.get(&task.step));
+        tasks.is_some_and(|tasks| tasks.binary_search(&task.index).is_ok())
+    }
+
+    /// True if all tasks of a step are done.
+    pub fn step_done(&self, occurrence: u32, number: u32, step: &Step) -> bool {
+        let tasks = self.done.get(&occurrence).and_then(|steps| steps.get(&number));
+        tasks.map_or(0, Vec::len) >= step.count as usize
+    }
+
+    /// True if all steps that `step` waits for are done.
+    pub fn ready(&self, job: &Job, occurrence: u32, step: &Step) -> bool {
+        step.after.iter().all(|&before| {
+            let Some(earlier) = job.steps.get(before as usize) else { return true };
+            self.step_done(occurrence, before, earlier)
+        })
+    }
+
+    /// True if all steps of an occurrence are done.
+    pub fn occurrence_done(&self, job: &Job, occurrence: u32) -> bool {
+        let mut steps = (0u32..).zip(&job.steps);
+        steps.all(|(number, step)| self.step_done(occurrence, number, step))
+    }
+
+    /// Marks a task as done, or its whole gang: one member's end stands for
+    /// all, since they end together.
+    pub fn finish(&mut self, job: &Job, task: &Task) {
+        let Some(step) = job.steps.get(task.step as usize) else { return };
+        let tasks = self.done.entry(task.occurrence).or_default().entry(task.step).or_default();
+        if step.gang {
+            *tasks = (0..step.count).collect();
+        } else if let Err(place) = tasks.binary_search(&task.index) {
+            tasks.insert(place, task.index);
+        }
+        if (0..job.occurrences()).all(|occurrence| self.occurrence_done(job, occurrence)) {
+            self.state = State::Succeeded;
+        }
+    }
+
+    /// Counts a failure of a task, or of its gang, and returns how many there
+    /// were.
+    pub fn fail(&mut self, job: &Job, task: &Task) -> u32 {
+        let gang = job.steps.get(task.step as usize).is_some_and(|step| step.gang);
+        let index = if gang { 0 } else { task.index };
+        let steps = self.failed.entry(task.occurrence).or_default();
+        let count = steps.entry(task.step).or_default().entry(index).or_default();
+        *count += 1;
+        *count
+    }
+}
--- a/crates/peer/src/hub.rs
+++ b/crates/peer/src/hub.rs
@@ -6,14 +6,16 @@
 use std::thread;
 
 use quincewheel_ring as ring;
-use quincewheel_wire::{Error, Frame, Hello, Key, Link, LinkId};
+use quincewheel_wire::{Error, Hello, Key, Link, LinkId};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::sync::{Notify, mpsc};
 
 use crate::traffic::Traffic;
 
 /// What the hub is asked to do.
 #[derive(Debug)]
-pub enum Command {
+pub enum Command<S> {
     /// Connect to another process.
     Dial {
         /// Its address.
@@ -24,7 +26,7 @@
         /// On which connection.
         link: LinkId,
         /// The frame.
-        frame: Frame,
+        frame: S,
     },
     /// Close a connection after what is queued was sent.
     Close {
@@ -37,7 +39,7 @@
 
 /// What the hub tells.
 #[derive(Debug)]
-pub enum Event {
+pub enum Event<R> {
     /// A connection was authenticated.
     Linked {
         /// Names it.
@@ -62,13 +64,13 @@
         /// On which connection.
         link: LinkId,
         /// The frame.
-        frame: Frame,
+        frame: R,
     },
 }
 
-/// A running hub.
-pub struct Hub {
-    commands: ring::Sender<Command>,
+/// A running hub, which sends frames of type `S`.
+pub struct Hub<S> {
+    commands: ring::Sender<Command<S>>,
     address: SocketAddr,
     traffic: Arc<Traffic>,
 }
@@ -80,15 +82,16 @@
 /// Connections that may be open at once.
 const LINKS: usize = 2048;
 
-impl Hub {
-    /// Listens on `address` and starts the thread. Events go to `events`.
-    pub fn bind<T: Send + Sync + 'static>(
+impl<S: Serialize + Send + Sync + 'static> Hub<S> {
+    /// Listens on `address` and starts the thread. Events, with received
+    /// frames of type `R`, go to `events`.
+    pub fn bind<T: Send + Sync + 'static, R: DeserializeOwned + 'static>(
         address: &str,
         key: Key,
         me: Hello,
         events: ring::Sender<T>,
-        wrap: fn(Event) -> T,
-    ) -> Result<Hub, Error> {
+        wrap: fn(Event<R>) -> T,
+    ) -> Result<Hub<S>, Error> {
         let listener = listen(address)?;
         let address = listener.local_addr().map_err(|e| socket("bind", address, &e))?;
         let (commands, incoming) = ring::open(COMMANDS);
@@ -125,37 +128,37 @@
 
     /// Asks for something without waiting. False if too much is asked for at
     /// once; the caller then treats the connection concerned as gone.
-    pub fn ask(&self, command: Command) -> bool {
+    pub fn ask(&self, command: Command<S>) -> bool {
         self.commands.try_send(command).is_ok()
     }
 }
 
-struct State<T> {
+struct State<T, S, R> {
     key: Key,
     me: Hello,
     events: ring::Sender<T>,
-    wrap: fn(Event) -> T,
+    wrap: fn(Event<R>) -> T,
     traffic: Arc<Traffic>,
-    links: RefCell<BTreeMap<LinkId, Outgoing>>,
+    links: RefCell<BTreeMap<LinkId, Outgoing<S>>>,
     next: Cell<LinkId>,
 }
 
-struct Outgoing {
-    frames: mpsc::Sender<Frame>,
+struct Outgoing<S> {
+    frames: mpsc::Sender<S>,
     /// Ends the connection at once, whatever is queued.
     cut: Rc<Notify>,
 }
 
-impl<T: 'static> State<T> {
-    async fn tell(&self, event: Event) {
+impl<T: 'static, S, R> State<T, S, R> {
+    async fn tell(&self, event: Event<R>) {
         self.events.send((self.wrap)(event)).await;
     }
 }
 
-async fn run<T: 'static>(
-    state: Rc<State<T>>,
+async fn run<T: 'static, S: Serialize + 'static, R: DeserializeOwned + 'static>(
+    state: Rc<State<T, S, R>>,
     listener: TcpListener,
-    commands: ring::Receiver<Command>,
+    commands: ring::Receiver<Command<S>>,
 ) {
     let accepting = Rc::clone(&state);
     actix_rt::spawn(async move {
@@ -196,7 +199,7 @@
 }
 
 /// Queues a frame. Dropping the queue's sender ends the connection.
-fn send<T>(state: &State<T>, link: LinkId, frame: Frame) {
+fn send<T, S, R>(state: &State<T, S, R>, link: LinkId, frame: S) {
     let mut links = state.links.borrow_mut();
     let Some(outgoing) = links.get(&link) else { return };
     if outgoing.frames.try_send(frame).is_err() {
@@ -206,12 +209,15 @@
     }
 }
 
-fn refuse<T>(state: &State<T>, step: &str, error: &Error) {
+fn refuse<T, S, R>(state: &State<T, S, R>, step: &str, error: &Error) {
     state.traffic.add_refused();
     log::warn!(step = step; "{error}");
 }
 
-async fn dial<T: 'static>(state: Rc<State<T>>, address: String) {
+async fn dial<T: 'static, S: Serialize + 'static, R: DeserializeOwned + 'static>(
+    state: Rc<State<T, S, R>>,
+    address: String,
+) {
     match quincewheel_wire::dial(&address, &state.key, &state.me).await {
         Ok(link) => serve(state, link, address).await,
         Err(error) => {
@@ -222,10 +228,14 @@
 }
 
 /// Moves frames both ways until either direction ends.
-async fn serve<T: 'static>(state: Rc<State<T>>, link: Link, dialled: String) {
+async fn serve<T: 'static, S: Serialize + 'static, R: DeserializeOwned + 'static>(
+    state: Rc<State<T, S, R>>,
+    link: Link,
+    dialled: String,
+) {
     let id = state.next.get();
     state.next.set(id + 1);
-    let (frames, mut queue) = mpsc::channel::<Frame>(QUEUE);
+    let (frames, mut queue) = mpsc::channel::<S>(QUEUE);
     let cut = Rc::new(Notify::new());
     state.links.borrow_mut().insert(id, Outgoing { frames, cut: Rc::clone(&cut) });
     let hello = link.hello().clone();
--- /dev/null
+++ b/crates/runner/src/lib.rs
@@ -0,0 +1,18 @@
+//! The agent's side of runs at one worker.
+//!
+//! A [`Runner`] carries the owner's orders to the worker and the worker's ends
+//! back. It keeps leases alive for as long as the owner grants them, fences
+//! the worker against earlier owners, and settles starts that got no answer.
+//! It performs no I/O and reads no clock: the time is an input, and must be of
+//! a clock that also counts while the machine is suspended, or an agent that
+//! wakes up would extend leases that its owner took for lapsed.
+
+mod call;
+mod lease;
+mod runner;
+mod settings;
+
+pub use call::{Action, Call, Fault, Reply};
+pub use lease::Lease;
+pub use runner::{Output, Runner};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/runner/src/runner.rs
@@ -0,0 +1,517 @@
+use std::collections::BTreeMap;
+
+use quincewheel_job::{End, Run, Task, Worker};
+use quincewheel_wire::{LinkId, Notice, Order, Refused};
+
+use crate::call::{Action, Call, Fault, Reply};
+use crate::lease::Lease;
+use crate::settings::Settings;
+
+/// What the runner wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Output {
+    /// Call the worker and hand the answer to [`Runner::answer`].
+    Call {
+        /// Names the call.
+        id: u64,
+        /// The call.
+        call: Call,
+    },
+    /// Tell the owner.
+    Send {
+        /// On which connection.
+        link: LinkId,
+        /// What.
+        notice: Notice,
+    },
+    /// Close a connection of an owner that was replaced.
+    Close {
+        /// The connection.
+        link: LinkId,
+    },
+}
+
+/// Carries orders to one worker and its ends back.
+pub struct Runner {
+    settings: Settings,
+    epoch: u64,
+    link: Option<LinkId>,
+    life: Option<Life>,
+    lease: Lease,
+    next_call: u64,
+    pinged: u64,
+    outputs: Vec<Output>,
+}
+
+/// What is known of one life of the worker.
+struct Life {
+    worker: Worker,
+    address: String,
+    /// The highest epoch under which it answered.
+    fenced: u64,
+    running: Vec<Run>,
+    ended: Vec<End>,
+    /// Ends up to here are recorded by the owner.
+    seen: u64,
+    /// Ends up to here the worker knows to be recorded.
+    told: u64,
+    /// What the look that is under way, or was last, told as recorded.
+    asked: u64,
+    /// The look that is under way, with its epoch.
+    hold: Option<(u64, u64)>,
+    /// No look before this time.
+    rest: u64,
+    /// When the worker last answered a call, or owed no answer. A lease ends
+    /// no later than a full lease from here, so that a worker whose answers
+    /// are lost, but which hears every renewal, does not run on unseen.
+    answered: u64,
+    /// Something changed at the worker since the last look began.
+    changed: bool,
+    /// Stops that the worker confirmed, told once a look that began later was
+    /// answered: only then is it sure that the run does not go on.
+    stopped: Vec<Stopped>,
+    orders: BTreeMap<u64, Pending>,
+}
+
+/// A confirmed stop.
+struct Stopped {
+    notice: Notice,
+    /// A look of this name or a later one began after the stop.
+    look: u64,
+}
+
+/// An order whose answer is awaited.
+struct Pending {
+    action: Action,
+    tries: u32,
+    /// Why the run is being stopped, if it is because its start is unclear.
+    unclear: bool,
+    /// Repeat it at this time; none while a call is under way.
+    again: Option<u64>,
+}
+
+impl Runner {
+    /// A runner that knows no worker and no owner.
+    pub fn open(settings: Settings) -> Runner {
+        Runner {
+            settings,
+            epoch: 0,
+            link: None,
+            life: None,
+            lease: Lease::default(),
+            next_call: 1,
+            pinged: 0,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Takes what is to be done.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The epoch that the agent follows; 0 before the first claim.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The worker reported itself.
+    pub fn beat(&mut self, worker: &Worker, address: &str, clock: u64, now: u64) {
+        let same = self.life.as_ref().is_some_and(|life| life.worker.id == worker.id);
+        let mut changed = !same;
+        if !same {
+            self.lease.forget_clock();
+            self.life = Some(Life::open(worker, address, now));
+        } else if let Some(life) = &mut self.life {
+            changed = life.worker.draining != worker.draining;
+            life.worker = worker.clone();
+            address.clone_into(&mut life.address);
+        }
+        self.lease.observe(clock, now);
+        if changed {
+            self.tell_status(now);
+        }
+        self.step(now);
+    }
+
+    /// The worker reported that it ends.
+    pub fn leave(&mut self, id: &str, now: u64) {
+        if self.life.as_ref().is_some_and(|life| life.worker.id == id) {
+            self.life = None;
+            self.tell(Notice::Left { worker: id.to_owned() });
+            self.tell_status(now);
+        }
+    }
+
+    /// An order came.
+    pub fn order(&mut self, link: LinkId, order: Order, now: u64) {
+        if let Order::Claim { epoch } = order {
+            self.claim(link, epoch, now);
+        } else if self.link == Some(link) {
+            self.obey(order, now);
+        }
+        self.step(now);
+    }
+
+    /// A connection is gone.
+    pub fn unlinked(&mut self, link: LinkId) {
+        if self.link == Some(link) {
+            self.link = None;
+        }
+    }
+
+    /// The worker answered a call, or did not.
+    pub fn answer(&mut self, id: u64, answer: Result<Reply, Fault>, now: u64) {
+        if let Some(life) = self.life.as_mut().filter(|_| answer.is_ok()) {
+            life.answered = now;
+        }
+        let held = self.life.as_ref().and_then(|life| life.hold).filter(|hold| hold.0 == id);
+        if let Some((_, epoch)) = held {
+            self.held(id, epoch, answer, now);
+        } else {
+            self.ordered(id, answer, now);
+        }
+        self.step(now);
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, now: u64) {
+        if now >= self.pinged + self.settings.ping
+            && let Some(link) = self.link
+        {
+            self.pinged = now;
+            let silent = self.life.as_ref().map_or(0, |life| now.saturating_sub(life.answered));
+            self.send(link, Notice::Ping { stamp: now, silent });
+        }
+        self.step(now);
+    }
+
+    /// When [`Runner::tick`] is due.
+    pub fn wake(&self) -> u64 {
+        let mut wake = self.pinged + self.settings.ping;
+        if let Some(life) = &self.life {
+            let again = life.orders.values().filter_map(|pending| pending.again);
+            wake = again.fold(wake, u64::min);
+            if life.hold.is_none() && life.busy(self.epoch) {
+                wake = wake.min(life.rest);
+            }
+        }
+        wake
+    }
+
+    fn claim(&mut self, link: LinkId, epoch: u64, now: u64) {
+        if epoch < self.epoch {
+            let epoch = self.epoch;
+            self.send(link, Notice::Superseded { epoch });
+            self.outputs.push(Output::Close { link });
+            return;
+        }
+        if let Some(former) = self.link.replace(link)
+            && former != link
+        {
+            if epoch > self.epoch {
+                self.send(former, Notice::Superseded { epoch });
+            }
+            self.outputs.push(Output::Close { link: former });
+        }
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            if let Some(life) = &mut self.life {
+                // The look under way carries the former epoch; its answer
+                // would not prove that the worker is fenced.
+                life.hold = None;
+                life.rest = now;
+                life.orders.clear();
+            }
+        }
+        self.pinged = now;
+        self.tell_status(now);
+    }
+
+    fn obey(&mut self, order: Order, now: u64) {
+        match order {
+            Order::Claim { .. } => {}
+            Order::Grant { stamp } => self.lease.grant(stamp + self.settings.lease),
+            Order::Start { worker, task, run, spec, saved } => {
+                self.start(&worker, task, run, spec, saved, now);
+            }
+            Order::Stop { worker, task, run } => self.stop(&worker, task, run),
+            Order::Seen { worker, number } => {
+                if let Some(life) = self.life.as_mut().filter(|life| life.worker.id == worker) {
+                    life.seen = life.seen.max(number);
+                    life.ended.retain(|end| end.number > number);
+                    life.rest = now;
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, id: &str, task: Task, run: u64, spec: String, saved: String, now: u64) {
+        let until = self.lease.until(now + self.settings.lease);
+        let until = until.filter(|_| self.lease.left(now) > self.settings.lease / 4);
+        let known = self.life.as_mut().filter(|life| life.worker.id == id);
+        // A worker that leaves takes nothing new with it, whatever the owner
+        // knew when it gave the order.
+        let Some(life) = known.filter(|life| !life.worker.draining) else {
+            return self.unstarted(task, run, Refused::Leaving);
+        };
+        let Some(until) = until else {
+            return self.unstarted(task, run, Refused::Lease);
+        };
+        let action = Action::Start { task, run, spec, saved, until };
+        let pending = Pending { action, tries: 0, unclear: false, again: Some(0) };
+        life.orders.insert(self.next_call, pending);
+        self.next_call += 1;
+    }
+
+    fn stop(&mut self, id: &str, task: Task, run: u64) {
+        let Some(life) = self.life.as_mut().filter(|life| life.worker.id == id) else {
+            return;
+        };
+        // A start that is still being tried must not be repeated after its stop.
+        life.orders.retain(|_, pending| !pending.starts(&task, run));
+        let action = Action::Stop { task, run };
+        let pending = Pending { action, tries: 0, unclear: false, again: Some(0) };
+        life.orders.insert(self.next_call, pending);
+        self.next_call += 1;
+    }
+
+    /// The worker answered a look.
+    fn held(&mut self, id: u64, epoch: u64, answer: Result<Reply, Fault>, now: u64) {
+        let Some(life) = &mut self.life else { return };
+        life.hold = None;
+        match answer {
+            Ok(Reply::Held { clock, running, ended }) => {
+                life.fenced = life.fenced.max(epoch);
+                life.told = life.told.max(life.asked);
+                life.running = running;
+                life.ended = ended;
+                let seen = life.seen;
+                life.ended.retain(|end| end.number > seen);
+                life.rest = if life.ended.is_empty() { now } else { now + self.settings.pause };
+                let stopped = std::mem::take(&mut life.stopped);
+                let (told, kept) = stopped.into_iter().partition(|stop| stop.look <= id);
+                life.stopped = kept;
+                self.lease.observe(clock, now);
+                self.tell_status(now);
+                let told: Vec<Stopped> = told;
+                for stop in told {
+                    self.tell(stop.notice);
+                }
+            }
+            Ok(Reply::Refused(Refused::Leaving)) => {
+                self.life = None;
+                self.tell_status(now);
+            }
+            _ => life.rest = now + self.settings.pause,
+        }
+    }
+
+    /// The worker answered a start or a stop.
+    fn ordered(&mut self, id: u64, answer: Result<Reply, Fault>, now: u64) {
+        let Some(life) = &mut self.life else { return };
+        let Some(pending) = life.orders.get_mut(&id) else { return };
+        let start = matches!(pending.action, Action::Start { .. });
+        let (task, run) = pending.run();
+        match answer {
+            Ok(Reply::Done { clock } | Reply::Held { clock, .. }) => {
+                let unclear = pending.unclear;
+                life.orders.remove(&id);
+                life.changed = true;
+                life.rest = now;
+                self.lease.observe(clock, now);
+                match (start, unclear) {
+                    (true, _) => self.tell(Notice::Started { task, run }),
+                    (false, true) => {
+                        self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
+                    }
+                    (false, false) => self.stopped(Notice::Stopped { task, run }),
+                }
+            }
+            Ok(Reply::Refused(Refused::Busy)) | Err(_) => {
+                self.retry(id, now);
+            }
+            // An earlier try without an answer may still take effect.
+            Ok(Reply::Refused(_)) if start && pending.tries > 0 => pending.settle(now),
+            Ok(Reply::Refused(why)) => {
+                let unclear = pending.unclear;
+                life.orders.remove(&id);
+                match (start, unclear) {
+                    (true, _) => self.unstarted(task, run, why),
+                    (false, true) => {
+                        self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
+                    }
+                    (false, false) => self.stopped(Notice::Stopped { task, run }),
+                }
+            }
+        }
+    }
+
+    fn stopped(&mut self, notice: Notice) {
+        let look = self.next_call;
+        if let Some(life) = &mut self.life {
+            life.stopped.push(Stopped { notice, look });
+        }
+    }
+
+    /// An order got no answer. It may still take effect, seconds later; the
+    /// same order again is harmless, since a run starts once. After the last
+    /// try the run is stopped: a worker refuses a start that comes after its
+    /// stop, so that the task can then safely start elsewhere.
+    fn retry(&mut self, id: u64, now: u64) {
+        let tries = self.settings.tries;
+        let pause = self.settings.pause;
+        let Some(life) = &mut self.life else { return };
+        let Some(pending) = life.orders.get_mut(&id) else { return };
+        pending.tries += 1;
+        let start = matches!(pending.action, Action::Start { .. });
+        if start && pending.tries < tries {
+            pending.again = Some(now);
+        } else if start {
+            pending.settle(now);
+        } else {
+            pending.again = Some(now + pause);
+        }
+    }
+
+    /// Makes the calls that are due.
+    fn step(&mut self, now: u64) {
+        let Some(life) = &mut self.life else { return };
+        if !life.busy(self.epoch) && life.orders.is_empty() {
+            life.answered = now;
+        }
+        let until = self.lease.until(life.answered + self.settings.lease);
+        let settings = &self.settings;
+        let due = |pending: &Pending| pending.again.is_some_and(|at| at <= now);
+        let ids: Vec<u64> =
+            life.orders.iter().filter(|(_, pending)| due(pending)).map(|(&id, _)| id).collect();
+        for id in ids {
+            // Each try is a call of its own name, so that the answer to an
+            // earlier one that comes late is not taken for this one's.
+            let Some(mut pending) = life.orders.remove(&id) else { continue };
+            pending.again = None;
+            if let (Action::Start { until: lease, .. }, Some(renewed)) =
+                (&mut pending.action, until)
+            {
+                *lease = renewed;
+            }
+            let call = life.call(self.epoch, pending.action.clone(), settings.answer);
+            let id = self.next_call;
+            self.next_call += 1;
+            life.orders.insert(id, pending);
+            self.outputs.push(Output::Call { id, call });
+        }
+        if life.hold.is_none() && life.busy(self.epoch) && now >= life.rest {
+            let fresh = life.fenced == self.epoch && life.ended.is_empty();
+            let idle = life.running.is_empty() && life.orders.is_empty();
+            let wait = if fresh && !idle { settings.wait } else { 0 };
+            let action = Action::Hold { seen: life.seen, until, wait };
+            let call = life.call(self.epoch, action, wait + settings.answer);
+            let id = self.next_call;
+            self.next_call += 1;
+            life.hold = Some((id, self.epoch));
+            life.asked = life.seen;
+            life.changed = false;
+            self.outputs.push(Output::Call { id, call });
+        }
+    }
+
+    fn tell_status(&mut self, now: u64) {
+        let notice = match &self.life {
+            None => Notice::Status {
+                stamp: now,
+                worker: None,
+                fenced: false,
+                running: Vec::new(),
+                ended: Vec::new(),
+            },
+            Some(life) => Notice::Status {
+                stamp: now,
+                worker: Some(life.worker.clone()),
+                fenced: life.fenced == self.epoch,
+                running: life.running.clone(),
+                ended: life.ended.clone(),
+            },
+        };
+        self.tell(notice);
+    }
+
+    fn unstarted(&mut self, task: Task, run: u64, why: Refused) {
+        self.tell(Notice::Unstarted { task, run, why });
+    }
+
+    fn tell(&mut self, notice: Notice) {
+        if let Some(link) = self.link {
+            self.send(link, notice);
+        }
+    }
+
+    fn send(&mut self, link: LinkId, notice: Notice) {
+        self.outputs.push(Output::Send { link, notice });
+    }
+}
+
+impl Life {
+    fn open(worker: &Worker, address: &str, now: u64) -> Life {
+        Life {
+            worker: worker.clone(),
+            address: address.to_owned(),
+            fenced: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+            seen: 0,
+            told: 0,
+            asked: 0,
+            hold: None,
+            rest: 0,
+            answered: now,
+            changed: false,
+            stopped: Vec::new(),
+            orders: BTreeMap::new(),
+        }
+    }
+
+    /// True if the worker has to be looked at: it is not fenced yet, or runs
+    /// something, or has ends that it does not know to be recorded.
+    fn busy(&self, epoch: u64) -> bool {
+        epoch > 0
+            && (self.fenced < epoch
+                || !self.running.is_empty()
+                || !self.ended.is_empty()
+                || self.told < self.seen
+                || self.changed
+                || !self.stopped.is_empty()
+                || self.orders.values().any(|pending| pending.tries > 0))
+    }
+
+    fn call(&self, fence: u64, action: Action, timeout: u64) -> Call {
+        Call {
+            address: self.address.clone(),
+            worker: self.worker.id.clone(),
+            fence,
+            action,
+            timeout,
+        }
+    }
+}
+
+impl Pending {
+    fn starts(&self, task: &Task, run: u64) -> bool {
+        matches!(&self.action, Action::Start { task: t, run: r, .. } if t == task && *r == run)
+    }
+
+    /// Stops the run, since its start is unclear.
+    fn settle(&mut self, now: u64) {
+        let (task, run) = self.run();
+        self.action = Action::Stop { task, run };
+        self.unclear = true;
+        self.again = Some(now);
+    }
+
+    fn run(&self) -> (Task, u64) {
+        match &self.action {
+            Action::Start { task, run, .. } | Action::Stop { task, run } => (task.clone(), *run),
+            Action::Hold { .. } => unreachable!("looks are not kept among orders"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/runner/src/settings.rs
@@ -0,0 +1,27 @@
+/// Bounds of a runner, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How long a grant of the owner lasts. The longest that workers allow.
+    pub lease: u64,
+    /// How long a worker is asked to wait for an end before it answers. The
+    /// longest that workers allow; a lease is renewed at each answer.
+    pub wait: u64,
+    /// Time between pings. Leases are renewed at most this old, so a third of
+    /// a lease is left even if two pings are lost.
+    pub ping: u64,
+    /// An order without an answer is repeated on another connection after this
+    /// time. A worker answers in a few milliseconds; much longer and the
+    /// members of a gang give up on one another.
+    pub answer: u64,
+    /// Starts without an answer before the run is stopped.
+    pub tries: u32,
+    /// Pause before a look at the worker while ends wait for their record, and
+    /// after a call that failed.
+    pub pause: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings { lease: 6000, wait: 2000, ping: 1000, answer: 400, tries: 3, pause: 300 }
+    }
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -17,6 +17,8 @@
         /// What it said.
         detail: String,
     },
+    /// The changes asked for are no longer kept; everything must be read anew.
+    Compacted,
     /// No answer, or none that says whether the call took effect.
     Unclear {
         /// What was being done.
@@ -33,6 +35,7 @@
         match self {
             Error::Conflict { key } => write!(f, "commit: {key} has another version"),
             Error::Refused { step, peer, detail } => write!(f, "{step} at {peer}: {detail}"),
+            Error::Compacted => f.write_str("follow changes: the history is gone; read all rows"),
             Error::Unclear { step, peer, detail } => {
                 write!(f, "{step} at {peer}: outcome unclear: {detail}")
             }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,6 +13,6 @@
 
 pub use error::Error;
 pub use objects::Objects;
-pub use op::{Commit, Expect, Op, Page, Put, Read, Reply, Row};
+pub use op::{Change, Changes, Commit, Expect, Op, Page, Put, Read, Reply, Row};
 pub use service::Service;
 pub use table::Table;
--- a/crates/store/src/op.rs
+++ b/crates/store/src/op.rs
@@ -77,3 +77,23 @@
     /// The version that all written rows now have.
     Committed(u64),
 }
+
+/// A row that changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// The key.
+    pub key: String,
+    /// The version that the change brought.
+    pub version: u64,
+    /// The new value; none if the row was deleted.
+    pub value: Option<String>,
+}
+
+/// Changes in the order in which they were made.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Changes {
+    /// The changed rows.
+    pub rows: Vec<Change>,
+    /// All changes up to this version are told.
+    pub version: u64,
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -11,7 +11,6 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::error::Error;
-use crate::frame::Frame;
 use crate::hello::Hello;
 use crate::proof::{Key, Side};
 
@@ -143,7 +142,7 @@
 
 impl Sender {
     /// Sends one frame and returns its size in bytes.
-    pub async fn send(&mut self, frame: &Frame) -> Result<usize, Error> {
+    pub async fn send<F: Serialize>(&mut self, frame: &F) -> Result<usize, Error> {
         let bytes = encode(frame);
         let size = bytes.len();
         let message = Message::binary(bytes);
@@ -165,7 +164,7 @@
 
 impl Receiver {
     /// Waits for the next frame and returns it with its size in bytes.
-    pub async fn next(&mut self) -> Result<(Frame, usize), Error> {
+    pub async fn next<F: DeserializeOwned>(&mut self) -> Result<(F, usize), Error> {
         let step = "receive";
         loop {
             let message = match self.stream.next().await {
--- /dev/null
+++ b/crates/wire/src/order.rs
@@ -0,0 +1,48 @@
+use quincewheel_job::Task;
+use serde::{Deserialize, Serialize};
+
+/// What the owner tells an agent about its worker's runs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Order {
+    /// The sender owns the deployment under this epoch. The first order on a
+    /// connection; an agent that follows a later epoch refuses.
+    Claim {
+        /// Rises with each change of owner; the fencing token at workers.
+        epoch: u64,
+    },
+    /// All that the worker runs may run on for a lease from `stamp`.
+    Grant {
+        /// The agent's own clock when it asked, in milliseconds. Its own,
+        /// because a grant that a cut held up must not start a lease anew.
+        stamp: u64,
+    },
+    /// Start a run.
+    Start {
+        /// The life of the worker that is meant.
+        worker: String,
+        /// The task.
+        task: Task,
+        /// Numbers its starts.
+        run: u64,
+        /// Given to the task.
+        spec: String,
+        /// The checkpoint to resume from; empty for none.
+        saved: String,
+    },
+    /// Stop a run, or see to it that it cannot start any more.
+    Stop {
+        /// The life of the worker that is meant.
+        worker: String,
+        /// The task.
+        task: Task,
+        /// Which start of it.
+        run: u64,
+    },
+    /// All ends up to `number` are recorded; the worker may forget them.
+    Seen {
+        /// The life of the worker that listed them.
+        worker: String,
+        /// The last of them.
+        number: u64,
+    },
+}
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -49,7 +49,7 @@
     let (_keep_too, mut receiver) = accepted.split();
     let frame = Frame::Prepared { attempt: Attempt::new(3, 4) };
     sender.send(&frame).await.unwrap();
-    assert_eq!(receiver.next().await.unwrap().0, frame);
+    assert_eq!(receiver.next::<Frame>().await.unwrap().0, frame);
 }
 
 /// Symptom: a task that runs beside an agent speaks for it. Sequence: it dials
@@ -142,7 +142,7 @@
         };
         let serve = async {
             match accept_one(&listener).await {
-                Ok(link) => link.split().1.next().await.err().map(|error| kind(&error)),
+                Ok(link) => link.split().1.next::<Frame>().await.err().map(|error| kind(&error)),
                 Err(error) => Some(kind(&error)),
             }
         };
@@ -151,7 +151,7 @@
         kinds.push(format!("{bad}: {}", kind.unwrap_or("accepted")));
         let frame = Frame::Leaving { leaving: true };
         good.send(&frame).await.unwrap();
-        assert_eq!(good_in.next().await.unwrap().0, frame, "the good one goes on");
+        assert_eq!(good_in.next::<Frame>().await.unwrap().0, frame, "the good one goes on");
     }
     insta::assert_snapshot!(kinds.join("\n"), @r"
     garbage: malformed
