Let a new owner wait until agents have reported

Ruled out: an end acknowledged without a record; the log shows no Seen before 19.066 s.

Change: an agent counts as heard once its worker answered under the new epoch, or is known to have left; decisions run again when all are heard.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -8,6 +8,9 @@
     pub link: Option<LinkId>,
     /// The worker, if the agent knows it.
     pub worker: Option<Worker>,
+    /// Nothing of a former owner can be unknown there: the worker answered
+    /// under this owner's epoch, or it is known to have left.
+    pub heard: bool,
     /// The worker answered under this owner's epoch.
     pub fenced: bool,
     /// All leases that were granted through this agent have lapsed by then.
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -51,6 +51,8 @@
     pub(crate) urgent: bool,
     pub(crate) recording: bool,
     pub(crate) replan: bool,
+    /// Nothing that a former owner started can be unknown any more.
+    pub(crate) settled: bool,
     pub(crate) next_unit: u64,
     /// The next time at which a scheduled job is due, in time of day.
     pub(crate) next_due: Option<u64>,
@@ -78,6 +80,7 @@
             urgent: false,
             recording: false,
             replan: true,
+            settled: false,
             next_unit: 1,
             next_due: None,
             outputs: Vec::new(),
@@ -251,6 +254,10 @@
     /// Time passed: takes lapsed leases for lapsed, and decides what starts.
     pub fn tick(&mut self, now: u64, wall: u64) {
         self.lapse(now);
+        if !self.settled && self.settled(now) {
+            self.settled = true;
+            self.replan = true;
+        }
         if self.next_due.is_some_and(|due| due <= wall) {
             self.replan = true;
         }
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -24,8 +24,8 @@
 impl Owner {
     /// Decides what starts now.
     pub(crate) fn plan(&mut self, now: u64, wall: u64) {
-        let mut candidates = self.candidates(now, wall);
-        candidates.sort_by(|a, b| a.rank.cmp(&b.rank));
+        let mut candidates = self.candidates(wall);
+        candidates.sort_by_key(|candidate| candidate.rank);
         let mut board = self.board(now);
         for candidate in &candidates {
             self.serve(candidate, &mut board, now);
@@ -33,8 +33,8 @@
     }
 
     /// Everything whose turn has come.
-    fn candidates(&mut self, now: u64, wall: u64) -> Vec<Candidate> {
-        let settled = self.settled(now);
+    fn candidates(&mut self, wall: u64) -> Vec<Candidate> {
+        let settled = self.settled;
         let mut used = self.guaranteed_use();
         let mut next_due = None;
         let mut found = Vec::new();
@@ -79,11 +79,8 @@
     }
 
     /// True once nothing that a former owner started can be unknown.
-    fn settled(&self, now: u64) -> bool {
-        self.agents.values().all(|agent| {
-            let heard = agent.link.is_some() && (agent.fenced || agent.worker.is_none());
-            heard || now >= agent.lapse.max(self.claimed)
-        })
+    pub(crate) fn settled(&self, now: u64) -> bool {
+        self.agents.values().all(|agent| agent.heard || now >= agent.lapse)
     }
 
     /// Accelerators that each team's jobs of priority 0 hold.
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -36,6 +36,7 @@
         agent.unknown = None;
         agent.worker = Some(worker);
         agent.fenced = fenced;
+        agent.heard |= fenced;
         agent.silent = 0;
         agent.listed = running.iter().map(|run| (run.task.clone(), run.number)).collect();
         if reborn || first {
@@ -63,6 +64,9 @@
 
     /// A worker said that it ends.
     pub(crate) fn left(&mut self, name: &str, id: &str, now: u64) {
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.heard = true;
+        }
         let gone = self.runs_where(|placed| placed.agent == name && placed.worker == id);
         for (job, key) in gone {
             self.log("run lost", &job, format!("{key:?}: worker at {name} left"));
--- /dev/null
+++ b/crates/dispatch/tests/bed/mod.rs
@@ -0,0 +1,138 @@
+//! An owner with agents that answer as the test says.
+
+#![allow(dead_code)]
+
+use quincewheel_dispatch::{Batch, Output, Owner, Settings};
+use quincewheel_job::{End, How, Job, Need, Queue, Run, Step, Task, Worker};
+use quincewheel_wire::{LinkId, Notice, Order};
+
+pub struct Bed {
+    pub owner: Owner,
+    pub now: u64,
+    pub lines: Vec<String>,
+}
+
+/// The table's version at which the owner claimed; older jobs have lower ones.
+pub const CLAIM: u64 = 100;
+
+impl Bed {
+    /// An owner that has just claimed, and knows agents `w0` to `wN`.
+    pub fn open(epoch: u64, agents: u64) -> Bed {
+        let mut owner = Owner::open(Settings::default(), epoch, CLAIM, 10_000);
+        for number in 0..agents {
+            owner.agent(&format!("w{number}"), 10_000);
+        }
+        Bed { owner, now: 10_000, lines: Vec::new() }
+    }
+
+    /// Agents connect and report workers that run nothing.
+    pub fn idle(mut self, agents: u64) -> Bed {
+        for number in 0..agents {
+            self.link(number);
+            self.status(number, &[], &[]);
+        }
+        self.drain();
+        self
+    }
+
+    pub fn link(&mut self, number: u64) {
+        self.owner.linked(&format!("w{number}"), number, self.now);
+    }
+
+    pub fn status(&mut self, number: u64, running: &[Run], ended: &[End]) {
+        let worker = Some(worker(number));
+        self.notice(
+            number,
+            Notice::Status {
+                stamp: self.now,
+                worker,
+                fenced: true,
+                running: running.to_vec(),
+                ended: ended.to_vec(),
+            },
+        );
+    }
+
+    pub fn notice(&mut self, link: LinkId, notice: Notice) {
+        self.owner.notice(link, notice, self.now);
+        self.step();
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.now += ms;
+        self.step();
+    }
+
+    pub fn step(&mut self) {
+        self.owner.tick(self.now, self.now);
+        self.drain();
+    }
+
+    pub fn record(&mut self) -> Batch {
+        let batch = self.owner.record().unwrap_or_default();
+        self.owner.recorded(&batch, true);
+        self.drain();
+        batch
+    }
+
+    pub fn drain(&mut self) {
+        for output in self.owner.outputs() {
+            match output {
+                Output::Send { order: Order::Grant { .. } | Order::Claim { .. }, .. } => {}
+                Output::Send { link, order } => self.lines.push(line(link, &order)),
+                Output::Deposed { epoch } => self.lines.push(format!("deposed by {epoch}")),
+                Output::Log { .. } => {}
+            }
+        }
+    }
+
+    /// What was ordered since the last time.
+    pub fn told(&mut self) -> String {
+        let lines = std::mem::take(&mut self.lines);
+        if lines.is_empty() { "nothing".to_owned() } else { lines.join("\n") }
+    }
+}
+
+fn line(link: LinkId, order: &Order) -> String {
+    match order {
+        Order::Start { task, run, saved, .. } => format!("w{link} start {task} run {run} {saved}"),
+        Order::Stop { task, run, .. } => format!("w{link} stop {task} run {run}"),
+        Order::Seen { number, .. } => format!("w{link} seen {number}"),
+        order => format!("w{link} {order:?}"),
+    }
+}
+
+/// A worker with 8 accelerators; three stand in one rack.
+pub fn worker(number: u64) -> Worker {
+    Worker {
+        id: format!("i{number}"),
+        pool: "p".into(),
+        capacity: Need { cpu: 64_000, memory: 262_144, accelerators: 8 },
+        rack: format!("r{}", number / 3),
+        labels: vec!["a".into(), format!("r{}", number / 3)],
+        ..Worker::default()
+    }
+}
+
+pub fn job(priority: u32, steps: Vec<Step>) -> Job {
+    let queue =
+        Queue { name: "q".into(), pool: "p".into(), priority, attempts: 2, ..Queue::default() };
+    Job { team: "t".into(), queue, spec: String::new(), steps, schedule: None, accepted: 0 }
+}
+
+pub fn step(count: u32, accelerators: u64) -> Step {
+    let need = Need { cpu: 1000, memory: 1000, accelerators };
+    Step { count, need, estimate: 1000, ..Step::default() }
+}
+
+pub fn task(job: &str, step: u32, index: u32) -> Task {
+    Task { job: job.into(), occurrence: 0, step, index }
+}
+
+pub fn run(task: Task, number: u64) -> Run {
+    Run { task, number, saved: String::new(), percent: 10, gauge: 0 }
+}
+
+pub fn end(number: u64, task: Task, run: u64, how: How) -> End {
+    End { number, task, run, how, saved: String::new() }
+}
--- /dev/null
+++ b/crates/dispatch/tests/takeover.rs
@@ -0,0 +1,84 @@
+//! What a new owner may start, and when.
+
+mod bed;
+
+use bed::{Bed, end, job, run, step, task};
+use insta::assert_snapshot;
+use quincewheel_job::How;
+use quincewheel_wire::Notice;
+
+// Symptom: a task runs twice after a change of owner, or again after it was done.
+// Sequence: the new owner is connected to an agent and starts an older job before
+// the agent has said what its worker runs.
+// Cause: a connection alone was taken for a report.
+#[test]
+fn older_jobs_wait_until_every_agent_has_reported() {
+    let mut bed = Bed::open(2, 2);
+    bed.owner.job("old", job(1, vec![step(1, 1)]), 50, None);
+    bed.link(0);
+    bed.status(0, &[], &[]);
+    bed.link(1);
+    bed.owner.job("new", job(1, vec![step(1, 1)]), 150, None);
+    bed.step();
+    let first = bed.told();
+    bed.status(1, &[run(task("old", 0, 0), 7)], &[]);
+    bed.pass(100);
+    assert_snapshot!(format!("{first}\n-- all reported\n{}", bed.told()), @r"
+    w0 start new.0.0.0 run 1001 
+    -- all reported
+    nothing
+    ");
+}
+
+#[test]
+fn an_agent_that_stays_away_holds_older_jobs_until_its_leases_have_lapsed() {
+    let mut bed = Bed::open(2, 2);
+    bed.owner.job("old", job(1, vec![step(1, 1)]), 50, None);
+    bed.link(0);
+    bed.status(0, &[], &[]);
+    bed.pass(6100);
+    let before = bed.told();
+    bed.pass(200);
+    assert_snapshot!(format!("{before}\n-- 6,300 ms\n{}", bed.told()), @r"
+    nothing
+    -- 6,300 ms
+    w0 start old.0.0.0 run 1001 
+    ");
+}
+
+// An agent that has just started itself does not know its worker yet, which may
+// run on all the same.
+#[test]
+fn an_agent_that_knows_no_worker_has_not_reported() {
+    let mut bed = Bed::open(2, 2);
+    bed.owner.job("old", job(1, vec![step(1, 1)]), 50, None);
+    bed.link(0);
+    bed.status(0, &[], &[]);
+    bed.link(1);
+    let (running, ended) = (Vec::new(), Vec::new());
+    let none = Notice::Status { stamp: 0, worker: None, fenced: false, running, ended };
+    bed.notice(1, none);
+    let before = bed.told();
+    bed.notice(1, Notice::Left { worker: "i1".into() });
+    bed.pass(100);
+    assert_snapshot!(format!("{before}\n-- it has left\n{}", bed.told()), @r"
+    nothing
+    -- it has left
+    w0 start old.0.0.0 run 1001 
+    ");
+}
+
+#[test]
+fn ends_that_a_former_owner_did_not_record_count() {
+    let mut bed = Bed::open(2, 1);
+    bed.owner.job("old", job(1, vec![step(1, 1), step(1, 1)]), 50, None);
+    bed.link(0);
+    bed.status(0, &[], &[end(3, task("old", 0, 0), 1, How::Done)]);
+    bed.pass(100);
+    let batch = bed.record();
+    assert_snapshot!(format!("{}\n{} rows", bed.told(), batch.jobs.len()), @r"
+    w0 start old.0.1.0 run 1001 
+    w0 seen 3
+    1 rows
+    ");
+}
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -37,6 +37,8 @@
     epoch: u64,
     link: Option<LinkId>,
     life: Option<Life>,
+    /// The life that said it ends, until another one reports.
+    left: Option<String>,
     lease: Lease,
     next_call: u64,
     pinged: u64,
@@ -98,6 +100,7 @@
             epoch: 0,
             link: None,
             life: None,
+            left: None,
             lease: Lease::default(),
             next_call: 1,
             pinged: 0,
@@ -121,6 +124,7 @@
         let mut changed = !same;
         if !same {
             self.lease.forget_clock();
+            self.left = None;
             self.life = Some(Life::open(worker, address, now));
         } else if let Some(life) = &mut self.life {
             changed = life.worker.draining != worker.draining;
@@ -138,6 +142,7 @@
     pub fn leave(&mut self, id: &str, now: u64) {
         if self.life.as_ref().is_some_and(|life| life.worker.id == id) {
             self.life = None;
+            self.left = Some(id.to_owned());
             self.tell(Notice::Left { worker: id.to_owned() });
             self.tell_status(now);
         }
@@ -225,6 +230,9 @@
             }
         }
         self.pinged = now;
+        if let Some(worker) = self.left.clone() {
+            self.tell(Notice::Left { worker });
+        }
         self.tell_status(now);
     }
 
