Settle starts and stops with the worker before telling the owner

The agent told "not started" or "stopped" as soon as the worker had taken the stop, which there takes up to 900 ms, and refused starts by itself though an earlier copy of the order could have taken effect.

Ruled out: two owners (one epoch ordered both runs).

Change: a stop, or a start that is given up, is told once a later look at the worker no longer lists the run; refusals by the agent itself and "old" go the same way.

--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -46,6 +46,8 @@
     pub(crate) jobs: BTreeMap<Id, Entry>,
     pub(crate) agents: BTreeMap<String, Agent>,
     pub(crate) links: BTreeMap<LinkId, String>,
+    /// Runs that nobody waits for, and when their stop was ordered.
+    pub(crate) strays: BTreeMap<(Task, u64), u64>,
     pub(crate) dirty: BTreeSet<Id>,
     /// A change of state that callers wait for is among the dirty ones.
     pub(crate) urgent: bool,
@@ -76,6 +78,7 @@
             jobs: BTreeMap::new(),
             agents: BTreeMap::new(),
             links: BTreeMap::new(),
+            strays: BTreeMap::new(),
             dirty: BTreeSet::new(),
             urgent: false,
             recording: false,
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -99,7 +99,7 @@
     fn running(&mut self, name: &str, id: &str, run: &Run, now: u64) {
         let key = key(&run.task);
         let Some(entry) = self.jobs.get_mut(&run.task.job) else {
-            return self.stop_stray(name, id, &run.task, run.number);
+            return self.stop_stray(name, id, &run.task, run.number, now);
         };
         let slot = entry.key(key);
         match entry.runs.get_mut(&key) {
@@ -115,9 +115,9 @@
             }
             // A later run of the task exists, or it is done: this one is a
             // remnant that nobody waits for.
-            Some(_) => self.stop_stray(name, id, &run.task, run.number),
+            Some(_) => self.stop_stray(name, id, &run.task, run.number, now),
             None if entry.progress.done(&run.task) || entry.progress.state.ended() => {
-                self.stop_stray(name, id, &run.task, run.number);
+                self.stop_stray(name, id, &run.task, run.number, now);
             }
             None => {
                 // Started by a former owner.
@@ -151,7 +151,15 @@
         }
     }
 
-    fn stop_stray(&mut self, name: &str, id: &str, task: &Task, run: u64) {
+    /// Stops a run that nobody waits for. The worker lists it until its stop
+    /// is through; one order is enough meanwhile.
+    fn stop_stray(&mut self, name: &str, id: &str, task: &Task, run: u64, now: u64) {
+        let bound = self.settings.reservation;
+        self.strays.retain(|_, since| now < *since + bound);
+        if self.strays.contains_key(&(task.clone(), run)) {
+            return;
+        }
+        self.strays.insert((task.clone(), run), now);
         self.log("stray run stopped", &task.job, format!("{task} run {run} at {name}"));
         self.order(name, Order::Stop { worker: id.to_owned(), task: task.clone(), run });
     }
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -82,6 +82,18 @@
     look: u64,
 }
 
+impl Stopped {
+    /// True while the worker still lists the run: a stop takes its time, and
+    /// the task must not start elsewhere before its end.
+    fn goes_on(&self, running: &[Run]) -> bool {
+        let (Notice::Stopped { task, run } | Notice::Unstarted { task, run, .. }) = &self.notice
+        else {
+            return false;
+        };
+        running.iter().any(|listed| listed.task == *task && listed.number == *run)
+    }
+}
+
 /// An order whose answer is awaited.
 struct Pending {
     action: Action,
@@ -257,17 +269,28 @@
     fn start(&mut self, id: &str, task: Task, run: u64, spec: String, saved: String, now: u64) {
         let until = self.lease.until(now + self.settings.lease);
         let until = until.filter(|_| self.lease.left(now) > self.settings.lease / 4);
-        let known = self.life.as_mut().filter(|life| life.worker.id == id);
+        // A worker that has not reported yet may run all the same; the owner
+        // asks again once it has.
+        let Some(life) = &mut self.life else { return };
+        if life.worker.id != id {
+            return self.tell(Notice::Unstarted { task, run, why: Refused::Leaving });
+        }
+        if life.orders.values().any(|pending| pending.starts(&task, run)) {
+            return;
+        }
         // A worker that leaves takes nothing new with it, whatever the owner
-        // knew when it gave the order.
-        let Some(life) = known.filter(|life| !life.worker.draining) else {
-            return self.unstarted(task, run, Refused::Leaving);
+        // knew when it gave the order; nor does one without a lease. But the
+        // order may be a repeated one, and the first may have taken effect.
+        let refused = life.worker.draining || until.is_none();
+        let mut pending = Pending {
+            action: Action::Start { task, run, spec, saved, until: until.unwrap_or(0) },
+            tries: 0,
+            unclear: false,
+            again: Some(0),
         };
-        let Some(until) = until else {
-            return self.unstarted(task, run, Refused::Lease);
-        };
-        let action = Action::Start { task, run, spec, saved, until };
-        let pending = Pending { action, tries: 0, unclear: false, again: Some(0) };
+        if refused {
+            pending.settle(now);
+        }
         life.orders.insert(self.next_call, pending);
         self.next_call += 1;
     }
@@ -298,7 +321,9 @@
                 life.ended.retain(|end| end.number > seen);
                 life.rest = if life.ended.is_empty() { now } else { now + self.settings.pause };
                 let stopped = std::mem::take(&mut life.stopped);
-                let (told, kept) = stopped.into_iter().partition(|stop| stop.look <= id);
+                let (told, kept) = stopped
+                    .into_iter()
+                    .partition(|stop| stop.look <= id && !stop.goes_on(&life.running));
                 life.stopped = kept;
                 self.lease.observe(clock, now);
                 self.tell_status(now);
@@ -339,13 +364,16 @@
             Ok(Reply::Refused(Refused::Busy)) | Err(_) => {
                 self.retry(id, now);
             }
-            // An earlier try without an answer may still take effect.
-            Ok(Reply::Refused(_)) if start && pending.tries > 0 => pending.settle(now),
+            // An earlier try without an answer may still take effect, and what is
+            // refused as old may have run.
+            Ok(Reply::Refused(why)) if start && (pending.tries > 0 || why == Refused::Old) => {
+                pending.settle(now);
+            }
             Ok(Reply::Refused(why)) => {
                 let unclear = pending.unclear;
                 life.orders.remove(&id);
                 match (start, unclear) {
-                    (true, _) => self.unstarted(task, run, why),
+                    (true, _) => self.tell(Notice::Unstarted { task, run, why }),
                     (false, true) => {
                         self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
                     }
@@ -359,6 +387,8 @@
         let look = self.next_call;
         if let Some(life) = &mut self.life {
             life.stopped.push(Stopped { notice, look });
+            // A look that is under way began before, and may wait for long.
+            life.hold = None;
         }
     }
 
@@ -444,10 +474,6 @@
         self.tell(notice);
     }
 
-    fn unstarted(&mut self, task: Task, run: u64, why: Refused) {
-        self.tell(Notice::Unstarted { task, run, why });
-    }
-
     fn tell(&mut self, notice: Notice) {
         if let Some(link) = self.link {
             self.send(link, notice);
