Close connections to agents that fell silent

Ruled out: the table's client, which drops its pool after a timeout and went on.

Change: an agent that tells nothing for 2.5 s (it pings each second) has its connection closed and dialled anew; a second connection closes the first.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -6,6 +6,8 @@
 pub(crate) struct Agent {
     /// The open connection.
     pub link: Option<LinkId>,
+    /// When the agent last told anything.
+    pub told: u64,
     /// The worker, if the agent knows it.
     pub worker: Option<Worker>,
     /// Nothing of a former owner can be unknown there: the worker answered
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -18,6 +18,11 @@
         /// The order.
         order: Order,
     },
+    /// Close a connection that fell silent or was replaced.
+    Close {
+        /// The connection.
+        link: LinkId,
+    },
     /// A later owner has taken over; this one must end.
     Deposed {
         /// The later epoch.
@@ -149,10 +154,12 @@
         self.agent(agent, now);
         let epoch = self.epoch;
         if let Some(known) = self.agents.get_mut(agent) {
+            known.told = now;
+            known.fenced = false;
             if let Some(former) = known.link.replace(link) {
                 self.links.remove(&former);
+                self.outputs.push(Output::Close { link: former });
             }
-            known.fenced = false;
             self.links.insert(link, agent.to_owned());
             self.send(link, Order::Claim { epoch });
         }
@@ -177,6 +184,9 @@
     /// An agent told something.
     pub fn notice(&mut self, link: LinkId, notice: Notice, now: u64) {
         let Some(name) = self.links.get(&link).cloned() else { return };
+        if let Some(agent) = self.agents.get_mut(&name) {
+            agent.told = now;
+        }
         match notice {
             Notice::Superseded { epoch } => self.outputs.push(Output::Deposed { epoch }),
             Notice::Ping { stamp, silent } => {
@@ -256,6 +266,7 @@
 
     /// Time passed: takes lapsed leases for lapsed, and decides what starts.
     pub fn tick(&mut self, now: u64, wall: u64) {
+        self.close_silent(now);
         self.lapse(now);
         if !self.settled && self.settled(now) {
             self.settled = true;
@@ -314,6 +325,19 @@
         self.send(link, Order::Grant { stamp });
     }
 
+    /// Closes connections on which nothing comes any more. A connection may
+    /// stay open without carrying anything while a new one would; only the
+    /// missing pings show it.
+    fn close_silent(&mut self, now: u64) {
+        let bound = self.settings.silence;
+        let silent = self.agents.values().filter(|agent| now > agent.told + bound);
+        let links: Vec<LinkId> = silent.filter_map(|agent| agent.link).collect();
+        for link in links {
+            self.unlinked(link);
+            self.outputs.push(Output::Close { link });
+        }
+    }
+
     /// Takes runs for gone whose leases have lapsed without a word.
     fn lapse(&mut self, now: u64) {
         let bound = self.settings.lease + self.settings.margin;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -6,6 +6,9 @@
     /// What an owner waits beyond a lease before it takes the lease for
     /// lapsed. Covers late timers and a rounding to whole milliseconds.
     pub margin: u64,
+    /// An agent that tells nothing for so long has lost its connection. Two
+    /// pings and a half; a third of a lease is left to reach it anew.
+    pub silence: u64,
     /// An owner that has not been confirmed by the table for so long grants
     /// leases only while it speaks to most agents: another may have taken over.
     pub unconfirmed: u64,
@@ -24,6 +27,7 @@
         Settings {
             lease: 6000,
             margin: 200,
+            silence: 2500,
             unconfirmed: 3000,
             doubt: 10_000,
             reservation: 3000,
--- a/crates/dispatch/tests/bed/mod.rs
+++ b/crates/dispatch/tests/bed/mod.rs
@@ -80,6 +80,7 @@
             match output {
                 Output::Send { order: Order::Grant { .. } | Order::Claim { .. }, .. } => {}
                 Output::Send { link, order } => self.lines.push(line(link, &order)),
+                Output::Close { link } => self.lines.push(format!("close {link}")),
                 Output::Deposed { epoch } => self.lines.push(format!("deposed by {epoch}")),
                 Output::Log { .. } => {}
             }
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -132,6 +132,9 @@
                     shared.hub.ask(Command::Close { link, reason: "too many orders wait" });
                 }
             }
+            Output::Close { link } => {
+                shared.hub.ask(Command::Close { link, reason: "silent or replaced" });
+            }
             Output::Deposed { epoch } => deposed = Some(epoch),
             Output::Log { event, subject, detail } => {
                 log::info!(event = event, job = subject.as_str(); "{detail}");
