Count a worker's silence against old runs only; repeat looks without an answer

A worker whose answers are lost for a lease had its new runs taken for lapsed at once, a hundred starts a second; and a look that got no answer after a start was never repeated, so the run lapsed unseen.

Ruled out: answers overtaking each other (every call logged: after the failed look no other was made).

Change: only runs older than the silence lapse by it; a worker silent for 3 s gets nothing new; a failed look is due again; looks wait 1 s instead of 2, so that four lost answers in a row still keep a lease.

Tests: crates/dispatch/tests/links.rs, crates/runner/tests/starts.rs, failing first.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -1,6 +1,8 @@
 use quincewheel_job::{Task, Worker};
 use quincewheel_wire::LinkId;
 
+use crate::settings::Settings;
+
 /// What the owner knows of one agent and its worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Agent {
@@ -35,8 +37,8 @@
 
 impl Agent {
     /// True if runs may start there.
-    pub fn open(&self) -> bool {
+    pub fn open(&self, settings: &Settings) -> bool {
         let ready = self.worker.as_ref().is_some_and(|worker| !worker.draining);
-        self.link.is_some() && self.fenced && ready
+        self.link.is_some() && self.fenced && ready && self.silent < settings.mute
     }
 }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -342,17 +342,17 @@
     fn lapse(&mut self, now: u64) {
         let bound = self.settings.lease + self.settings.margin;
         let mut lost = Vec::new();
-        for (name, agent) in &mut self.agents {
+        for (name, agent) in &self.agents {
             let unlinked = agent.link.is_none() && now >= agent.lapse;
             let unknown = agent.unknown.is_some_and(|since| now >= since + bound);
-            let silent = agent.silent >= bound;
-            if unlinked || unknown || silent {
+            if unlinked || unknown || agent.silent >= bound {
                 lost.push(name.clone());
             }
         }
         for name in lost {
-            let gone = self.runs_where(|placed| placed.agent == name);
-            for (id, key) in gone {
+            // What began since is not covered by the silence.
+            let old = |placed: &Placed| placed.agent == name && now >= placed.began + bound;
+            for (id, key) in self.runs_where(old) {
                 self.log("run lapsed", &id, format!("{key:?} at {name}"));
                 self.drop_run(&id, key, now);
             }
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -100,7 +100,9 @@
         let mut spots: Vec<Spot> = Vec::new();
         let mut places: BTreeMap<&str, usize> = BTreeMap::new();
         for (name, agent) in &self.agents {
-            let Some(worker) = agent.worker.as_ref().filter(|_| agent.open()) else { continue };
+            let Some(worker) = agent.worker.as_ref().filter(|_| agent.open(&self.settings)) else {
+                continue;
+            };
             places.insert(name, spots.len());
             spots.push(Spot {
                 name: name.clone(),
@@ -109,7 +111,7 @@
                 labels: worker.labels.clone(),
                 capacity: worker.capacity,
                 free: worker.capacity,
-                doubtful: agent.doubted > now || agent.silent > self.settings.lease / 4,
+                doubtful: agent.doubted > now || agent.silent > self.settings.mute / 2,
                 holders: Vec::new(),
             });
         }
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -9,6 +9,9 @@
     /// An agent that tells nothing for so long has lost its connection. Two
     /// pings and a half; a third of a lease is left to reach it anew.
     pub silence: u64,
+    /// A worker that has owed an answer for so long gets nothing new: two lost
+    /// answers in a row.
+    pub mute: u64,
     /// An owner that has not been confirmed by the table for so long grants
     /// leases only while it speaks to most agents: another may have taken over.
     pub unconfirmed: u64,
@@ -28,6 +31,7 @@
             lease: 6000,
             margin: 200,
             silence: 2500,
+            mute: 3000,
             unconfirmed: 3000,
             doubt: 10_000,
             reservation: 3000,
--- a/crates/dispatch/tests/links.rs
+++ b/crates/dispatch/tests/links.rs
@@ -4,6 +4,7 @@
 
 use bed::{Bed, job, run, step, task};
 use insta::assert_snapshot;
+use quincewheel_wire::Notice;
 
 // Symptom: nothing starts or ends any more at some workers, and nothing says why.
 // Sequence: the connection to an agent stays open but carries nothing.
@@ -49,3 +50,28 @@
     nothing
     ");
 }
+
+// Symptom: one task has a hundred starts within a second, two of them at once.
+// Sequence: a worker's answers are lost for longer than a lease; the owner takes
+// its runs for lapsed, starts them there again, and takes those for lapsed at once.
+// Cause: the silence was counted against runs that began within it.
+#[test]
+fn a_silent_worker_loses_old_runs_only_and_gets_no_new_ones() {
+    let mut bed = Bed::open(1, 2).idle(2);
+    bed.owner.job("a", job(1, vec![step(1, 8)]), 150, None);
+    bed.step();
+    bed.status(0, &[run(task("a", 0, 0), 1)], &[]);
+    let began = bed.told();
+    bed.owner.job("b", job(1, vec![step(1, 8)]), 151, None);
+    bed.owner.job("c", job(1, vec![step(1, 1)]), 152, None);
+    for silent in [2000, 4000, 6300, 6400] {
+        bed.pass(1600);
+        bed.notice(1, Notice::Ping { stamp: bed.now, silent: 0 });
+        bed.notice(0, Notice::Ping { stamp: bed.now, silent });
+    }
+    assert_snapshot!(format!("{began}\n-- silent\n{}", bed.told()), @r"
+    w0 start a.0.0.0 run 1 
+    -- silent
+    w1 start b.0.0.0 run 1
+    ");
+}
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -336,7 +336,10 @@
                 self.life = None;
                 self.tell_status(now);
             }
-            _ => life.rest = now + self.settings.pause,
+            _ => {
+                life.changed = true;
+                life.rest = now + self.settings.pause;
+            }
         }
     }
 
--- a/crates/runner/src/settings.rs
+++ b/crates/runner/src/settings.rs
@@ -3,8 +3,9 @@
 pub struct Settings {
     /// How long a grant of the owner lasts. The longest that workers allow.
     pub lease: u64,
-    /// How long a worker is asked to wait for an end before it answers. The
-    /// longest that workers allow; a lease is renewed at each answer.
+    /// How long a worker is asked to wait for an end before it answers. A
+    /// lease is renewed at each answer, so four answers in a row may be lost
+    /// before it runs out; with 2,000, two.
     pub wait: u64,
     /// Time between pings. Leases are renewed at most this old, so a third of
     /// a lease is left even if two pings are lost.
@@ -22,6 +23,6 @@
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { lease: 6000, wait: 2000, ping: 1000, answer: 400, tries: 3, pause: 300 }
+        Settings { lease: 6000, wait: 1000, ping: 1000, answer: 400, tries: 3, pause: 300 }
     }
 }
--- a/crates/runner/tests/starts.rs
+++ b/crates/runner/tests/starts.rs
@@ -142,7 +142,7 @@
     assert_snapshot!(format!("{before}\n-- looked\n{}", bed.told()), @r"
     > start j.0.0.0 run 4 until 56880
     > start j.0.0.0 run 4 until 56880
-    > hold seen 0 wait 2000
+    > hold seen 0 wait 1000
     > start j.0.0.0 run 4 until 56880
     > stop j.0.0.0 run 4
     > hold seen 0 wait 0
@@ -190,7 +190,7 @@
     > stop j.0.0.0 run 4
     > hold seen 0 wait 0
     status fenced true running 1 ended 0
-    > hold seen 0 wait 2000
+    > hold seen 0 wait 1000
     -- ended
     status fenced true running 0 ended 1
     unstarted j.0.0.0 run 4 Silent
@@ -226,3 +226,18 @@
     56880
     ");
 }
+
+// Symptom: a run lapses unseen and its job never goes on. Sequence: a start takes
+// effect, the look that follows gets no answer. Cause: only the look's beginning
+// was remembered, so none came after it.
+#[test]
+fn a_look_without_an_answer_is_repeated() {
+    let mut bed = Bed::open();
+    bed.start(4);
+    bed.answer(ok());
+    bed.told();
+    let (id, _) = bed.calls.pop().expect("a look");
+    bed.runner.answer(id, silence(), bed.now);
+    bed.pass(300);
+    assert_snapshot!(bed.told(), @r"> hold seen 0 wait 0");
+}
