Let entries that drain step in as owner; end when calls are answered

Ruled out: a slow claim (25 ms after a hand-over to an entry that does not drain).

Change: an entry that drains claims an ownership that stood vacant for 300 ms and hands it over again before it ends; in its last 1.2 s it asks clients to leave with each answer and ends once no call is open.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -15,6 +15,10 @@
     seen: Option<(u64, u64)>,
 }
 
+/// An entry that drains leaves a vacant ownership to others for so many
+/// milliseconds: ten times what a claim takes.
+const VACANT: u64 = 300;
+
 impl Election {
     /// A candidate. Candidates wait a little longer one after the other, so
     /// that they seldom race; a race costs the losers one refused write.
@@ -32,10 +36,24 @@
 
     /// True if it is time to take over. `current` is when the table was last
     /// known to have told all changes.
-    pub fn due(&self, owner: Option<&(Ownership, u64)>, current: u64, now: u64) -> bool {
-        let Some((owner, version)) = owner else { return true };
-        let mine = owner.holder == self.name && owner.incarnation != self.incarnation;
+    ///
+    /// One that is `draining` steps in only where nobody else takes what was
+    /// handed over: where entries restart one after the other, all that are
+    /// there may be about to end, and a short ownership is better than none.
+    pub fn due(
+        &self,
+        owner: Option<&(Ownership, u64)>,
+        current: u64,
+        now: u64,
+        draining: bool,
+    ) -> bool {
+        let Some((owner, version)) = owner else { return !draining };
         let held = self.seen.filter(|(known, _)| known == version);
+        if draining {
+            let vacant = held.is_some_and(|(_, since)| now >= since + VACANT);
+            return owner.holder.is_empty() && vacant;
+        }
+        let mine = owner.holder == self.name && owner.incarnation != self.incarnation;
         let still = held.is_some_and(|(_, since)| current >= since + self.patience);
         // The former life of this very process cannot act any more.
         mine || owner.holder.is_empty() || (still && now < current + self.patience)
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod follow;
+mod gate;
 mod own;
 mod state;
 
@@ -12,7 +13,6 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use quincewheel_conf::FLEET_KEY;
@@ -24,6 +24,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
 
+use self::gate::Gate;
 use self::state::{Shared, Site};
 
 /// Calls that may wait for the deciding thread; more are refused at once.
@@ -61,17 +62,17 @@
     let key = Key::new(fleet_key.as_bytes());
     let hub: Hub<Order> =
         Hub::bind(&site.peers, key, hello, peers, |event| event).map_err(io::Error::other)?;
-    let ready = Arc::new(AtomicBool::new(false));
-    let shown = Arc::clone(&ready);
+    let gate = Arc::new(Gate::default());
+    let entrance = Arc::clone(&gate);
     let addresses = [entry.callers.as_str(), entry.ready.as_str()];
-    let server = Server::bind_all("callers", &addresses, move |request| {
-        take(request, work.clone(), Arc::clone(&shown))
+    Server::bind_all("callers", &addresses, move |request| {
+        take(request, work.clone(), Arc::clone(&entrance))
     })?;
     log::info!(event = "start"; "entry");
     let grace = Duration::from_millis(site.grace);
     let runtime = actix_rt::Runtime::new()?;
     runtime.block_on(async move {
-        let shared: Shared = Rc::new(Site::open(site, incarnation, hub, ready));
+        let shared: Shared = Rc::new(Site::open(site, incarnation, hub, gate));
         actix_rt::spawn(follow::configuration(Rc::clone(&shared)));
         actix_rt::spawn(follow::rows(Rc::clone(&shared)));
         actix_rt::spawn(own::listen(Rc::clone(&shared), peers_in));
@@ -79,18 +80,27 @@
         actix_rt::spawn(answer(Rc::clone(&shared), work_in));
         wait_for_end().await?;
         drain(&shared, grace).await;
-        server.stop().await;
         log::info!(event = "stop"; "ended");
         Ok(())
     })
 }
 
 /// Hands a call to the deciding thread and waits for its answer.
-async fn take(mut request: Request, work: ring::Sender<Work>, ready: Arc<AtomicBool>) -> Reply {
+async fn take(mut request: Request, work: ring::Sender<Work>, gate: Arc<Gate>) -> Reply {
     if request.path() == platform::READY {
-        let status = if ready.load(Ordering::Relaxed) { 200 } else { 503 };
+        let status = if gate.ready() { 200 } else { 503 };
         return quincewheel_http::reply(status, "text/plain", "");
     }
+    gate.enter();
+    let mut reply = pass(&mut request, &work).await;
+    gate.leave();
+    if gate.closing() {
+        quincewheel_http::close(&mut reply);
+    }
+    reply
+}
+
+async fn pass(request: &mut Request, work: &ring::Sender<Work>) -> Reply {
     let header = |name: &str| {
         let value = request.headers().get(name).and_then(|value| value.to_str().ok());
         value.map(str::to_owned)
@@ -102,7 +112,7 @@
         host: host.unwrap_or_default(),
         path: request.path().to_owned(),
         authorization: header("authorization"),
-        body: quincewheel_http::read(&mut request, MAX_BODY).await,
+        body: quincewheel_http::read(request, MAX_BODY).await,
         reply,
     };
     if work.try_send(item).is_err() {
@@ -150,11 +160,20 @@
 /// as the platform allows: clients keep using them until the process is gone.
 async fn drain(shared: &Shared, grace: Duration) {
     log::info!(event = "drain"; "shutting down");
-    shared.start_drain();
+    shared.gate.drain();
+    own::hand_over(shared).await;
+    tokio::time::sleep(grace.saturating_sub(CLOSING)).await;
+    shared.gate.close();
     own::hand_over(shared).await;
-    tokio::time::sleep(grace.saturating_sub(LAST)).await;
+    let end = tokio::time::Instant::now() + LAST;
+    tokio::time::sleep(LAST / 2).await;
+    while shared.gate.active() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
 }
 
-/// What is left of the time for shutting down when the last calls are
-/// answered and the process ends.
-const LAST: Duration = Duration::from_millis(700);
+/// What is left of the time for shutting down when clients are asked to leave
+/// with each answer. Covers the second hand-over on a slow table.
+const CLOSING: Duration = Duration::from_millis(1200);
+/// The longest time for the calls that are then still without an answer.
+const LAST: Duration = Duration::from_millis(500);
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -43,9 +43,11 @@
 
 fn due(shared: &Site, now: u64) -> bool {
     let heard = shared.heard.get();
-    let free = shared.owner.borrow().is_none() && !shared.draining.get();
+    let free = shared.owner.borrow().is_none() && !shared.gate.closing();
+    let draining = shared.gate.draining();
     let mirror = shared.mirror.borrow();
-    free && heard > 0 && shared.election.borrow().due(mirror.owner.as_ref(), heard, now)
+    let election = shared.election.borrow();
+    free && heard > 0 && election.due(mirror.owner.as_ref(), heard, now, draining)
 }
 
 /// Writes the ownership row, if it is still as it was seen.
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -1,7 +1,6 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use quincewheel_dispatch::rows::Ownership;
 use quincewheel_dispatch::{Election, Mirror, Owner};
@@ -11,6 +10,8 @@
 use quincewheel_wire::Order;
 use tokio::sync::Notify;
 
+use super::gate::Gate;
+
 /// The deciding thread's state, shared by its tasks.
 pub(crate) type Shared = Rc<Site>;
 
@@ -27,8 +28,7 @@
     /// Long polls wait on connections of their own.
     pub feed: Table,
     pub hub: Hub<Order>,
-    pub ready: Arc<AtomicBool>,
-    pub draining: Cell<bool>,
+    pub gate: Arc<Gate>,
     pub config: RefCell<Option<Config>>,
     /// When the call was sent by which the table last proved the configuration
     /// to be the newest.
@@ -49,7 +49,7 @@
         settings: platform::Site,
         incarnation: u64,
         hub: Hub<Order>,
-        ready: Arc<AtomicBool>,
+        gate: Arc<Gate>,
     ) -> Site {
         Site {
             table: Table::open(&settings.table),
@@ -58,8 +58,7 @@
             settings,
             incarnation,
             hub,
-            ready,
-            draining: Cell::new(false),
+            gate,
             config: RefCell::new(None),
             proved: Cell::new(0),
             mirror: RefCell::default(),
@@ -80,12 +79,6 @@
 
     /// Tells the platform whether to send clients here.
     pub fn show_ready(&self, now: u64) {
-        let ready = !self.draining.get() && self.heard.get() > 0 && self.current(now);
-        self.ready.store(ready, Ordering::Relaxed);
-    }
-
-    pub fn start_drain(&self) {
-        self.draining.set(true);
-        self.ready.store(false, Ordering::Relaxed);
+        self.gate.set_ready(self.heard.get() > 0 && self.current(now));
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -26,3 +26,8 @@
     let value = actix_http::header::HeaderValue::from(seconds);
     reply.headers_mut().insert(actix_http::header::RETRY_AFTER, value);
 }
+
+/// Asks the client to open a new connection for its next call.
+pub fn close(reply: &mut Reply) {
+    reply.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+}
