Miss an owner by its connection

Cause: after a kill of the owner nothing started for 2.5 to 2.9 s, since only the row that stood still showed it.

Ruled out: a shorter patience with the row alone; a slow table then costs ownerships.

Change: every process writes its `node` row; the owner also connects to the other entries. One whose connection from the owner breaks takes over after 0.7 to 1.1 s if the owner neither connects again nor writes its row.

Tests: crates/dispatch/tests/election.rs.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -16,7 +16,7 @@
 use quincewheel_platform::{self as platform, Report, Table};
 use quincewheel_ring as ring;
 use quincewheel_runner::{Output, Runner, Settings};
-use quincewheel_store::{Commit, Put};
+use quincewheel_store::Error;
 use quincewheel_wire::{Hello, Key, Notice, Order, Role};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
@@ -29,8 +29,6 @@
 const MAX_REPORT: usize = 4 << 20;
 /// A write of the agent's own row is repeated after this time.
 const TIMEOUT: Duration = Duration::from_millis(1500);
-/// Pause before it is tried again.
-const PAUSE: Duration = Duration::from_millis(300);
 /// What is left of the time for shutting down when the process ends.
 const LAST: Duration = Duration::from_millis(500);
 
@@ -105,15 +103,10 @@
 
 /// Writes where this agent is, so that owners find it.
 async fn announce(site: platform::Site) {
-    let table = Table::open(&site.table);
-    let node = Node { address: site.peers.clone() };
-    let value = serde_json::to_string(&node).expect("rows are plain data");
-    let row = Put { key: rows::node(&site.name), value };
-    let commit = Commit { put: vec![row], ..Commit::default() };
-    while let Err(error) = table.commit(&commit, TIMEOUT).await {
-        log::warn!(event = "table"; "{error}");
-        tokio::time::sleep(PAUSE).await;
-    }
+    let node = Node { address: site.peers.clone(), entry: false };
+    let commit = rows::announce(&site.name, &node);
+    let failed = |error: &Error| log::warn!(event = "table"; "{error}");
+    Table::open(&site.table).insist(&commit, TIMEOUT, failed).await;
 }
 
 async fn hear_worker(agent: Rc<Agent>, reports: ring::Receiver<Report>) {
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -13,24 +13,53 @@
     patience: u64,
     /// The row's version, and since when it has been seen.
     seen: Option<(u64, u64)>,
+    /// Since when the owner's connection has been gone; none while it is there
+    /// or was never made.
+    lost: Option<u64>,
+    /// How long this candidate waits beyond the others.
+    stagger: u64,
 }
 
 /// An entry that drains leaves a vacant ownership to others for so many
 /// milliseconds: ten times what a claim takes.
 const VACANT: u64 = 300;
 
+/// An owner whose connection broke is replaced after so many milliseconds,
+/// if it neither connects again nor writes its row. An owner that lives dials
+/// again within 400 ms.
+const LOST: u64 = 700;
+
 impl Election {
     /// A candidate. Candidates wait a little longer one after the other, so
     /// that they seldom race; a race costs the losers one refused write.
     pub fn open(name: &str, incarnation: u64, patience: u64) -> Election {
         let stagger = name.bytes().fold(0u64, |sum, byte| sum * 31 % 997 + u64::from(byte)) % 400;
-        Election { name: name.to_owned(), incarnation, patience: patience + stagger, seen: None }
+        Election {
+            name: name.to_owned(),
+            incarnation,
+            patience: patience + stagger,
+            seen: None,
+            lost: None,
+            stagger,
+        }
+    }
+
+    /// The owner connected to this process.
+    pub fn found(&mut self) {
+        self.lost = None;
+    }
+
+    /// The owner's connection to this process broke.
+    pub fn lost(&mut self, now: u64) {
+        self.lost = Some(now);
     }
 
     /// Takes note of the row as the table has it now.
     pub fn observe(&mut self, version: u64, now: u64) {
         if self.seen.is_none_or(|(known, _)| known < version) {
             self.seen = Some((version, now));
+            // Whoever wrote it lives; another owner connects anew.
+            self.lost = None;
         }
     }
 
@@ -55,7 +84,10 @@
         }
         let mine = owner.holder == self.name && owner.incarnation != self.incarnation;
         let still = held.is_some_and(|(_, since)| current >= since + self.patience);
+        // An owner whose connection breaks is dead, or else it connects again
+        // or writes its row within this time.
+        let gone = self.lost.is_some_and(|since| now >= since + LOST + self.stagger);
         // The former life of this very process cannot act any more.
-        mine || owner.holder.is_empty() || (still && now < current + self.patience)
+        mine || gone || owner.holder.is_empty() || (still && now < current + self.patience)
     }
 }
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -1,9 +1,10 @@
 //! The system's rows in the table: their keys and what they hold.
 //!
 //! An entry writes `job/ID` when it accepts a job and `stop/ID` when a client
-//! cancels it; the owner writes `run/ID`, the job's progress; every agent writes
+//! cancels it; the owner writes `run/ID`, the job's progress; every process writes
 //! `node/NAME`; the owner and whoever replaces it write `owner`.
 
+use quincewheel_store::{Commit, Put};
 use serde::{Deserialize, Serialize};
 
 /// Key of the ownership row.
@@ -25,7 +26,7 @@
     format!("stop/{id}")
 }
 
-/// Key of an agent's row.
+/// Key of a process's row.
 pub fn node(name: &str) -> String {
     format!("node/{name}")
 }
@@ -43,9 +44,18 @@
     pub sequence: u64,
 }
 
-/// Where an agent is.
+/// Where a process of the system is.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Node {
     /// Where other processes reach it.
     pub address: String,
+    /// It is an entry, not an agent.
+    #[serde(default)]
+    pub entry: bool,
+}
+
+/// The write by which a process tells where it is.
+pub fn announce(name: &str, node: &Node) -> Commit {
+    let value = serde_json::to_string(node).expect("rows are plain data");
+    Commit { put: vec![Put { key: self::node(name), value }], ..Commit::default() }
 }
--- a/crates/dispatch/tests/election.rs
+++ b/crates/dispatch/tests/election.rs
@@ -42,3 +42,21 @@
     ];
     assert_snapshot!(format!("{told:?}"), @"[false, true, false, false]");
 }
+
+// Symptom: nothing starts for three seconds after an owner was killed.
+// Cause: only the row that stood still showed it.
+#[test]
+fn an_owner_whose_connection_broke_and_that_stays_silent_is_replaced_soon() {
+    let mut election = Election::open("a", 1, 2500);
+    let row = owner("b", 1);
+    election.observe(70, 1000);
+    election.lost(1100);
+    let mut told = vec![election.due(row.as_ref(), 1100, 1700, false)];
+    told.push(election.due(row.as_ref(), 1100, 2300, false));
+    election.found();
+    told.push(election.due(row.as_ref(), 1100, 2300, false));
+    election.lost(2400);
+    election.observe(71, 2500);
+    told.push(election.due(row.as_ref(), 2500, 3600, false));
+    assert_snapshot!(format!("{told:?}"), @"[false, true, false, false]");
+}
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -73,6 +73,7 @@
     let runtime = actix_rt::Runtime::new()?;
     runtime.block_on(async move {
         let shared: Shared = Rc::new(Site::open(site, incarnation, hub, gate));
+        actix_rt::spawn(own::announce(Rc::clone(&shared)));
         actix_rt::spawn(follow::configuration(Rc::clone(&shared)));
         actix_rt::spawn(follow::rows(Rc::clone(&shared)));
         actix_rt::spawn(own::listen(Rc::clone(&shared), peers_in));
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -119,7 +119,8 @@
         }
         News::Owner => {}
         News::Node(name) => {
-            if let Some(owner) = owner.as_mut() {
+            let agent = mirror.nodes.get(&name).is_some_and(|node| !node.entry);
+            if let Some(owner) = owner.as_mut().filter(|_| agent) {
                 owner.agent(&name, now);
             }
         }
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use quincewheel_dispatch::rows::{self, OWNER, Ownership};
+use quincewheel_dispatch::rows::{self, Node, OWNER, Ownership};
 use quincewheel_dispatch::{Batch, Output, Owner, Settings};
 use quincewheel_peer::{Command, Event};
 use quincewheel_platform::Space;
 use quincewheel_ring as ring;
 use quincewheel_store::{Commit, Error, Expect, Put, Read};
-use quincewheel_wire::Notice;
+use quincewheel_wire::{Hello, LinkId, Notice, Role};
 
 use super::follow::read_all;
 use super::state::{Shared, Site};
@@ -100,7 +100,7 @@
     for change in &all.rows {
         mirror.apply(change);
     }
-    for name in mirror.nodes.keys() {
+    for (name, _) in mirror.nodes.iter().filter(|(_, node)| !node.entry) {
         owner.agent(name, now);
     }
     for (id, view) in &mirror.jobs {
@@ -154,12 +154,14 @@
     let Some(owner) = shared.owner.borrow_mut().take() else { return };
     log::info!(event = "deposed", epoch = owner.epoch(); "{reason}");
     *shared.held.borrow_mut() = None;
-    for link in owner.links() {
+    let entries = std::mem::take(&mut *shared.entries.borrow_mut());
+    for link in owner.links().into_iter().chain(entries.into_values()) {
         shared.hub.ask(Command::Close { link, reason: "no longer the owner" });
     }
 }
 
-/// Connects to agents that are not connected.
+/// Connects to agents that are not connected, and to the other entries, which
+/// notice by that connection that this process is gone.
 fn dial(shared: &Site, dialled: &mut Vec<(String, u64)>, now: u64) {
     let owner = shared.owner.borrow();
     let Some(owner) = owner.as_ref() else { return };
@@ -168,7 +170,11 @@
     let mirror = shared.mirror.borrow();
     for (name, node) in &mirror.nodes {
         let busy = dialled.iter().any(|(address, _)| *address == node.address);
-        if !owner.is_linked(name) && !busy {
+        let linked = match node.entry {
+            true => *name == shared.settings.name || shared.entries.borrow().contains_key(name),
+            false => owner.is_linked(name),
+        };
+        if !linked && !busy {
             dialled.push((node.address.clone(), now));
             shared.hub.ask(Command::Dial { address: node.address.clone() });
         }
@@ -179,25 +185,64 @@
 pub(crate) async fn listen(shared: Shared, events: ring::Receiver<Event<Notice>>) {
     while let Some(event) = events.recv().await {
         let now = quincewheel_clock::boot();
-        {
-            let mut owner = shared.owner.borrow_mut();
-            match (event, owner.as_mut()) {
-                (Event::Linked { link, hello, .. }, Some(owner)) => {
-                    owner.linked(&hello.name, link, now);
-                }
-                (Event::Linked { link, .. }, None) => {
-                    shared.hub.ask(Command::Close { link, reason: "not the owner" });
+        match event {
+            Event::Linked { link, hello, dialled } => {
+                linked(&shared, link, &hello, dialled.is_empty(), now);
+            }
+            Event::Unlinked { link } => unlinked(&shared, link, now),
+            Event::Frame { link, frame } => {
+                if let Some(owner) = shared.owner.borrow_mut().as_mut() {
+                    owner.notice(link, frame, now);
                 }
-                (Event::Unlinked { link }, Some(owner)) => owner.unlinked(link),
-                (Event::Frame { link, frame }, Some(owner)) => owner.notice(link, frame, now),
-                (Event::Undialled { .. } | Event::Unlinked { .. } | Event::Frame { .. }, _) => {}
             }
+            Event::Undialled { .. } => {}
         }
         step(&shared);
         shared.wake.notify_one();
     }
 }
 
+fn linked(shared: &Site, link: LinkId, hello: &Hello, inbound: bool, now: u64) {
+    let mut owner = shared.owner.borrow_mut();
+    match (hello.role, owner.as_mut()) {
+        (Role::Entry, _) if inbound => {
+            shared.election.borrow_mut().found();
+            *shared.from_owner.borrow_mut() = Some((link, hello.name.clone()));
+        }
+        (Role::Entry, Some(_)) => {
+            let former = shared.entries.borrow_mut().insert(hello.name.clone(), link);
+            if let Some(link) = former {
+                shared.hub.ask(Command::Close { link, reason: "replaced" });
+            }
+        }
+        (Role::Agent, Some(owner)) => owner.linked(&hello.name, link, now),
+        (_, None) => {
+            shared.hub.ask(Command::Close { link, reason: "not the owner" });
+        }
+    }
+}
+
+fn unlinked(shared: &Site, link: LinkId, now: u64) {
+    shared.entries.borrow_mut().retain(|_, known| *known != link);
+    if let Some(owner) = shared.owner.borrow_mut().as_mut() {
+        owner.unlinked(link);
+    }
+    let from = shared.from_owner.borrow_mut().take_if(|(known, _)| *known == link);
+    let mirror = shared.mirror.borrow();
+    let holder = mirror.owner.as_ref().map(|(owner, _)| &owner.holder);
+    if from.is_some_and(|(_, name)| Some(&name) == holder) {
+        shared.election.borrow_mut().lost(now);
+    }
+}
+
+/// Writes where this entry is, so that the owner connects to it.
+pub(crate) async fn announce(shared: Shared) {
+    let node = Node { address: shared.settings.peers.clone(), entry: true };
+    let commit = rows::announce(&shared.settings.name, &node);
+    let failed = |error: &Error| log::warn!(event = "table"; "{error}");
+    shared.table.insist(&commit, TIMEOUT, failed).await;
+}
+
 /// Records what the owner wants recorded, one transaction after the other,
 /// and renews the ownership with each.
 async fn record(shared: Shared) {
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -7,7 +8,7 @@
 use quincewheel_job::Config;
 use quincewheel_peer::Hub;
 use quincewheel_platform::{self as platform, Table};
-use quincewheel_wire::Order;
+use quincewheel_wire::{LinkId, Order};
 use tokio::sync::Notify;
 
 use super::gate::Gate;
@@ -40,6 +41,10 @@
     pub owner: RefCell<Option<Owner>>,
     /// The ownership as this entry wrote it, and its version.
     pub held: RefCell<Option<(Ownership, u64)>>,
+    /// Connections to other entries, by name, where this entry owns.
+    pub entries: RefCell<BTreeMap<String, LinkId>>,
+    /// The connection that the owner made to this entry, and the owner's name.
+    pub from_owner: RefCell<Option<(LinkId, String)>>,
     /// Something changed that the owner's loop should look at.
     pub wake: Notify,
 }
@@ -65,6 +70,8 @@
             heard: Cell::new(0),
             owner: RefCell::new(None),
             held: RefCell::new(None),
+            entries: RefCell::default(),
+            from_owner: RefCell::new(None),
             wake: Notify::new(),
         }
     }
