--- /dev/null
+++ b/crates/place/tests/packing.rs
@@ -0,0 +1,106 @@
+//! Where tasks go on a pool of three racks of two workers with 8 accelerators.
+
+use insta::assert_snapshot;
+use quincewheel_job::{Need, Step};
+use quincewheel_place::{Ask, Holder, Spot, pack, reclaim};
+
+/// Workers with so many accelerators free each.
+fn pool(free: [u64; 6]) -> Vec<Spot> {
+    let spot = |(number, free): (usize, u64)| Spot {
+        name: format!("w{number}"),
+        pool: "p".into(),
+        rack: format!("r{}", number / 2),
+        labels: vec![if number == 5 { "b" } else { "a" }.into()],
+        capacity: need(8),
+        free: need(free),
+        ..Spot::default()
+    };
+    free.into_iter().enumerate().map(spot).collect()
+}
+
+fn need(accelerators: u64) -> Need {
+    Need { cpu: accelerators * 1000, memory: accelerators * 1000, accelerators }
+}
+
+fn step(count: u32, accelerators: u64) -> Step {
+    Step { count, need: need(accelerators), ..Step::default() }
+}
+
+fn gang(count: u32, accelerators: u64) -> Step {
+    Step { gang: true, same_rack: true, ..step(count, accelerators) }
+}
+
+fn packed(spots: &[Spot], step: &Step) -> String {
+    let ask = Ask { step, pool: "p", count: step.count, guaranteed: true, held: &[] };
+    format!("{:?}", pack(spots, &ask))
+}
+
+#[test]
+fn small_tasks_fill_what_is_begun_and_keep_whole_workers_whole() {
+    let spots = pool([8, 3, 8, 1, 8, 8]);
+    assert_snapshot!(packed(&spots, &step(4, 1)), @r"[3, 1, 1, 1]");
+}
+
+#[test]
+fn a_gang_goes_whole_onto_the_fullest_rack_that_holds_it_or_waits() {
+    let told = [
+        packed(&pool([8, 8, 8, 4, 8, 8]), &gang(3, 4)),
+        packed(&pool([4, 4, 4, 4, 4, 4]), &gang(3, 4)),
+        packed(&pool([4, 4, 4, 4, 4, 4]), &gang(5, 4)),
+        packed(&pool([4, 4, 4, 4, 4, 4]), &Step { same_rack: false, ..gang(5, 4) }),
+        packed(&pool([0, 4, 4, 4, 4, 4]), &Step { same_rack: false, ..gang(6, 4) }),
+    ];
+    assert_snapshot!(told.join("\n"), @r"
+    [3, 2, 2]
+    []
+    [0, 1, 2, 3, 4]
+    [0, 1, 2, 3, 4]
+    []
+    ");
+}
+
+#[test]
+fn labels_data_and_limits_a_worker_are_kept() {
+    let spots = pool([8, 8, 8, 8, 8, 8]);
+    let told = [
+        packed(&spots, &Step { label: "b".into(), ..step(2, 2) }),
+        packed(&spots, &Step { near: "r1".into(), ..step(2, 4) }),
+        packed(&spots, &Step { per_worker: 1, ..step(3, 1) }),
+        packed(&spots, &step(1, 9)),
+    ];
+    assert_snapshot!(told.join("\n"), @r"
+    [5, 5]
+    [2, 2]
+    [0, 1, 2]
+    []
+    ");
+}
+
+#[test]
+fn a_doubtful_worker_is_the_last_choice() {
+    let mut spots = pool([2, 8, 0, 0, 0, 0]);
+    spots[0].doubtful = true;
+    assert_snapshot!(packed(&spots, &step(1, 1)), @"[1]");
+}
+
+#[test]
+fn room_is_made_where_least_is_lost_and_no_victim_stops_in_vain() {
+    let mut spots = pool([0, 0, 4, 0, 0, 0]);
+    let holder =
+        |unit, accelerators, loss| Holder { unit, need: need(accelerators), borrows: false, loss };
+    spots[0].holders = vec![holder(1, 8, 900)];
+    spots[1].holders = vec![holder(2, 4, 50), holder(3, 4, 60), holder(4, 1, 1)];
+    spots[2].holders = vec![holder(5, 4, 500)];
+    let ask = |step: &Step| {
+        let ask = Ask { step, pool: "p", count: step.count, guaranteed: true, held: &[] };
+        let claim = reclaim(&spots, &ask);
+        claim.map_or("none".to_owned(), |c| format!("{:?} {:?} {}", c.choices, c.units, c.loss))
+    };
+    let told = [ask(&step(1, 8)), ask(&step(1, 4)), ask(&gang(2, 8)), ask(&gang(4, 8))];
+    assert_snapshot!(told.join("\n"), @r"
+    [1] {2, 3} 110
+    [2] {} 0
+    [1, 0] {1, 2, 3} 1010
+    none
+    ");
+}
