Log short lines to standard output, serve metrics, explain a job

Cause: lines of 600 bytes with source paths on standard error, written in the calling thread; no line for refused calls or for a table that is lost; no metrics on the platform; nothing that follows one job through the processes' logs.

Ruled out: the logging library's own JSON form (its fields are fixed).

Change: lines of time, process, event, job and what decided, through a bounded queue and a thread; a full pipe drops and counts lines. `quincewheel-entry explain ID` tells one job's story.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use quincewheel_conf::Own;
 use quincewheel_grant::{self as grant, Grantor, Input};
 use quincewheel_http::{Reply, Server};
 use quincewheel_peer::{Hub, Traffic};
@@ -28,15 +29,16 @@
 
 /// Runs the program with these arguments.
 pub fn run(args: &[String]) -> ExitCode {
-    if let Some(path) = quincewheel_platform::path()
-        && args.is_empty()
-    {
-        return PROGRAM.end(site::serve(&path));
-    }
     let (command, values) = match PROGRAM.launch(args) {
         Ok(launched) => launched,
         Err(code) => return code,
     };
+    if let Some(path) = quincewheel_platform::path().filter(|_| command == "serve") {
+        return match Own::resolve(&values) {
+            Err(errors) => PROGRAM.refuse(&errors),
+            Ok(own) => PROGRAM.end(site::serve(&path, &own)),
+        };
+    }
     match Settings::resolve(&values) {
         Err(errors) => PROGRAM.refuse(&errors),
         Ok(_) if command == "check" => {
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use quincewheel_conf::{Definition, EVENTS, Error, FLEET_KEY, LISTEN, LOG_LEVEL, PLATFORM};
+use quincewheel_conf::{
+    Definition, EVENTS, Error, FLEET_KEY, LISTEN, LOG_LEVEL, METRICS_PORT, PLATFORM,
+};
 use quincewheel_conf::{Program, Resolver, Values};
 use quincewheel_wire::Member;
 
@@ -50,6 +52,7 @@
     FLEET_KEY,
     DRAIN,
     LOG_LEVEL,
+    METRICS_PORT,
     EVENTS,
 ];
 
@@ -104,12 +107,7 @@
             platform: r.address(&PLATFORM),
             fleet_key: r.secret(&FLEET_KEY, 16),
             drain: r.millis(&DRAIN, 0, 86_400_000),
-            log_level: r.one_of(
-                &LOG_LEVEL,
-                "error, warn, info, debug, trace",
-                |text| text.parse().ok(),
-                LevelFilter::Info,
-            ),
+            log_level: r.level(&LOG_LEVEL),
             events: r.switch(&EVENTS),
         };
         r.finish(settings)
--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -3,13 +3,16 @@
 //! One thread takes the worker's reports, one keeps the connections to the
 //! system's other processes, and one carries orders to the worker.
 
+mod metrics;
+
 use std::cell::RefCell;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use quincewheel_conf::FLEET_KEY;
+use quincewheel_conf::Own;
 use quincewheel_dispatch::rows::{self, Node};
 use quincewheel_http::{Body, Reply, Request, Server};
 use quincewheel_peer::{Command, Event, Hub};
@@ -21,6 +24,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 
+use self::metrics::Metrics;
+
 /// Reports of the worker that may wait.
 const REPORTS: usize = 256;
 /// Frames of owners that may wait.
@@ -32,31 +37,38 @@
 /// What is left of the time for shutting down when the process ends.
 const LAST: Duration = Duration::from_millis(500);
 
+/// Where metrics are shown.
+const METRICS: &str = "/metrics";
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 struct Agent {
     runner: RefCell<Runner>,
     hub: Hub<Notice>,
     worker: platform::Caller,
+    metrics: Arc<Metrics>,
     wake: Notify,
 }
 
 /// Serves until the process is told to end.
-pub(crate) fn serve(settings: &Path) -> io::Result<()> {
-    let fleet_key = std::env::var(FLEET_KEY.variable())
-        .map_err(|_| io::Error::other(format!("{} must be set", FLEET_KEY.variable())))?;
+pub(crate) fn serve(settings: &Path, own: &Own) -> io::Result<()> {
     let site = platform::read(settings).map_err(io::Error::other)?;
     let Some(side) = site.side.clone() else {
         return Err(io::Error::other("the settings name no address for a worker's reports"));
     };
-    quincewheel_log::open(&site.name, log::LevelFilter::Info).map_err(io::Error::other)?;
+    quincewheel_log::open_lines(&site.name, own.log_level).map_err(io::Error::other)?;
     let (reports, reports_in) = ring::open::<Report>(REPORTS);
     let (peers, peers_in) = ring::open::<Event<Order>>(PEERS);
     let hello = Hello { role: Role::Agent, name: site.name.clone(), incarnation: rand::random() };
-    let key = Key::new(fleet_key.as_bytes());
+    let key = Key::new(own.fleet_key.as_bytes());
     let hub: Hub<Notice> =
         Hub::bind(&site.peers, key, hello, peers, |event| event).map_err(io::Error::other)?;
-    let server =
-        Server::bind("reports", &side.reports, move |request| take(request, reports.clone()))?;
-    log::info!(event = "start"; "agent");
+    let metrics = Arc::new(Metrics::open());
+    let shown = Arc::clone(&metrics);
+    let metrics_address = format!("{}:{}", site.ip, own.metrics_port);
+    Server::bind_all("reports", &[&side.reports, &metrics_address], move |request| {
+        take(request, reports.clone(), Arc::clone(&shown))
+    })?;
+    log::info!(event = "start", zone = site.zone.as_str(), peers = site.peers.as_str(); "agent");
     let runtime = actix_rt::Runtime::new()?;
     runtime.block_on(async move {
         let settings = Settings { lease: site.lease, ..Settings::default() };
@@ -64,6 +76,7 @@
             runner: RefCell::new(Runner::open(settings)),
             hub,
             worker: platform::Caller::open(),
+            metrics,
             wake: Notify::new(),
         });
         actix_rt::spawn(announce(site.clone()));
@@ -73,7 +86,6 @@
         wait_for_end().await?;
         log::info!(event = "drain"; "shutting down");
         tokio::time::sleep(Duration::from_millis(site.grace).saturating_sub(LAST)).await;
-        server.stop().await;
         log::info!(event = "stop"; "ended");
         Ok(())
     })
@@ -81,7 +93,10 @@
 
 /// Takes a report. It is acknowledged once it is on its way to the thread
 /// that refuses starts at a worker which leaves.
-async fn take(mut request: Request, reports: ring::Sender<Report>) -> Reply {
+async fn take(mut request: Request, reports: ring::Sender<Report>, metrics: Arc<Metrics>) -> Reply {
+    if request.path() == METRICS {
+        return quincewheel_http::reply(200, METRICS_TYPE, metrics.page());
+    }
     let method = request.method().as_str().to_owned();
     let path = request.path().to_owned();
     let Body::Whole(body) = quincewheel_http::read(&mut request, MAX_REPORT).await else {
@@ -141,6 +156,7 @@
     loop {
         let now = quincewheel_clock::boot();
         agent.runner.borrow_mut().tick(now);
+        agent.metrics.epoch.set(agent.runner.borrow().epoch() as i64);
         carry_out(&agent);
         let wake = agent.runner.borrow().wake();
         let pause = Duration::from_millis(wake.saturating_sub(quincewheel_clock::boot()).max(5));
@@ -165,7 +181,10 @@
             Output::Call { id, call } => {
                 let agent = Rc::clone(agent);
                 actix_rt::spawn(async move {
+                    let began = quincewheel_clock::boot();
                     let answer = agent.worker.call(&call).await;
+                    let ms = quincewheel_clock::boot() - began;
+                    agent.metrics.count(&call.action, &answer, ms);
                     if let Err(error) = &answer {
                         log::info!(event = "worker silent", worker = call.worker.as_str(); "{error:?}");
                     }
--- a/crates/conf/src/common.rs
+++ b/crates/conf/src/common.rs
@@ -36,3 +36,11 @@
     "false",
     "Write events for the invariant checker to standard output, one JSON object a line",
 );
+
+/// Where metrics are shown on the platform.
+pub const METRICS_PORT: Definition = Definition::optional(
+    "metrics-port",
+    "PORT",
+    "9464",
+    "Port on which a process on the users' platform shows its metrics, 1 to 65535",
+);
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -8,13 +8,15 @@
 mod common;
 mod definition;
 mod error;
+mod own;
 mod parse;
 mod resolver;
 mod values;
 
-pub use common::{EVENTS, FLEET_KEY, LISTEN, LOG_LEVEL, PLATFORM};
+pub use common::{EVENTS, FLEET_KEY, LISTEN, LOG_LEVEL, METRICS_PORT, PLATFORM};
 pub use definition::Definition;
 pub use error::Error;
+pub use own::Own;
 pub use parse::{Command, Program, parse};
 pub use resolver::Resolver;
 pub use values::Values;
--- a/crates/conf/src/resolver.rs
+++ b/crates/conf/src/resolver.rs
@@ -2,6 +2,8 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use log::LevelFilter;
+
 use crate::definition::Definition;
 use crate::error::Error;
 use crate::values::Values;
@@ -48,6 +50,12 @@
         text
     }
 
+    /// How much is logged.
+    pub fn level(&mut self, definition: &Definition) -> LevelFilter {
+        let words = "error, warn, info, debug, trace";
+        self.one_of(definition, words, |text| text.parse().ok(), LevelFilter::Info)
+    }
+
     /// An IP address with a port. Host names are not looked up.
     pub fn address(&mut self, definition: &Definition) -> String {
         let text = self.text(definition);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod burn_report;
 mod connect;
 mod convert;
+mod explain;
 mod metrics;
 mod routes;
 mod run;
@@ -16,5 +17,6 @@
 mod site;
 
 pub use burn::{Burn, Objective};
+pub use explain::explain;
 pub use run::run;
 pub use settings::{DEFINITIONS, PROGRAM, Settings};
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
 
+use quincewheel_conf::Own;
 use quincewheel_http::Server;
 use quincewheel_peer::{Hub, Traffic};
 use quincewheel_ring as ring;
@@ -16,6 +17,7 @@
 use crate::brain::{Brain, Inbox, Status, Stored, Work};
 use crate::burn::Burn;
 use crate::burn_report;
+use crate::explain::explain;
 use crate::metrics::Metrics;
 use crate::routes::Routes;
 use crate::settings::{DEFINITIONS, PROGRAM, Settings};
@@ -32,10 +34,19 @@
 
 /// Runs the program with these arguments.
 pub fn run(args: &[String]) -> ExitCode {
-    if let Some(path) = quincewheel_platform::path()
-        && args.is_empty()
+    if let [command, id] = args
+        && command == "explain"
     {
-        return PROGRAM.end(site::serve(&path));
+        return match explain(id, io::stdin().lock(), io::stdout().lock()) {
+            Ok(0) => {
+                eprintln!(
+                    "no line is about {id}; check the id and that all processes' logs are there"
+                );
+                ExitCode::FAILURE
+            }
+            Ok(_) => ExitCode::SUCCESS,
+            Err(error) => PROGRAM.end(Err(error)),
+        };
     }
     let (command, values) = match PROGRAM.launch(args) {
         Ok(launched) => launched,
@@ -47,6 +58,12 @@
             Err(errors) => PROGRAM.refuse(&errors),
         };
     }
+    if let Some(path) = quincewheel_platform::path().filter(|_| command == "serve") {
+        return match Own::resolve(&values) {
+            Err(errors) => PROGRAM.refuse(&errors),
+            Ok(own) => PROGRAM.end(site::serve(&path, &own)),
+        };
+    }
     match Settings::resolve(&values) {
         Err(errors) => PROGRAM.refuse(&errors),
         Ok(_) if command == "check" => {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use quincewheel_conf::{Definition, EVENTS, Error, FLEET_KEY, LISTEN, LOG_LEVEL, PLATFORM};
+use quincewheel_conf::{
+    Definition, EVENTS, Error, FLEET_KEY, LISTEN, LOG_LEVEL, METRICS_PORT, PLATFORM,
+};
 use quincewheel_conf::{Program, Resolver, Values};
 use quincewheel_pool::Limits;
 
@@ -78,8 +80,25 @@
 
 /// All settings of an entry.
 pub const DEFINITIONS: &[Definition] = &[
-    NAME, RPC, LISTEN, PLATFORM, FLEET_KEY, OPERATOR, DRAIN, GRACE, QUEUE, RESERVE, PATIENCE,
-    WEIGHING, STRIKES, ATTEMPTS, RETENTION, LOG_LEVEL, EVENTS, KEY,
+    NAME,
+    RPC,
+    LISTEN,
+    PLATFORM,
+    FLEET_KEY,
+    OPERATOR,
+    DRAIN,
+    GRACE,
+    QUEUE,
+    RESERVE,
+    PATIENCE,
+    WEIGHING,
+    STRIKES,
+    ATTEMPTS,
+    RETENTION,
+    LOG_LEVEL,
+    METRICS_PORT,
+    EVENTS,
+    KEY,
 ];
 
 /// The command line of an entry.
@@ -89,6 +108,7 @@
     commands: &[
         ("serve", "Serve callers and operators until SIGTERM"),
         ("check", "Check the settings and print those in effect"),
+        ("explain", "Tell one job's story: explain ID < logs of all processes"),
         ("burn", "Print the service-level burn report of the entry at --rpc"),
     ],
     definitions: DEFINITIONS,
@@ -147,12 +167,7 @@
             },
             attempts: r.number(&ATTEMPTS, 1, 100),
             retention: Duration::from_secs(r.number(&RETENTION, 60, 2_592_000)),
-            log_level: r.one_of(
-                &LOG_LEVEL,
-                "error, warn, info, debug, trace",
-                |text| text.parse().ok(),
-                LevelFilter::Info,
-            ),
+            log_level: r.level(&LOG_LEVEL),
             events: r.switch(&EVENTS),
         };
         r.finish(settings)
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod follow;
 mod gate;
+mod metrics;
 mod own;
 mod state;
 
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quincewheel_conf::FLEET_KEY;
+use quincewheel_conf::Own;
 use quincewheel_http::{Body, HttpMessage, Reply, Request, Server};
 use quincewheel_peer::{Event, Hub};
 use quincewheel_platform as platform;
@@ -25,6 +26,7 @@
 use tokio::sync::oneshot;
 
 use self::gate::Gate;
+use self::metrics::Metrics;
 use self::state::{Shared, Site};
 
 /// Calls that may wait for the deciding thread; more are refused at once.
@@ -34,6 +36,10 @@
 /// Largest body that is read at all; the configuration may allow less.
 const MAX_BODY: usize = 1 << 20;
 
+/// Where metrics are shown.
+const METRICS: &str = "/metrics";
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// A client's call, on its way to the deciding thread.
 pub(crate) struct Work {
     method: String,
@@ -45,34 +51,35 @@
 }
 
 /// Serves until the process is told to end.
-pub(crate) fn serve(settings: &Path) -> io::Result<()> {
-    let fleet_key = std::env::var(FLEET_KEY.variable())
-        .map_err(|_| io::Error::other(format!("{} must be set", FLEET_KEY.variable())))?;
+pub(crate) fn serve(settings: &Path, own: &Own) -> io::Result<()> {
     let site = platform::read(settings).map_err(io::Error::other)?;
     let Some(entry) = site.entry.clone() else {
         return Err(io::Error::other(
             "the settings name no address for clients; run the agent here",
         ));
     };
-    quincewheel_log::open(&site.name, log::LevelFilter::Info).map_err(io::Error::other)?;
+    quincewheel_log::open_lines(&site.name, own.log_level).map_err(io::Error::other)?;
     let incarnation: u64 = rand::random();
     let (work, work_in) = ring::open::<Work>(WORK);
     let (peers, peers_in) = ring::open::<Event<Notice>>(PEERS);
     let hello = Hello { role: Role::Entry, name: site.name.clone(), incarnation };
-    let key = Key::new(fleet_key.as_bytes());
+    let key = Key::new(own.fleet_key.as_bytes());
     let hub: Hub<Order> =
         Hub::bind(&site.peers, key, hello, peers, |event| event).map_err(io::Error::other)?;
     let gate = Arc::new(Gate::default());
     let entrance = Arc::clone(&gate);
-    let addresses = [entry.callers.as_str(), entry.ready.as_str()];
+    let metrics = Arc::new(Metrics::open());
+    let shown = Arc::clone(&metrics);
+    let metrics_address = format!("{}:{}", site.ip, own.metrics_port);
+    let addresses = [&entry.callers, &entry.ready, &metrics_address].map(String::as_str);
     Server::bind_all("callers", &addresses, move |request| {
-        take(request, work.clone(), Arc::clone(&entrance))
+        take(request, work.clone(), Arc::clone(&entrance), Arc::clone(&shown))
     })?;
-    log::info!(event = "start"; "entry");
+    log::info!(event = "start", zone = site.zone.as_str(), peers = site.peers.as_str(); "entry");
     let grace = Duration::from_millis(site.grace);
     let runtime = actix_rt::Runtime::new()?;
     runtime.block_on(async move {
-        let shared: Shared = Rc::new(Site::open(site, incarnation, hub, gate));
+        let shared: Shared = Rc::new(Site::open(site, incarnation, hub, gate, metrics));
         actix_rt::spawn(own::announce(Rc::clone(&shared)));
         actix_rt::spawn(follow::configuration(Rc::clone(&shared)));
         actix_rt::spawn(follow::rows(Rc::clone(&shared)));
@@ -87,7 +94,15 @@
 }
 
 /// Hands a call to the deciding thread and waits for its answer.
-async fn take(mut request: Request, work: ring::Sender<Work>, gate: Arc<Gate>) -> Reply {
+async fn take(
+    mut request: Request,
+    work: ring::Sender<Work>,
+    gate: Arc<Gate>,
+    metrics: Arc<Metrics>,
+) -> Reply {
+    if request.path() == METRICS {
+        return quincewheel_http::reply(200, METRICS_TYPE, metrics.page());
+    }
     if request.path() == platform::READY {
         let status = if gate.ready() { 200 } else { 503 };
         return quincewheel_http::reply(status, "text/plain", "");
@@ -165,7 +180,8 @@
     own::hand_over(shared).await;
     tokio::time::sleep(grace.saturating_sub(CLOSING)).await;
     shared.gate.close();
-    own::hand_over(shared).await;
+    // A table that is slow must not cost the time that the last calls have.
+    let _ = tokio::time::timeout(LAST, own::hand_over(shared)).await;
     let end = tokio::time::Instant::now() + LAST;
     tokio::time::sleep(LAST / 2).await;
     while shared.gate.active() > 0 && tokio::time::Instant::now() < end {
@@ -174,7 +190,7 @@
 }
 
 /// What is left of the time for shutting down when clients are asked to leave
-/// with each answer. Covers the second hand-over on a slow table.
+/// with each answer. Covers the second hand-over and the last calls.
 const CLOSING: Duration = Duration::from_millis(1200);
 /// The longest time for the calls that are then still without an answer.
 const LAST: Duration = Duration::from_millis(500);
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -18,8 +18,22 @@
 /// When nothing was done, a new try makes sense after this many milliseconds.
 const RETRY: u64 = 1000;
 
-/// Answers one call.
+/// Answers one call, and logs what did not go well.
 pub(crate) async fn answer(shared: &Shared, work: &Work) -> Answer {
+    let began = quincewheel_clock::boot();
+    let answer = decide(shared, work).await;
+    let ms = quincewheel_clock::boot() - began;
+    shared.metrics.count(&work.method, &answer, ms);
+    if !answer.served() {
+        let id = work.path.rsplit('/').next().unwrap_or_default();
+        let (method, age) = (work.method.as_str(), began.saturating_sub(shared.proved.get()));
+        let version = shared.config.borrow().as_ref().map_or(0, |config| config.version);
+        log::info!(event = "refused", job = id, method = method, ms = ms, config = version, age = age; "{answer:?}");
+    }
+    answer
+}
+
+async fn decide(shared: &Shared, work: &Work) -> Answer {
     let target = match find(shared, work) {
         Ok(target) => target,
         Err(answer) => return answer,
@@ -74,10 +88,13 @@
         Err(Error::Conflict { .. }) => match look(shared, id).await {
             Ok(Some(view)) if owned(&view, target) => Answer::Accepted,
             Ok(_) => Answer::Invalid("another team's job has this name".to_owned()),
-            Err(error) => unclear(&error),
+            Err(error) => unclear(shared, &error),
         },
-        Err(Error::Refused { .. }) => Answer::Unavailable(RETRY),
-        Err(error) => unclear(&error),
+        Err(error @ Error::Refused { .. }) => {
+            shared.table_answered(Err(&error));
+            Answer::Unavailable(RETRY)
+        }
+        Err(error) => unclear(shared, &error),
     }
 }
 
@@ -127,8 +144,11 @@
             shared.mirror.borrow_mut().jobs.entry(id.to_owned()).or_default().cancelled = true;
             if known { Answer::Cancelled } else { Answer::Unknown }
         }
-        Err(Error::Refused { .. }) => Answer::Unavailable(RETRY),
-        Err(error) => unclear(&error),
+        Err(error @ Error::Refused { .. }) => {
+            shared.table_answered(Err(&error));
+            Answer::Unavailable(RETRY)
+        }
+        Err(error) => unclear(shared, &error),
     }
 }
 
@@ -161,7 +181,7 @@
     team.is_some_and(|team| *team == target.team)
 }
 
-fn unclear(error: &Error) -> Answer {
-    log::warn!(event = "table"; "{error}");
+fn unclear(shared: &Site, error: &Error) -> Answer {
+    shared.table_answered(Err(error));
     Answer::Unclear
 }
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -36,11 +36,12 @@
                 for change in &changes.rows {
                     configure(&shared, change);
                 }
+                shared.table_answered(Ok(()));
                 shared.proved.set(sent);
                 shared.show_ready(quincewheel_clock::boot());
             }
             Err(error) => {
-                failed(&error, &mut version);
+                failed(&shared, &error, &mut version);
                 shared.show_ready(quincewheel_clock::boot());
                 tokio::time::sleep(PAUSE).await;
             }
@@ -80,7 +81,7 @@
                 tokio::time::sleep(GATHER).await;
             }
             Err(error) => {
-                failed(&error, &mut version);
+                failed(&shared, &error, &mut version);
                 tokio::time::sleep(PAUSE).await;
             }
         }
@@ -166,9 +167,11 @@
     }
 }
 
-fn failed(error: &Error, version: &mut Option<u64>) {
+fn failed(shared: &Site, error: &Error, version: &mut Option<u64>) {
     if *error == Error::Compacted {
         *version = None;
+        log::info!(event = "history gone"; "all rows are read anew");
+        return;
     }
-    log::warn!(event = "table"; "{error}");
+    shared.table_answered(Err(error));
 }
--- /dev/null
+++ b/crates/entry/src/site/metrics.rs
@@ -0,0 +1,107 @@
+use std::sync::Mutex;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use quincewheel_platform::Answer;
+
+/// What the metrics page of an entry on the platform shows.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Mutex<Registry>,
+    calls: Family<Call, Counter>,
+    latency: Histogram,
+    decisions: Family<Decision, Counter>,
+    /// The epoch under which this entry owns; 0 if it does not.
+    pub epoch: Gauge,
+    /// Unfinished jobs of the owner.
+    pub jobs: Gauge,
+    /// Version of the configuration in force.
+    pub config: Gauge,
+    /// Milliseconds since the table last proved the configuration current.
+    pub config_age: Gauge,
+    /// 1 while the table does not answer.
+    pub table_lost: Gauge,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Call {
+    method: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Decision {
+    event: &'static str,
+}
+
+/// Shortest latency that is told apart, in seconds, and how many doublings
+/// follow: 0.5 ms to 16 s.
+const LATENCY: (f64, u16) = (0.0005, 15);
+
+impl Metrics {
+    pub fn open() -> Metrics {
+        let (first, steps) = LATENCY;
+        let metrics = Metrics {
+            registry: Mutex::new(Registry::with_prefix("quincewheel_entry")),
+            calls: Family::default(),
+            latency: Histogram::new(exponential_buckets(first, 2.0, steps)),
+            decisions: Family::default(),
+            epoch: Gauge::default(),
+            jobs: Gauge::default(),
+            config: Gauge::default(),
+            config_age: Gauge::default(),
+            table_lost: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
+        registry.register("calls", "Clients' calls by method and outcome", self.calls.clone());
+        let help = "Time from a call's arrival to its answer";
+        registry.register_with_unit("call_duration", help, Unit::Seconds, self.latency.clone());
+        let help = "Decisions of the owner by kind; the kinds are the events of the log";
+        registry.register("decisions", help, self.decisions.clone());
+        let gauges = [
+            ("epoch", "Epoch under which this entry owns; 0 if it does not", &self.epoch),
+            ("jobs", "Unfinished jobs, at the owner", &self.jobs),
+            ("config_version", "Version of the configuration in force", &self.config),
+            (
+                "config_age_ms",
+                "Milliseconds since the table proved the configuration current",
+                &self.config_age,
+            ),
+            ("table_lost", "1 while the table does not answer", &self.table_lost),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// Counts a call that took so many milliseconds.
+    pub fn count(&self, method: &str, answer: &Answer, ms: u64) {
+        let known = ["GET", "POST", "DELETE"].contains(&method);
+        let method = if known { method } else { "other" }.to_owned();
+        self.calls.get_or_create(&Call { method, outcome: answer.outcome() }).inc();
+        self.latency.observe(ms as f64 / 1000.0);
+    }
+
+    /// Counts a decision of the owner.
+    pub fn decided(&self, event: &'static str) {
+        self.decisions.get_or_create(&Decision { event }).inc();
+    }
+
+    /// The page, in the OpenMetrics text format.
+    pub fn page(&self) -> String {
+        let registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
+        let mut text = String::new();
+        encode(&mut text, &registry).expect("writing to a string cannot fail");
+        text
+    }
+}
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -139,6 +139,7 @@
             }
             Output::Deposed { epoch } => deposed = Some(epoch),
             Output::Log { event, subject, detail } => {
+                shared.metrics.decided(event);
                 log::info!(event = event, job = subject.as_str(); "{detail}");
             }
         }
@@ -239,7 +240,7 @@
 pub(crate) async fn announce(shared: Shared) {
     let node = Node { address: shared.settings.peers.clone(), entry: true };
     let commit = rows::announce(&shared.settings.name, &node);
-    let failed = |error: &Error| log::warn!(event = "table"; "{error}");
+    let failed = |error: &Error| shared.table_answered(Err(error));
     shared.table.insist(&commit, TIMEOUT, failed).await;
 }
 
@@ -291,9 +292,9 @@
                 Ok((found, _)) => {
                     return depose(shared, &format!("epoch {} is in force", found.epoch));
                 }
-                Err(error) => log::warn!(event = "table"; "{error}"),
+                Err(error) => shared.table_answered(Err(&error)),
             },
-            Err(error) => log::warn!(event = "table"; "{error}"),
+            Err(error) => shared.table_answered(Err(&error)),
         }
         if shared.owner.borrow().is_none() {
             return;
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -8,10 +8,12 @@
 use quincewheel_job::Config;
 use quincewheel_peer::Hub;
 use quincewheel_platform::{self as platform, Table};
+use quincewheel_store::Error;
 use quincewheel_wire::{LinkId, Order};
 use tokio::sync::Notify;
 
 use super::gate::Gate;
+use super::metrics::Metrics;
 
 /// The deciding thread's state, shared by its tasks.
 pub(crate) type Shared = Rc<Site>;
@@ -30,6 +32,7 @@
     pub feed: Table,
     pub hub: Hub<Order>,
     pub gate: Arc<Gate>,
+    pub metrics: Arc<Metrics>,
     pub config: RefCell<Option<Config>>,
     /// When the call was sent by which the table last proved the configuration
     /// to be the newest.
@@ -45,6 +48,8 @@
     pub entries: RefCell<BTreeMap<String, LinkId>>,
     /// The connection that the owner made to this entry, and the owner's name.
     pub from_owner: RefCell<Option<(LinkId, String)>>,
+    /// Since when the table has not answered; none while it does.
+    pub table_lost: Cell<Option<u64>>,
     /// Something changed that the owner's loop should look at.
     pub wake: Notify,
 }
@@ -55,6 +60,7 @@
         incarnation: u64,
         hub: Hub<Order>,
         gate: Arc<Gate>,
+        metrics: Arc<Metrics>,
     ) -> Site {
         Site {
             table: Table::open(&settings.table),
@@ -64,6 +70,7 @@
             incarnation,
             hub,
             gate,
+            metrics,
             config: RefCell::new(None),
             proved: Cell::new(0),
             mirror: RefCell::default(),
@@ -72,6 +79,7 @@
             held: RefCell::new(None),
             entries: RefCell::default(),
             from_owner: RefCell::new(None),
+            table_lost: Cell::new(None),
             wake: Notify::new(),
         }
     }
@@ -84,8 +92,31 @@
         self.config.borrow().is_some() && now < self.proved.get() + bound
     }
 
+    /// Takes note of whether the table answers, and logs each change.
+    pub fn table_answered(&self, answered: Result<(), &Error>) {
+        let now = quincewheel_clock::boot();
+        match (answered, self.table_lost.get()) {
+            (Err(error), None) => {
+                self.table_lost.set(Some(now));
+                log::warn!(event = "table lost"; "{error}");
+            }
+            (Ok(()), Some(since)) => {
+                self.table_lost.set(None);
+                log::info!(event = "table back", ms = now - since; "");
+            }
+            (Err(_), Some(_)) | (Ok(()), None) => {}
+        }
+    }
+
     /// Tells the platform whether to send clients here.
     pub fn show_ready(&self, now: u64) {
         self.gate.set_ready(self.heard.get() > 0 && self.current(now));
+        let version = self.config.borrow().as_ref().map_or(0, |config| config.version);
+        self.metrics.config.set(version as i64);
+        self.metrics.config_age.set(now.saturating_sub(self.proved.get()) as i64);
+        self.metrics.table_lost.set(i64::from(self.table_lost.get().is_some()));
+        let owner = self.owner.borrow();
+        self.metrics.epoch.set(owner.as_ref().map_or(0, |owner| owner.epoch() as i64));
+        self.metrics.jobs.set(owner.as_ref().map_or(0, |owner| owner.active() as i64));
     }
 }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -1,17 +1,24 @@
-//! Logs as JSON lines on standard error, by `log4rs`.
+//! Logs as JSON lines, by `log4rs`.
 //!
-//! Each line has the library's own fields (`time`, `level`, `message`,
+//! [`open_lines`] writes short lines to standard output: `t` (seconds since
+//! 1970), `process`, the fields that the place that logs knows (`event`, `job`,
+//! `epoch` and so on), and `msg`. [`open`] writes the library's own form to
+//! standard error; each of its lines has the library's own fields (`time`, `level`, `message`,
 //! `thread` and where in the code), and under `attributes` the `process` and
 //! whichever of `step`, `peer`, `job` and `attempt` the place that logs knows.
 
+mod lines;
+
 use std::fmt;
 
 use log::kv::{Error as KvError, Key, Source, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger as Logging, Root};
 use log4rs::encode::json::JsonEncoder;
 
+pub use lines::Lines;
+
 /// Why logging could not be set up.
 #[derive(Debug)]
 pub struct Error(String);
@@ -37,6 +44,25 @@
     log::set_boxed_logger(Box::new(logger)).map_err(|error| Error(error.to_string()))
 }
 
+/// Starts logging of the system's own parts for the process named `process`, as
+/// short lines to standard output that nothing waits for. Libraries log
+/// warnings only.
+pub fn open_lines(process: &str, level: LevelFilter) -> Result<(), Error> {
+    let lines = Lines::spawn(process, std::io::stdout()).map_err(|e| Error(e.to_string()))?;
+    let mut config =
+        Config::builder().appender(Appender::builder().build("lines", Box::new(lines)));
+    for part in PARTS {
+        config = config.logger(Logging::builder().build(*part, level));
+    }
+    let config = config
+        .build(Root::builder().appender("lines").build(LevelFilter::Warn))
+        .map_err(|error| Error(error.to_string()))?;
+    log4rs::init_config(config).map(|_| ()).map_err(|error| Error(error.to_string()))
+}
+
+/// The crates that log, as their records name them.
+const PARTS: &[&str] = &["quincewheel_agent", "quincewheel_entry", "quincewheel_peer"];
+
 /// Adds the process's name to every line, so that lines of many processes can
 /// be read together.
 struct Logger {
