Go on trying where a submission's outcome is unclear; share what both programs do at their end

Cause: an entry told "unclear" at once while the table was lost; clients then asked again within 60 ms and had used up their tries after 0.5 s.

Ruled out: holding calls that were never written; these are still refused at once.

Change: once a write of a submission got no answer, the entry goes on writing it for up to 2 s, since only another write tells what became of it; 0.9 s a try. Waiting for signals and the metrics page are one copy for both programs.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -21,7 +21,6 @@
 use quincewheel_runner::{Output, Runner, Settings};
 use quincewheel_store::Error;
 use quincewheel_wire::{Hello, Key, Notice, Order, Role};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 
 use self::metrics::Metrics;
@@ -37,10 +36,6 @@
 /// What is left of the time for shutting down when the process ends.
 const LAST: Duration = Duration::from_millis(500);
 
-/// Where metrics are shown.
-const METRICS: &str = "/metrics";
-const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-
 struct Agent {
     runner: RefCell<Runner>,
     hub: Hub<Notice>,
@@ -83,7 +78,7 @@
         actix_rt::spawn(hear_worker(Rc::clone(&agent), reports_in));
         actix_rt::spawn(hear_owners(Rc::clone(&agent), peers_in));
         actix_rt::spawn(keep_time(Rc::clone(&agent)));
-        wait_for_end().await?;
+        quincewheel_conf::ending().await?;
         log::info!(event = "drain"; "shutting down");
         tokio::time::sleep(Duration::from_millis(site.grace).saturating_sub(LAST)).await;
         log::info!(event = "stop"; "ended");
@@ -94,8 +89,8 @@
 /// Takes a report. It is acknowledged once it is on its way to the thread
 /// that refuses starts at a worker which leaves.
 async fn take(mut request: Request, reports: ring::Sender<Report>, metrics: Arc<Metrics>) -> Reply {
-    if request.path() == METRICS {
-        return quincewheel_http::reply(200, METRICS_TYPE, metrics.page());
+    if request.path() == quincewheel_http::METRICS {
+        return quincewheel_http::metrics(metrics.page());
     }
     let method = request.method().as_str().to_owned();
     let path = request.path().to_owned();
@@ -196,16 +191,3 @@
         }
     }
 }
-
-async fn wait_for_end() -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    let mut hup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => return Ok(()),
-            _ = int.recv() => return Ok(()),
-            _ = hup.recv() => log::info!(event = "reload"; "settings read again"),
-        }
-    }
-}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod common;
 mod definition;
+mod end;
 mod error;
 mod own;
 mod parse;
@@ -15,6 +16,7 @@
 
 pub use common::{EVENTS, FLEET_KEY, LISTEN, LOG_LEVEL, METRICS_PORT, PLATFORM};
 pub use definition::Definition;
+pub use end::ending;
 pub use error::Error;
 pub use own::Own;
 pub use parse::{Command, Program, parse};
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -22,7 +22,6 @@
 use quincewheel_platform as platform;
 use quincewheel_ring as ring;
 use quincewheel_wire::{Hello, Key, Notice, Order, Role};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::oneshot;
 
 use self::gate::Gate;
@@ -36,10 +35,6 @@
 /// Largest body that is read at all; the configuration may allow less.
 const MAX_BODY: usize = 1 << 20;
 
-/// Where metrics are shown.
-const METRICS: &str = "/metrics";
-const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-
 /// A client's call, on its way to the deciding thread.
 pub(crate) struct Work {
     method: String,
@@ -86,7 +81,7 @@
         actix_rt::spawn(own::listen(Rc::clone(&shared), peers_in));
         actix_rt::spawn(own::run(Rc::clone(&shared)));
         actix_rt::spawn(answer(Rc::clone(&shared), work_in));
-        wait_for_end().await?;
+        quincewheel_conf::ending().await?;
         drain(&shared, grace).await;
         log::info!(event = "stop"; "ended");
         Ok(())
@@ -100,8 +95,8 @@
     gate: Arc<Gate>,
     metrics: Arc<Metrics>,
 ) -> Reply {
-    if request.path() == METRICS {
-        return quincewheel_http::reply(200, METRICS_TYPE, metrics.page());
+    if request.path() == quincewheel_http::METRICS {
+        return quincewheel_http::metrics(metrics.page());
     }
     if request.path() == platform::READY {
         let status = if gate.ready() { 200 } else { 503 };
@@ -157,21 +152,6 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT. SIGHUP must not end the process: the settings
-/// that it announces hold nothing that a running entry uses.
-async fn wait_for_end() -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    let mut hup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => return Ok(()),
-            _ = int.recv() => return Ok(()),
-            _ = hup.recv() => log::info!(event = "reload"; "settings read again"),
-        }
-    }
-}
-
 /// Hands the ownership over at once and serves open connections for as long
 /// as the platform allows: clients keep using them until the process is gone.
 async fn drain(shared: &Shared, grace: Duration) {
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -13,12 +13,15 @@
 use super::state::{Shared, Site};
 
 /// A call to the table without an answer is given up after this time. A slow
-/// table answers within 250 ms; clients wait for 3 s and do better to ask
+/// table writes within some 450 ms; clients wait for 3 s and do better to ask
 /// elsewhere than to be held here.
-const TIMEOUT: Duration = Duration::from_millis(600);
-/// Tries of a submission whose outcome is unclear. The second finds the job's
-/// row if only the answer to the first was lost.
-const TRIES: u32 = 2;
+const TIMEOUT: Duration = Duration::from_millis(900);
+/// For so many milliseconds an entry goes on trying to write a submission whose
+/// first write got no answer: the row may be there, and only another write
+/// tells. Clients wait for 3,000, and ask again at once if told "unclear".
+const SETTLE: u64 = 2000;
+/// Pause between two such tries.
+const PAUSE: Duration = Duration::from_millis(100);
 /// When nothing was done, a new try makes sense after this many milliseconds.
 const RETRY: u64 = 1000;
 
@@ -103,13 +106,7 @@
         put: vec![row],
         delete: Vec::new(),
     };
-    let mut result = write(shared, &commit).await;
-    for _ in 1..TRIES {
-        if matches!(result, Err(Error::Unclear { .. })) {
-            shared.unsettled.borrow_mut().note(id, quincewheel_clock::boot());
-            result = write(shared, &commit).await;
-        }
-    }
+    let result = store(shared, id, &commit).await;
     match result {
         Ok(version) => {
             accepted(shared, id, job, version);
@@ -121,14 +118,33 @@
             // The row is there, whoever wrote it: this is no refusal.
             Err(_) => Answer::Unclear,
         },
-        Err(Error::Unclear { .. }) => {
-            shared.unsettled.borrow_mut().note(id, quincewheel_clock::boot());
-            Answer::Unclear
-        }
         Err(error) => failed(&error),
     }
 }
 
+/// Writes a job's row. Once a write got no answer, tries go on for a while even
+/// where the table is lost: only another one tells what became of it.
+async fn store(shared: &Site, id: &str, commit: &Commit) -> Result<u64, Error> {
+    let begun = quincewheel_clock::boot();
+    loop {
+        let now = quincewheel_clock::boot();
+        let unsettled = shared.unsettled.borrow().holds(id, now);
+        let result = match unsettled {
+            true => attempt(shared, commit).await,
+            false => write(shared, commit).await,
+        };
+        if matches!(result, Err(Error::Unclear { .. })) {
+            shared.unsettled.borrow_mut().note(id, now);
+        }
+        let open = matches!(result, Err(Error::Unclear { .. } | Error::Refused { .. }))
+            && shared.unsettled.borrow().holds(id, now);
+        if !open || quincewheel_clock::boot() + TIMEOUT.as_millis() as u64 > begun + SETTLE {
+            return result;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
 /// Writes for a client. Where the table is known to be lost, nothing is sent,
 /// and the client is told so at once instead of being held.
 async fn write(shared: &Site, commit: &Commit) -> Result<u64, Error> {
@@ -137,6 +153,10 @@
         let detail = "not sent: the table does not answer".to_owned();
         return Err(Error::Refused { step, peer, detail });
     }
+    attempt(shared, commit).await
+}
+
+async fn attempt(shared: &Site, commit: &Commit) -> Result<u64, Error> {
     let result = shared.table.commit(commit, TIMEOUT).await;
     match &result {
         Ok(_) | Err(Error::Conflict { .. }) => shared.table_answered(Ok(())),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -31,3 +31,11 @@
 pub fn close(reply: &mut Reply) {
     reply.head_mut().set_connection_type(actix_http::ConnectionType::Close);
 }
+
+/// Where metrics are shown.
+pub const METRICS: &str = "/metrics";
+
+/// A page of metrics in the OpenMetrics text format.
+pub fn metrics(page: String) -> Reply {
+    reply(200, "application/openmetrics-text; version=1.0.0; charset=utf-8", page)
+}
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -61,7 +61,8 @@
 }
 
 /// The crates that log, as their records name them.
-const PARTS: &[&str] = &["quincewheel_agent", "quincewheel_entry", "quincewheel_peer"];
+const PARTS: &[&str] =
+    &["quincewheel_agent", "quincewheel_conf", "quincewheel_entry", "quincewheel_peer"];
 
 /// Adds the process's name to every line, so that lines of many processes can
 /// be read together.
