Drop the rows of jobs that ended long ago

Cause: rows of ended jobs stayed for ever; the table and every entry's mirror grew without end.

Ruled out: dropping them when the state need no longer be told: a submission sent once more would find no row and run anew; half that time more is left.

Change: the owner drops a job's three rows with its records, five jobs a record, once it has seen it ended for 1.5 times the time for which its state must be told.

Tests: crates/dispatch/tests/mirror.rs.

--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -16,6 +16,8 @@
     pub owner: Option<(Ownership, u64)>,
     /// All changes up to this version are in.
     pub version: u64,
+    /// When this process first saw that a job had ended, in milliseconds.
+    ended: BTreeMap<Id, u64>,
 }
 
 /// What is known of one job.
@@ -58,6 +60,11 @@
 }
 
 impl Mirror {
+    /// Forgets all rows but the ownership, before all are read anew.
+    pub fn clear(&mut self) {
+        *self = Mirror { owner: self.owner.take(), ..Mirror::default() };
+    }
+
     /// Takes a change in and tells what it means.
     pub fn apply(&mut self, change: &Change) -> Option<News> {
         if change.key == OWNER {
@@ -89,6 +96,19 @@
         })
     }
 
+    /// Jobs that ended so long ago that nobody asks for them any more, at most
+    /// `most` of them. Without dropping their rows the table and every
+    /// process's memory would grow for ever.
+    pub fn expired(&mut self, now: u64, keep: u64, most: usize) -> Vec<Id> {
+        let Mirror { jobs, ended, .. } = self;
+        ended.retain(|id, _| jobs.contains_key(id));
+        for (id, _) in jobs.iter().filter(|(_, view)| view.state().ended()) {
+            ended.entry(id.clone()).or_insert(now);
+        }
+        let old = ended.iter().filter(|(_, since)| now >= **since + keep);
+        old.take(most).map(|(id, _)| id.clone()).collect()
+    }
+
     /// Jobs of a queue that no task has started of.
     pub fn waiting(&self, queue: &str) -> usize {
         let waits = |view: &&View| {
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -59,3 +59,8 @@
     let value = serde_json::to_string(node).expect("rows are plain data");
     Commit { put: vec![Put { key: self::node(name), value }], ..Commit::default() }
 }
+
+/// The keys of all rows of a job.
+pub fn of_job(id: &str) -> [String; 3] {
+    [job(id), run(id), stop(id)]
+}
--- /dev/null
+++ b/crates/dispatch/tests/mirror.rs
@@ -0,0 +1,85 @@
+//! The table's rows as one process knows them.
+
+mod bed;
+
+use bed::{job, step};
+use insta::assert_snapshot;
+use quincewheel_dispatch::rows::{self, Node, OWNER, Ownership};
+use quincewheel_dispatch::{Mirror, News};
+use quincewheel_job::{Progress, State};
+use quincewheel_store::Change;
+
+fn put(key: String, version: u64, value: &impl serde::Serialize) -> Change {
+    Change { key, version, value: Some(serde_json::to_string(value).unwrap()) }
+}
+
+#[allow(clippy::field_reassign_with_default)] // the other fields are private
+fn ended(state: State) -> Progress {
+    let mut progress = Progress::default();
+    progress.state = state;
+    progress
+}
+
+#[test]
+fn a_job_is_shown_by_its_rows_in_whatever_order_they_come() {
+    let mut mirror = Mirror::default();
+    let mut told = Vec::new();
+    let state = |mirror: &Mirror| mirror.jobs.get("a").map(|view| view.state());
+    for change in [
+        put(rows::stop("a"), 1, &()),
+        put(rows::job("a"), 2, &job(1, vec![step(1, 1)])),
+        put(rows::run("a"), 3, &ended(State::Succeeded)),
+        Change { key: rows::job("a"), version: 4, value: None },
+    ] {
+        let news = mirror.apply(&change);
+        told.push(format!("{:?} {news:?}", state(&mirror)));
+    }
+    assert_snapshot!(told.join("\n"), @r#"
+    Some(Cancelled) Some(Cancelled("a"))
+    Some(Cancelled) Some(Job("a"))
+    Some(Succeeded) None
+    None None
+    "#);
+}
+
+#[test]
+fn an_older_ownership_does_not_replace_a_newer_one() {
+    let mut mirror = Mirror::default();
+    let owner = |epoch| Ownership { holder: "e".into(), incarnation: 1, epoch, sequence: 0 };
+    mirror.apply(&put(OWNER.into(), 9, &owner(4)));
+    let news = mirror.apply(&put(OWNER.into(), 7, &owner(3)));
+    assert_eq!((news, mirror.owner.unwrap().0.epoch), (None, 4));
+}
+
+#[test]
+fn a_row_that_does_not_hold_what_it_should_is_told_and_left_out() {
+    let mut mirror = Mirror::default();
+    let value = Some("{".to_owned());
+    let news = mirror.apply(&Change { key: rows::job("a"), version: 1, value });
+    assert!(matches!(news, Some(News::Malformed { .. })));
+    assert!(mirror.jobs.is_empty());
+    let node = Node { address: "10.0.0.1:7000".into(), entry: true };
+    let first = mirror.apply(&put(rows::node("e1"), 2, &node));
+    let again = mirror.apply(&put(rows::node("e1"), 3, &node));
+    assert_eq!((first, again), (Some(News::Node("e1".into())), None));
+}
+
+// Symptom: memory and the table grow without end. Sequence: jobs end, their rows
+// stay. Cause: nobody dropped them.
+#[test]
+fn ended_jobs_expire_and_others_do_not() {
+    let mut mirror = Mirror::default();
+    for id in ["a", "b", "c"] {
+        mirror.apply(&put(rows::job(id), 1, &job(1, vec![step(1, 1)])));
+    }
+    mirror.apply(&put(rows::run("a"), 2, &ended(State::Failed)));
+    mirror.apply(&put(rows::stop("c"), 3, &()));
+    let told = [
+        mirror.expired(1000, 500, 5),
+        mirror.expired(1499, 500, 5),
+        mirror.expired(1500, 500, 5),
+        mirror.expired(1500, 500, 1),
+    ];
+    mirror.apply(&Change { key: rows::job("a"), version: 4, value: None });
+    assert_snapshot!(format!("{told:?} {:?}", mirror.expired(9000, 500, 5)), @r#"[[], [], ["a", "c"], ["a"]] ["c"]"#);
+}
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quincewheel_dispatch::{Mirror, News};
+use quincewheel_dispatch::News;
 use quincewheel_platform::{self as platform, Space, Table};
 use quincewheel_store::{Change, Changes, Error, Read};
 
@@ -99,7 +99,7 @@
     let now = quincewheel_clock::boot();
     let mut mirror = shared.mirror.borrow_mut();
     if whole {
-        *mirror = Mirror { owner: mirror.owner.take(), ..Mirror::default() };
+        mirror.clear();
     }
     let mut news: Vec<News> =
         changes.rows.iter().filter_map(|change| mirror.apply(change)).collect();
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -23,6 +23,9 @@
 const GATHER: u64 = 100;
 /// A write without an answer is repeated after this time.
 const TIMEOUT: Duration = Duration::from_millis(1200);
+/// Most jobs whose rows are dropped with one record; three rows each, and a
+/// transaction takes 100 rows.
+const EXPIRED: usize = 5;
 /// Pause after a write that failed, and between two dials of one agent.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -276,6 +279,9 @@
         put: vec![put(OWNER.to_owned(), &mine)],
         delete: Vec::new(),
     };
+    let now = quincewheel_clock::boot();
+    let expired = shared.mirror.borrow_mut().expired(now, keep(shared), EXPIRED);
+    commit.delete.extend(expired.iter().flat_map(|id| rows::of_job(id)));
     commit.put.extend(batch.jobs.iter().map(|(id, progress)| put(rows::run(id), progress)));
     loop {
         let sent = quincewheel_clock::boot();
@@ -303,6 +309,13 @@
     }
 }
 
+/// How long an ended job's rows stay. Beyond the time for which its state must
+/// be told, half of it again: a client's submission may be sent once more, and
+/// would find no row and run anew.
+fn keep(shared: &Site) -> u64 {
+    shared.settings.keep * 3 / 2
+}
+
 fn finish(shared: &Site, batch: &Batch, mine: &Ownership, version: u64, sent: u64) {
     let mut owner = shared.owner.borrow_mut();
     let Some(owner) = owner.as_mut() else { return };
