Make the test of a full pipe say exactly how many lines are dropped

The writer takes whatever waits before it writes, so how much it holds when the pipe blocks depended on how fast the test was.

Ruled out: lost lines: dropped and written add up in either case.

Change: the test waits until the writer is blocked with one line, then counts: 2,048 kept, 2,952 dropped, exactly. The check is stricter than the range before.

--- a/crates/log/tests/lines.rs
+++ b/crates/log/tests/lines.rs
@@ -10,8 +10,10 @@
 use log4rs::append::Append;
 use quincewheel_log::Lines;
 
-/// An output that takes nothing until it is told to.
+/// An output that says when something is to be written, and takes nothing until
+/// it is told to.
 struct Pipe {
+    entered: Sender<()>,
     open: Receiver<()>,
     opened: bool,
     written: Arc<Mutex<Vec<u8>>>,
@@ -20,6 +22,7 @@
 impl Write for Pipe {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         if !self.opened {
+            let _ = self.entered.send(());
             self.opened = self.open.recv().is_ok();
         }
         self.written.lock().unwrap().extend_from_slice(bytes);
@@ -31,11 +34,19 @@
     }
 }
 
-fn lines() -> (Lines, Sender<()>, Arc<Mutex<Vec<u8>>>) {
+struct Bed {
+    lines: Lines,
+    entered: Receiver<()>,
+    opener: Sender<()>,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+fn bed() -> Bed {
     let (opener, open) = channel();
+    let (enter, entered) = channel();
     let written = Arc::new(Mutex::new(Vec::new()));
-    let pipe = Pipe { open, opened: false, written: Arc::clone(&written) };
-    (Lines::spawn("entry-1", pipe).unwrap(), opener, written)
+    let pipe = Pipe { entered: enter, open, opened: false, written: Arc::clone(&written) };
+    Bed { lines: Lines::spawn("entry-1", pipe).unwrap(), entered, opener, written }
 }
 
 fn log(lines: &Lines, number: usize) {
@@ -61,7 +72,7 @@
 
 #[test]
 fn a_line_holds_what_the_place_knows_and_no_more() {
-    let (lines, opener, written) = lines();
+    let Bed { lines, opener, written, .. } = bed();
     opener.send(()).unwrap();
     log(&lines, 7);
     let line = wait_for(&written, 1).remove(0);
@@ -73,15 +84,17 @@
 // next line waits for room. Cause: lines were written where they arose.
 #[test]
 fn a_full_pipe_drops_lines_and_says_how_many() {
-    let (lines, opener, written) = lines();
-    for number in 0..5000 {
+    let Bed { lines, entered, opener, written } = bed();
+    log(&lines, 0);
+    entered.recv().unwrap();
+    // The writer now holds the first line and waits; the queue takes 2,048.
+    for number in 1..=5000 {
         log(&lines, number);
     }
-    let dropped = lines.dropped();
-    assert!((2900..3000).contains(&dropped), "{dropped} of 5,000 with room for 2,048");
+    assert_eq!(lines.dropped(), 5000 - 2048);
     opener.send(()).unwrap();
-    wait_for(&written, 5000 - dropped as usize);
-    log(&lines, 5000);
-    let last = wait_for(&written, 5001 - dropped as usize).pop().unwrap();
-    assert!(last.ends_with(&format!(",\"dropped\":{dropped}}}")), "{last}");
+    wait_for(&written, 1 + 2048);
+    log(&lines, 5001);
+    let last = wait_for(&written, 1 + 2048 + 1).pop().unwrap();
+    assert!(last.ends_with(",\"dropped\":2952}"), "{last}");
 }
