Spread a gang that waited while half of the pool is free

Ruled out: lost agents (two were dark, the others heard); a lost reservation alone.

Change: after 2 s such a gang is spread over racks if half of the pool's accelerators are free.

Tests: crates/place/tests/packing.rs.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -184,7 +184,9 @@
         let pool = self.pool(entry);
         let held = held(entry, candidate, &board.spots);
         let count = candidate.tasks.len() as u32;
-        let ask = Ask { step: &step, pool: &pool, count, owed: false, held: &held };
+        let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
+        let patient = wall < begin + PATIENCE;
+        let ask = Ask { step: &step, pool: &pool, count, patient, owed: false, held: &held };
         let choices = pack(&board.spots, &ask);
         let started = choices.len();
         let pairs: Vec<(u32, usize)> =
@@ -272,7 +274,8 @@
         let held = held(entry, candidate, &board.spots);
         let promised = self.promised(entry, candidate.occurrence);
         let owed = candidate.guaranteed && wall >= promised;
-        let ask = Ask { step, pool, count: rest.len() as u32, owed, held: &held };
+        let count = rest.len() as u32;
+        let ask = Ask { step, pool, count, patient: true, owed, held: &held };
         let Some(claim) = reclaim(&board.spots, &ask) else {
             if candidate.guaranteed && !owed {
                 self.next_due = Some(self.next_due.map_or(promised, |due| due.min(promised)));
@@ -446,6 +449,11 @@
 /// and a good part of that again.
 const AHEAD: u64 = 700;
 
+/// A gang that wants one rack waits for it for so many milliseconds while half
+/// of the pool is free. A stop takes up to 900, so room that is made for it
+/// comes sooner.
+const PATIENCE: u64 = 2000;
+
 /// What a task of the step takes, in cores.
 fn weight(step: &Step) -> u64 {
     step.need.cpu / 1000 + CORES_PER_ACCELERATOR * step.need.accelerators
--- a/crates/place/src/ask.rs
+++ b/crates/place/src/ask.rs
@@ -11,6 +11,8 @@
     pub pool: &'a str,
     /// How many tasks.
     pub count: u32,
+    /// They may wait for a rack of their own.
+    pub patient: bool,
     /// A guarantee covers them, and it is time to give what it promised: work
     /// that borrows at the same priority gives way, too.
     pub owed: bool,
--- a/crates/place/src/pack.rs
+++ b/crates/place/src/pack.rs
@@ -13,7 +13,9 @@
 ///
 /// A step that wants one rack is given one, the fullest that holds it. Only if
 /// no rack could hold it even when empty is it spread: on several racks its
-/// tasks take several times as long.
+/// tasks take several times as long. One that has lost its patience is spread,
+/// too, if half of the pool is free: it would stand still beside idle workers
+/// for as long as a little work goes on in each rack.
 pub fn pack(spots: &[Spot], ask: &Ask<'_>) -> Vec<Choice> {
     let free: Vec<Need> = spots.iter().map(|spot| spot.free).collect();
     if !ask.step.gang {
@@ -28,7 +30,8 @@
         if let Some((_, choices)) = held.min_by_key(|(left, _)| *left) {
             return choices;
         }
-        if racks.iter().any(|rack| holds_when_empty(spots, ask, rack)) {
+        let waits = ask.patient || !half_free(spots, ask);
+        if waits && racks.iter().any(|rack| holds_when_empty(spots, ask, rack)) {
             return Vec::new();
         }
     }
@@ -46,6 +49,14 @@
     fill(spots, &all, ask, |spot| spot.rack == rack).len() == ask.count as usize
 }
 
+/// True if half of the accelerators that may run the step are free.
+fn half_free(spots: &[Spot], ask: &Ask<'_>) -> bool {
+    let allowed = || spots.iter().filter(|spot| ask.allows(spot));
+    let free: u64 = allowed().map(|spot| spot.free.accelerators).sum();
+    let all: u64 = allowed().map(|spot| spot.capacity.accelerators).sum();
+    free * 2 >= all
+}
+
 /// How much a rack has free, the data's own rack first.
 fn left(spots: &[Spot], rack: &str, near: &str) -> (bool, u64) {
     let free = spots.iter().filter(|spot| spot.rack == rack).map(|spot| spot.free.accelerators);
--- a/crates/place/tests/packing.rs
+++ b/crates/place/tests/packing.rs
@@ -31,7 +31,7 @@
 }
 
 fn packed(spots: &[Spot], step: &Step) -> String {
-    let ask = Ask { step, pool: "p", count: step.count, owed: true, held: &[] };
+    let ask = Ask { step, pool: "p", count: step.count, patient: true, owed: true, held: &[] };
     format!("{:?}", pack(spots, &ask))
 }
 
@@ -59,6 +59,25 @@
     ");
 }
 
+// Symptom: a gang stands still for seconds while most of the pool is idle.
+// Sequence: a little work goes on in each rack, and other small jobs follow it.
+// Cause: a gang that wants one rack waited for it without end.
+#[test]
+fn a_gang_that_lost_its_patience_is_spread_if_half_of_the_pool_is_free() {
+    let step = gang(3, 4);
+    let (half, less) = ([7, 3, 7, 3, 7, 3], [4, 3, 4, 3, 4, 3]);
+    let told = [(half, true), (half, false), (less, false)].map(|(free, patient)| {
+        let spots = pool(free);
+        let ask = Ask { step: &step, pool: "p", count: 3, patient, owed: false, held: &[] };
+        format!("{:?}", pack(&spots, &ask))
+    });
+    assert_snapshot!(told.join("\n"), @r"
+    []
+    [0, 2, 4]
+    []
+    ");
+}
+
 #[test]
 fn labels_data_and_limits_a_worker_are_kept() {
     let spots = pool([8, 8, 8, 8, 8, 8]);
@@ -92,7 +111,7 @@
     spots[1].holders = vec![holder(2, 4, 50), holder(3, 4, 60), holder(4, 1, 1)];
     spots[2].holders = vec![holder(5, 4, 500)];
     let ask = |step: &Step| {
-        let ask = Ask { step, pool: "p", count: step.count, owed: true, held: &[] };
+        let ask = Ask { step, pool: "p", count: step.count, patient: true, owed: true, held: &[] };
         let claim = reclaim(&spots, &ask);
         claim.map_or("none".to_owned(), |c| format!("{:?} {:?} {}", c.choices, c.units, c.loss))
     };
