Let the former owner read a later claim before later jobs

A job accepted since the claim is started at once by the new owner; the former one learned of the claim only from agents.

Ruled out: a start of an older job (these wait for all agents).

Change: an owner ends when its feed shows a later epoch; rows come in the order of their writing, so before any job accepted since.

--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -6,6 +6,7 @@
 use quincewheel_platform::{self as platform, Space, Table};
 use quincewheel_store::{Change, Changes, Error, Read};
 
+use super::own;
 use super::state::{Shared, Site};
 
 /// How long the table is asked to wait for a change. Bounds the age of what
@@ -118,13 +119,16 @@
 
 /// Tells the owner, if this entry is it.
 fn tell_owner(shared: &Site, news: News, now: u64) {
+    if news == News::Owner {
+        return own::check_deposed(shared);
+    }
     let mirror = shared.mirror.borrow();
     let mut owner = shared.owner.borrow_mut();
     match news {
         News::Malformed { key, detail } => {
             log::warn!(event = "bad row", key = key.as_str(); "{detail}");
         }
-        News::Owner => {}
+        News::Owner => unreachable!("handled above, without the owner borrowed"),
         News::Node(name) => {
             let agent = mirror.nodes.get(&name).is_some_and(|node| !node.entry);
             if let Some(owner) = owner.as_mut().filter(|_| agent) {
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -145,6 +145,23 @@
     }
 }
 
+/// Ends the ownership once the table's feed shows a later one.
+///
+/// The feed tells rows in the order in which they were written. A new owner
+/// starts jobs accepted after its claim at once, without waiting for agents that
+/// still follow the former owner; the former owner must therefore read the claim
+/// before any such job, and stop deciding. Without this both started the same
+/// task, milliseconds apart.
+pub(crate) fn check_deposed(shared: &Site) {
+    let mine = shared.held.borrow().as_ref().map(|(mine, _)| mine.epoch);
+    let seen = shared.mirror.borrow().owner.as_ref().map(|(owner, _)| owner.epoch);
+    if let (Some(mine), Some(seen)) = (mine, seen)
+        && seen > mine
+    {
+        depose(shared, &format!("epoch {seen} is in force"));
+    }
+}
+
 /// Ends the ownership on this side.
 pub(crate) fn depose(shared: &Site, reason: &str) {
     let Some(owner) = shared.owner.borrow_mut().take() else { return };
