Count a task's failures by run

A worker lists an end until it is told that it is recorded; after a change of owner, or a restart of the agent, it was counted again.

Failed try, before this commit: counting only runs with a higher number than the last.

Change: a job's progress keeps the runs that failed.

Test: crates/job/tests/progress.rs.

--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -211,7 +211,7 @@
         );
         match end.how {
             How::Done => self.done(name, &end.task, now),
-            How::Failed => self.failed(name, &end.task, now),
+            How::Failed => self.failed(name, &end.task, end.run, now),
             How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
         }
         self.settle(&job);
@@ -244,7 +244,7 @@
     }
 
     /// A task failed.
-    fn failed(&mut self, name: &str, task: &Task, now: u64) {
+    fn failed(&mut self, name: &str, task: &Task, run: u64, now: u64) {
         let doubt = self.settings.doubt;
         if let Some(agent) = self.agents.get_mut(name) {
             agent.failures += 1;
@@ -255,7 +255,7 @@
         if entry.progress.state.ended() || perpetual {
             return;
         }
-        let failures = entry.progress.fail(&entry.job, task);
+        let failures = entry.progress.fail(&entry.job, task, run);
         let last = failures >= entry.job.queue.attempts;
         self.touch(&task.job, last);
         if last {
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -36,8 +36,8 @@
     pub state: State,
     /// Tasks that are done, by occurrence and step.
     done: BTreeMap<u32, BTreeMap<u32, Vec<u32>>>,
-    /// How often each unfinished task failed, or the gang under index 0.
-    failed: BTreeMap<u32, BTreeMap<u32, BTreeMap<u32, u32>>>,
+    /// The runs of each unfinished task that failed, or of the gang under index 0.
+    failed: BTreeMap<u32, BTreeMap<u32, BTreeMap<u32, BTreeSet<u64>>>>,
 }
 
 impl Progress {
@@ -82,14 +82,20 @@
         }
     }
 
-    /// Counts a failure of a task, or of its gang, and returns how many there
-    /// were.
-    pub fn fail(&mut self, job: &Job, task: &Task) -> u32 {
+    /// Counts a failure of a run, and returns how many there were of its task
+    /// or gang.
+    ///
+    /// A worker lists an end until it is told that the end is recorded. After a
+    /// change of owner, or a restart of the agent, ends that were counted come
+    /// again, and from several workers in any order; each is known by its run's
+    /// number. Counted twice, one would let a job fail that has tries left; left
+    /// out, it would let a task start once too often.
+    pub fn fail(&mut self, job: &Job, task: &Task, run: u64) -> u32 {
         let gang = job.steps.get(task.step as usize).is_some_and(|step| step.gang);
         let index = if gang { 0 } else { task.index };
         let steps = self.failed.entry(task.occurrence).or_default();
-        let count = steps.entry(task.step).or_default().entry(index).or_default();
-        *count += 1;
-        *count
+        let runs = steps.entry(task.step).or_default().entry(index).or_default();
+        runs.insert(run);
+        runs.len() as u32
     }
 }
--- a/crates/job/tests/progress.rs
+++ b/crates/job/tests/progress.rs
@@ -42,11 +42,22 @@
 fn one_member_of_a_gang_speaks_for_all_and_its_failures_count_together() {
     let job = job(vec![Step { count: 3, gang: true, ..Step::default() }]);
     let mut progress = Progress::default();
-    let counts = [progress.fail(&job, &task(0, 0, 2)), progress.fail(&job, &task(0, 0, 1))];
+    let counts = [progress.fail(&job, &task(0, 0, 2), 1), progress.fail(&job, &task(0, 0, 1), 2)];
     progress.finish(&job, &task(0, 0, 1));
     assert_snapshot!(format!("{counts:?} {:?}", progress.state), @"[1, 2] Succeeded");
 }
 
+// Symptom: a job is shown as failed though its tasks have tries left. Sequence: an
+// owner records a failure and is replaced before it tells the worker, which lists
+// the end again. Cause: the new owner counted it once more.
+#[test]
+fn an_end_that_is_listed_again_counts_once() {
+    let job = job(vec![Step { count: 1, ..Step::default() }]);
+    let mut progress = Progress::default();
+    let counts = [1, 1, 1001, 1, 3].map(|run| progress.fail(&job, &task(0, 0, 0), run));
+    assert_snapshot!(format!("{counts:?}"), @"[1, 1, 2, 2, 3]");
+}
+
 #[test]
 fn a_scheduled_job_succeeds_after_its_last_time() {
     let mut job = job(vec![Step { count: 1, ..Step::default() }]);
