Judge jobs by learned run times, and wait for runs that end anyway

Change: run times are learned by queue, in a row of the table, and weighed against estimates; objectives allow for steps wider than a quarter of the pool; the remaining chain is judged instead of the whole; a run whose whole unit ends within a stop is waited for, but not for guaranteed room; room that is being freed counts, and a reservation whose room was taken is made anew. The log of an accepted job tells queue, team and shape.

--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -1,5 +1,7 @@
 use quincewheel_job::{Id, Progress};
 
+use crate::times::Times;
+
 /// What the owner wants recorded in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Batch {
@@ -7,6 +9,8 @@
     pub jobs: Vec<(Id, Progress)>,
     /// What workers may forget once the batch is recorded.
     pub seen: Vec<Seen>,
+    /// Run times, if more were learned since the last batch.
+    pub times: Option<Times>,
 }
 
 /// Ends up to `number` of one life of a worker.
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -2,6 +2,8 @@
 
 use quincewheel_job::{Job, Progress, Step};
 
+use crate::settings::Settings;
+
 /// An occurrence, a step and a task's index in it.
 pub(crate) type Key = (u32, u32, u32);
 
@@ -20,6 +22,8 @@
     pub saved: BTreeMap<Key, String>,
     /// The last number given to a run of each task, or of a gang under index 0.
     pub numbers: BTreeMap<Key, u64>,
+    /// How long the first task of each step took that ran without a break.
+    pub took: BTreeMap<u32, u64>,
     /// Room that is being made for a step.
     pub reserved: BTreeMap<(u32, u32), Reservation>,
 }
@@ -45,8 +49,26 @@
     pub percent: u32,
     /// When it last got further.
     pub moved: u64,
+    /// It began anew, here: neither from a checkpoint nor under a former owner.
+    pub whole: bool,
+}
+
+impl Placed {
+    /// True if, going by its progress, it ends by itself about as soon as a
+    /// stop would take: stopping it then only throws its work away.
+    pub fn ends_within(&self, settings: &Settings, now: u64) -> bool {
+        if !self.whole || self.phase != Phase::Running || self.percent < EVEN {
+            return false;
+        }
+        let ran = self.since.saturating_sub(self.began);
+        let left = ran * u64::from(100 - self.percent.min(100)) / u64::from(self.percent);
+        self.since + left <= now + settings.stop + settings.ending
+    }
 }
 
+/// Progress from which on the rest of a run can be reckoned, in percent.
+const EVEN: u32 = 70;
+
 /// What the owner knows of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Phase {
@@ -85,6 +107,18 @@
         unit.map(|other| other.moved).max().unwrap_or(placed.moved)
     }
 
+    /// True if all runs that stop together with this one end by themselves about
+    /// as soon as a stop would take. A member of a gang that is through waits
+    /// for the others.
+    pub fn unit_ends(&self, placed: &Placed, settings: &Settings, now: u64) -> bool {
+        placed.ends_within(settings, now)
+            && self
+                .runs
+                .values()
+                .filter(|other| other.unit == placed.unit)
+                .all(|other| other.ends_within(settings, now))
+    }
+
     /// True if a run of the step may exist.
     pub fn placed(&self, occurrence: u32, step: u32) -> bool {
         let all = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -3,7 +3,8 @@
 use quincewheel_job::{Id, Job, Progress, State};
 use quincewheel_store::Change;
 
-use crate::rows::{Node, OWNER, Ownership};
+use crate::rows::{Node, OWNER, Ownership, TIMES};
+use crate::times::Times;
 
 /// The system's rows as one process knows them.
 #[derive(Debug, Default)]
@@ -14,6 +15,8 @@
     pub nodes: BTreeMap<String, Node>,
     /// The ownership row and its version; none if nobody ever owned.
     pub owner: Option<(Ownership, u64)>,
+    /// Run times that owners have learned.
+    pub times: Times,
     /// All changes up to this version are in.
     pub version: u64,
     /// When this process first saw that a job had ended, in milliseconds.
@@ -70,6 +73,9 @@
         if change.key == OWNER {
             return self.apply_owner(change);
         }
+        if change.key == TIMES {
+            return self.apply_times(change);
+        }
         let (kind, name) = change.key.split_once('/')?;
         let Some(value) = &change.value else {
             self.drop(kind, name);
@@ -140,6 +146,18 @@
         }
     }
 
+    fn apply_times(&mut self, change: &Change) -> Option<News> {
+        match serde_json::from_str(change.value.as_ref()?) {
+            Ok(times) => {
+                self.times = times;
+                None
+            }
+            Err(error) => {
+                Some(News::Malformed { key: TIMES.to_owned(), detail: error.to_string() })
+            }
+        }
+    }
+
     fn drop(&mut self, kind: &str, name: &str) {
         match kind {
             "job" => {
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -7,6 +7,7 @@
 use crate::batch::{Batch, Seen};
 use crate::entry::{Entry, Key, Phase, Placed};
 use crate::settings::Settings;
+use crate::times::Times;
 
 /// What the owner wants done.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -56,6 +57,10 @@
     pub(crate) dirty: BTreeSet<Id>,
     /// A change of state that callers wait for is among the dirty ones.
     pub(crate) urgent: bool,
+    /// Run times of earlier steps.
+    pub(crate) times: Times,
+    /// More was learned of them than was recorded.
+    pub(crate) learned: bool,
     pub(crate) recording: bool,
     pub(crate) replan: bool,
     /// Nothing that a former owner started can be unknown any more.
@@ -86,6 +91,8 @@
             strays: BTreeMap::new(),
             dirty: BTreeSet::new(),
             urgent: false,
+            times: Times::default(),
+            learned: false,
             recording: false,
             replan: true,
             settled: false,
@@ -113,6 +120,11 @@
         }
     }
 
+    /// Run times as a former owner had learned them.
+    pub fn remember(&mut self, times: &Times) {
+        self.times = times.clone();
+    }
+
     /// An agent exists. Those known at a takeover must be heard, or their
     /// leases lapse, before work of the former owner starts again.
     pub fn agent(&mut self, name: &str, now: u64) {
@@ -137,6 +149,7 @@
             runs: BTreeMap::new(),
             saved: BTreeMap::new(),
             numbers: BTreeMap::new(),
+            took: BTreeMap::new(),
             reserved: BTreeMap::new(),
         };
         self.jobs.insert(id.to_owned(), entry);
@@ -213,7 +226,9 @@
             return None;
         }
         let ids: Vec<Id> = self.dirty.iter().take(BATCH).cloned().collect();
-        let mut batch = Batch::default();
+        let mut batch =
+            Batch { times: self.learned.then(|| self.times.clone()), ..Batch::default() };
+        self.learned = false;
         for id in ids {
             self.dirty.remove(&id);
             if let Some(entry) = self.jobs.get(&id) {
@@ -250,6 +265,7 @@
                 self.dirty.insert(id.clone());
             }
             self.urgent = true;
+            self.learned |= batch.times.is_some();
             return;
         }
         for seen in &batch.seen {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -6,8 +6,9 @@
 use quincewheel_place::{Ask, Holder, Spot, pack, reclaim};
 use quincewheel_wire::Order;
 
-use crate::candidate::{Candidate, Hope, Rank};
+use crate::candidate::{Candidate, Rank};
 use crate::entry::{Entry, Key, Phase, Placed, Reservation};
+use crate::goal::{Goal, Guide};
 use crate::owner::{Owner, task};
 
 /// Accelerators count as so many cores where lost work is compared.
@@ -38,6 +39,8 @@
         let mut used = self.guaranteed_use();
         let mut next_due: Option<u64> = None;
         let mut found = Vec::new();
+        let pools = self.pools();
+        let guide = Guide { times: &self.times, pools: &pools };
         let mut jobs: Vec<(&Id, &Entry)> = self.jobs.iter().collect();
         jobs.sort_by_key(|(_, entry)| entry.version);
         for (id, entry) in jobs {
@@ -54,6 +57,7 @@
                         break;
                     }
                 }
+                let goal = Goal::open(entry, occurrence, &guide);
                 for (number, step) in (0u32..).zip(&entry.job.steps) {
                     let tasks = pending(entry, occurrence, number, step, id);
                     if tasks.is_empty() {
@@ -65,15 +69,15 @@
                     let rank = Rank {
                         borrowed: !guaranteed,
                         priority: entry.job.queue.priority,
-                        hope: hope(entry, occurrence, wall),
-                        latest: latest(entry, occurrence),
+                        hope: goal.hope(wall),
+                        latest: goal.latest(),
                         version: entry.version,
                     };
                     found.push(Candidate {
                         id: id.clone(),
                         occurrence,
                         step: number,
-                        work: weight(step) * step.estimate * tasks.len() as u64,
+                        work: weight(step) * guide.expect(entry, number, step) * tasks.len() as u64,
                         tasks,
                         guaranteed,
                         rank,
@@ -85,6 +89,15 @@
         found
     }
 
+    /// What the workers of each pool have in all.
+    fn pools(&self) -> BTreeMap<String, Need> {
+        let mut pools: BTreeMap<String, Need> = BTreeMap::new();
+        for worker in self.agents.values().filter_map(|agent| agent.worker.as_ref()) {
+            pools.entry(worker.pool.clone()).or_default().give(&worker.capacity);
+        }
+        pools
+    }
+
     /// True once nothing that a former owner started can be unknown.
     pub(crate) fn settled(&self, now: u64) -> bool {
         self.agents.values().all(|agent| agent.heard || now >= agent.lapse)
@@ -141,6 +154,8 @@
                 labels: worker.labels.clone(),
                 capacity: worker.capacity,
                 free: worker.capacity,
+                stopping: Need::default(),
+                ending: Need::default(),
                 doubtful: agent.doubted > now || agent.silent > self.settings.mute / 2,
                 holders: Vec::new(),
             });
@@ -156,10 +171,16 @@
                 spots[place].free.take(&need);
                 let borrows = borrowed.contains(&placed.unit);
                 let yields = entry.job.queue.priority > 0 || borrows;
-                if placed.phase != Phase::Stopping && yields {
+                let ending = entry.unit_ends(placed, &self.settings, now);
+                if ending {
+                    spots[place].ending.give(&need);
+                }
+                if placed.phase == Phase::Stopping {
+                    spots[place].stopping.give(&need);
+                } else if yields {
                     let loss = loss(step, placed, now);
                     let unit = placed.unit;
-                    spots[place].holders.push(Holder { unit, need, borrows, loss });
+                    spots[place].holders.push(Holder { unit, need, borrows, loss, ending });
                 }
             }
         }
@@ -186,7 +207,8 @@
         let count = candidate.tasks.len() as u32;
         let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
         let patient = wall < begin + PATIENCE;
-        let ask = Ask { step: &step, pool: &pool, count, patient, owed: false, held: &held };
+        let ask =
+            Ask { step: &step, pool: &pool, count, patient, owed: false, sure: false, held: &held };
         let choices = pack(&board.spots, &ask);
         let started = choices.len();
         let pairs: Vec<(u32, usize)> =
@@ -246,10 +268,17 @@
             fits
         });
         if !whole {
-            for place in places {
-                board.spots[place].free.take(&need);
+            let mut spots = board.spots.clone();
+            let promised = places.iter().all(|&place| {
+                let fits = need.fits(&spots[place].near(false));
+                spots[place].reserve(&need);
+                fits
+            });
+            // Else somebody who comes first took the room.
+            if promised {
+                board.spots = spots;
             }
-            return true;
+            return promised;
         }
         if let Some(entry) = self.jobs.get_mut(&candidate.id) {
             entry.reserved.remove(&(candidate.occurrence, candidate.step));
@@ -275,7 +304,8 @@
         let promised = self.promised(entry, candidate.occurrence);
         let owed = candidate.guaranteed && wall >= promised;
         let count = rest.len() as u32;
-        let ask = Ask { step, pool, count, patient: true, owed, held: &held };
+        let ask =
+            Ask { step, pool, count, patient: true, owed, sure: candidate.guaranteed, held: &held };
         let Some(claim) = reclaim(&board.spots, &ask) else {
             if candidate.guaranteed && !owed {
                 self.next_due = Some(self.next_due.map_or(promised, |due| due.min(promised)));
@@ -286,18 +316,24 @@
             return;
         }
         let need = step.charge();
-        for &place in &claim.choices {
-            board.spots[place].free.take(&need);
-        }
         for spot in &mut board.spots {
+            for holder in spot.holders.iter().filter(|holder| claim.units.contains(&holder.unit)) {
+                spot.stopping.give(&holder.need);
+            }
             spot.holders.retain(|holder| !claim.units.contains(&holder.unit));
         }
+        for &place in &claim.choices {
+            board.spots[place].reserve(&need);
+        }
         let agents = claim.choices.iter().map(|&place| board.spots[place].name.clone()).collect();
         let reservation = Reservation { agents, since: now };
         if let Some(entry) = self.jobs.get_mut(&candidate.id) {
             entry.reserved.insert((candidate.occurrence, candidate.step), reservation);
         }
-        self.log("room reclaimed", &candidate.id, format!("{} units stop", claim.units.len()));
+        let kind = if candidate.guaranteed { "guaranteed" } else { "borrowed" };
+        let (units, loss, work) = (claim.units.len(), claim.loss / 1000, candidate.work / 1000);
+        let detail = format!("{kind}: {units} units stop, losing {loss} core-s for {work}");
+        self.log("room reclaimed", &candidate.id, detail);
         for unit in claim.units {
             for (id, key) in board.units.get(&unit).cloned().unwrap_or_default() {
                 self.stop(&id, key, now);
@@ -351,6 +387,7 @@
                 unit,
                 percent: 0,
                 moved: now,
+                whole: saved.is_empty(),
             };
             entry.runs.insert(key, placed);
             let task = task(&candidate.id, key);
@@ -398,32 +435,6 @@
     true
 }
 
-/// The latest start, in milliseconds since 1970, that keeps the objective.
-fn latest(entry: &Entry, occurrence: u32) -> i64 {
-    let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(occurrence));
-    let chain = entry.job.chain();
-    let objective = (entry.job.queue.stretch * chain as f64) as i64;
-    begin as i64 + objective + entry.job.queue.slack as i64 - chain as i64
-}
-
-/// What the job can still earn if it starts now. Estimates are off by a fifth
-/// and more, so a job is taken for late only when it is so by a good part of
-/// its estimate.
-fn hope(entry: &Entry, occurrence: u32, wall: u64) -> Hope {
-    let chain = entry.job.chain() as f64;
-    let objective = entry.job.queue.stretch * chain + entry.job.queue.slack as f64;
-    let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(occurrence));
-    let end = wall.saturating_sub(begin) as f64 + chain * 0.7;
-    match end {
-        end if end <= objective => Hope::InTime,
-        end if end <= objective * LATE => Hope::Late,
-        _ => Hope::Hopeless,
-    }
-}
-
-/// A job that ends after so many times its objective earns nothing.
-const LATE: f64 = 3.0;
-
 /// Tasks of the step that each worker has.
 fn held(entry: &Entry, candidate: &Candidate, spots: &[Spot]) -> Vec<u32> {
     let range = (candidate.occurrence, candidate.step, 0)
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -136,6 +136,7 @@
                     unit,
                     percent: run.percent,
                     moved: now,
+                    whole: false,
                 };
                 let unit = entry.runs.range((key.0, key.1, 0)..=(key.0, key.1, u32::MAX));
                 let gang = entry.job.steps.get(key.1 as usize).is_some_and(|step| step.gang);
@@ -197,10 +198,8 @@
         let known = entry.runs.get(&key);
         let vacant = known.is_none();
         let current = known.is_some_and(|placed| placed.worker == id && placed.run == end.run);
-        if current {
-            entry.runs.remove(&key);
-            self.replan = true;
-        }
+        let run = current.then(|| entry.runs.remove(&key)).flatten();
+        self.replan |= current;
         if !end.saved.is_empty() && (current || vacant) {
             entry.saved.insert(slot, end.saved.clone());
         }
@@ -210,13 +209,32 @@
             format!("{} run {} {:?} at {name}", end.task, end.run, end.how),
         );
         match end.how {
-            How::Done => self.done(name, &end.task, now),
+            How::Done => {
+                if let Some(run) = run {
+                    self.learn(&end.task, &run, now);
+                }
+                self.done(name, &end.task, now);
+            }
             How::Failed => self.failed(name, &end.task, end.run, now),
             How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
         }
         self.settle(&job);
     }
 
+    /// Takes note of how long a task took that is done. One a step: the tasks of
+    /// a step take much the same time.
+    fn learn(&mut self, task: &Task, run: &Placed, now: u64) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let estimate = entry.step(key(task)).map_or(0, |step| step.estimate);
+        if !run.whole || estimate == 0 || entry.took.contains_key(&task.step) {
+            return;
+        }
+        let took = now.saturating_sub(run.began);
+        entry.took.insert(task.step, took);
+        self.times.learn(&entry.job.queue.name, estimate, took);
+        self.learned = true;
+    }
+
     /// A task is done, and with it its whole gang.
     fn done(&mut self, name: &str, task: &Task, now: u64) {
         if let Some(agent) = self.agents.get_mut(name) {
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -1,7 +1,8 @@
 //! The system's rows in the table: their keys and what they hold.
 //!
 //! An entry writes `job/ID` when it accepts a job and `stop/ID` when a client
-//! cancels it; the owner writes `run/ID`, the job's progress; every process writes
+//! cancels it; the owner writes `run/ID`, the job's progress, and
+//! `times`, learned run times; every process writes
 //! `node/NAME`; the owner and whoever replaces it write `owner`.
 
 use quincewheel_store::{Commit, Put};
@@ -10,6 +11,9 @@
 /// Key of the ownership row.
 pub const OWNER: &str = "owner";
 
+/// Key of the row that holds the run times which owners have learned.
+pub const TIMES: &str = "times";
+
 /// Key of a job's row.
 pub fn job(id: &str) -> String {
     format!("job/{id}")
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -22,6 +22,9 @@
     pub reservation: u64,
     /// Longest time that a worker takes to stop a run.
     pub stop: u64,
+    /// Runs that end by themselves within this time beyond a stop are waited for
+    /// instead of stopped.
+    pub ending: u64,
     /// Guaranteed room is given within this time after a job was accepted.
     pub reclaim: u64,
     /// A run that a worker does not list, though its start was confirmed, is
@@ -40,6 +43,7 @@
             doubt: 10_000,
             reservation: 3000,
             stop: 900,
+            ending: 0,
             reclaim: 2700,
             missing: 5000,
         }
--- a/crates/dispatch/tests/room.rs
+++ b/crates/dispatch/tests/room.rs
@@ -6,7 +6,7 @@
 
 use bed::{Bed, end, job, run, step, task};
 use insta::assert_snapshot;
-use quincewheel_job::{Config, How, Job, Step, Team};
+use quincewheel_job::{Config, How, Job, Run, Step, Team};
 
 /// A worker that is full with a run of `job`, which began `age` ms ago.
 fn fill(bed: &mut Bed, number: u64, name: &str, priority: u32, age: u64) {
@@ -108,3 +108,49 @@
     w1 stop borrowed.0.0.0 run 1
     ");
 }
+
+// Symptom: an urgent job stops a run that is all but done. Sequence: a run is at 80
+// percent after 800 ms; an urgent job comes; the run would end within 200 ms, a stop
+// takes up to 900. Cause: what a run has still to do was not looked at.
+#[test]
+fn a_run_that_is_all_but_done_is_waited_for() {
+    let mut bed = Bed::open(1, 1).idle(1);
+    bed.owner.job("old", job(1, vec![step(1, 8)]), 150, None);
+    bed.step();
+    bed.pass(800);
+    let listed = Run { percent: 80, ..run(task("old", 0, 0), 1) };
+    bed.status(0, &[listed], &[]);
+    bed.told();
+    bed.owner.job("u", urgent(vec![step(1, 8)], bed.now), 200, None);
+    bed.step();
+    let waiting = bed.told();
+    bed.pass(200);
+    bed.status(0, &[], &[end(1, task("old", 0, 0), 1, How::Done)]);
+    assert_snapshot!(format!("{waiting}\n-- done\n{}", bed.told()), @r"
+    nothing
+    -- done
+    w0 start u.0.0.0 run 1
+    ");
+}
+
+// Symptom: jobs wait for seconds for room that others have long taken. Sequence: room
+// is made for one job; a guaranteed job comes, ranks before it, and takes that room.
+// Cause: the first went on waiting until its reservation ran out.
+#[test]
+fn a_reservation_whose_room_was_taken_is_made_anew() {
+    let mut bed = Bed::open(1, 2).idle(2);
+    guarantee(&mut bed, 8);
+    fill(&mut bed, 0, "young", 1, 100);
+    fill(&mut bed, 1, "old", 1, 900);
+    let other = Job { team: "other".into(), ..urgent(vec![step(1, 8)], bed.now) };
+    bed.owner.job("u", other, 200, None);
+    bed.step();
+    let first = bed.told();
+    bed.owner.job("g", urgent(vec![step(1, 8)], bed.now), 201, None);
+    bed.step();
+    assert_snapshot!(format!("{first}\n-- guaranteed\n{}", bed.told()), @r"
+    w1 stop old.0.0.0 run 1
+    -- guaranteed
+    w0 stop young.0.0.0 run 1
+    ");
+}
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -176,7 +176,8 @@
 }
 
 fn accepted(shared: &Site, id: &str, job: Job, version: u64) {
-    log::info!(event = "accepted", job = id; "version {version}");
+    let (queue, team, chain) = (job.queue.name.as_str(), job.team.as_str(), job.chain());
+    log::info!(event = "accepted", job = id, queue = queue, team = team, chain = chain; "version {version} {}", job.shape());
     let mut mirror = shared.mirror.borrow_mut();
     mirror.jobs.entry(id.to_owned()).or_default().job = Some((job, version));
 }
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -93,6 +93,7 @@
     for (name, _) in mirror.nodes.iter().filter(|(_, node)| !node.entry) {
         owner.agent(name, now);
     }
+    owner.remember(&mirror.times);
     for (id, view) in &mirror.jobs {
         if let Some((job, version)) = &view.job {
             owner.job(id, job.clone(), *version, view.progress.clone());
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quincewheel_dispatch::rows::{self, OWNER, Ownership};
+use quincewheel_dispatch::rows::{self, OWNER, Ownership, TIMES};
 use quincewheel_dispatch::{Batch, Owner};
 use quincewheel_platform::Space;
 use quincewheel_store::{Commit, Error, Expect, Read};
@@ -60,6 +60,7 @@
     let now = quincewheel_clock::boot();
     let expired = shared.mirror.borrow_mut().expired(now, keep(shared), EXPIRED);
     commit.delete.extend(expired.iter().flat_map(|id| rows::of_job(id)));
+    commit.put.extend(batch.times.as_ref().map(|times| put(TIMES.to_owned(), times)));
     commit.put.extend(batch.jobs.iter().map(|(id, progress)| put(rows::run(id), progress)));
     loop {
         let sent = quincewheel_clock::boot();
--- a/crates/job/src/job.rs
+++ b/crates/job/src/job.rs
@@ -66,12 +66,25 @@
         self.steps.iter().any(|step| step.perpetual)
     }
 
+    /// Its steps in short, for the log: how many tasks, of how many accelerators
+    /// each, and what holds them together.
+    pub fn shape(&self) -> String {
+        let steps: Vec<String> = self.steps.iter().map(Step::shape).collect();
+        steps.join(" ")
+    }
+
     /// The estimated milliseconds of its longest chain of steps.
     pub fn chain(&self) -> u64 {
+        self.chain_by(|_, step| step.estimate)
+    }
+
+    /// The milliseconds of its longest chain of steps, where `time` says how
+    /// long each takes.
+    pub fn chain_by(&self, time: impl Fn(u32, &Step) -> u64) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (number, step) in (0u32..).zip(&self.steps) {
             let begin = step.after.iter().filter_map(|&n| ends.get(n as usize)).max();
-            ends.push(begin.copied().unwrap_or(0) + step.estimate);
+            ends.push(begin.copied().unwrap_or(0) + time(number, step));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/job/src/step.rs
+++ b/crates/job/src/step.rs
@@ -47,4 +47,19 @@
         let cpu = if self.fills { 0 } else { self.need.cpu };
         Need { cpu, ..self.need }
     }
+
+    /// Count, accelerators a task, and what else decides where it may run:
+    /// `3x8 gang rack saves`.
+    pub fn shape(&self) -> String {
+        let marks = [
+            (self.gang, " gang"),
+            (self.same_rack, " rack"),
+            (!self.near.is_empty(), " near"),
+            (!self.label.is_empty(), " label"),
+            (self.checkpoints, " saves"),
+            (self.perpetual, " lasts"),
+        ];
+        let marks: String = marks.iter().filter(|(on, _)| *on).map(|(_, mark)| *mark).collect();
+        format!("{}x{}{marks}", self.count, self.need.accelerators)
+    }
 }
--- a/crates/place/src/ask.rs
+++ b/crates/place/src/ask.rs
@@ -16,6 +16,8 @@
     /// A guarantee covers them, and it is time to give what it promised: work
     /// that borrows at the same priority gives way, too.
     pub owed: bool,
+    /// They must have their room in time, whatever becomes of other work.
+    pub sure: bool,
     /// How many tasks of the step each worker already has, in the order of the
     /// spots; empty if it has none anywhere.
     pub held: &'a [u32],
@@ -30,7 +32,7 @@
 
     /// True if the work gives way to these tasks.
     pub fn displaces(&self, holder: &Holder) -> bool {
-        self.owed || !holder.borrows
+        (self.owed || !holder.borrows) && (self.sure || !holder.ending)
     }
 
     /// How many tasks fit on the worker with this much room.
--- a/crates/place/src/reclaim.rs
+++ b/crates/place/src/reclaim.rs
@@ -40,7 +40,7 @@
 fn attempt(spots: &[Spot], ask: &Ask<'_>, allowed: impl Fn(&Spot) -> bool) -> Option<Claim> {
     let need = ask.step.charge();
     let mut gone: BTreeSet<u64> = BTreeSet::new();
-    let mut rooms: Vec<Need> = spots.iter().map(|spot| spot.free).collect();
+    let mut rooms: Vec<Need> = spots.iter().map(|spot| spot.near(ask.sure)).collect();
     let mut claim = Claim::default();
     let mut counts = vec![0u32; spots.len()];
     let mut loss = 0;
--- a/crates/place/tests/packing.rs
+++ b/crates/place/tests/packing.rs
@@ -31,7 +31,15 @@
 }
 
 fn packed(spots: &[Spot], step: &Step) -> String {
-    let ask = Ask { step, pool: "p", count: step.count, patient: true, owed: true, held: &[] };
+    let ask = Ask {
+        step,
+        pool: "p",
+        count: step.count,
+        patient: true,
+        owed: true,
+        sure: true,
+        held: &[],
+    };
     format!("{:?}", pack(spots, &ask))
 }
 
@@ -68,7 +76,8 @@
     let (half, less) = ([7, 3, 7, 3, 7, 3], [4, 3, 4, 3, 4, 3]);
     let told = [(half, true), (half, false), (less, false)].map(|(free, patient)| {
         let spots = pool(free);
-        let ask = Ask { step: &step, pool: "p", count: 3, patient, owed: false, held: &[] };
+        let ask =
+            Ask { step: &step, pool: "p", count: 3, patient, owed: false, sure: false, held: &[] };
         format!("{:?}", pack(&spots, &ask))
     });
     assert_snapshot!(told.join("\n"), @r"
@@ -105,13 +114,26 @@
 #[test]
 fn room_is_made_where_least_is_lost_and_no_victim_stops_in_vain() {
     let mut spots = pool([0, 0, 4, 0, 0, 0]);
-    let holder =
-        |unit, accelerators, loss| Holder { unit, need: need(accelerators), borrows: false, loss };
+    let holder = |unit, accelerators, loss| Holder {
+        unit,
+        need: need(accelerators),
+        borrows: false,
+        loss,
+        ending: false,
+    };
     spots[0].holders = vec![holder(1, 8, 900)];
     spots[1].holders = vec![holder(2, 4, 50), holder(3, 4, 60), holder(4, 1, 1)];
     spots[2].holders = vec![holder(5, 4, 500)];
     let ask = |step: &Step| {
-        let ask = Ask { step, pool: "p", count: step.count, patient: true, owed: true, held: &[] };
+        let ask = Ask {
+            step,
+            pool: "p",
+            count: step.count,
+            patient: true,
+            owed: true,
+            sure: true,
+            held: &[],
+        };
         let claim = reclaim(&spots, &ask);
         claim.map_or("none".to_owned(), |c| format!("{:?} {:?} {}", c.choices, c.units, c.loss))
     };
@@ -123,3 +145,38 @@
     none
     ");
 }
+
+// Symptom: urgent jobs stop runs that are all but done, and their work is thrown away.
+// Sequence: a full worker; its run ends sooner than a stop would take; a job that need
+// not be sure of its room wants the place. Cause: only what was free counted as room.
+#[test]
+fn work_that_ends_by_itself_is_waited_for_but_not_where_room_is_promised() {
+    let mut spots = pool([0, 0, 0, 0, 0, 0]);
+    let holder =
+        |unit, loss, ending| Holder { unit, need: need(8), loss, ending, ..Holder::default() };
+    spots[1].holders.push(holder(1, 100, false));
+    spots[2].holders.push(holder(2, 50, true));
+    spots[2].ending = need(8);
+    let step = step(1, 8);
+    let told = [false, true].map(|sure| {
+        let ask =
+            Ask { step: &step, pool: "p", count: 1, patient: true, owed: true, sure, held: &[] };
+        let claim = reclaim(&spots, &ask).unwrap_or_default();
+        format!("sure {sure}: at {:?}, stopping {:?}", claim.choices, claim.units)
+    });
+    assert_snapshot!(told.join("\n"), @r"
+    sure false: at [2], stopping {}
+    sure true: at [2], stopping {2}
+    ");
+}
+
+#[test]
+fn room_that_others_are_stopped_for_is_not_counted_twice() {
+    let mut spots = pool([0, 0, 0, 0, 0, 0]);
+    spots[3].stopping = need(8);
+    spots[3].reserve(&need(8));
+    let step = step(1, 8);
+    let ask =
+        Ask { step: &step, pool: "p", count: 1, patient: true, owed: true, sure: true, held: &[] };
+    assert_snapshot!(format!("{:?}", reclaim(&spots, &ask)), @"None");
+}
