Miss an owner sooner, wait for members only, record checkpoints, spare whole workers

Ruled out: a shorter patience alone (an outage of the table would end in a takeover by every entry: time without the table no longer counts); placements recorded before each start (no start while the table is away).

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -33,6 +33,12 @@
 const MAX_REPORT: usize = 4 << 20;
 /// A write of the agent's own row is repeated after this time.
 const TIMEOUT: Duration = Duration::from_millis(1500);
+/// An agent whose worker reports, and to which no owner speaks, writes its row
+/// again after this time at first. An owner that lives dials within 0.4 s of
+/// reading the row, and a change of owner takes some 2 s.
+const ALONE: Duration = Duration::from_millis(4000);
+/// And after this time if it stays alone.
+const LONG_ALONE: Duration = Duration::from_secs(64);
 /// What is left of the time for shutting down when the process ends.
 const LAST: Duration = Duration::from_millis(500);
 
@@ -42,6 +48,8 @@
     worker: platform::Caller,
     metrics: Arc<Metrics>,
     wake: Notify,
+    /// The worker reported itself.
+    reported: Notify,
 }
 
 /// Serves until the process is told to end.
@@ -73,8 +81,9 @@
             worker: platform::Caller::open(),
             metrics,
             wake: Notify::new(),
+            reported: Notify::new(),
         });
-        actix_rt::spawn(announce(site.clone()));
+        actix_rt::spawn(announce(Rc::clone(&agent), site.clone()));
         actix_rt::spawn(hear_worker(Rc::clone(&agent), reports_in));
         actix_rt::spawn(hear_owners(Rc::clone(&agent), peers_in));
         actix_rt::spawn(keep_time(Rc::clone(&agent)));
@@ -111,12 +120,31 @@
     quincewheel_http::reply(status, "application/json", "{}")
 }
 
-/// Writes where this agent is, so that owners find it.
-async fn announce(site: platform::Site) {
+/// Writes where this agent is, so that owners find it: once its worker has
+/// reported, and again while it reports and no owner speaks to this agent. An
+/// owner drops the row of an agent that it could not reach for long.
+async fn announce(agent: Rc<Agent>, site: platform::Site) {
     let node = Node { address: site.peers.clone(), entry: false };
     let commit = rows::announce(&site.name, &node);
+    let table = Table::open(&site.table);
     let failed = |error: &Error| log::warn!(event = "table"; "{error}");
-    Table::open(&site.table).insist(&commit, TIMEOUT, failed).await;
+    agent.reported.notified().await;
+    table.insist(&commit, TIMEOUT, failed).await;
+    let mut pause = ALONE;
+    loop {
+        agent.reported.notified().await;
+        if !agent.runner.borrow().is_alone() {
+            pause = ALONE;
+            continue;
+        }
+        // Spread, so that a large deployment that lost its owner does not flood
+        // the table.
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+        if agent.runner.borrow().is_alone() {
+            table.insist(&commit, TIMEOUT, failed).await;
+            pause = (pause * 2).min(LONG_ALONE);
+        }
+    }
 }
 
 async fn hear_worker(agent: Rc<Agent>, reports: ring::Receiver<Report>) {
@@ -125,6 +153,7 @@
         match report {
             Report::Beat { worker, address, clock } => {
                 agent.runner.borrow_mut().beat(&worker, &address, clock, now);
+                agent.reported.notify_one();
             }
             Report::Leave { id } => agent.runner.borrow_mut().leave(&id, now),
         }
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -17,10 +17,15 @@
     pub heard: bool,
     /// The worker answered under this owner's epoch.
     pub fenced: bool,
+    /// A former owner may have granted it leases.
+    pub former: bool,
     /// All leases that were granted through this agent have lapsed by then.
     pub lapse: u64,
     /// Since when the agent has known no worker; none while it knows one.
     pub unknown: Option<u64>,
+    /// Since when there has been no connection, or no worker; none while there
+    /// are both.
+    pub absent: Option<u64>,
     /// For how long the worker has owed an answer.
     pub silent: u64,
     /// The runs that the worker listed last.
@@ -36,6 +41,27 @@
 }
 
 impl Agent {
+    /// Takes note of whether connection and worker are there.
+    pub fn look(&mut self, now: u64) {
+        match self.link.is_some() && self.worker.is_some() {
+            true => self.absent = None,
+            false => _ = self.absent.get_or_insert(now),
+        }
+    }
+
+    /// True if nothing that a former owner started can still run there. It
+    /// granted nothing after `last`, and this agent nothing that its worker
+    /// has not answered to for a `lease`.
+    pub fn clear(&self, last: u64, lease: u64, now: u64) -> bool {
+        let lapsed = now >= last + lease;
+        match (&self.worker, self.link) {
+            _ if self.heard || !self.former => true,
+            (None, _) => lapsed,
+            (Some(_), Some(_)) => self.silent >= lease,
+            (Some(_), None) => lapsed && now >= self.told + lease,
+        }
+    }
+
     /// True if runs may start there.
     pub fn open(&self, settings: &Settings) -> bool {
         let ready = self.worker.as_ref().is_some_and(|worker| !worker.draining);
--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -1,5 +1,6 @@
 use quincewheel_job::{Id, Progress};
 
+use crate::saved::Saved;
 use crate::times::Times;
 
 /// What the owner wants recorded in one transaction.
@@ -9,6 +10,10 @@
     pub jobs: Vec<(Id, Progress)>,
     /// What workers may forget once the batch is recorded.
     pub seen: Vec<Seen>,
+    /// Agents that are no members any more.
+    pub gone: Vec<String>,
+    /// Checkpoints of jobs whose tasks saved more.
+    pub saved: Vec<(Id, Saved)>,
     /// Run times, if more were learned since the last batch.
     pub times: Option<Times>,
 }
--- a/crates/dispatch/src/candidate.rs
+++ b/crates/dispatch/src/candidate.rs
@@ -20,6 +20,13 @@
 }
 
 impl Candidate {
+    /// Until when it leaves whole workers to work that has less time, in
+    /// milliseconds since 1970; none if it never does.
+    pub fn waits_until(&self) -> Option<u64> {
+        let until = u64::try_from(self.rank.latest - EASE).ok();
+        until.filter(|_| self.rank.priority > 0)
+    }
+
     /// True if work of others is stopped for them. A late job that took room
     /// would earn little by it, and would be stopped for in turn: where all did,
     /// one day threw away more work than it did.
@@ -49,3 +56,8 @@
     Late,
     Hopeless,
 }
+
+/// Work that need not start for so many milliseconds leaves whole workers to
+/// work that must. Longer than most urgent work takes, so that what it waited
+/// for is free again by then.
+const EASE: i64 = 3000;
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -2,17 +2,21 @@
 
 /// Decides when to take the ownership over.
 ///
-/// An owner rewrites its row at least each second. A candidate that hears the
-/// table well, yet sees the row stand still, takes over. One that does not hear
-/// the table cannot tell, and waits: the owner may be well.
+/// An owner rewrites its row several times within a candidate's patience. A
+/// candidate that hears the table well, yet sees the row stand still, takes
+/// over. One that does not hear the table cannot tell, and waits: the owner may
+/// be well. Nor does time count in which it did not hear the table, since the
+/// owner may not have reached it either.
 #[derive(Debug)]
 pub struct Election {
     name: String,
     incarnation: u64,
     /// Milliseconds for which the row must have stood still.
     patience: u64,
-    /// The row's version, and since when it has been seen.
+    /// The row's version, and since when it has been seen without a gap.
     seen: Option<(u64, u64)>,
+    /// When the table last told all changes.
+    heard: u64,
     /// Since when the owner's connection has been gone; none while it is there
     /// or was never made.
     lost: Option<u64>,
@@ -24,6 +28,12 @@
 /// milliseconds: ten times what a claim takes.
 const VACANT: u64 = 300;
 
+/// A candidate that did not hear the table for so many milliseconds starts
+/// counting anew. It asks for changes every 400 ms, and a slow table answers
+/// within some 450. Without this, every entry took over the moment a table came
+/// back that had been away for longer than their patience.
+const GAP: u64 = 1000;
+
 /// An owner whose connection broke is replaced after so many milliseconds,
 /// if it neither connects again nor writes its row. An owner that lives dials
 /// again within 400 ms.
@@ -39,6 +49,7 @@
             incarnation,
             patience: patience + stagger,
             seen: None,
+            heard: 0,
             lost: None,
             stagger,
         }
@@ -60,7 +71,10 @@
             self.seen = Some((version, now));
             // Whoever wrote it lives; another owner connects anew.
             self.lost = None;
+        } else if now > self.heard + GAP {
+            self.seen = Some((version, now));
         }
+        self.heard = now;
     }
 
     /// True if it is time to take over. `current` is when the table was last
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -2,6 +2,8 @@
 
 use quincewheel_job::{Job, Progress, Step};
 
+use crate::owner::task;
+use crate::saved::Saved;
 use crate::settings::Settings;
 
 /// An occurrence, a step and a task's index in it.
@@ -20,6 +22,10 @@
     pub runs: BTreeMap<Key, Placed>,
     /// The newest checkpoint of each task, or of a gang under index 0.
     pub saved: BTreeMap<Key, String>,
+    /// There are checkpoints newer than their record.
+    pub unsaved: bool,
+    /// When the checkpoints were last recorded.
+    pub kept: u64,
     /// The last number given to a run of each task, or of a gang under index 0.
     pub numbers: BTreeMap<Key, u64>,
     /// How long the first task of each step took that ran without a break.
@@ -90,6 +96,20 @@
 }
 
 impl Entry {
+    /// Takes a checkpoint in; empty if there is none.
+    pub fn save(&mut self, slot: Key, checkpoint: &str) {
+        if !checkpoint.is_empty() {
+            self.unsaved |= self.saved.get(&slot).is_none_or(|known| known != checkpoint);
+            self.saved.insert(slot, checkpoint.to_owned());
+        }
+    }
+
+    /// The checkpoints that are worth a record: those of tasks not yet done.
+    pub fn checkpoints(&self, id: &str) -> Saved {
+        let open = self.saved.iter().filter(|(key, _)| !self.progress.done(&task(id, **key)));
+        Saved::open(open)
+    }
+
     /// The key under which a task's numbers, checkpoint and failures are kept.
     pub fn key(&self, (occurrence, step, index): Key) -> Key {
         let gang = self.job.steps.get(step as usize).is_some_and(|step| step.gang);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod agent;
 mod batch;
+mod board;
 mod candidate;
 mod election;
 mod entry;
@@ -19,6 +20,7 @@
 mod plan;
 mod reports;
 pub mod rows;
+mod saved;
 mod settings;
 mod times;
 mod unsettled;
@@ -27,6 +29,7 @@
 pub use election::Election;
 pub use mirror::{Mirror, News, View};
 pub use owner::{Output, Owner};
+pub use saved::Saved;
 pub use settings::Settings;
 pub use times::Times;
 pub use unsettled::Unsettled;
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -4,6 +4,7 @@
 use quincewheel_store::Change;
 
 use crate::rows::{Node, OWNER, Ownership, TIMES};
+use crate::saved::Saved;
 use crate::times::Times;
 
 /// The system's rows as one process knows them.
@@ -30,6 +31,8 @@
     pub job: Option<(Job, u64)>,
     /// How far it is.
     pub progress: Option<Progress>,
+    /// Its checkpoints, as they were recorded.
+    pub saved: Saved,
     /// A client cancelled it.
     pub cancelled: bool,
 }
@@ -87,6 +90,13 @@
                 self.jobs.entry(name.to_owned()).or_default().progress = Some(progress);
                 None
             }),
+            "save" => serde_json::from_str(value).map(|saved| {
+                // The row may be told after the job's rows were dropped.
+                if let Some(view) = self.jobs.get_mut(name) {
+                    view.saved = saved;
+                }
+                None
+            }),
             "stop" => {
                 self.jobs.entry(name.to_owned()).or_default().cancelled = true;
                 Ok(Some(News::Cancelled(name.to_owned())))
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -6,6 +6,7 @@
 use crate::agent::Agent;
 use crate::batch::{Batch, Seen};
 use crate::entry::{Entry, Key, Phase, Placed};
+use crate::saved::Saved;
 use crate::settings::Settings;
 use crate::times::Times;
 
@@ -45,6 +46,8 @@
     pub(crate) settings: Settings,
     pub(crate) epoch: u64,
     pub(crate) claimed: u64,
+    /// When time last passed.
+    pub(crate) now: u64,
     /// The table's version at which the ownership was claimed.
     pub(crate) claim_version: u64,
     pub(crate) confirmed: u64,
@@ -63,17 +66,23 @@
     pub(crate) learned: bool,
     pub(crate) recording: bool,
     pub(crate) replan: bool,
+    /// When most agents were first known to follow this owner.
+    pub(crate) followed: Option<u64>,
     /// Nothing that a former owner started can be unknown any more.
     pub(crate) settled: bool,
     pub(crate) next_unit: u64,
-    /// The next time at which a scheduled job is due, in time of day.
+    /// The next time of day at which time alone changes what may start.
     pub(crate) next_due: Option<u64>,
     pub(crate) outputs: Vec<Output>,
 }
 
-/// Most jobs in one transaction; the table takes 100 rows, and some are the
-/// owner's own.
-const BATCH: usize = 80;
+/// Most jobs in one transaction. The table takes 100 rows; the rest is for the
+/// owner's own, checkpoints, and rows that are dropped.
+const BATCH: usize = 50;
+/// Most jobs whose checkpoints are in one transaction.
+const SAVED: usize = 15;
+/// Most members that one transaction drops.
+const GONE: usize = 8;
 
 impl Owner {
     /// An owner under `epoch`, claimed when the table was at `version`.
@@ -82,6 +91,7 @@
             settings,
             epoch,
             claimed: now,
+            now,
             claim_version: version,
             confirmed: now,
             config: Config::default(),
@@ -95,6 +105,7 @@
             learned: false,
             recording: false,
             replan: true,
+            followed: None,
             settled: false,
             next_unit: 1,
             next_due: None,
@@ -134,7 +145,9 @@
             0..=1000 => self.claimed + self.settings.lease + self.settings.margin,
             _ => 0,
         };
-        self.agents.entry(name.to_owned()).or_insert_with(|| Agent { lapse, ..Agent::default() });
+        let former = lapse > 0;
+        let agent = Agent { former, lapse, told: now, ..Agent::default() };
+        self.agents.entry(name.to_owned()).or_insert(agent);
     }
 
     /// A job's row was read: accepted just now, or found at a takeover.
@@ -148,6 +161,8 @@
             progress: progress.unwrap_or_default(),
             runs: BTreeMap::new(),
             saved: BTreeMap::new(),
+            unsaved: false,
+            kept: 0,
             numbers: BTreeMap::new(),
             took: BTreeMap::new(),
             reserved: BTreeMap::new(),
@@ -156,6 +171,15 @@
         self.replan = true;
     }
 
+    /// A job's checkpoints as they were recorded.
+    pub fn restore(&mut self, id: &str, saved: &Saved) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            for (key, checkpoint) in saved.tasks() {
+                entry.saved.entry(key).or_insert(checkpoint);
+            }
+        }
+    }
+
     /// A job was cancelled.
     pub fn cancel(&mut self, id: &str, now: u64) {
         self.end_job(id, State::Cancelled, now);
@@ -218,11 +242,9 @@
         }
     }
 
-    /// What is to be recorded now; none if nothing changed or a record is
-    /// under way.
+    /// What is to be recorded now; none if a record is under way.
     pub fn record(&mut self) -> Option<Batch> {
-        let acks = self.agents.values().any(|agent| agent.noted > agent.seen);
-        if self.recording || (self.dirty.is_empty() && !acks) {
+        if self.recording {
             return None;
         }
         let ids: Vec<Id> = self.dirty.iter().take(BATCH).cloned().collect();
@@ -243,10 +265,60 @@
             }
             self.urgent = false;
         }
+        batch.gone = self.gone().into_iter().take(GONE).collect();
+        batch.saved = self.unsaved();
         self.recording = true;
         Some(batch)
     }
 
+    /// Checkpoints that are to be recorded: one record a job in a while, along
+    /// with what is written anyway.
+    fn unsaved(&mut self) -> Vec<(Id, Saved)> {
+        let (now, keep) = (self.now, self.settings.keep);
+        let due = |entry: &&mut Entry| entry.unsaved && now >= entry.kept + keep;
+        let mut found = Vec::new();
+        for (id, entry) in self.jobs.iter_mut() {
+            if found.len() < SAVED && due(&entry) {
+                entry.unsaved = false;
+                entry.kept = now;
+                found.push((id.clone(), entry.checkpoints(id)));
+            }
+        }
+        found
+    }
+
+    /// Agents that are no members any more: gone, or without a worker, for so
+    /// long that nothing runs there.
+    ///
+    /// A new owner waits for all members before it starts older jobs. Without
+    /// this it would wait a whole lease for each machine that was ever taken
+    /// away: 6 s in which work stood still after every change of owner.
+    fn gone(&self) -> Vec<String> {
+        let bound = self.settings.lease + self.settings.margin + self.settings.absence;
+        let gone = |agent: &Agent| {
+            self.settled && agent.absent.is_some_and(|since| self.now >= since + bound)
+        };
+        let runs: BTreeSet<&str> = self
+            .jobs
+            .values()
+            .flat_map(|entry| entry.runs.values().map(|placed| placed.agent.as_str()))
+            .collect();
+        let names =
+            self.agents.iter().filter(|(name, agent)| gone(agent) && !runs.contains(name.as_str()));
+        names.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// An agent's row is gone: it must announce itself before work goes there.
+    fn dismiss(&mut self, name: &str) {
+        if let Some(agent) = self.agents.remove(name) {
+            self.log("agent dismissed", name, "no connection or worker".to_owned());
+            if let Some(link) = agent.link {
+                self.links.remove(&link);
+                self.outputs.push(Output::Close { link });
+            }
+        }
+    }
+
     /// True if callers wait for what is to be recorded.
     pub fn urgent(&self) -> bool {
         self.urgent
@@ -266,11 +338,20 @@
             }
             self.urgent = true;
             self.learned |= batch.times.is_some();
+            for (id, _) in &batch.saved {
+                if let Some(entry) = self.jobs.get_mut(id) {
+                    entry.unsaved = true;
+                    entry.kept = 0;
+                }
+            }
             return;
         }
         for seen in &batch.seen {
             self.forget(seen);
         }
+        for name in &batch.gone {
+            self.dismiss(name);
+        }
         for (id, progress) in &batch.jobs {
             let idle = self.jobs.get(id).is_some_and(|entry| entry.runs.is_empty());
             if progress.state.ended() && idle && !self.dirty.contains(id) {
@@ -281,11 +362,18 @@
 
     /// Time passed: takes lapsed leases for lapsed, and decides what starts.
     pub fn tick(&mut self, now: u64, wall: u64) {
+        self.now = now;
+        for agent in self.agents.values_mut() {
+            agent.look(now);
+        }
         self.close_silent(now);
         self.lapse(now);
         if !self.settled && self.settled(now) {
             self.settled = true;
             self.replan = true;
+            let waited: Vec<&str> = self.unheard().collect();
+            let detail = format!("{} ms; not heard: {}", now - self.claimed, waited.join(" "));
+            self.log("settled", "", detail);
         }
         if self.next_due.is_some_and(|due| due <= wall) {
             self.replan = true;
@@ -330,7 +418,10 @@
     fn grant(&mut self, name: &str, link: LinkId, stamp: u64, now: u64) {
         let linked = self.agents.values().filter(|agent| agent.link.is_some()).count();
         let most = linked * 2 > self.agents.len();
-        if now.saturating_sub(self.confirmed) > self.settings.unconfirmed && !most {
+        let unconfirmed = now.saturating_sub(self.confirmed);
+        if unconfirmed > self.settings.autonomy
+            || (unconfirmed > self.settings.unconfirmed && !most)
+        {
             return;
         }
         let lapse = now + self.settings.lease + self.settings.margin;
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -1,27 +1,17 @@
 //! What starts next, and what gives way to it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use quincewheel_job::{Id, Need, Step};
-use quincewheel_place::{Ask, Holder, Spot, pack, reclaim};
+use quincewheel_place::{Ask, Spot, pack, reclaim};
 use quincewheel_wire::Order;
 
+use crate::board::{Board, weight};
 use crate::candidate::{Candidate, Rank};
-use crate::entry::{Entry, Key, Phase, Placed, Reservation};
+use crate::entry::{Entry, Phase, Placed, Reservation};
 use crate::goal::{Goal, Guide};
 use crate::owner::{Owner, task};
 
-/// Accelerators count as so many cores where lost work is compared.
-const CORES_PER_ACCELERATOR: u64 = 8;
-
-/// The picture that one round of decisions works on.
-struct Board {
-    spots: Vec<Spot>,
-    /// What is truly free, reservations not taken away.
-    actual: Vec<Need>,
-    units: BTreeMap<u64, Vec<(Id, Key)>>,
-}
-
 impl Owner {
     /// Decides what starts now.
     pub(crate) fn plan(&mut self, now: u64, wall: u64) {
@@ -98,9 +88,25 @@
         pools
     }
 
-    /// True once nothing that a former owner started can be unknown.
-    pub(crate) fn settled(&self, now: u64) -> bool {
-        self.agents.values().all(|agent| agent.heard || now >= agent.lapse)
+    /// True once nothing that a former owner started can be unknown: each agent
+    /// was heard, or what was granted to it has lapsed.
+    ///
+    /// A former owner that does not know that it was replaced grants on while
+    /// it speaks to most agents. Whatever it grants it has granted by the moment
+    /// at which most follow this owner.
+    pub(crate) fn settled(&mut self, now: u64) -> bool {
+        let heard = self.agents.values().filter(|agent| agent.heard).count();
+        if self.followed.is_none() && heard * 2 >= self.agents.len() {
+            self.followed = Some(now);
+        }
+        let last = self.followed.unwrap_or(self.claimed + self.settings.autonomy);
+        let lease = self.settings.lease + self.settings.margin;
+        self.agents.values().all(|agent| agent.clear(last, lease, now))
+    }
+
+    /// Agents whose workers may still run what a former owner started.
+    pub(crate) fn unheard(&self) -> impl Iterator<Item = &str> {
+        self.agents.iter().filter(|(_, agent)| !agent.heard).map(|(name, _)| name.as_str())
     }
 
     /// Accelerators that each team's jobs of priority 0 hold.
@@ -115,79 +121,6 @@
         used
     }
 
-    /// Units of priority 0 that their team holds beyond its guarantee: the
-    /// ones that it started last.
-    fn borrowed(&self) -> BTreeSet<u64> {
-        let mut units: BTreeMap<u64, (&str, u64)> = BTreeMap::new();
-        for entry in self.jobs.values().filter(|entry| entry.job.queue.priority == 0) {
-            for (key, placed) in &entry.runs {
-                let need = entry.step(*key).map_or(0, |step| step.need.accelerators);
-                units.entry(placed.unit).or_insert((&entry.job.team, 0)).1 += need;
-            }
-        }
-        let mut used: BTreeMap<&str, u64> = BTreeMap::new();
-        let mut borrowed = BTreeSet::new();
-        for (unit, (team, need)) in units {
-            let guaranteed = self.config.teams.get(team).map_or(0, |team| team.guaranteed);
-            let used = used.entry(team).or_default();
-            *used += need;
-            if *used > guaranteed {
-                borrowed.insert(unit);
-            }
-        }
-        borrowed
-    }
-
-    /// The workers as they are.
-    fn board(&self, now: u64) -> Board {
-        let mut spots: Vec<Spot> = Vec::new();
-        let mut places: BTreeMap<&str, usize> = BTreeMap::new();
-        for (name, agent) in &self.agents {
-            let Some(worker) = agent.worker.as_ref().filter(|_| agent.open(&self.settings)) else {
-                continue;
-            };
-            places.insert(name, spots.len());
-            spots.push(Spot {
-                name: name.clone(),
-                pool: worker.pool.clone(),
-                rack: worker.rack.clone(),
-                labels: worker.labels.clone(),
-                capacity: worker.capacity,
-                free: worker.capacity,
-                stopping: Need::default(),
-                ending: Need::default(),
-                doubtful: agent.doubted > now || agent.silent > self.settings.mute / 2,
-                holders: Vec::new(),
-            });
-        }
-        let borrowed = self.borrowed();
-        let mut units: BTreeMap<u64, Vec<(Id, Key)>> = BTreeMap::new();
-        for (id, entry) in &self.jobs {
-            for (key, placed) in &entry.runs {
-                let Some(step) = entry.step(*key) else { continue };
-                units.entry(placed.unit).or_default().push((id.clone(), *key));
-                let Some(&place) = places.get(placed.agent.as_str()) else { continue };
-                let need = step.charge();
-                spots[place].free.take(&need);
-                let borrows = borrowed.contains(&placed.unit);
-                let yields = entry.job.queue.priority > 0 || borrows;
-                let ending = entry.unit_ends(placed, &self.settings, now);
-                if ending {
-                    spots[place].ending.give(&need);
-                }
-                if placed.phase == Phase::Stopping {
-                    spots[place].stopping.give(&need);
-                } else if yields {
-                    let loss = loss(step, placed, now);
-                    let unit = placed.unit;
-                    spots[place].holders.push(Holder { unit, need, borrows, loss, ending });
-                }
-            }
-        }
-        let actual = spots.iter().map(|spot| spot.free).collect();
-        Board { spots, actual, units }
-    }
-
     /// Starts what it can of one candidate, or makes room for it.
     fn serve(&mut self, candidate: &Candidate, board: &mut Board, now: u64, wall: u64) {
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
@@ -209,8 +142,18 @@
         let patient = wall < begin + PATIENCE;
         let ask =
             Ask { step: &step, pool: &pool, count, patient, owed: false, sure: false, held: &held };
+        let waits_until = candidate.waits_until().filter(|&until| until > wall);
+        let spared = waits_until.map(|_| board.spare(&pool)).unwrap_or_default();
         let choices = pack(&board.spots, &ask);
+        board.unspare(spared);
         let started = choices.len();
+        if started < candidate.tasks.len() {
+            // Time alone gives it places that it leaves to others now.
+            let patience = Some(begin + PATIENCE).filter(|_| patient);
+            for at in [waits_until, patience].into_iter().flatten() {
+                self.look_again(at);
+            }
+        }
         let pairs: Vec<(u32, usize)> =
             candidate.tasks.iter().copied().zip(choices.iter().copied()).collect();
         self.start(candidate, &step, &pairs, board, now);
@@ -219,6 +162,11 @@
         }
     }
 
+    /// Sees to it that the next round is no later than this time of day.
+    fn look_again(&mut self, at: u64) {
+        self.next_due = Some(self.next_due.map_or(at, |due| due.min(at)));
+    }
+
     /// When room that others of the same priority borrow must be made for a
     /// guaranteed step, so that it begins within the time promised. In time of
     /// day.
@@ -308,7 +256,7 @@
             Ask { step, pool, count, patient: true, owed, sure: candidate.guaranteed, held: &held };
         let Some(claim) = reclaim(&board.spots, &ask) else {
             if candidate.guaranteed && !owed {
-                self.next_due = Some(self.next_due.map_or(promised, |due| due.min(promised)));
+                self.look_again(promised);
             }
             return;
         };
@@ -464,19 +412,3 @@
 /// of the pool is free. A stop takes up to 900, so room that is made for it
 /// comes sooner.
 const PATIENCE: u64 = 2000;
-
-/// What a task of the step takes, in cores.
-fn weight(step: &Step) -> u64 {
-    step.need.cpu / 1000 + CORES_PER_ACCELERATOR * step.need.accelerators
-}
-
-/// What stopping a run loses, in core-milliseconds: all since its start, or
-/// with checkpoints, which are also made at a stop, what it takes to resume.
-fn loss(step: &Step, placed: &Placed, now: u64) -> u64 {
-    let ran = now.saturating_sub(placed.began);
-    let unsaved = if step.checkpoints { ran.min(RESUME) } else { ran };
-    unsaved * weight(step) * u64::from(if step.gang { step.count } else { 1 })
-}
-
-/// Upper bound of what it takes to resume from a checkpoint, in milliseconds.
-const RESUME: u64 = 600;
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -112,9 +112,7 @@
                 if placed.phase == Phase::Starting {
                     placed.phase = Phase::Running;
                 }
-                if !run.saved.is_empty() {
-                    entry.saved.insert(slot, run.saved.clone());
-                }
+                entry.save(slot, &run.saved);
             }
             // A later run of the task exists, or it is done: this one is a
             // remnant that nobody waits for.
@@ -144,9 +142,7 @@
                 let placed = Placed { unit: unit.unwrap_or(placed.unit), ..placed };
                 entry.runs.insert(key, placed);
                 entry.numbers.insert(slot, run.number);
-                if !run.saved.is_empty() {
-                    entry.saved.insert(slot, run.saved.clone());
-                }
+                entry.save(slot, &run.saved);
                 if entry.progress.state == State::Queued {
                     entry.progress.state = State::Running;
                     self.touch(&run.task.job, false);
@@ -200,8 +196,8 @@
         let current = known.is_some_and(|placed| placed.worker == id && placed.run == end.run);
         let run = current.then(|| entry.runs.remove(&key)).flatten();
         self.replan |= current;
-        if !end.saved.is_empty() && (current || vacant) {
-            entry.saved.insert(slot, end.saved.clone());
+        if current || vacant {
+            entry.save(slot, &end.saved);
         }
         self.log(
             "run ended",
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -2,7 +2,8 @@
 //!
 //! An entry writes `job/ID` when it accepts a job and `stop/ID` when a client
 //! cancels it; the owner writes `run/ID`, the job's progress, and
-//! `times`, learned run times; every process writes
+//! `save/ID`, its
+//! checkpoints, and `times`, learned run times; every process writes
 //! `node/NAME`; the owner and whoever replaces it write `owner`.
 
 use quincewheel_store::{Commit, Put};
@@ -30,6 +31,11 @@
     format!("stop/{id}")
 }
 
+/// Key of the row that holds a job's checkpoints.
+pub fn save(id: &str) -> String {
+    format!("save/{id}")
+}
+
 /// Key of a process's row.
 pub fn node(name: &str) -> String {
     format!("node/{name}")
@@ -65,6 +71,6 @@
 }
 
 /// The keys of all rows of a job.
-pub fn of_job(id: &str) -> [String; 3] {
-    [job(id), run(id), stop(id)]
+pub fn of_job(id: &str) -> [String; 4] {
+    [job(id), run(id), stop(id), save(id)]
 }
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -14,7 +14,12 @@
     pub mute: u64,
     /// An owner that has not been confirmed by the table for so long grants
     /// leases only while it speaks to most agents: another may have taken over.
+    /// Shorter than others wait before they do.
     pub unconfirmed: u64,
+    /// An owner that has not been confirmed for so long grants nothing more. The
+    /// longest outage through which work goes on; a new owner that cannot reach
+    /// most agents waits as long before it takes their leases for lapsed.
+    pub autonomy: u64,
     /// A worker on which a run failed is the last choice for so long.
     pub doubt: u64,
     /// Room that was made for a step is kept for it for so long. Several times
@@ -27,6 +32,12 @@
     pub ending: u64,
     /// Guaranteed room is given within this time after a job was accepted.
     pub reclaim: u64,
+    /// An agent that is not connected, or knows no worker, for so long beyond its
+    /// leases is no member any more. It announces itself when its worker reports.
+    pub absence: u64,
+    /// Time between two records of the same job's checkpoints. What is lost when
+    /// all workers lose power at once; a checkpoint is made each 500 ms or so.
+    pub keep: u64,
     /// A run that a worker does not list, though its start was confirmed, is
     /// taken for gone after this time: more than two looks.
     pub missing: u64,
@@ -39,12 +50,15 @@
             margin: 200,
             silence: 2500,
             mute: 3000,
-            unconfirmed: 3000,
+            unconfirmed: 1500,
+            autonomy: 8000,
             doubt: 10_000,
             reservation: 3000,
             stop: 900,
             ending: 0,
             reclaim: 2700,
+            absence: 2000,
+            keep: 1500,
             missing: 5000,
         }
     }
--- a/crates/dispatch/tests/election.rs
+++ b/crates/dispatch/tests/election.rs
@@ -13,6 +13,9 @@
     let mut election = Election::open("a", 1, 2500);
     election.observe(70, 1000);
     let row = owner("b", 1);
+    for heard in (1500..4200).step_by(500) {
+        election.observe(70, heard);
+    }
     let told = [(2000, 2000), (4100, 4100), (1500, 9000)]
         .map(|(heard, now)| election.due(row.as_ref(), heard, now, false));
     assert_snapshot!(format!("{told:?}"), @"[false, true, false]");
@@ -60,3 +63,21 @@
     told.push(election.due(row.as_ref(), 2500, 3600, false));
     assert_snapshot!(format!("{told:?}"), @"[false, true, false, false]");
 }
+
+// Symptom: the ownership changes hands each time the table comes back from an outage,
+// and nothing starts meanwhile. Sequence: the table is away for longer than the
+// patience; on its return a candidate hears it before the owner has written its row.
+// Cause: the time in which nobody could write counted as the owner's silence.
+#[test]
+fn an_outage_of_the_table_is_not_held_against_the_owner() {
+    let mut election = Election::open("a", 1, 1600);
+    let row = owner("b", 1);
+    election.observe(70, 1000);
+    election.observe(70, 9000);
+    let mut told = vec![election.due(row.as_ref(), 9000, 9000, false)];
+    for heard in (9400..12_000).step_by(400) {
+        election.observe(70, heard);
+    }
+    told.push(election.due(row.as_ref(), 11_800, 11_800, false));
+    assert_snapshot!(format!("{told:?}"), @"[false, true]");
+}
--- a/crates/dispatch/tests/room.rs
+++ b/crates/dispatch/tests/room.rs
@@ -7,6 +7,7 @@
 use bed::{Bed, end, job, run, step, task};
 use insta::assert_snapshot;
 use quincewheel_job::{Config, How, Job, Run, Step, Team};
+use quincewheel_wire::Notice;
 
 /// A worker that is full with a run of `job`, which began `age` ms ago.
 fn fill(bed: &mut Bed, number: u64, name: &str, priority: u32, age: u64) {
@@ -154,3 +155,32 @@
     w0 stop young.0.0.0 run 1
     ");
 }
+
+// Load: long jobs with much time fill a pool of which each part could hold urgent gangs.
+// Symptom: each urgent gang stops some of them. Cause: they took the last whole workers.
+#[test]
+fn work_that_has_time_leaves_whole_workers_to_work_that_has_not() {
+    let mut bed = Bed::open(1, 6).idle(6);
+    let easy = |now| {
+        let mut job = job(1, vec![Step { estimate: 9000, ..step(1, 8) }]);
+        job.queue.stretch = 3.0;
+        Job { accepted: now, ..job }
+    };
+    for number in 0..6 {
+        bed.owner.job(&format!("easy{number}"), easy(bed.now), 150 + number, None);
+    }
+    bed.step();
+    let at_first = bed.told().lines().count();
+    for _ in 0..16 {
+        bed.pass(1000);
+        for number in 0..6 {
+            bed.notice(number, Notice::Ping { stamp: bed.now, silent: 0 });
+        }
+    }
+    let pressed = bed.told();
+    assert_snapshot!(format!("{at_first} of 6 at first\n-- when time presses\n{pressed}"), @r"
+    5 of 6 at first
+    -- when time presses
+    w3 start easy5.0.0.0 run 1
+    ");
+}
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -9,9 +9,13 @@
 use super::own;
 use super::state::{Shared, Site};
 
-/// How long the table is asked to wait for a change. Bounds the age of what
-/// an entry knows where nothing changes.
-const WAIT: Duration = Duration::from_millis(1500);
+/// How long the table is asked to wait for a new configuration. Bounds the age
+/// of the one in force where nothing changes.
+const CONFIG_WAIT: Duration = Duration::from_millis(1500);
+/// How long the table is asked to wait for a change of the system's own rows.
+/// The owner's row changes every 500 ms; where it does not, this bounds how late
+/// that is noticed.
+const ROWS_WAIT: Duration = Duration::from_millis(400);
 /// A call without an answer is given up after this time, beyond its wait.
 const TIMEOUT: Duration = Duration::from_millis(1000);
 /// Pause after a call that failed.
@@ -29,7 +33,12 @@
         let sent = quincewheel_clock::boot();
         let result = match version {
             None => read_all(&shared.feed, Space::Operator).await,
-            Some(after) => shared.feed.follow(Space::Operator, after, wait(&shared), TIMEOUT).await,
+            Some(after) => {
+                shared
+                    .feed
+                    .follow(Space::Operator, after, wait(&shared, CONFIG_WAIT), TIMEOUT)
+                    .await
+            }
         };
         match result {
             Ok(changes) => {
@@ -52,8 +61,8 @@
 
 /// How long to wait for a change: not at all while the table is lost, so that
 /// its return is noticed at once.
-fn wait(shared: &Site) -> Duration {
-    if shared.is_table_lost() { Duration::ZERO } else { WAIT }
+fn wait(shared: &Site, calm: Duration) -> Duration {
+    if shared.is_table_lost() { Duration::ZERO } else { calm }
 }
 
 fn configure(shared: &Site, change: &Change) {
@@ -78,7 +87,9 @@
     loop {
         let result = match version {
             None => read_all(&shared.feed, Space::Own).await,
-            Some(after) => shared.feed.follow(Space::Own, after, wait(&shared), TIMEOUT).await,
+            Some(after) => {
+                shared.feed.follow(Space::Own, after, wait(&shared, ROWS_WAIT), TIMEOUT).await
+            }
         };
         match result {
             Ok(changes) => {
--- a/crates/entry/src/site/links.rs
+++ b/crates/entry/src/site/links.rs
@@ -71,7 +71,14 @@
                 shared.hub.ask(Command::Close { link, reason: "replaced" });
             }
         }
-        (Role::Agent, Some(owner)) => owner.linked(&hello.name, link, now),
+        (Role::Agent, Some(owner)) if shared.mirror.borrow().nodes.contains_key(&hello.name) => {
+            owner.linked(&hello.name, link, now);
+        }
+        (Role::Agent, Some(_)) => {
+            // Its row was dropped while the connection was made. It announces
+            // itself again; without a row, a later owner would not wait for it.
+            shared.hub.ask(Command::Close { link, reason: "no member" });
+        }
         (_, None) => {
             shared.hub.ask(Command::Close { link, reason: "not the owner" });
         }
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -97,6 +97,7 @@
     for (id, view) in &mirror.jobs {
         if let Some((job, version)) = &view.job {
             owner.job(id, job.clone(), *version, view.progress.clone());
+            owner.restore(id, &view.saved);
             if view.cancelled {
                 owner.cancel(id, now);
             }
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -11,13 +11,14 @@
 use super::state::{Shared, Site};
 
 /// The owner writes its row at least this often, in milliseconds.
-pub(crate) const RENEW: u64 = 1000;
+pub(crate) const RENEW: u64 = 500;
 /// Progress that no client waits for is recorded after this time, in
 /// milliseconds, together with what else there is by then.
 const GATHER: u64 = 100;
-/// A write without an answer is repeated after this time.
-const TIMEOUT: Duration = Duration::from_millis(1200);
-/// Most jobs whose rows are dropped with one record; three rows each, and a
+/// A write without an answer is repeated after this time: a slow table answers
+/// within some 450 ms, and others take the ownership over after 1,700.
+const TIMEOUT: Duration = Duration::from_millis(700);
+/// Most jobs whose rows are dropped with one record; four rows each, and a
 /// transaction takes 100 rows.
 const EXPIRED: usize = 5;
 /// Pause after a write that failed.
@@ -61,6 +62,8 @@
     let expired = shared.mirror.borrow_mut().expired(now, keep(shared), EXPIRED);
     commit.delete.extend(expired.iter().flat_map(|id| rows::of_job(id)));
     commit.put.extend(batch.times.as_ref().map(|times| put(TIMES.to_owned(), times)));
+    commit.put.extend(batch.saved.iter().map(|(id, saved)| put(rows::save(id), saved)));
+    commit.delete.extend(batch.gone.iter().map(|name| rows::node(name)));
     commit.put.extend(batch.jobs.iter().map(|(id, progress)| put(rows::run(id), progress)));
     loop {
         let sent = quincewheel_clock::boot();
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -19,9 +19,9 @@
 pub(crate) type Shared = Rc<Site>;
 
 /// How long an owner's row must stand still before another takes over, in
-/// milliseconds. An owner writes it each second, and a slow table may take as
-/// long for one write.
-const PATIENCE: u64 = 2500;
+/// milliseconds. An owner writes it every 500 ms; a slow table takes up to 450
+/// for one write, and a write whose answer is lost is repeated after 700.
+const PATIENCE: u64 = 1700;
 
 /// Calls in a row without an answer after which the table counts as lost.
 const LOST: u32 = 2;
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -72,6 +72,11 @@
         self.epoch
     }
 
+    /// True if there is a worker and no owner speaks for it.
+    pub fn is_alone(&self) -> bool {
+        self.life.is_some() && self.link.is_none()
+    }
+
     /// The worker reported itself.
     pub fn beat(&mut self, worker: &Worker, address: &str, clock: u64, now: u64) {
         let same = self.life.as_ref().is_some_and(|life| life.worker.id == worker.id);
