Ask where steps are cleared, pace neighbours of tasks that serve, bound what lasts

Ruled out: agents asking for tickets themselves (the owner knows where the room is); asking for all workers at once (a call's time grows with each).

Change: the owner asks one question at a time for the twelve workers with the most room, remembers what a step may not use, and asks anew when a ticket runs out or is refused; the neighbours of a task that serves are halved from 80 percent of its target on and stopped over it; of a step that lasts only as many runs are taken away as may be missing. Tasks that last start before others of their priority.

Before: none of these handled. After: tests in dispatch/tests/advice.rs and throttle.rs; two faults that they showed are mended in the same change (a question without an answer was never asked again; a task that lasts, at 100 percent, counted as about to end).

--- a/crates/agent/src/site/metrics.rs
+++ b/crates/agent/src/site/metrics.rs
@@ -52,6 +52,7 @@
         let (action, order) = match action {
             Action::Start { .. } => ("start", true),
             Action::Stop { .. } => ("stop", true),
+            Action::Pace { .. } => ("pace", false),
             Action::Hold { .. } => ("hold", false),
         };
         let outcome = match answer {
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -46,7 +46,19 @@
         free.into_iter().map(|place| (place, std::mem::take(&mut self.spots[place].free))).collect()
     }
 
-    /// Shows again what was hidden.
+    /// Hides workers that a step is not cleared for.
+    pub fn hide(&mut self, places: &[usize]) -> Vec<(usize, Spot)> {
+        places.iter().map(|&place| (place, std::mem::take(&mut self.spots[place]))).collect()
+    }
+
+    /// Shows again what [`Board::hide`] took.
+    pub fn show(&mut self, hidden: Vec<(usize, Spot)>) {
+        for (place, spot) in hidden {
+            self.spots[place] = spot;
+        }
+    }
+
+    /// Shows again what [`Board::spare`] took.
     pub fn unspare(&mut self, spared: Vec<(usize, Need)>) {
         for (place, free) in spared {
             self.spots[place].free = free;
@@ -66,6 +78,7 @@
             places.insert(name, spots.len());
             spots.push(Spot {
                 name: name.clone(),
+                worker: worker.id.clone(),
                 pool: worker.pool.clone(),
                 rack: worker.rack.clone(),
                 labels: worker.labels.clone(),
@@ -78,6 +91,7 @@
             });
         }
         let borrowed = self.borrowed();
+        let mut taken = BTreeMap::new();
         let mut units: BTreeMap<u64, Vec<(Id, Key)>> = BTreeMap::new();
         for (id, entry) in &self.jobs {
             for (key, placed) in &entry.runs {
@@ -88,13 +102,13 @@
                 spots[place].free.take(&need);
                 let borrows = borrowed.contains(&placed.unit);
                 let yields = entry.job.queue.priority > 0 || borrows;
-                let ending = entry.unit_ends(placed, &self.settings, now);
+                let ending = !step.perpetual && entry.unit_ends(placed, &self.settings, now);
                 if ending {
                     spots[place].ending.give(&need);
                 }
                 if placed.phase == Phase::Stopping {
                     spots[place].stopping.give(&need);
-                } else if yields {
+                } else if yields && self.may_yield(id, *key, &mut taken) {
                     let loss = loss(step, placed, now);
                     let unit = placed.unit;
                     spots[place].holders.push(Holder { unit, need, borrows, loss, ending });
@@ -105,6 +119,19 @@
         Board { spots, actual, units }
     }
 
+    /// True if the run may be taken away at all: of a step that lasts, only as
+    /// many as may be missing at one time.
+    fn may_yield(&self, id: &Id, key: Key, taken: &mut BTreeMap<(Id, u32, u32), u32>) -> bool {
+        let step = self.jobs.get(id).and_then(|entry| entry.step(key));
+        if !step.is_some_and(|step| step.perpetual && step.may_miss > 0) {
+            return true;
+        }
+        let spare = self.spare_runs(id, key.0, key.1);
+        let taken = taken.entry((id.clone(), key.0, key.1)).or_default();
+        *taken += 1;
+        *taken <= spare
+    }
+
     /// Units of priority 0 that their team holds beyond its guarantee: the
     /// ones that it started last.
     fn borrowed(&self) -> BTreeSet<u64> {
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -2,6 +2,7 @@
 
 use quincewheel_job::{Job, Progress, Step};
 
+use crate::advice::Clearance;
 use crate::owner::task;
 use crate::saved::Saved;
 use crate::settings::Settings;
@@ -30,6 +31,8 @@
     pub numbers: BTreeMap<Key, u64>,
     /// How long the first task of each step took that ran without a break.
     pub took: BTreeMap<u32, u64>,
+    /// Where steps are cleared to run, on queues that need it.
+    pub clearances: BTreeMap<(u32, u32), Clearance>,
     /// Room that is being made for a step.
     pub reserved: BTreeMap<(u32, u32), Reservation>,
 }
@@ -55,6 +58,8 @@
     pub percent: u32,
     /// When it last got further.
     pub moved: u64,
+    /// The share of its speed at which it was told to work, in percent.
+    pub pace: u32,
     /// It began anew, here: neither from a checkpoint nor under a former owner.
     pub whole: bool,
 }
@@ -116,6 +121,11 @@
         (occurrence, step, if gang { 0 } else { index })
     }
 
+    /// What clears a task for a worker, if it is cleared.
+    pub fn ticket(&self, key: Key, worker: &str, now: u64) -> Option<&str> {
+        self.clearances.get(&(key.0, key.1))?.ticket(worker, now)
+    }
+
     /// The step of a task.
     pub fn step(&self, key: Key) -> Option<&Step> {
         self.job.steps.get(key.1 as usize)
--- a/crates/dispatch/src/goal.rs
+++ b/crates/dispatch/src/goal.rs
@@ -30,6 +30,10 @@
 /// A job that ends after so many times its objective earns nothing.
 const LATE: u64 = 3;
 
+/// The objective of tasks that last, in milliseconds: three years, so that no
+/// sum overflows.
+const LASTING: u64 = 100_000_000_000;
+
 /// Expected run times are off by a fifth and more, so a job is taken for late
 /// only when it is so by a good part of what is left of it, in percent.
 const SURE: u64 = 70;
@@ -42,16 +46,22 @@
     /// The goal of an occurrence.
     pub fn open(entry: &Entry, occurrence: u32, guide: &Guide<'_>) -> Goal {
         let job = &entry.job;
+        let begin = job.schedule.map_or(job.accepted, |schedule| schedule.due(occurrence));
+        if job.perpetual() {
+            return Goal::lasting(begin);
+        }
         let whole = job.chain_by(|number, step| guide.expect(entry, number, step));
         let left = job.chain_by(|number, step| {
             let done = entry.progress.step_done(occurrence, number, step);
             if done { 0 } else { guide.expect(entry, number, step) }
         });
-        Goal {
-            begin: job.schedule.map_or(job.accepted, |schedule| schedule.due(occurrence)),
-            objective: (job.queue.stretch * whole as f64) as u64 + job.queue.slack,
-            left,
-        }
+        Goal { begin, objective: (job.queue.stretch * whole as f64) as u64 + job.queue.slack, left }
+    }
+
+    /// The goal of tasks that run until they are cancelled: each moment without
+    /// them counts, so they start at once.
+    fn lasting(begin: u64) -> Goal {
+        Goal { begin, objective: LASTING, left: LASTING }
     }
 
     /// The latest start, in milliseconds since 1970, that keeps the objective.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! machine is suspended, for leases, and the time of day, for jobs that run at
 //! set times.
 
+mod advice;
 mod agent;
 mod batch;
 mod board;
@@ -22,9 +23,11 @@
 pub mod rows;
 mod saved;
 mod settings;
+mod throttle;
 mod times;
 mod unsettled;
 
+pub use advice::Question;
 pub use batch::{Batch, Seen};
 pub use election::Election;
 pub use mirror::{Mirror, News, View};
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -3,6 +3,7 @@
 use quincewheel_job::{Config, Id, Job, Progress, State, Task};
 use quincewheel_wire::{LinkId, Notice, Order};
 
+use crate::advice::Question;
 use crate::agent::Agent;
 use crate::batch::{Batch, Seen};
 use crate::entry::{Entry, Key, Phase, Placed};
@@ -20,6 +21,12 @@
         /// The order.
         order: Order,
     },
+    /// Ask which workers may run a step, and hand the answer to
+    /// [`Owner::advised`].
+    Ask {
+        /// What is asked.
+        question: Question,
+    },
     /// Close a connection that fell silent or was replaced.
     Close {
         /// The connection.
@@ -64,6 +71,10 @@
     pub(crate) times: Times,
     /// More was learned of them than was recorded.
     pub(crate) learned: bool,
+    /// The service that clears steps for workers has a question to answer.
+    pub(crate) asking: bool,
+    /// When a question that got no answer may be asked again.
+    pub(crate) ask_again: Option<u64>,
     pub(crate) recording: bool,
     pub(crate) replan: bool,
     /// When most agents were first known to follow this owner.
@@ -103,6 +114,8 @@
             urgent: false,
             times: Times::default(),
             learned: false,
+            asking: false,
+            ask_again: None,
             recording: false,
             replan: true,
             followed: None,
@@ -165,6 +178,7 @@
             kept: 0,
             numbers: BTreeMap::new(),
             took: BTreeMap::new(),
+            clearances: BTreeMap::new(),
             reserved: BTreeMap::new(),
         };
         self.jobs.insert(id.to_owned(), entry);
@@ -375,7 +389,8 @@
             let detail = format!("{} ms; not heard: {}", now - self.claimed, waited.join(" "));
             self.log("settled", "", detail);
         }
-        if self.next_due.is_some_and(|due| due <= wall) {
+        let due = self.next_due.is_some_and(|due| due <= wall);
+        if due || self.ask_again.take_if(|at| *at <= now).is_some() {
             self.replan = true;
         }
         if self.replan {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -136,14 +136,60 @@
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let Some(step) = entry.job.steps.get(candidate.step as usize).cloned() else { return };
         let pool = self.pool(entry);
+        let barred = self.barred(candidate, board, now);
+        let hidden = board.hide(&barred);
+        self.place(candidate, &step, &pool, board, (now, wall));
+        board.show(hidden);
+        if !barred.is_empty() && self.is_waiting(candidate) {
+            self.ask(candidate, self.roomiest(&barred, board), now);
+        }
+    }
+
+    /// True if tasks of it have no place yet.
+    fn is_waiting(&self, candidate: &Candidate) -> bool {
+        let Some(entry) = self.jobs.get(&candidate.id) else { return false };
+        let key = |index: u32| (candidate.occurrence, candidate.step, index);
+        candidate.tasks.iter().any(|&index| !entry.runs.contains_key(&key(index)))
+    }
+
+    /// The places whose workers the step is not cleared for; none on a queue
+    /// that needs no clearance.
+    fn barred(&self, candidate: &Candidate, board: &Board, now: u64) -> Vec<usize> {
+        let Some(entry) = self.jobs.get(&candidate.id) else { return Vec::new() };
+        if entry.job.queue.advice.is_none() {
+            return Vec::new();
+        }
+        let key = (candidate.occurrence, candidate.step, 0);
+        let cleared = |spot: &Spot| entry.ticket(key, &spot.worker, now).is_some();
+        let places = board.spots.iter().enumerate();
+        places.filter(|(_, spot)| !cleared(spot)).map(|(place, _)| place).collect()
+    }
+
+    /// The workers at these places, those with the most room first.
+    fn roomiest(&self, places: &[usize], board: &Board) -> Vec<String> {
+        let mut spots: Vec<&Spot> = places.iter().map(|&place| &board.spots[place]).collect();
+        spots.sort_by_key(|spot| std::cmp::Reverse(spot.free.accelerators));
+        spots.into_iter().map(|spot| spot.worker.clone()).collect()
+    }
+
+    /// Starts what it can of one candidate on the workers that are not hidden,
+    /// or makes room for it there.
+    fn place(
+        &mut self,
+        candidate: &Candidate,
+        step: &Step,
+        pool: &str,
+        board: &mut Board,
+        (now, wall): (u64, u64),
+    ) {
+        let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let held = held(entry, candidate, &board.spots);
         let count = candidate.tasks.len() as u32;
         let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
         let patient = wall < begin + PATIENCE;
-        let ask =
-            Ask { step: &step, pool: &pool, count, patient, owed: false, sure: false, held: &held };
+        let ask = Ask { step, pool, count, patient, owed: false, sure: false, held: &held };
         let waits_until = candidate.waits_until().filter(|&until| until > wall);
-        let spared = waits_until.map(|_| board.spare(&pool)).unwrap_or_default();
+        let spared = waits_until.map(|_| board.spare(pool)).unwrap_or_default();
         let choices = pack(&board.spots, &ask);
         board.unspare(spared);
         let started = choices.len();
@@ -156,9 +202,9 @@
         }
         let pairs: Vec<(u32, usize)> =
             candidate.tasks.iter().copied().zip(choices.iter().copied()).collect();
-        self.start(candidate, &step, &pairs, board, now);
+        self.start(candidate, step, &pairs, board, now);
         if candidate.takes_room() && started < candidate.tasks.len() {
-            self.make_room(candidate, &step, &pool, started, board, (now, wall));
+            self.make_room(candidate, step, pool, started, board, (now, wall));
         }
     }
 
@@ -203,7 +249,13 @@
             .iter()
             .filter_map(|name| board.spots.iter().position(|spot| spot.name == *name))
             .collect();
+        let cleared = |place: &usize| {
+            let worker = &board.spots[*place].worker;
+            let key = (candidate.occurrence, candidate.step, 0);
+            entry.job.queue.advice.is_none() || entry.ticket(key, worker, now).is_some()
+        };
         let valid = places.len() == candidate.tasks.len()
+            && places.iter().all(cleared)
             && now < reservation.since + self.settings.reservation;
         if !valid {
             return false;
@@ -325,6 +377,7 @@
             let run = *number;
             let saved = entry.saved.get(&slot).cloned().unwrap_or_default();
             let spec = entry.job.spec.clone();
+            let ticket = entry.ticket(key, &worker, now).unwrap_or_default().to_owned();
             let placed = Placed {
                 agent: name.clone(),
                 worker: worker.clone(),
@@ -335,12 +388,13 @@
                 unit,
                 percent: 0,
                 moved: now,
+                pace: 100,
                 whole: saved.is_empty(),
             };
             entry.runs.insert(key, placed);
             let task = task(&candidate.id, key);
             self.log("start", &candidate.id, format!("{task} run {run} at {name}"));
-            self.order(&name, Order::Start { worker, task, run, spec, saved });
+            self.order(&name, Order::Start { worker, task, run, spec, saved, ticket });
         }
     }
 }
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -55,11 +55,12 @@
             self.running(name, &id, run, now);
         }
         if fenced {
+            self.throttle(name, running);
             self.missing(name, running, now);
             self.leave_still(name, now);
         }
         if first {
-            self.resume(name, &id);
+            self.resume(name, &id, now);
         }
     }
 
@@ -77,7 +78,7 @@
 
     /// After a new connection, orders that may have been lost with the former
     /// one are given again. Both are idempotent.
-    fn resume(&mut self, name: &str, id: &str) {
+    fn resume(&mut self, name: &str, id: &str, now: u64) {
         for (job, key) in self.runs_where(|placed| placed.agent == name && placed.worker == id) {
             let Some(entry) = self.jobs.get(&job) else { continue };
             let Some(placed) = entry.runs.get(&key) else { continue };
@@ -88,7 +89,8 @@
                 Phase::Starting => {
                     let spec = entry.job.spec.clone();
                     let saved = entry.saved.get(&entry.key(key)).cloned().unwrap_or_default();
-                    Order::Start { worker, task: task(&job, key), run, spec, saved }
+                    let ticket = entry.ticket(key, id, now).unwrap_or_default().to_owned();
+                    Order::Start { worker, task: task(&job, key), run, spec, saved, ticket }
                 }
             };
             self.order(name, order);
@@ -134,6 +136,7 @@
                     unit,
                     percent: run.percent,
                     moved: now,
+                    pace: 100,
                     whole: false,
                 };
                 let unit = entry.runs.range((key.0, key.1, 0)..=(key.0, key.1, u32::MAX));
@@ -310,7 +313,12 @@
         if entry.runs.get(&key).is_none_or(|placed| placed.run != run) {
             return;
         }
-        entry.runs.remove(&key);
+        let worker = entry.runs.remove(&key).map(|placed| placed.worker).unwrap_or_default();
+        if let Some(clearance) = entry.clearances.get_mut(&(key.0, key.1))
+            && why == Refused::Ticket
+        {
+            clearance.refuse(&worker);
+        }
         let gang = entry.step(key).is_some_and(|step| step.gang);
         let range = (key.0, key.1, 0)..=(key.0, key.1, u32::MAX);
         let others: Vec<Key> = entry.runs.range(range).map(|(key, _)| *key).collect();
--- a/crates/dispatch/tests/bed/mod.rs
+++ b/crates/dispatch/tests/bed/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use quincewheel_dispatch::{Batch, Output, Owner, Settings};
+use quincewheel_dispatch::{Batch, Output, Owner, Question, Settings};
 use quincewheel_job::{End, How, Job, Need, Queue, Run, Step, Task, Worker};
 use quincewheel_wire::{LinkId, Notice, Order};
 
@@ -10,6 +10,7 @@
     pub owner: Owner,
     pub now: u64,
     pub lines: Vec<String>,
+    pub questions: Vec<Question>,
 }
 
 /// The table's version at which the owner claimed; older jobs have lower ones.
@@ -22,7 +23,7 @@
         for number in 0..agents {
             owner.agent(&format!("w{number}"), 10_000);
         }
-        Bed { owner, now: 10_000, lines: Vec::new() }
+        Bed { owner, now: 10_000, lines: Vec::new(), questions: Vec::new() }
     }
 
     /// Agents connect and report workers that run nothing.
@@ -80,6 +81,10 @@
             match output {
                 Output::Send { order: Order::Grant { .. } | Order::Claim { .. }, .. } => {}
                 Output::Send { link, order } => self.lines.push(line(link, &order)),
+                Output::Ask { question } => {
+                    self.lines.push(format!("ask {}", question.workers.join(" ")));
+                    self.questions.push(question);
+                }
                 Output::Close { link } => self.lines.push(format!("close {link}")),
                 Output::Deposed { epoch } => self.lines.push(format!("deposed by {epoch}")),
                 Output::Log { .. } => {}
@@ -96,7 +101,13 @@
 
 fn line(link: LinkId, order: &Order) -> String {
     match order {
-        Order::Start { task, run, saved, .. } => format!("w{link} start {task} run {run} {saved}"),
+        Order::Start { task, run, saved, ticket, .. } if ticket.is_empty() => {
+            format!("w{link} start {task} run {run} {saved}")
+        }
+        Order::Start { task, run, ticket, .. } => {
+            format!("w{link} start {task} run {run} with {ticket}")
+        }
+        Order::Pace { task, percent, .. } => format!("w{link} pace {task} {percent}"),
         Order::Stop { task, run, .. } => format!("w{link} stop {task} run {run}"),
         Order::Seen { number, .. } => format!("w{link} seen {number}"),
         order => format!("w{link} {order:?}"),
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -3,6 +3,7 @@
 //! Two threads beside the hub's: one takes clients' calls, the other follows
 //! the table, answers, and, if this entry owns the deployment, decides.
 
+mod advise;
 mod calls;
 mod follow;
 mod gate;
@@ -82,6 +83,7 @@
         actix_rt::spawn(follow::rows(Rc::clone(&shared)));
         actix_rt::spawn(links::listen(Rc::clone(&shared), peers_in));
         actix_rt::spawn(own::run(Rc::clone(&shared)));
+        actix_rt::spawn(advise::run(Rc::clone(&shared)));
         actix_rt::spawn(answer(Rc::clone(&shared), work_in));
         quincewheel_conf::ending().await?;
         drain(&shared, grace).await;
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -131,6 +131,10 @@
                     shared.hub.ask(Command::Close { link, reason: "too many orders wait" });
                 }
             }
+            Output::Ask { question } => {
+                *shared.question.borrow_mut() = Some(question);
+                shared.asked.notify_one();
+            }
             Output::Close { link } => {
                 shared.hub.ask(Command::Close { link, reason: "silent or replaced" });
             }
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use quincewheel_dispatch::rows::Ownership;
-use quincewheel_dispatch::{Election, Mirror, Owner, Unsettled};
+use quincewheel_dispatch::{Election, Mirror, Owner, Question, Unsettled};
 use quincewheel_job::Config;
 use quincewheel_peer::Hub;
 use quincewheel_platform::{self as platform, Table};
@@ -57,6 +57,10 @@
     pub failures: Cell<u32>,
     /// Since when the table has not answered; none while it does.
     pub table_lost: Cell<Option<u64>>,
+    /// The owner's next question to the service that clears steps.
+    pub question: RefCell<Option<Question>>,
+    /// There is one.
+    pub asked: Notify,
     /// Something changed that the owner's loop should look at.
     pub wake: Notify,
 }
@@ -89,6 +93,8 @@
             unsettled: RefCell::default(),
             failures: Cell::new(0),
             table_lost: Cell::new(None),
+            question: RefCell::new(None),
+            asked: Notify::new(),
             wake: Notify::new(),
         }
     }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Job`] and, as the owner, its [`Progress`]; both are rows of the table, so
 //! their form is a contract between versions of the program.
 
+mod advice;
 mod config;
 mod error;
 mod job;
@@ -17,6 +18,7 @@
 mod team;
 mod worker;
 
+pub use advice::Advice;
 pub use config::Config;
 pub use error::Error;
 pub use job::Job;
--- a/crates/job/src/queue.rs
+++ b/crates/job/src/queue.rs
@@ -1,5 +1,7 @@
 use serde::{Deserialize, Serialize};
 
+use crate::advice::Advice;
+
 /// A queue as the configuration defines it. Jobs keep a copy, so that a job
 /// outlives changes of its queue.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -13,6 +15,9 @@
     pub priority: u32,
     /// Failures of one task after which its job has failed.
     pub attempts: u32,
+    /// Who must be asked where a step may run; none if nobody.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub advice: Option<Advice>,
     /// A job's objective is this many times its longest chain of work ...
     pub stretch: f64,
     /// ... and this many milliseconds more.
--- a/crates/place/src/spot.rs
+++ b/crates/place/src/spot.rs
@@ -5,6 +5,8 @@
 pub struct Spot {
     /// Names the worker's agent.
     pub name: String,
+    /// Names the worker's life.
+    pub worker: String,
     /// The pool it belongs to.
     pub pool: String,
     /// The rack it stands in.
--- a/crates/runner/src/call.rs
+++ b/crates/runner/src/call.rs
@@ -29,6 +29,8 @@
         spec: String,
         /// The checkpoint to resume from; empty for none.
         saved: String,
+        /// What clears the step for this worker; empty where nothing must.
+        ticket: String,
         /// When the lease ends, on the worker's clock.
         until: u64,
     },
@@ -39,6 +41,15 @@
         /// Which start of it.
         run: u64,
     },
+    /// Let a run work at a share of its speed.
+    Pace {
+        /// The task.
+        task: Task,
+        /// Which start of it.
+        run: u64,
+        /// The share, 0 to 100.
+        percent: u32,
+    },
     /// Tell what runs and what ended, and renew the lease.
     Hold {
         /// Ends up to here are recorded.
--- a/crates/runner/src/pending.rs
+++ b/crates/runner/src/pending.rs
@@ -28,7 +28,9 @@
     pub fn run(&self) -> (Task, u64) {
         match &self.action {
             Action::Start { task, run, .. } | Action::Stop { task, run } => (task.clone(), *run),
-            Action::Hold { .. } => unreachable!("looks are not kept among orders"),
+            Action::Hold { .. } | Action::Pace { .. } => {
+                unreachable!("only starts and stops are kept among orders")
+            }
         }
     }
 }
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -199,9 +199,11 @@
         match order {
             Order::Claim { .. } => {}
             Order::Grant { stamp } => self.lease.grant(stamp + self.settings.lease),
-            Order::Start { worker, task, run, spec, saved } => {
-                self.start(&worker, task, run, spec, saved, now);
+            Order::Start { worker, task, run, spec, saved, ticket } => {
+                let action = Action::Start { task, run, spec, saved, ticket, until: 0 };
+                self.start(&worker, action, now);
             }
+            Order::Pace { worker, task, run, percent } => self.pace(&worker, task, run, percent),
             Order::Stop { worker, task, run } => self.stop(&worker, task, run),
             Order::Seen { worker, number } => {
                 if let Some(life) = self.life.as_mut().filter(|life| life.worker.id == worker) {
@@ -213,7 +215,19 @@
         }
     }
 
-    fn start(&mut self, id: &str, task: Task, run: u64, spec: String, saved: String, now: u64) {
+    /// Passes a pace on. It is not tried again: the owner gives another as long
+    /// as the worker's figures are not what they should be.
+    fn pace(&mut self, id: &str, task: Task, run: u64, percent: u32) {
+        let Some(life) = self.life.as_ref().filter(|life| life.worker.id == id) else { return };
+        let action = Action::Pace { task, run, percent };
+        let call = life.call(self.epoch, action, self.settings.answer);
+        self.outputs.push(Output::Call { id: self.next_call, call });
+        self.next_call += 1;
+    }
+
+    fn start(&mut self, id: &str, mut action: Action, now: u64) {
+        let Action::Start { task, run, until: lease, .. } = &mut action else { return };
+        let (task, run) = (task.clone(), *run);
         let until = self.lease.until(now + self.settings.lease);
         let until = until.filter(|_| self.lease.left(now) > self.settings.lease / 4);
         // A worker that has not reported yet may run all the same; the owner
@@ -229,12 +243,8 @@
         // knew when it gave the order; nor does one without a lease. But the
         // order may be a repeated one, and the first may have taken effect.
         let refused = life.worker.draining || until.is_none();
-        let mut pending = Pending {
-            action: Action::Start { task, run, spec, saved, until: until.unwrap_or(0) },
-            tries: 0,
-            unclear: false,
-            again: Some(0),
-        };
+        *lease = until.unwrap_or(0);
+        let mut pending = Pending { action, tries: 0, unclear: false, again: Some(0) };
         if refused {
             pending.settle(now);
         }
--- a/crates/runner/tests/starts.rs
+++ b/crates/runner/tests/starts.rs
@@ -32,7 +32,8 @@
 
     fn start(&mut self, run: u64) {
         let (spec, saved) = (String::new(), String::new());
-        self.order(Order::Start { worker: "i1".into(), task: task(), run, spec, saved });
+        let (worker, ticket) = ("i1".into(), String::new());
+        self.order(Order::Start { worker, task: task(), run, spec, saved, ticket });
     }
 
     fn drain(&mut self) {
@@ -100,6 +101,7 @@
 
 fn called(call: &Call) -> String {
     match &call.action {
+        Action::Pace { task, run, percent } => format!("> pace {task} run {run} at {percent}"),
         Action::Start { task, run, until, .. } => format!("> start {task} run {run} until {until}"),
         Action::Stop { task, run } => format!("> stop {task} run {run}"),
         Action::Hold { seen, wait, .. } => format!("> hold seen {seen} wait {wait}"),
@@ -241,3 +243,14 @@
     bed.pass(300);
     assert_snapshot!(bed.told(), @r"> hold seen 0 wait 0");
 }
+
+#[test]
+fn a_pace_is_passed_on_once_and_never_to_another_life() {
+    let mut bed = Bed::open();
+    bed.told();
+    let pace =
+        |worker: &str| Order::Pace { worker: worker.into(), task: task(), run: 1, percent: 50 };
+    bed.order(pace("i0"));
+    bed.order(pace("i1"));
+    assert_snapshot!(bed.told(), @"> pace j.0.0.0 run 1 at 50");
+}
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -74,6 +74,8 @@
     Lease,
     /// A later owner has spoken to the worker.
     Fence,
+    /// The step is not cleared for the worker, or no longer.
+    Ticket,
     /// The worker is unhealthy.
     Busy,
     /// The worker takes the start for malformed.
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -28,6 +28,9 @@
         spec: String,
         /// The checkpoint to resume from; empty for none.
         saved: String,
+        /// What clears the step for this worker; empty where nothing must.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        ticket: String,
     },
     /// Stop a run, or see to it that it cannot start any more.
     Stop {
@@ -38,6 +41,17 @@
         /// Which start of it.
         run: u64,
     },
+    /// Let a run work, and disturb its neighbours, at a share of its speed.
+    Pace {
+        /// The life of the worker that is meant.
+        worker: String,
+        /// The task.
+        task: Task,
+        /// Which start of it.
+        run: u64,
+        /// The share, 0 to 100.
+        percent: u32,
+    },
     /// All ends up to `number` are recorded; the worker may forget them.
     Seen {
         /// The life of the worker that listed them.
