Carry out waves of maintenance

Ruled out: taking machines down at once (throws away what runs there); a record of each machine that has begun (the call is idempotent, so a new owner calls again).

Change: the owner takes the machines that lose least first, lets one that is next run empty unless the wave's time presses, never lets more be down than the wave allows (a call without an answer counts as down) nor a step that lasts miss more than it may, waits a holder's turn after a takeover, and tells operators how the wave goes.

Before: not handled.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -26,6 +26,11 @@
     /// Since when there has been no connection, or no worker; none while there
     /// are both.
     pub absent: Option<u64>,
+    /// Its machine goes down next: nothing new starts there.
+    pub cordoned: bool,
+    /// The platform was asked to take its machine down: all that runs there is
+    /// as good as gone.
+    pub doomed: bool,
     /// For how long the worker has owed an answer.
     pub silent: u64,
     /// The runs that the worker listed last.
@@ -65,6 +70,11 @@
     /// True if runs may start there.
     pub fn open(&self, settings: &Settings) -> bool {
         let ready = self.worker.as_ref().is_some_and(|worker| !worker.draining);
-        self.link.is_some() && self.fenced && ready && self.silent < settings.mute
+        self.link.is_some()
+            && self.fenced
+            && !self.cordoned
+            && !self.doomed
+            && ready
+            && self.silent < settings.mute
     }
 }
--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -10,6 +10,8 @@
     pub jobs: Vec<(Id, Progress)>,
     /// What workers may forget once the batch is recorded.
     pub seen: Vec<Seen>,
+    /// Waves of maintenance that are new, and when they were first seen.
+    pub waves: Vec<(u64, u64)>,
     /// Agents that are no members any more.
     pub gone: Vec<String>,
     /// Checkpoints of jobs whose tasks saved more.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 mod throttle;
 mod times;
 mod unsettled;
+mod upkeep;
 
 pub use advice::Question;
 pub use batch::{Batch, Seen};
@@ -36,3 +37,4 @@
 pub use settings::Settings;
 pub use times::Times;
 pub use unsettled::Unsettled;
+pub use upkeep::Taken;
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -3,7 +3,7 @@
 use quincewheel_job::{Id, Job, Progress, State};
 use quincewheel_store::Change;
 
-use crate::rows::{Node, OWNER, Ownership, TIMES};
+use crate::rows::{Node, OWNER, Ownership, Seen, TIMES};
 use crate::saved::Saved;
 use crate::times::Times;
 
@@ -18,6 +18,8 @@
     pub owner: Option<(Ownership, u64)>,
     /// Run times that owners have learned.
     pub times: Times,
+    /// When owners first saw waves of maintenance, in milliseconds since 1970.
+    pub waves: BTreeMap<u64, u64>,
     /// All changes up to this version are in.
     pub version: u64,
     /// When this process first saw that a job had ended, in milliseconds.
@@ -97,6 +99,10 @@
                 }
                 None
             }),
+            "wave" => serde_json::from_str(value).map(|seen: Seen| {
+                self.waves.extend(name.parse().ok().map(|number: u64| (number, seen.at)));
+                None
+            }),
             "stop" => {
                 self.jobs.entry(name.to_owned()).or_default().cancelled = true;
                 Ok(Some(News::Cancelled(name.to_owned())))
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -10,6 +10,7 @@
 use crate::saved::Saved;
 use crate::settings::Settings;
 use crate::times::Times;
+use crate::upkeep::Upkeep;
 
 /// What the owner wants done.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -27,6 +28,22 @@
         /// What is asked.
         question: Question,
     },
+    /// List all machines.
+    List,
+    /// Take a machine down for a wave of maintenance.
+    Take {
+        /// The wave.
+        wave: u64,
+        /// The machine.
+        machine: String,
+    },
+    /// Tell operators how a wave goes.
+    Wave {
+        /// The wave.
+        number: u64,
+        /// All machines that are still there have begun.
+        done: bool,
+    },
     /// Close a connection that fell silent or was replaced.
     Close {
         /// The connection.
@@ -81,6 +98,8 @@
     pub(crate) followed: Option<u64>,
     /// Nothing that a former owner started can be unknown any more.
     pub(crate) settled: bool,
+    /// Waves of maintenance.
+    pub(crate) upkeep: Upkeep,
     pub(crate) next_unit: u64,
     /// The next time of day at which time alone changes what may start.
     pub(crate) next_due: Option<u64>,
@@ -120,6 +139,7 @@
             replan: true,
             followed: None,
             settled: false,
+            upkeep: Upkeep::default(),
             next_unit: 1,
             next_due: None,
             outputs: Vec::new(),
@@ -281,6 +301,7 @@
         }
         batch.gone = self.gone().into_iter().take(GONE).collect();
         batch.saved = self.unsaved();
+        batch.waves = self.new_waves();
         self.recording = true;
         Some(batch)
     }
@@ -352,6 +373,9 @@
             }
             self.urgent = true;
             self.learned |= batch.times.is_some();
+            for (number, _) in &batch.waves {
+                self.unrecord(*number);
+            }
             for (id, _) in &batch.saved {
                 if let Some(entry) = self.jobs.get_mut(id) {
                     entry.unsaved = true;
@@ -389,6 +413,7 @@
             let detail = format!("{} ms; not heard: {}", now - self.claimed, waited.join(" "));
             self.log("settled", "", detail);
         }
+        self.maintain(now, wall);
         let due = self.next_due.is_some_and(|due| due <= wall);
         if due || self.ask_again.take_if(|at| *at <= now).is_some() {
             self.replan = true;
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -31,6 +31,7 @@
             agent.seen = 0;
             agent.failures = 0;
             agent.doubted = 0;
+            agent.doomed = false;
         }
         let first = fenced && !agent.fenced;
         agent.unknown = None;
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -3,7 +3,8 @@
 //! An entry writes `job/ID` when it accepts a job and `stop/ID` when a client
 //! cancels it; the owner writes `run/ID`, the job's progress, and
 //! `save/ID`, its
-//! checkpoints, and `times`, learned run times; every process writes
+//! checkpoints, and `times`, learned run
+//! times, and `wave/N`, when it first saw a wave; every process writes
 //! `node/NAME`; the owner and whoever replaces it write `owner`.
 
 use quincewheel_store::{Commit, Put};
@@ -41,6 +42,18 @@
     format!("node/{name}")
 }
 
+/// Key of the row that tells when a wave of maintenance was first seen.
+pub fn wave(number: u64) -> String {
+    format!("wave/{number}")
+}
+
+/// When a wave of maintenance was first seen.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Seen {
+    /// In milliseconds since 1970.
+    pub at: u64,
+}
+
 /// Who owns the deployment.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ownership {
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -38,6 +38,10 @@
     /// Time between two records of the same job's checkpoints. What is lost when
     /// all workers lose power at once; a checkpoint is made each 500 ms or so.
     pub keep: u64,
+    /// Holders of a machine's fencing token take turns no faster than this.
+    pub turn: u64,
+    /// How long a machine is down for maintenance.
+    pub maintenance: u64,
     /// A run that a worker does not list, though its start was confirmed, is
     /// taken for gone after this time: more than two looks.
     pub missing: u64,
@@ -59,6 +63,8 @@
             reclaim: 2700,
             absence: 2000,
             keep: 1500,
+            turn: 3000,
+            maintenance: 2000,
             missing: 5000,
         }
     }
--- a/crates/dispatch/src/throttle.rs
+++ b/crates/dispatch/src/throttle.rs
@@ -68,7 +68,10 @@
         let at_work = (0..step.count).filter(|&index| {
             let at: Key = (occurrence, number, index);
             let placed = entry.runs.get(&at);
-            placed.is_some_and(|placed| placed.phase == Phase::Running && placed.percent >= 100)
+            placed.is_some_and(|placed| {
+                let doomed = self.agents.get(&placed.agent).is_some_and(|agent| agent.doomed);
+                placed.phase == Phase::Running && placed.percent >= 100 && !doomed
+            })
         });
         let away = step.count - at_work.count() as u32;
         step.may_miss.saturating_sub(away)
--- a/crates/dispatch/tests/bed/mod.rs
+++ b/crates/dispatch/tests/bed/mod.rs
@@ -85,6 +85,13 @@
                     self.lines.push(format!("ask {}", question.workers.join(" ")));
                     self.questions.push(question);
                 }
+                Output::List => self.lines.push("list".to_owned()),
+                Output::Take { wave, machine } => {
+                    self.lines.push(format!("take {machine} for {wave}"));
+                }
+                Output::Wave { number, done } => {
+                    self.lines.push(format!("wave {number} done {done}"));
+                }
                 Output::Close { link } => self.lines.push(format!("close {link}")),
                 Output::Deposed { epoch } => self.lines.push(format!("deposed by {epoch}")),
                 Output::Log { .. } => {}
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -12,6 +12,7 @@
 mod own;
 mod record;
 mod state;
+mod upkeep;
 
 use std::io;
 use std::path::Path;
@@ -84,6 +85,7 @@
         actix_rt::spawn(links::listen(Rc::clone(&shared), peers_in));
         actix_rt::spawn(own::run(Rc::clone(&shared)));
         actix_rt::spawn(advise::run(Rc::clone(&shared)));
+        actix_rt::spawn(upkeep::run(Rc::clone(&shared)));
         actix_rt::spawn(answer(Rc::clone(&shared), work_in));
         quincewheel_conf::ending().await?;
         drain(&shared, grace).await;
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -67,6 +67,15 @@
 
 fn configure(shared: &Site, change: &Change) {
     let Some(value) = &change.value else { return };
+    match platform::wave(&change.key, value) {
+        None => {}
+        Some(Err(detail)) => log::warn!(event = "bad wave", key = change.key.as_str(); "{detail}"),
+        Some(Ok(wave)) => {
+            log::info!(event = "wave", number = wave.number; "{} machines", wave.machines.len());
+            shared.waves.borrow_mut().insert(wave.number, wave);
+            shared.wake.notify_one();
+        }
+    }
     match platform::config(&change.key, value) {
         None => {}
         Some(Err(detail)) => log::warn!(event = "bad configuration"; "{detail}"),
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -13,6 +13,7 @@
 use super::links::dial;
 use super::record::{RENEW, record};
 use super::state::{Shared, Site};
+use super::upkeep::Wish;
 
 /// Longest pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
@@ -110,7 +111,14 @@
 
 fn settings(shared: &Site) -> Settings {
     let site = &shared.settings;
-    Settings { lease: site.lease, stop: site.stop, reclaim: site.reclaim, ..Settings::default() }
+    Settings {
+        lease: site.lease,
+        stop: site.stop,
+        reclaim: site.reclaim,
+        turn: site.turn,
+        maintenance: site.maintenance,
+        ..Settings::default()
+    }
 }
 
 /// Lets time pass for the owner and carries out what it wants.
@@ -120,6 +128,7 @@
     if let Some(config) = shared.config.borrow().as_ref() {
         current.configure(config);
     }
+    add_waves(shared, current);
     current.tick(quincewheel_clock::boot(), quincewheel_clock::wall());
     let mut deposed = None;
     for output in current.outputs() {
@@ -135,6 +144,9 @@
                 *shared.question.borrow_mut() = Some(question);
                 shared.asked.notify_one();
             }
+            Output::List => wish(shared, Wish::List),
+            Output::Take { wave, machine } => wish(shared, Wish::Take { wave, machine }),
+            Output::Wave { number, done } => wish(shared, Wish::Tell { number, done }),
             Output::Close { link } => {
                 shared.hub.ask(Command::Close { link, reason: "silent or replaced" });
             }
@@ -151,6 +163,22 @@
     }
 }
 
+/// Tells the owner of waves that it does not know, and when they were first
+/// seen: a later owner must not give them their whole time again.
+fn add_waves(shared: &Site, owner: &mut Owner) {
+    for (number, wave) in shared.waves.borrow().iter() {
+        if !owner.knows_wave(*number) {
+            let known = shared.mirror.borrow().waves.get(number).copied();
+            owner.wave(wave, known, quincewheel_clock::wall());
+        }
+    }
+}
+
+fn wish(shared: &Site, wish: Wish) {
+    shared.wishes.borrow_mut().push(wish);
+    shared.wished.notify_one();
+}
+
 /// Ends the ownership once the table's feed shows a later one.
 ///
 /// The feed tells rows in the order in which they were written. A new owner
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -5,7 +5,7 @@
 
 use quincewheel_dispatch::rows::Ownership;
 use quincewheel_dispatch::{Election, Mirror, Owner, Question, Unsettled};
-use quincewheel_job::Config;
+use quincewheel_job::{Config, Wave};
 use quincewheel_peer::Hub;
 use quincewheel_platform::{self as platform, Table};
 use quincewheel_store::Error;
@@ -14,6 +14,7 @@
 
 use super::gate::Gate;
 use super::metrics::Metrics;
+use super::upkeep::Wish;
 
 /// The deciding thread's state, shared by its tasks.
 pub(crate) type Shared = Rc<Site>;
@@ -57,6 +58,12 @@
     pub failures: Cell<u32>,
     /// Since when the table has not answered; none while it does.
     pub table_lost: Cell<Option<u64>>,
+    /// Waves of maintenance that operators asked for.
+    pub waves: RefCell<BTreeMap<u64, Wave>>,
+    /// What the owner wants of the machines.
+    pub wishes: RefCell<Vec<Wish>>,
+    /// There is some.
+    pub wished: Notify,
     /// The owner's next question to the service that clears steps.
     pub question: RefCell<Option<Question>>,
     /// There is one.
@@ -93,6 +100,9 @@
             unsettled: RefCell::default(),
             failures: Cell::new(0),
             table_lost: Cell::new(None),
+            waves: RefCell::default(),
+            wishes: RefCell::default(),
+            wished: Notify::new(),
             question: RefCell::new(None),
             asked: Notify::new(),
             wake: Notify::new(),
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod error;
 mod job;
+mod machine;
 mod need;
 mod progress;
 mod queue;
@@ -16,12 +17,14 @@
 mod schedule;
 mod step;
 mod team;
+mod wave;
 mod worker;
 
 pub use advice::Advice;
 pub use config::Config;
 pub use error::Error;
 pub use job::Job;
+pub use machine::{Condition, Machine};
 pub use need::Need;
 pub use progress::{Progress, State};
 pub use queue::Queue;
@@ -30,6 +33,7 @@
 pub use schedule::Schedule;
 pub use step::Step;
 pub use team::Team;
+pub use wave::Wave;
 pub use worker::Worker;
 
 /// Names a job; chosen by its client, unique in the deployment.
