Let jobs of which nothing runs start beside idle workers; soak the real processes (first form)

Change: where half of the pool is free by any measure, a job of which nothing runs spares whole workers for 1.5 s only. Beside it the first form of the soak: entries and agents as processes, stand-ins for table, workers and clients, loopback proxies, a judge.

--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -46,6 +46,20 @@
         free.into_iter().map(|place| (place, std::mem::take(&mut self.spots[place].free))).collect()
     }
 
+    /// True if half of the pool is free by any measure: of accelerators,
+    /// processors or memory.
+    pub fn is_half_free(&self, pool: &str) -> bool {
+        let mut all = Need::default();
+        let mut free = Need::default();
+        for spot in self.spots.iter().filter(|spot| spot.pool == pool) {
+            all.give(&spot.capacity);
+            free.give(&spot.free);
+        }
+        free.accelerators * 2 >= all.accelerators
+            || free.cpu * 2 >= all.cpu
+            || free.memory * 2 >= all.memory
+    }
+
     /// Hides workers that a step is not cleared for.
     pub fn hide(&mut self, places: &[usize]) -> Vec<(usize, Spot)> {
         places.iter().map(|&place| (place, std::mem::take(&mut self.spots[place]))).collect()
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -21,6 +21,8 @@
     pub progress: Progress,
     /// Runs that may exist, by task.
     pub runs: BTreeMap<Key, Placed>,
+    /// Since when nothing of it has run; none while something does.
+    pub idle: Option<u64>,
     /// The newest checkpoint of each task, or of a gang under index 0.
     pub saved: BTreeMap<Key, String>,
     /// There are checkpoints newer than their record.
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -193,6 +193,7 @@
             version,
             progress: progress.unwrap_or_default(),
             runs: BTreeMap::new(),
+            idle: None,
             saved: BTreeMap::new(),
             unsaved: false,
             kept: 0,
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -15,6 +15,9 @@
 impl Owner {
     /// Decides what starts now.
     pub(crate) fn plan(&mut self, now: u64, wall: u64) {
+        for entry in self.jobs.values_mut() {
+            entry.idle = entry.runs.is_empty().then(|| entry.idle.unwrap_or(now));
+        }
         let mut candidates = self.candidates(wall);
         candidates.sort_by_key(|candidate| candidate.rank);
         let mut board = self.board(now);
@@ -188,7 +191,7 @@
         let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
         let patient = wall < begin + PATIENCE;
         let ask = Ask { step, pool, count, patient, owed: false, sure: false, held: &held };
-        let waits_until = candidate.waits_until().filter(|&until| until > wall);
+        let waits_until = self.waits_until(candidate, board.is_half_free(pool), (now, wall));
         let spared = waits_until.map(|_| board.spare(pool)).unwrap_or_default();
         let choices = pack(&board.spots, &ask);
         board.unspare(spared);
@@ -208,6 +211,28 @@
         }
     }
 
+    /// Until when the candidate leaves whole workers to work that has less time,
+    /// in milliseconds since 1970; none if it does not.
+    ///
+    /// A job of which nothing runs does so only for a short while where much of
+    /// the pool is free: urgent work finds room there anyway, and a job that
+    /// stood still beside idle workers until its time pressed would not be
+    /// understood.
+    fn waits_until(
+        &self,
+        candidate: &Candidate,
+        half_free: bool,
+        (now, wall): (u64, u64),
+    ) -> Option<u64> {
+        let until = candidate.waits_until().filter(|&until| until > wall)?;
+        let idle = self.jobs.get(&candidate.id).and_then(|entry| entry.idle);
+        match idle.filter(|_| half_free) {
+            Some(since) if now >= since + IDLE => None,
+            Some(since) => Some(until.min(wall + since + IDLE - now)),
+            None => Some(until),
+        }
+    }
+
     /// Sees to it that the next round is no later than this time of day.
     fn look_again(&mut self, at: u64) {
         self.next_due = Some(self.next_due.map_or(at, |due| due.min(at)));
@@ -462,6 +487,10 @@
 /// and a good part of that again.
 const AHEAD: u64 = 700;
 
+/// A job of which nothing runs leaves whole workers to urgent work for so many
+/// milliseconds while half of the pool is free.
+const IDLE: u64 = 1500;
+
 /// A gang that wants one rack waits for it for so many milliseconds while half
 /// of the pool is free. A stop takes up to 900, so room that is made for it
 /// comes sooner.
--- /dev/null
+++ b/crates/stand-in/tests/soak/hall.rs
@@ -0,0 +1,217 @@
+//! All workers of a run: what they run, and how it ends.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::judge::{Judge, Task};
+
+/// Accelerators of a worker.
+pub const ACCELERATORS: u64 = 8;
+/// A member of a gang waits so long for the others, in milliseconds.
+const GANG: u64 = 3000;
+/// A stop takes so long, in milliseconds.
+const STOP: u64 = 50;
+/// Longest lease, in milliseconds.
+pub const LEASE: u64 = 6000;
+
+/// A start of a task.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub number: u64,
+    pub began: u64,
+    /// When its gang was complete, or it began.
+    works: Option<u64>,
+    /// When a stop of it is through.
+    stops: Option<u64>,
+}
+
+/// An end that the worker lists.
+#[derive(Clone, Debug)]
+pub struct End {
+    pub number: u64,
+    pub task: Task,
+    pub run: u64,
+    pub how: &'static str,
+}
+
+/// One worker.
+#[derive(Default)]
+pub struct Worker {
+    pub life: u64,
+    pub fence: u64,
+    pub lease: u64,
+    pub runs: BTreeMap<Task, Run>,
+    pub ended: Vec<End>,
+    pub next_end: u64,
+    /// Highest run of each task that was stopped or ended here.
+    pub over: BTreeMap<Task, u64>,
+    /// It answers nothing until then.
+    pub dark: u64,
+}
+
+/// Workers, and the judge of what they do.
+pub struct Hall {
+    opened: Instant,
+    pub workers: Vec<Worker>,
+    pub judge: Judge,
+}
+
+impl Hall {
+    pub fn open(workers: usize) -> Hall {
+        let worker = |_| Worker { life: 1, ..Worker::default() };
+        let workers = (0..workers).map(worker).collect();
+        Hall { opened: Instant::now(), workers, judge: Judge::default() }
+    }
+
+    /// Milliseconds since the run began; also every worker's clock.
+    pub fn now(&self) -> u64 {
+        self.opened.elapsed().as_millis() as u64
+    }
+
+    /// Accelerators that are taken, also by what is being stopped.
+    pub fn used(&self, worker: usize) -> u64 {
+        let need = |task: &Task| {
+            self.judge.jobs.get(&task.0).map_or(0, |job| job.steps[task.1 as usize].accelerators)
+        };
+        self.workers[worker].runs.keys().map(need).sum()
+    }
+
+    /// A worker begins a run.
+    pub fn begin(&mut self, at: usize, task: Task, number: u64, spec: &str) {
+        let (now, life) = (self.now(), self.workers[at].life);
+        self.judge.start(at, life, &task, number, spec);
+        let run = Run { number, began: now, works: None, stops: None };
+        self.workers[at].runs.insert(task, run);
+    }
+
+    /// A worker is told to stop a run, or never to begin it.
+    pub fn stop(&mut self, at: usize, task: &Task, number: u64) {
+        let now = self.now();
+        let worker = &mut self.workers[at];
+        let over = worker.over.entry(task.clone()).or_default();
+        *over = number.max(*over);
+        if let Some(run) = worker.runs.get_mut(task).filter(|run| run.number == number) {
+            run.stops.get_or_insert(now + STOP);
+        }
+    }
+
+    /// A worker is told that ends up to `seen` are recorded.
+    pub fn acknowledge(&mut self, at: usize, seen: u64) {
+        let ended = std::mem::take(&mut self.workers[at].ended);
+        for end in ended {
+            if end.number <= seen {
+                self.judge.recorded(&end.task, end.how == "done", end.how == "failed");
+            } else {
+                self.workers[at].ended.push(end);
+            }
+        }
+    }
+
+    /// A worker loses all that it has and comes back as another.
+    pub fn rebirth(&mut self, at: usize, dark: u64) {
+        let now = self.now();
+        let life = self.workers[at].life;
+        let runs = std::mem::take(&mut self.workers[at].runs);
+        self.workers[at] = Worker { life: life + 1, dark: now + dark, ..Worker::default() };
+        for (task, run) in runs {
+            self.judge.gone(at, life, &task, run.number);
+            self.end_mates(&task, run.number, "broken");
+        }
+    }
+
+    /// Lets time pass: gangs become complete, runs end, leases lapse.
+    pub fn tick(&mut self) {
+        let now = self.now();
+        self.gather(now);
+        for at in 0..self.workers.len() {
+            let lapsed = now >= self.workers[at].lease;
+            let runs: Vec<(Task, Run)> = self.workers[at]
+                .runs
+                .iter()
+                .map(|(task, run)| (task.clone(), run.clone()))
+                .collect();
+            for (task, run) in runs {
+                if let Some(how) = self.verdict(&task, &run, lapsed, now) {
+                    self.end(at, &task, run.number, how);
+                }
+            }
+        }
+    }
+
+    /// Marks members of complete gangs, and all other runs, as at work.
+    fn gather(&mut self, now: u64) {
+        let mut present: BTreeMap<(String, u32, u64), u32> = BTreeMap::new();
+        for (task, run) in self.workers.iter().flat_map(|worker| &worker.runs) {
+            *present.entry((task.0.clone(), task.1, run.number)).or_default() += 1;
+        }
+        let Hall { workers, judge, .. } = self;
+        for (task, run) in workers.iter_mut().flat_map(|worker| &mut worker.runs) {
+            let Some(job) = judge.jobs.get(&task.0) else { continue };
+            let step = &job.steps[task.1 as usize];
+            let here = present.get(&(task.0.clone(), task.1, run.number)).copied().unwrap_or(0);
+            if run.works.is_none() && (!step.gang || here == step.count) {
+                run.works = Some(now);
+            }
+        }
+    }
+
+    fn verdict(&self, task: &Task, run: &Run, lapsed: bool, now: u64) -> Option<&'static str> {
+        let job = self.judge.jobs.get(&task.0)?;
+        let step = &job.steps[task.1 as usize];
+        let fails = job.fails > 0 && (run.number + u64::from(task.2)) % job.fails == 0;
+        match run.works {
+            _ if lapsed => Some("lapsed"),
+            _ if run.stops.is_some_and(|at| now >= at) => Some("stopped"),
+            None => (now >= run.began + GANG).then_some("alone"),
+            Some(works) if now >= works + step.ms => Some(if fails { "failed" } else { "done" }),
+            Some(_) => None,
+        }
+    }
+
+    /// Ends a run, and with it the other members of its gang.
+    fn end(&mut self, at: usize, task: &Task, number: u64, how: &'static str) {
+        if !self.list_end(at, task, number, how) {
+            return;
+        }
+        match how {
+            "alone" => {}
+            "done" => self.end_mates(task, number, "done"),
+            _ => self.end_mates(task, number, "broken"),
+        }
+    }
+
+    /// Ends the other members of a gang; nothing for a task that is in none.
+    fn end_mates(&mut self, task: &Task, number: u64, how: &'static str) {
+        let gang = self.judge.jobs.get(&task.0).is_some_and(|job| job.steps[task.1 as usize].gang);
+        if !gang {
+            return;
+        }
+        let mates: Vec<(usize, Task)> = (0..self.workers.len())
+            .flat_map(|at| self.workers[at].runs.iter().map(move |(task, run)| (at, task, run)))
+            .filter(|(_, mate, run)| mate.0 == task.0 && mate.1 == task.1 && run.number == number)
+            .map(|(at, mate, _)| (at, mate.clone()))
+            .collect();
+        for (at, mate) in mates {
+            self.list_end(at, &mate, number, how);
+        }
+    }
+
+    fn list_end(&mut self, at: usize, task: &Task, run: u64, how: &'static str) -> bool {
+        let life = self.workers[at].life;
+        let worker = &mut self.workers[at];
+        if worker.runs.get(task).is_none_or(|known| known.number != run) {
+            return false;
+        }
+        worker.runs.remove(task);
+        worker.next_end += 1;
+        let end = End { number: worker.next_end, task: task.clone(), run, how };
+        worker.ended.push(end);
+        let over = worker.over.entry(task.clone()).or_default();
+        *over = run.max(*over);
+        self.judge.gone(at, life, task, run);
+        if how == "done" {
+            self.judge.finish(task);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/stand-in/tests/soak/net.rs
@@ -0,0 +1,60 @@
+//! Loopback addresses: one for each process, and one for each proxy before it.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// The addresses of one run. Runs side by side differ in the second and third
+/// byte, so that no port is ever shared.
+#[derive(Clone, Copy, Debug)]
+pub struct Net {
+    first: u8,
+    second: u8,
+}
+
+/// Runs of one process until addresses come again. Servers of earlier runs live
+/// as long as the process.
+const RUNS: u32 = 64;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// Ports that all processes use, each on its own address.
+pub const PEERS: u16 = 7400;
+pub const CLIENTS: u16 = 7401;
+pub const READY: u16 = 7402;
+pub const REPORTS: u16 = 7403;
+pub const WORKER: u16 = 7404;
+pub const TABLE: u16 = 7405;
+
+impl Net {
+    pub fn open() -> Net {
+        let id = std::process::id() * RUNS + NEXT.fetch_add(1, Ordering::Relaxed) % RUNS;
+        // 127.0 and 127.1 are left to others; the third byte leaves room for
+        // the proxies'.
+        Net { first: 2 + (id / 80 % 250) as u8, second: 3 * (id % 80) as u8 }
+    }
+
+    /// Where a process listens.
+    pub fn own(self, host: u8, port: u16) -> String {
+        format!("127.{}.{}.{host}:{port}", self.first, self.second)
+    }
+
+    /// The address of a process without a port.
+    pub fn ip(self, host: u8) -> String {
+        format!("127.{}.{}.{host}", self.first, self.second)
+    }
+
+    /// Where others reach a process's port for other processes.
+    pub fn before(self, host: u8) -> String {
+        format!("127.{}.{}.{host}:{PEERS}", self.first, self.second + 1)
+    }
+
+    /// Where a process reaches the table.
+    pub fn to_table(self, host: u8) -> String {
+        format!("127.{}.{}.{host}:{TABLE}", self.first, self.second + 2)
+    }
+
+    /// Replaces the address that a process announces by that of its proxy.
+    pub fn proxied(self, text: &str) -> String {
+        let own = format!("127.{}.{}.", self.first, self.second);
+        text.replace(&own, &format!("127.{}.{}.", self.first, self.second + 1))
+    }
+}
--- /dev/null
+++ b/crates/stand-in/tests/soak/proxy.rs
@@ -0,0 +1,107 @@
+//! Loopback proxies that harm what passes them.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// What a proxy does to its connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// Passes everything on.
+    #[default]
+    Pass,
+    /// Passes everything on late, by so many milliseconds a piece.
+    Delay(u64),
+    /// Passes nothing on, and new connections neither.
+    Silent,
+    /// Passes nothing on towards the process that is called.
+    OneWay,
+    /// Closes connections at once.
+    Reset,
+}
+
+/// A running proxy.
+#[derive(Clone)]
+pub struct Proxy {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    mode: Mode,
+    open: Vec<TcpStream>,
+}
+
+/// How often a connection that is held looks whether it may go on.
+const LOOK: Duration = Duration::from_millis(20);
+
+impl Proxy {
+    /// A proxy from `from` to `to`.
+    pub fn bind(from: &str, to: &str) -> std::io::Result<Proxy> {
+        let listener = TcpListener::bind(from)?;
+        let proxy = Proxy { state: Arc::default() };
+        let (running, to) = (proxy.clone(), to.to_owned());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                running.accept(stream, &to);
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Changes what becomes of connections, open ones too.
+    pub fn set(&self, mode: Mode) {
+        let mut state = self.state.lock().unwrap();
+        state.mode = mode;
+        if mode == Mode::Reset {
+            for stream in state.open.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    fn mode(&self) -> Mode {
+        self.state.lock().unwrap().mode
+    }
+
+    fn accept(&self, client: TcpStream, to: &str) {
+        if self.mode() == Mode::Reset {
+            return;
+        }
+        let Ok(server) = TcpStream::connect(to) else { return };
+        let (Ok(up), Ok(down)) = (client.try_clone(), server.try_clone()) else { return };
+        let mut state = self.state.lock().unwrap();
+        state.open.extend([client.try_clone(), server.try_clone()].into_iter().flatten());
+        drop(state);
+        let (there, back) = (self.clone(), self.clone());
+        thread::spawn(move || there.copy(client, down, true));
+        thread::spawn(move || back.copy(server, up, false));
+    }
+
+    fn copy(&self, mut from: TcpStream, mut to: TcpStream, towards: bool) {
+        let mut buffer = [0; 16 << 10];
+        while let Ok(length @ 1..) = from.read(&mut buffer) {
+            while self.holds(towards) {
+                thread::sleep(LOOK);
+            }
+            if let Mode::Delay(ms) = self.mode() {
+                thread::sleep(Duration::from_millis(ms));
+            }
+            if to.write_all(&buffer[..length]).is_err() {
+                break;
+            }
+        }
+        let _ = to.shutdown(Shutdown::Both);
+        let _ = from.shutdown(Shutdown::Both);
+    }
+
+    fn holds(&self, towards: bool) -> bool {
+        match self.mode() {
+            Mode::Silent => true,
+            Mode::OneWay => towards,
+            Mode::Pass | Mode::Delay(_) | Mode::Reset => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand-in/tests/soak/table.rs
@@ -0,0 +1,241 @@
+//! The platform's table, as the page of its protocol tells it, with its faults.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use quincewheel_http::{Body, Reply, Request, Server};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::net::Net;
+
+/// What is wrong with the table.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Trouble {
+    #[default]
+    None,
+    /// Refuses every call.
+    Refusing,
+    /// Answers no call, and performs none.
+    Silent,
+    /// Takes so many milliseconds for each call.
+    Slow(u64),
+    /// Performs writes and loses every other answer.
+    Lossy,
+    /// Loses every other answer and performs that write a second later.
+    Late,
+}
+
+/// Rows, and the changes to them.
+#[derive(Default)]
+pub struct Table {
+    rows: BTreeMap<(String, String), (u64, String)>,
+    changes: VecDeque<(u64, String, String, Option<String>)>,
+    version: u64,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    pub trouble: Trouble,
+    writes: u64,
+    /// Replaces addresses by those of proxies in what is read.
+    net: Option<Net>,
+}
+
+#[derive(Deserialize)]
+struct Named {
+    table: String,
+    key: String,
+    #[serde(default)]
+    ver: u64,
+    #[serde(default)]
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    expected: Vec<Named>,
+    #[serde(default, rename = "setKeys")]
+    set: Vec<Named>,
+    #[serde(default)]
+    delete: Vec<Named>,
+}
+
+/// Most rows in one answer.
+const PAGE: usize = 500;
+/// Most changes that are remembered.
+const HISTORY: usize = 20_000;
+/// How often a call that waits for a change looks for one.
+const LOOK: Duration = Duration::from_millis(10);
+/// What a call that is not answered is held for.
+const HELD: Duration = Duration::from_secs(20);
+
+impl Table {
+    pub fn open(net: Net) -> Table {
+        Table { net: Some(net), ..Table::default() }
+    }
+
+    /// Writes a row as an operator.
+    pub fn put(&mut self, table: &str, key: &str, value: &str) {
+        self.version += 1;
+        self.set(table, key, Some(STANDARD.encode(value)));
+    }
+
+    /// Forgets which rows changed when.
+    pub fn compact(&mut self) {
+        self.changes.clear();
+        self.forgotten = self.version;
+    }
+
+    fn set(&mut self, table: &str, key: &str, value: Option<String>) {
+        let (row, version) = ((table.to_owned(), key.to_owned()), self.version);
+        match &value {
+            Some(value) => _ = self.rows.insert(row, (version, value.clone())),
+            None => _ = self.rows.remove(&row),
+        }
+        self.changes.push_back((version, table.to_owned(), key.to_owned(), value));
+        if self.changes.len() > HISTORY
+            && let Some((version, ..)) = self.changes.pop_front()
+        {
+            self.forgotten = version;
+        }
+    }
+
+    fn commit(&mut self, transaction: &Transaction) -> (u16, Value) {
+        let holds = |named: &Named| {
+            let row = self.rows.get(&(named.table.clone(), named.key.clone()));
+            row.map_or(0, |(version, _)| *version) == named.ver
+        };
+        if !transaction.expected.iter().all(holds) {
+            return (412, json!({ "rows": [], "ver": self.version }));
+        }
+        self.version += 1;
+        for named in &transaction.set {
+            self.set(&named.table, &named.key, Some(named.value.clone()));
+        }
+        for named in &transaction.delete {
+            self.set(&named.table, &named.key, None);
+        }
+        (200, json!({ "ver": self.version, "nowMs": 0 }))
+    }
+
+    fn read(&self, query: &BTreeMap<String, String>) -> Value {
+        let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let (table, from, to) = (text("table"), text("from"), text("to"));
+        let limit = query.get("limit").and_then(|text| text.parse().ok()).unwrap_or(PAGE);
+        let inside = |key: &str| key >= from.as_str() && (to.is_empty() || key < to.as_str());
+        let mut found: Vec<Value> = self
+            .rows
+            .iter()
+            .filter(|((known, key), _)| *known == table && inside(key))
+            .take(limit + 1)
+            .map(|((_, key), (version, value))| self.row(key, *version, Some(value)))
+            .collect();
+        let more = found.len() > limit;
+        found.truncate(limit);
+        json!({ "rows": found, "hasMore": more, "ver": self.version, "nowMs": 0 })
+    }
+
+    fn row(&self, key: &str, version: u64, value: Option<&String>) -> Value {
+        let Some(value) = value else {
+            return json!({ "key": key, "ver": version, "deleted": true });
+        };
+        let plain = STANDARD.decode(value).ok().and_then(|bytes| String::from_utf8(bytes).ok());
+        let told = match (plain, self.net) {
+            (Some(text), Some(net)) if key.starts_with("node/") => {
+                STANDARD.encode(net.proxied(&text))
+            }
+            _ => value.clone(),
+        };
+        json!({ "key": key, "ver": version, "value": told })
+    }
+
+    /// Changes after a version; none if they are forgotten.
+    fn feed(&self, table: &str, after: u64) -> Option<Vec<Value>> {
+        if after < self.forgotten {
+            return None;
+        }
+        let new =
+            self.changes.iter().filter(|(version, known, ..)| *version > after && known == table);
+        Some(new.map(|(version, _, key, value)| self.row(key, *version, value.as_ref())).collect())
+    }
+}
+
+/// Serves the table.
+pub fn serve(address: &str, table: Arc<Mutex<Table>>) -> std::io::Result<Server> {
+    Server::bind("table", address, move |request| answer(request, Arc::clone(&table)))
+}
+
+async fn answer(mut request: Request, table: Arc<Mutex<Table>>) -> Reply {
+    let path = request.path().to_owned();
+    let query = parse(request.uri().query().unwrap_or_default());
+    let Body::Whole(body) = quincewheel_http::read(&mut request, 1 << 20).await else {
+        return reply(400, &json!({}));
+    };
+    let trouble = table.lock().unwrap().trouble;
+    match trouble {
+        Trouble::Refusing => return reply(503, &json!({})),
+        Trouble::Silent => {
+            tokio::time::sleep(HELD).await;
+            return reply(503, &json!({}));
+        }
+        Trouble::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+        Trouble::None | Trouble::Lossy | Trouble::Late => {}
+    }
+    match path.as_str() {
+        "/v1/rows-tx" => write(&body, &table, trouble).await,
+        "/v1/rows-get" => reply(200, &table.lock().unwrap().read(&query)),
+        "/v1/rows-feed" => feed(&query, &table).await,
+        _ => reply(404, &json!({})),
+    }
+}
+
+async fn write(body: &[u8], table: &Mutex<Table>, trouble: Trouble) -> Reply {
+    let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
+        return reply(400, &json!({}));
+    };
+    let lost = {
+        let mut table = table.lock().unwrap();
+        table.writes += 1;
+        table.writes % 2 == 0 && matches!(trouble, Trouble::Lossy | Trouble::Late)
+    };
+    if lost && trouble == Trouble::Late {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let (status, told) = table.lock().unwrap().commit(&transaction);
+    if lost {
+        tokio::time::sleep(HELD).await;
+    }
+    reply(status, &told)
+}
+
+async fn feed(query: &BTreeMap<String, String>, table: &Mutex<Table>) -> Reply {
+    let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0u64);
+    let name = query.get("table").cloned().unwrap_or_default();
+    let mut waited = Duration::ZERO;
+    loop {
+        {
+            let table = table.lock().unwrap();
+            match table.feed(&name, number("after")) {
+                None => return reply(410, &json!({})),
+                Some(rows) if !rows.is_empty() || waited.as_millis() as u64 >= number("waitMs") => {
+                    return reply(200, &json!({ "rows": rows, "ver": table.version, "nowMs": 0 }));
+                }
+                Some(_) => {}
+            }
+        }
+        tokio::time::sleep(LOOK).await;
+        waited += LOOK;
+    }
+}
+
+fn reply(status: u16, body: &Value) -> Reply {
+    quincewheel_http::reply(status, "application/json", body.to_string())
+}
+
+fn parse(query: &str) -> BTreeMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.replace("%2F", "/"))).collect()
+}
--- /dev/null
+++ b/crates/stand-in/tests/soak/world.rs
@@ -0,0 +1,450 @@
+//! One run: the processes, what surrounds them, and the faults.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use std::{fs, thread};
+
+use quincewheel_http::Server;
+use serde_json::json;
+
+use crate::client::Client;
+use crate::fault::{self, Fault};
+use crate::hall::Hall;
+use crate::judge::ATTEMPTS;
+use crate::net::{self, Net};
+use crate::process::{Process, Signal};
+use crate::proxy::{Mode, Proxy};
+use crate::table::{self, Table, Trouble};
+use crate::worker;
+
+const ENTRIES: usize = 3;
+const WORKERS: usize = 6;
+const CLIENTS: u64 = 4;
+/// The table's address is that of this host.
+const TABLE_HOST: u8 = 250;
+/// Seconds from SIGTERM to SIGKILL, in the settings of all processes.
+const GRACE: u64 = 3;
+/// A process that was told to end may take so much longer: the machine is busy,
+/// and the programs are not optimized.
+const LATE: Duration = Duration::from_millis(1500);
+/// A key that was taken away must not work after this time.
+const REVOKE: Duration = Duration::from_millis(5000);
+/// Pause of a client between two jobs. Four clients then ask for some three
+/// quarters of what the workers can do.
+const THINK: Duration = Duration::from_millis(1000);
+/// After the last fault all accepted jobs must end within this time: a lease, an
+/// owner's longest time without the table, and the work itself.
+const FINISH: Duration = Duration::from_secs(45);
+
+/// What a run showed.
+pub struct Outcome {
+    pub violations: Vec<String>,
+    pub line: String,
+}
+
+/// A running deployment.
+pub struct World {
+    net: Net,
+    processes: Vec<Process>,
+    to_table: Vec<Proxy>,
+    to_peers: Vec<Proxy>,
+    table: Arc<Mutex<Table>>,
+    hall: Arc<Mutex<Hall>>,
+    keys: Arc<Mutex<Keys>>,
+    /// Ends of faults that are under way.
+    heals: Vec<(Instant, Heal)>,
+    _servers: Vec<Server>,
+}
+
+/// The keys that the configuration has, and those that it had.
+#[derive(Default)]
+struct Keys {
+    version: u64,
+    current: String,
+    gone: Vec<(String, Instant)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Heal {
+    Start(usize),
+    Continue(usize),
+    Restarted(usize),
+    Table(usize),
+    Peers(usize),
+    Trouble,
+}
+
+impl World {
+    /// Plays one seed.
+    pub fn play(seed: u64, seconds: u64, logs: Option<&Path>) -> Outcome {
+        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let logs = logs.map(|logs| logs.join(seed.to_string()));
+        if let Some(logs) = &logs {
+            fs::create_dir_all(logs).unwrap();
+        }
+        let mut world = World::open(&folder, logs.as_deref());
+        let paths = world.run(seed, seconds);
+        let accepted = paths.len();
+        world.settle(&paths, seed);
+        world.check_processes();
+        let judge = &mut world.hall.lock().unwrap().judge;
+        let line = format!("{accepted} jobs accepted, {} starts", judge.starts);
+        let mut violations = std::mem::take(&mut judge.violations);
+        if judge.starts == 0 {
+            violations.push("nothing was served".to_owned());
+        }
+        let _ = fs::remove_dir_all(&folder);
+        Outcome { violations, line }
+    }
+
+    fn open(folder: &Path, logs: Option<&Path>) -> World {
+        let net = Net::open();
+        let table = Arc::new(Mutex::new(Table::open(net)));
+        let hall = Arc::new(Mutex::new(Hall::open(WORKERS)));
+        let address = net.own(TABLE_HOST, net::TABLE);
+        let mut servers = vec![table::serve(&address, Arc::clone(&table)).unwrap()];
+        let mut world = World {
+            net,
+            processes: Vec::new(),
+            to_table: Vec::new(),
+            to_peers: Vec::new(),
+            table,
+            hall,
+            keys: Arc::default(),
+            heals: Vec::new(),
+            _servers: Vec::new(),
+        };
+        world.change_keys();
+        for index in 0..ENTRIES + WORKERS {
+            let host = 1 + index as u8;
+            if let Some(at) = index.checked_sub(ENTRIES) {
+                let server = worker::spawn(net, host, at, Arc::clone(&world.hall));
+                servers.push(server.unwrap());
+            }
+            world.add(net, index, host, folder, logs, &address);
+        }
+        world._servers = servers;
+        world
+    }
+
+    fn add(
+        &mut self,
+        net: Net,
+        index: usize,
+        host: u8,
+        folder: &Path,
+        logs: Option<&Path>,
+        table: &str,
+    ) {
+        self.to_table.push(Proxy::bind(&net.to_table(host), table).unwrap());
+        let peers = net.own(host, net::PEERS);
+        self.to_peers.push(Proxy::bind(&net.before(host), &peers).unwrap());
+        let entry = index < ENTRIES;
+        let name =
+            if entry { format!("entry-{index}") } else { format!("agent-{}", index - ENTRIES) };
+        let settings = folder.join(format!("{name}.toml"));
+        fs::write(&settings, settings_text(net, &name, host, entry)).unwrap();
+        let program = program(if entry { "quincewheel-entry" } else { "quincewheel-agent" });
+        self.processes.push(Process::spawn(&name, &program, &settings, logs));
+    }
+
+    /// Lets clients work while faults come, and returns what was accepted.
+    fn run(&mut self, seed: u64, seconds: u64) -> Vec<String> {
+        let entries = self.entries();
+        self.wait_until_served(&entries);
+        let stop = Arc::new(AtomicBool::new(false));
+        let ticking = self.spawn_time(Arc::clone(&stop));
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|number| self.spawn_client(&entries, seed ^ (number << 32), Arc::clone(&stop)))
+            .collect();
+        let prober = self.spawn_prober(&entries, seed, Arc::clone(&stop));
+        let begin = Instant::now();
+        for (at, fault) in fault::draw(seed, seconds, ENTRIES + WORKERS, WORKERS) {
+            while begin.elapsed() < Duration::from_millis(at) {
+                self.heal(false);
+                thread::sleep(Duration::from_millis(10));
+            }
+            self.inflict(fault);
+        }
+        self.heal(true);
+        stop.store(true, Ordering::Relaxed);
+        let paths = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
+        prober.join().unwrap();
+        drop(ticking);
+        paths
+    }
+
+    fn entries(&self) -> Vec<String> {
+        (0..ENTRIES).map(|index| self.net.own(1 + index as u8, net::CLIENTS)).collect()
+    }
+
+    fn wait_until_served(&self, entries: &[String]) {
+        let entries = entries.to_vec();
+        let key = self.keys.lock().unwrap().current.clone();
+        let end = Instant::now() + Duration::from_secs(20);
+        actix_rt::System::new().block_on(async move {
+            let mut client = Client::open(&entries, 0);
+            while client.knows(&key).await != Some(true) {
+                assert!(Instant::now() < end, "no entry serves within 20 s");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        });
+    }
+
+    /// Lets workers' time pass for as long as the run lasts.
+    fn spawn_time(&self, _stop: Arc<AtomicBool>) -> thread::JoinHandle<()> {
+        let hall = Arc::downgrade(&self.hall);
+        thread::spawn(move || {
+            while let Some(hall) = hall.upgrade() {
+                hall.lock().unwrap().tick();
+                drop(hall);
+                thread::sleep(Duration::from_millis(10));
+            }
+        })
+    }
+
+    fn spawn_client(
+        &self,
+        entries: &[String],
+        seed: u64,
+        stop: Arc<AtomicBool>,
+    ) -> thread::JoinHandle<Vec<String>> {
+        let (entries, hall, keys) =
+            (entries.to_vec(), Arc::clone(&self.hall), Arc::clone(&self.keys));
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let mut client = Client::open(&entries, seed);
+                let mut paths = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    let key = keys.lock().unwrap().current.clone();
+                    paths.extend(client.submit(&hall, &key).await);
+                    tokio::time::sleep(THINK).await;
+                }
+                paths
+            })
+        })
+    }
+
+    /// Tries keys that were taken away.
+    fn spawn_prober(
+        &self,
+        entries: &[String],
+        seed: u64,
+        stop: Arc<AtomicBool>,
+    ) -> thread::JoinHandle<()> {
+        let (entries, hall, keys) =
+            (entries.to_vec(), Arc::clone(&self.hall), Arc::clone(&self.keys));
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let mut client = Client::open(&entries, !seed);
+                while !stop.load(Ordering::Relaxed) {
+                    let old = |(_, at): &&(String, Instant)| at.elapsed() > REVOKE;
+                    let key = keys.lock().unwrap().gone.iter().rev().find(old).cloned();
+                    if let Some((key, at)) = key
+                        && client.knows(&key).await == Some(true)
+                    {
+                        let ms = at.elapsed().as_millis();
+                        let text = format!("CONFIG a key works {ms} ms after it was taken away");
+                        hall.lock().unwrap().judge.report(text);
+                    }
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            });
+        })
+    }
+
+    fn inflict(&mut self, fault: Fault) {
+        let after = |ms: u64| Instant::now() + Duration::from_millis(ms);
+        match fault {
+            Fault::Kill { process, down } => self.kill(process, down),
+            Fault::Herd { first, count, down } => {
+                for number in 0..count {
+                    self.kill((first + number) % self.processes.len(), down);
+                }
+            }
+            // A process that is about to end, or is down, is left alone: how long
+            // it takes to end is judged.
+            Fault::Pause { process, .. } | Fault::Restart { process } if self.is_busy(process) => {}
+            Fault::Pause { process, ms } => {
+                self.processes[process].signal(Signal::Stop);
+                self.heals.push((after(ms), Heal::Continue(process)));
+            }
+            Fault::Restart { process } => {
+                self.processes[process].signal(Signal::Term);
+                self.heals.push((after(GRACE * 1000), Heal::Restarted(process)));
+            }
+            Fault::Reload { process } => self.processes[process].signal(Signal::Hangup),
+            Fault::Table { process, mode, ms } => {
+                self.to_table[process].set(mode);
+                self.heals.push((after(ms), Heal::Table(process)));
+            }
+            Fault::Peers { process, mode, ms } => {
+                self.to_peers[process].set(mode);
+                self.heals.push((after(ms), Heal::Peers(process)));
+            }
+            Fault::Trouble { trouble, ms } => {
+                self.table.lock().unwrap().trouble = trouble;
+                self.heals.push((after(ms), Heal::Trouble));
+            }
+            Fault::Compact => self.table.lock().unwrap().compact(),
+            Fault::Worker { worker, dark } => self.hall.lock().unwrap().rebirth(worker, dark),
+            Fault::Key => self.change_keys(),
+        }
+    }
+
+    /// True if the process is down, paused or about to end.
+    fn is_busy(&self, process: usize) -> bool {
+        self.heals.iter().any(|(_, heal)| match heal {
+            Heal::Start(other) | Heal::Continue(other) | Heal::Restarted(other) => {
+                *other == process
+            }
+            Heal::Table(_) | Heal::Peers(_) | Heal::Trouble => false,
+        })
+    }
+
+    fn kill(&mut self, process: usize, down: u64) {
+        if self.is_busy(process) {
+            return;
+        }
+        self.processes[process].kill();
+        let at = Instant::now() + Duration::from_millis(down);
+        self.heals.push((at, Heal::Start(process)));
+    }
+
+    /// Ends faults whose time is over, or all.
+    fn heal(&mut self, all: bool) {
+        let now = Instant::now();
+        let (due, later) =
+            std::mem::take(&mut self.heals).into_iter().partition(|(at, _)| all || *at <= now);
+        self.heals = later;
+        for (at, heal) in due {
+            if let Heal::Restarted(_) = heal {
+                // Its whole time for shutting down is its own.
+                thread::sleep(at.saturating_duration_since(Instant::now()));
+            }
+            self.end_fault(heal);
+        }
+    }
+
+    fn end_fault(&mut self, heal: Heal) {
+        match heal {
+            Heal::Start(process) => self.processes[process].start(),
+            Heal::Continue(process) => self.processes[process].signal(Signal::Continue),
+            Heal::Restarted(process) => {
+                if !self.processes[process].ended(LATE) {
+                    let name = self.processes[process].name.clone();
+                    let text = format!("END {name}: still there after its time for shutting down");
+                    self.hall.lock().unwrap().judge.report(text);
+                    self.processes[process].kill();
+                }
+                self.processes[process].start();
+            }
+            Heal::Table(process) => self.to_table[process].set(Mode::Pass),
+            Heal::Peers(process) => self.to_peers[process].set(Mode::Pass),
+            Heal::Trouble => self.table.lock().unwrap().trouble = Trouble::None,
+        }
+    }
+
+    /// Takes the current key away and gives another.
+    fn change_keys(&mut self) {
+        let mut keys = self.keys.lock().unwrap();
+        keys.version += 1;
+        let current = format!("key-{}", keys.version);
+        let former = std::mem::replace(&mut keys.current, current);
+        let route = |name: &str, priority: u32| {
+            json!({
+                "name": name, "host": "soak.example", "pathPrefix": format!("/{name}/"),
+                "service": "pool", "priority": priority, "attempts": ATTEMPTS, "stretch": 2.0,
+                "sloMs": 1000,
+            })
+        };
+        let config = json!({
+            "version": keys.version,
+            "routes": [route("urgent", 0), route("calm", 1)],
+            "services": [{ "name": "pool" }],
+            "tenants": [{ "name": "team", "apiKeys": [keys.current], "guaranteed": { "gpu": 16 } }],
+        });
+        self.table.lock().unwrap().put("op", "config", &config.to_string());
+        keys.gone.push((former, Instant::now()));
+    }
+
+    /// Waits until all accepted jobs have ended, and checks what is told of them.
+    fn settle(&mut self, paths: &[String], seed: u64) {
+        let (entries, hall) = (self.entries(), Arc::clone(&self.hall));
+        let key = self.keys.lock().unwrap().current.clone();
+        let mut open: Vec<String> = paths.to_vec();
+        let end = Instant::now() + FINISH;
+        actix_rt::System::new().block_on(async move {
+            let mut client = Client::open(&entries, seed);
+            while !open.is_empty() && Instant::now() < end {
+                let mut left = Vec::new();
+                for path in open {
+                    let state = client.state(&path, &key).await;
+                    let id = path.rsplit('/').next().unwrap_or_default();
+                    if let Some(state) = &state {
+                        hall.lock().unwrap().judge.state(id, state);
+                    }
+                    if !matches!(
+                        state.as_deref(),
+                        Some("succeeded" | "failed" | "cancelled" | "gone")
+                    ) {
+                        left.push(path);
+                    }
+                }
+                open = left;
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+            for path in open {
+                let text = format!(
+                    "LOST {path}: has not ended {} s after the last fault",
+                    FINISH.as_secs()
+                );
+                hall.lock().unwrap().judge.report(text);
+            }
+        });
+    }
+
+    fn check_processes(&mut self) {
+        for process in &mut self.processes {
+            if process.died() {
+                let text = format!("END {}: ended by itself", process.name);
+                self.hall.lock().unwrap().judge.report(text);
+            }
+        }
+    }
+}
+
+fn program(name: &str) -> PathBuf {
+    let mut folder = std::env::current_exe().unwrap();
+    folder.pop();
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    folder.join(name)
+}
+
+fn settings_text(net: Net, name: &str, host: u8, entry: bool) -> String {
+    let listen = match entry {
+        true => format!(
+            "front = \"{}\"\nready = \"{}\"",
+            net.own(host, net::CLIENTS),
+            net.own(host, net::READY)
+        ),
+        false => format!("control = \"{}\"", net.own(host, net::REPORTS)),
+    };
+    format!(
+        "node = \"{name}\"\nip = \"{}\"\nzone = \"z\"\nportRange = [{}, {}]\n\
+         [listen]\n{listen}\n\
+         [bounds]\ngraceS = {GRACE}\nrevokeMs = {}\nmaxHoldMs = 6000\nstopTimeoutMs = 50\n\
+         reclaimMs = 2700\nstatus_s = 120\n\
+         [platform]\naddress = \"{}\"\n",
+        net.ip(host),
+        net::PEERS,
+        net::PEERS,
+        REVOKE.as_millis(),
+        net.to_table(host),
+    )
+}
