Never take a job's old row for a new job; pace dials; give longer outages longer to retry

The table forgot its history, all rows were read again by a call that was answered before the job's last record, and the owner, which had dropped the job by then, took its row for a new one.

Ruled out: reading all rows in one transaction (pages are as of different moments anyway).

After: test in dispatch/tests/takeover.rs and mirror.rs; the soak goes on. One check changed: a node row that is told again is news (it was none), because a process that announces itself wants to be dialled.

--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -33,6 +33,8 @@
     pub job: Option<(Job, u64)>,
     /// How far it is.
     pub progress: Option<Progress>,
+    /// The version of the row that told it.
+    told: u64,
     /// Its checkpoints, as they were recorded.
     pub saved: Saved,
     /// A client cancelled it.
@@ -46,7 +48,7 @@
     Job(Id),
     /// A job was cancelled.
     Cancelled(Id),
-    /// An agent is new or moved.
+    /// A process announced itself, for the first time or again.
     Node(String),
     /// The ownership row changed.
     Owner,
@@ -60,6 +62,15 @@
 }
 
 impl View {
+    /// Takes in how far the job is. An older row that comes late changes nothing:
+    /// a client that was told that its job has ended must not be told otherwise.
+    pub fn take_progress(&mut self, progress: Progress, version: u64) {
+        if version >= self.told {
+            self.progress = Some(progress);
+            self.told = version;
+        }
+    }
+
     /// The job's state as a client is told.
     pub fn state(&self) -> State {
         let state = self.progress.as_ref().map_or(State::Queued, |progress| progress.state);
@@ -68,9 +79,18 @@
 }
 
 impl Mirror {
-    /// Forgets all rows but the ownership, before all are read anew.
-    pub fn clear(&mut self) {
-        *self = Mirror { owner: self.owner.take(), ..Mirror::default() };
+    /// Takes all rows in anew, as of a version, and tells what they mean. What was
+    /// known of a later version stays.
+    pub fn reload(&mut self, changes: &[Change], version: u64) -> Vec<News> {
+        let known = std::mem::take(&mut self.jobs);
+        *self = Mirror { owner: self.owner.take(), version, ..Mirror::default() };
+        let news = changes.iter().filter_map(|change| self.apply(change)).collect();
+        for (id, view) in known.into_iter().filter(|(_, view)| view.told > version) {
+            if let (Some(progress), Some(now)) = (view.progress, self.jobs.get_mut(&id)) {
+                now.take_progress(progress, view.told);
+            }
+        }
+        news
     }
 
     /// Takes a change in and tells what it means.
@@ -89,7 +109,8 @@
         let read = match kind {
             "job" => serde_json::from_str(value).map(|job| self.add_job(name, job, change.version)),
             "run" => serde_json::from_str(value).map(|progress| {
-                self.jobs.entry(name.to_owned()).or_default().progress = Some(progress);
+                let view = self.jobs.entry(name.to_owned()).or_default();
+                view.take_progress(progress, change.version);
                 None
             }),
             "save" => serde_json::from_str(value).map(|saved| {
@@ -108,8 +129,8 @@
                 Ok(Some(News::Cancelled(name.to_owned())))
             }
             "node" => serde_json::from_str(value).map(|node: Node| {
-                let known = self.nodes.insert(name.to_owned(), node.clone());
-                (known != Some(node)).then(|| News::Node(name.to_owned()))
+                self.nodes.insert(name.to_owned(), node);
+                Some(News::Node(name.to_owned()))
             }),
             _ => Ok(None),
         };
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -77,6 +77,10 @@
     pub(crate) confirmed: u64,
     pub(crate) config: Config,
     pub(crate) jobs: BTreeMap<Id, Entry>,
+    /// Jobs that ended under this owner and whose rows are still there.
+    pub(crate) over: BTreeSet<Id>,
+    /// Jobs up to this version of the table were taken in at the takeover.
+    pub(crate) loaded: u64,
     pub(crate) agents: BTreeMap<String, Agent>,
     pub(crate) links: BTreeMap<LinkId, String>,
     /// Runs that nobody waits for, and when their stop was ordered.
@@ -126,6 +130,8 @@
             confirmed: now,
             config: Config::default(),
             jobs: BTreeMap::new(),
+            over: BTreeSet::new(),
+            loaded: 0,
             agents: BTreeMap::new(),
             links: BTreeMap::new(),
             strays: BTreeMap::new(),
@@ -184,8 +190,14 @@
     }
 
     /// A job's row was read: accepted just now, or found at a takeover.
+    ///
+    /// A row may be told again, with progress that is long out of date: all rows
+    /// are read anew when the table forgets its history, and the answer may be
+    /// older than this owner's last record. A job that ended meanwhile must not
+    /// begin anew.
     pub fn job(&mut self, id: &str, job: Job, version: u64, progress: Option<Progress>) {
-        if self.jobs.contains_key(id) || progress.as_ref().is_some_and(|p| p.state.ended()) {
+        let known = self.jobs.contains_key(id) || self.over.contains(id) || version <= self.loaded;
+        if known || progress.as_ref().is_some_and(|p| p.state.ended()) {
             return;
         }
         let entry = Entry {
@@ -206,6 +218,25 @@
         self.replan = true;
     }
 
+    /// All jobs up to this version of the table have been taken in.
+    pub fn loaded(&mut self, version: u64) {
+        self.loaded = version;
+    }
+
+    /// The rows of jobs that ended long ago were dropped.
+    pub fn dropped(&mut self, ids: &[Id]) {
+        for id in ids {
+            self.over.remove(id);
+        }
+    }
+
+    /// Forgets an ended job but for its name.
+    pub(crate) fn close_job(&mut self, id: &str) {
+        if self.jobs.remove(id).is_some() {
+            self.over.insert(id.to_owned());
+        }
+    }
+
     /// A job's checkpoints as they were recorded.
     pub fn restore(&mut self, id: &str, saved: &Saved) {
         if let Some(entry) = self.jobs.get_mut(id) {
@@ -394,7 +425,7 @@
         for (id, progress) in &batch.jobs {
             let idle = self.jobs.get(id).is_some_and(|entry| entry.runs.is_empty());
             if progress.state.ended() && idle && !self.dirty.contains(id) {
-                self.jobs.remove(id);
+                self.close_job(id);
             }
         }
     }
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -286,7 +286,7 @@
         let over =
             |entry: &crate::entry::Entry| entry.progress.state.ended() && entry.runs.is_empty();
         if self.jobs.get(id).is_some_and(over) && !self.dirty.contains(id) && !self.recording {
-            self.jobs.remove(id);
+            self.close_job(id);
         }
     }
 
--- a/crates/dispatch/tests/mirror.rs
+++ b/crates/dispatch/tests/mirror.rs
@@ -61,7 +61,9 @@
     let node = Node { address: "10.0.0.1:7000".into(), entry: true };
     let first = mirror.apply(&put(rows::node("e1"), 2, &node));
     let again = mirror.apply(&put(rows::node("e1"), 3, &node));
-    assert_eq!((first, again), (Some(News::Node("e1".into())), None));
+    // Told again, too: a process that announces itself anew wants to be dialled.
+    let news = || Some(News::Node("e1".into()));
+    assert_eq!((first, again), (news(), news()));
 }
 
 // Symptom: memory and the table grow without end. Sequence: jobs end, their rows
@@ -83,3 +85,19 @@
     mirror.apply(&Change { key: rows::job("a"), version: 4, value: None });
     assert_snapshot!(format!("{told:?} {:?}", mirror.expired(9000, 500, 5)), @r#"[[], [], ["a", "c"], ["a"]] ["c"]"#);
 }
+
+// Symptom: a client is told that its job has ended, then that it runs. Sequence: all
+// rows are read anew by a call that was answered before the job's last record.
+#[test]
+fn a_row_that_is_told_late_does_not_undo_a_later_one() {
+    let mut mirror = Mirror::default();
+    let row = put(rows::job("a"), 1, &job(1, vec![step(1, 1)]));
+    let running = put(rows::run("a"), 5, &ended(State::Running));
+    mirror.apply(&row);
+    mirror.apply(&put(rows::run("a"), 9, &ended(State::Succeeded)));
+    mirror.apply(&running);
+    let state = |mirror: &Mirror| mirror.jobs.get("a").map(|view| view.state());
+    let late = state(&mirror);
+    mirror.reload(&[row, running], 6);
+    assert_eq!((late, state(&mirror)), (Some(State::Succeeded), Some(State::Succeeded)));
+}
--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -85,3 +85,29 @@
     1 rows
     ");
 }
+
+// Symptom: a task runs again after it was done. Sequence: a job ends and is recorded;
+// the table forgets its history, and all rows are read anew by a call that was answered
+// before that record. Cause: the job's row was taken for a new job.
+#[test]
+fn a_job_that_ended_is_not_begun_anew_when_its_rows_are_told_again() {
+    let mut bed = Bed::open(1, 1).idle(1);
+    let done = job(1, vec![step(1, 1)]);
+    bed.owner.job("a", done.clone(), 150, None);
+    bed.step();
+    bed.status(0, &[], &[end(1, task("a", 0, 0), 1, How::Done)]);
+    bed.record();
+    bed.told();
+    bed.owner.job("a", done.clone(), 150, None);
+    bed.step();
+    let again = bed.told();
+    bed.owner.dropped(&["a".to_owned()]);
+    bed.owner.loaded(200);
+    bed.owner.job("old", done.clone(), 199, None);
+    bed.owner.job("new", done, 201, None);
+    bed.step();
+    assert_snapshot!(format!("{again}\n{}", bed.told()), @r"
+    nothing
+    w0 start new.0.0.0 run 1
+    ");
+}
--- a/crates/entry/src/brain.rs
+++ b/crates/entry/src/brain.rs
@@ -131,7 +131,10 @@
         let input = match event {
             peer::Event::Linked { link, hello, dialled } => Input::Linked { link, hello, dialled },
             peer::Event::Unlinked { link } => Input::Unlinked { link },
-            peer::Event::Undialled { address } => Input::Undialled { address },
+            peer::Event::Undialled { address, error } => {
+                log::info!(step = "dial", peer = address.as_str(); "{error}");
+                Input::Undialled { address }
+            }
             peer::Event::Frame { link, frame } => Input::Frame { link, frame },
         };
         self.node.handle(self.now(), input);
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -5,6 +5,7 @@
 
 mod advise;
 mod calls;
+mod dials;
 mod follow;
 mod gate;
 mod links;
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -22,8 +22,6 @@
 const SETTLE: u64 = 2000;
 /// Pause between two such tries.
 const PAUSE: Duration = Duration::from_millis(100);
-/// When nothing was done, a new try makes sense after this many milliseconds.
-const RETRY: u64 = 1000;
 
 /// Answers one call, and logs what did not go well.
 pub(crate) async fn answer(shared: &Shared, work: &Work) -> Answer {
@@ -78,12 +76,12 @@
 
 fn find(shared: &Site, work: &Work) -> Result<Target, Answer> {
     let config = shared.config.borrow();
-    let Some(config) = config.as_ref() else { return Err(Answer::Unavailable(RETRY)) };
+    let Some(config) = config.as_ref() else { return Err(busy(shared)) };
     let authorization = work.authorization.as_deref();
     let target = platform::target(config, &work.method, &work.host, &work.path, authorization);
     let target = target.map_err(Answer::Refused)?;
     if target.keyed && !shared.current(quincewheel_clock::boot()) {
-        return Err(Answer::Unavailable(RETRY));
+        return Err(busy(shared));
     }
     match &work.body {
         Body::Whole(body) if body.len() > config.body => Err(Answer::Oversized),
@@ -118,7 +116,7 @@
             // The row is there, whoever wrote it: this is no refusal.
             Err(_) => Answer::Unclear,
         },
-        Err(error) => failed(&error),
+        Err(error) => failed(shared, &error),
     }
 }
 
@@ -186,7 +184,7 @@
     match find_job(shared, id).await {
         Ok(Some(view)) if owned(&view, target) => Answer::State(view.state()),
         Ok(_) => Answer::Unknown,
-        Err(_) => Answer::Unavailable(RETRY),
+        Err(_) => busy(shared),
     }
 }
 
@@ -195,7 +193,7 @@
 async fn cancel(shared: &Site, target: &Target, id: &str) -> Answer {
     let view = match find_job(shared, id).await {
         Ok(view) => view,
-        Err(_) => return Answer::Unavailable(RETRY),
+        Err(_) => return busy(shared),
     };
     let known = view.as_ref().is_some_and(|view| owned(view, target));
     if view.as_ref().is_some_and(|view| view.job.is_some()) && !known {
@@ -212,7 +210,7 @@
             shared.mirror.borrow_mut().jobs.entry(id.to_owned()).or_default().cancelled = true;
             if known { Answer::Cancelled } else { Answer::Unknown }
         }
-        Err(error) => failed(&error),
+        Err(error) => failed(shared, &error),
     }
 }
 
@@ -250,9 +248,14 @@
     team.is_some_and(|team| *team == target.team)
 }
 
-fn failed(error: &Error) -> Answer {
+/// Nothing was done; the client is told when to come back.
+fn busy(shared: &Site) -> Answer {
+    Answer::Unavailable(shared.retry(quincewheel_clock::boot()))
+}
+
+fn failed(shared: &Site, error: &Error) -> Answer {
     match error {
-        Error::Refused { .. } => Answer::Unavailable(RETRY),
+        Error::Refused { .. } => busy(shared),
         _ => Answer::Unclear,
     }
 }
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -119,11 +119,10 @@
 fn take(shared: &Site, changes: &Changes, whole: bool) {
     let now = quincewheel_clock::boot();
     let mut mirror = shared.mirror.borrow_mut();
-    if whole {
-        mirror.clear();
-    }
-    let mut news: Vec<News> =
-        changes.rows.iter().filter_map(|change| mirror.apply(change)).collect();
+    let mut news: Vec<News> = match whole {
+        true => mirror.reload(&changes.rows, changes.version),
+        false => changes.rows.iter().filter_map(|change| mirror.apply(change)).collect(),
+    };
     mirror.version = changes.version;
     shared.heard.set(now);
     if let Some((_, version)) = &mirror.owner {
@@ -150,7 +149,11 @@
         }
         News::Owner => unreachable!("handled above, without the owner borrowed"),
         News::Node(name) => {
-            let agent = mirror.nodes.get(&name).is_some_and(|node| !node.entry);
+            let node = mirror.nodes.get(&name);
+            if let Some(node) = node {
+                shared.dials.borrow_mut().forget(&node.address);
+            }
+            let agent = node.is_some_and(|node| !node.entry);
             if let Some(owner) = owner.as_mut().filter(|_| agent) {
                 owner.agent(&name, now);
             }
--- a/crates/entry/src/site/links.rs
+++ b/crates/entry/src/site/links.rs
@@ -12,26 +12,25 @@
 use super::own::step;
 use super::state::{Shared, Site};
 
-/// Time between two dials of one process, in milliseconds.
-const REDIAL: u64 = 400;
 /// A write of the entry's own row is repeated after this time.
 const TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// Connects to agents that are not connected, and to the other entries, which
 /// notice by that connection that this process is gone.
-pub(crate) fn dial(shared: &Site, dialled: &mut Vec<(String, u64)>, now: u64) {
+pub(crate) fn dial(shared: &Site, now: u64) {
     let owner = shared.owner.borrow();
-    let Some(owner) = owner.as_ref() else { return };
-    dialled.retain(|(_, at)| now < at + REDIAL);
+    let Some(owner) = owner.as_ref() else { return shared.dials.borrow_mut().clear() };
+    let mut dials = shared.dials.borrow_mut();
     let mirror = shared.mirror.borrow();
+    dials.keep(|address| mirror.nodes.values().any(|node| node.address == address));
     for (name, node) in &mirror.nodes {
-        let busy = dialled.iter().any(|(address, _)| *address == node.address);
         let linked = match node.entry {
             true => *name == shared.settings.name || shared.entries.borrow().contains_key(name),
             false => owner.is_linked(name),
         };
-        if !linked && !busy {
-            dialled.push((node.address.clone(), now));
+        if linked {
+            dials.forget(&node.address);
+        } else if dials.due(&node.address, now) {
             shared.hub.ask(Command::Dial { address: node.address.clone() });
         }
     }
@@ -51,7 +50,12 @@
                     owner.notice(link, frame, now);
                 }
             }
-            Event::Undialled { .. } => {}
+            Event::Undialled { address, error } => {
+                // Once for each loss; the tries that follow tell nothing new.
+                if shared.dials.borrow().is_first(&address) {
+                    log::info!(event = "not dialled", peer = address.as_str(); "{error}");
+                }
+            }
         }
         step(&shared);
         shared.wake.notify_one();
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -24,7 +24,6 @@
 
 /// Claims the ownership when it is due and decides while it lasts.
 pub(crate) async fn run(shared: Shared) {
-    let mut dialled = Vec::new();
     actix_rt::spawn(record(Rc::clone(&shared)));
     loop {
         let now = quincewheel_clock::boot();
@@ -32,7 +31,7 @@
             claim(&shared).await;
         }
         step(&shared);
-        dial(&shared, &mut dialled, now);
+        dial(&shared, now);
         let _ = tokio::time::timeout(TICK, shared.wake.notified()).await;
     }
 }
@@ -104,6 +103,7 @@
             }
         }
     }
+    owner.loaded(all.version);
     log::info!(event = "owner", epoch = mine.epoch, jobs = owner.active(); "took over");
     *shared.held.borrow_mut() = Some((mine, claimed));
     *shared.owner.borrow_mut() = Some(owner);
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -4,6 +4,7 @@
 
 use quincewheel_dispatch::rows::{self, OWNER, Ownership, Seen, TIMES};
 use quincewheel_dispatch::{Batch, Owner};
+use quincewheel_job::Id;
 use quincewheel_platform::Space;
 use quincewheel_store::{Commit, Error, Expect, Read};
 
@@ -72,12 +73,14 @@
         match shared.table.commit(&commit, TIMEOUT).await {
             Ok(written) => {
                 version = written;
-                return finish(shared, batch, &mine, version, sent);
+                finish(shared, batch, &mine, version, sent);
+                return drop_rows(shared, &expired);
             }
             Err(Error::Conflict { .. }) => match read_owner(shared).await {
                 Ok((found, at)) if found == mine => {
                     // An earlier try of this very write had taken effect.
-                    return finish(shared, batch, &mine, at, sent);
+                    finish(shared, batch, &mine, at, sent);
+                    return drop_rows(shared, &expired);
                 }
                 Ok((found, _)) => {
                     return depose(shared, &format!("epoch {} is in force", found.epoch));
@@ -100,6 +103,12 @@
     shared.settings.keep * 3 / 2
 }
 
+fn drop_rows(shared: &Site, expired: &[Id]) {
+    if let Some(owner) = shared.owner.borrow_mut().as_mut() {
+        owner.dropped(expired);
+    }
+}
+
 fn finish(shared: &Site, batch: &Batch, mine: &Ownership, version: u64, sent: u64) {
     let mut owner = shared.owner.borrow_mut();
     let Some(owner) = owner.as_mut() else { return };
@@ -113,7 +122,7 @@
     for (id, progress) in &batch.jobs {
         // The owner's own clients need not wait for the feed.
         if let Some(view) = mirror.jobs.get_mut(id) {
-            view.progress = Some(progress.clone());
+            view.take_progress(progress.clone(), version);
         }
     }
 }
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -12,6 +12,7 @@
 use quincewheel_wire::{LinkId, Order};
 use tokio::sync::Notify;
 
+use super::dials::Dials;
 use super::gate::Gate;
 use super::metrics::Metrics;
 use super::upkeep::Wish;
@@ -24,6 +25,11 @@
 /// for one write, and a write whose answer is lost is repeated after 700.
 const PATIENCE: u64 = 1700;
 
+/// When nothing was done, a new try makes sense after this many milliseconds.
+const RETRY: u64 = 1000;
+/// And after this many at the most: most jobs have so much time to spare.
+const LONGEST_RETRY: u64 = 3000;
+
 /// Calls in a row without an answer after which the table counts as lost.
 const LOST: u32 = 2;
 
@@ -48,6 +54,8 @@
     pub owner: RefCell<Option<Owner>>,
     /// The ownership as this entry wrote it, and its version.
     pub held: RefCell<Option<(Ownership, u64)>>,
+    /// Processes that are being dialled.
+    pub dials: RefCell<Dials>,
     /// Connections to other entries, by name, where this entry owns.
     pub entries: RefCell<BTreeMap<String, LinkId>>,
     /// The connection that the owner made to this entry, and the owner's name.
@@ -95,6 +103,7 @@
             heard: Cell::new(0),
             owner: RefCell::new(None),
             held: RefCell::new(None),
+            dials: RefCell::default(),
             entries: RefCell::default(),
             from_owner: RefCell::new(None),
             unsettled: RefCell::default(),
@@ -117,6 +126,15 @@
         self.config.borrow().is_some() && now < self.proved.get() + bound
     }
 
+    /// When a client may come back whose call could not be taken, in
+    /// milliseconds. An outage that has lasted for a while goes on for about as
+    /// long again: clients who come back each second would have spent all their
+    /// tries before its end.
+    pub fn retry(&self, now: u64) -> u64 {
+        let age = self.table_lost.get().map_or(0, |since| now.saturating_sub(since));
+        age.clamp(RETRY, LONGEST_RETRY)
+    }
+
     /// True while the table is known not to answer.
     pub fn is_table_lost(&self) -> bool {
         self.table_lost.get().is_some()
@@ -143,7 +161,9 @@
 
     /// Tells the platform whether to send clients here.
     pub fn show_ready(&self, now: u64) {
-        self.gate.set_ready(self.heard.get() > 0 && self.current(now));
+        // An entry that cannot reach the table can take nothing on; others may.
+        let serves = self.heard.get() > 0 && self.current(now) && !self.is_table_lost();
+        self.gate.set_ready(serves);
         let version = self.config.borrow().as_ref().map_or(0, |config| config.version);
         self.metrics.config.set(version as i64);
         self.metrics.config_age.set(now.saturating_sub(self.proved.get()) as i64);
--- a/crates/peer/src/hub.rs
+++ b/crates/peer/src/hub.rs
@@ -58,6 +58,8 @@
     Undialled {
         /// The address.
         address: String,
+        /// Why.
+        error: String,
     },
     /// A frame came.
     Frame {
@@ -221,8 +223,8 @@
     match quincewheel_wire::dial(&address, &state.key, &state.me).await {
         Ok(link) => serve(state, link, address).await,
         Err(error) => {
-            log::info!(step = "dial", peer = address.as_str(); "{error}");
-            state.tell(Event::Undialled { address }).await;
+            let error = error.to_string();
+            state.tell(Event::Undialled { address, error }).await;
         }
     }
 }
--- a/crates/stand-in/tests/soak/hall.rs
+++ b/crates/stand-in/tests/soak/hall.rs
@@ -158,7 +158,7 @@
     fn verdict(&self, task: &Task, run: &Run, lapsed: bool, now: u64) -> Option<&'static str> {
         let job = self.judge.jobs.get(&task.0)?;
         let step = &job.steps[task.1 as usize];
-        let fails = job.fails > 0 && (run.number + u64::from(task.2)) % job.fails == 0;
+        let fails = job.fails > 0 && (run.number + u64::from(task.2)).is_multiple_of(job.fails);
         match run.works {
             _ if lapsed => Some("lapsed"),
             _ if run.stops.is_some_and(|at| now >= at) => Some("stopped"),
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -35,8 +35,11 @@
 
 use world::{Outcome, World};
 
-/// Seeds that CI plays, and the cause where one once failed.
-const SEEDS: [u64; 2] = [1, 2];
+/// Seeds that CI plays: one for its own sake, and one that failed at twelve
+/// seconds. There, a job that had ended began anew: all rows were read again after
+/// the table forgot its history, by a call that was answered before the job's last
+/// record.
+const SEEDS: [u64; 2] = [1, 366_129];
 /// Seconds of faults in CI.
 const SHORT: u64 = 8;
 
--- a/crates/stand-in/tests/soak/table.rs
+++ b/crates/stand-in/tests/soak/table.rs
@@ -199,7 +199,7 @@
     let lost = {
         let mut table = table.lock().unwrap();
         table.writes += 1;
-        table.writes % 2 == 0 && matches!(trouble, Trouble::Lossy | Trouble::Late)
+        table.writes.is_multiple_of(2) && matches!(trouble, Trouble::Lossy | Trouble::Late)
     };
     if lost && trouble == Trouble::Late {
         tokio::time::sleep(Duration::from_secs(1)).await;
