Submit jobs of steps through the product's own procedures; drop members whose worker left

Ruled out: a second way to the same jobs beside the first (two copies of every check); here one call carries either form, and is decoded once.

Change: quincewheel.jobs.v1.Jobs (Submit, GetState, Cancel, CountWaiting), JSON and protobuf, on the same address and rows; what a client asks and is told moved from the adapter to the product. An agent whose worker said that it ends is no member at once, and announces another life of it at once.

The soak submits three of ten jobs by procedure and checks nine kinds of bad calls over both. Test: dispatch/tests/members.rs.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -128,18 +128,24 @@
     let commit = rows::announce(&site.name, &node);
     let table = Table::open(&site.table);
     let failed = |error: &Error| log::warn!(event = "table"; "{error}");
-    agent.reported.notified().await;
-    table.insist(&commit, TIMEOUT, failed).await;
     let mut pause = ALONE;
+    let mut told = 0;
     loop {
         agent.reported.notified().await;
+        let lives = agent.runner.borrow().lives();
         if !agent.runner.borrow().is_alone() {
             pause = ALONE;
+            told = lives;
             continue;
         }
-        // Spread, so that a large deployment that lost its owner does not flood
-        // the table.
-        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+        if lives == told {
+            // Spread, so that a large deployment that lost its owner does not
+            // flood the table.
+            tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+        }
+        // An owner drops the row of an agent whose worker has left; another life
+        // of the worker is news, and announced at once.
+        told = lives;
         if agent.runner.borrow().is_alone() {
             table.insist(&commit, TIMEOUT, failed).await;
             pause = (pause * 2).min(LONG_ALONE);
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -26,6 +26,8 @@
     /// Since when there has been no connection, or no worker; none while there
     /// are both.
     pub absent: Option<u64>,
+    /// Its worker said that it ends, and no other has reported since.
+    pub left: bool,
     /// Its machine goes down next: nothing new starts there.
     pub cordoned: bool,
     /// The platform was asked to take its machine down: all that runs there is
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -355,7 +355,7 @@
     }
 
     /// Agents that are no members any more: gone, or without a worker, for so
-    /// long that nothing runs there.
+    /// long that nothing runs there, or whose worker said that it ends.
     ///
     /// A new owner waits for all members before it starts older jobs. Without
     /// this it would wait a whole lease for each machine that was ever taken
@@ -363,7 +363,8 @@
     fn gone(&self) -> Vec<String> {
         let bound = self.settings.lease + self.settings.margin + self.settings.absence;
         let gone = |agent: &Agent| {
-            self.settled && agent.absent.is_some_and(|since| self.now >= since + bound)
+            let absent = agent.absent.is_some_and(|since| self.now >= since + bound);
+            self.settled && (agent.left || absent)
         };
         let runs: BTreeSet<&str> = self
             .jobs
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -35,6 +35,7 @@
         }
         let first = fenced && !agent.fenced;
         agent.unknown = None;
+        agent.left = false;
         agent.worker = Some(worker);
         agent.fenced = fenced;
         agent.heard |= fenced;
@@ -69,6 +70,7 @@
     pub(crate) fn left(&mut self, name: &str, id: &str) {
         if let Some(agent) = self.agents.get_mut(name) {
             agent.heard = true;
+            agent.left = true;
         }
         let gone = self.runs_where(|placed| placed.agent == name && placed.worker == id);
         for (job, key) in gone {
--- a/crates/dispatch/tests/members.rs
+++ b/crates/dispatch/tests/members.rs
@@ -113,3 +113,17 @@
     w0 start old.0.0.0 run 1001
     ");
 }
+
+// Symptom: after all machines lost power, jobs stand still for 6 s. Sequence: a worker
+// leaves; seconds later all lose power; the new owner waits for that worker's agent.
+// Cause: an agent stayed a member for the length of a lease, though its worker had said
+// that it ends.
+#[test]
+fn an_agent_whose_worker_has_left_is_no_member_at_once() {
+    let mut bed = Bed::open(1, 2).idle(2);
+    bed.step();
+    bed.notice(1, Notice::Left { worker: "i1".into() });
+    assert_snapshot!(gone(&mut bed), @r#"
+    ["w1"]
+    "#);
+}
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -12,8 +12,10 @@
 mod metrics;
 mod own;
 mod record;
+mod rpc;
 mod state;
 mod upkeep;
+mod work;
 
 use std::io;
 use std::path::Path;
@@ -22,7 +24,8 @@
 use std::time::Duration;
 
 use quincewheel_conf::Own;
-use quincewheel_http::{Body, HttpMessage, Reply, Request, Server};
+use quincewheel_http::{Reply, Request, Server};
+use quincewheel_job::Answer;
 use quincewheel_peer::{Event, Hub};
 use quincewheel_platform as platform;
 use quincewheel_ring as ring;
@@ -32,6 +35,7 @@
 use self::gate::Gate;
 use self::metrics::Metrics;
 use self::state::{Shared, Site};
+use self::work::{Form, Work};
 
 /// Calls that may wait for the deciding thread; more are refused at once.
 const WORK: usize = 4096;
@@ -40,16 +44,6 @@
 /// Largest body that is read at all; the configuration may allow less.
 const MAX_BODY: usize = 1 << 20;
 
-/// A client's call, on its way to the deciding thread.
-pub(crate) struct Work {
-    method: String,
-    host: String,
-    path: String,
-    authorization: Option<String>,
-    body: Body,
-    reply: oneshot::Sender<platform::Answer>,
-}
-
 /// Serves until the process is told to end.
 pub(crate) fn serve(settings: &Path, own: &Own) -> io::Result<()> {
     let site = platform::read(settings).map_err(io::Error::other)?;
@@ -119,33 +113,13 @@
 }
 
 async fn pass(request: &mut Request, work: &ring::Sender<Work>) -> Reply {
-    let header = |name: &str| {
-        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
-        value.map(str::to_owned)
-    };
-    let host = header("host").or_else(|| request.uri().host().map(str::to_owned));
+    let form = Form::of(request);
     let (reply, answer) = oneshot::channel();
-    let item = Work {
-        method: request.method().as_str().to_owned(),
-        host: host.unwrap_or_default(),
-        path: request.path().to_owned(),
-        authorization: header("authorization"),
-        body: quincewheel_http::read(request, MAX_BODY).await,
-        reply,
-    };
-    if work.try_send(item).is_err() {
-        return encode(&platform::Answer::Unavailable(1000));
+    let body = quincewheel_http::read(request, MAX_BODY).await;
+    if work.try_send(Work { form: form.clone(), body, reply }).is_err() {
+        return form.encode(&Answer::Unavailable(1000));
     }
-    encode(&answer.await.unwrap_or(platform::Answer::Unclear))
-}
-
-fn encode(answer: &platform::Answer) -> Reply {
-    let (status, body, after) = answer.encode();
-    let mut reply = quincewheel_http::reply(status, "application/json", body);
-    if let Some(seconds) = after {
-        quincewheel_http::retry_after(&mut reply, seconds);
-    }
-    reply
+    form.encode(&answer.await.unwrap_or(Answer::Unclear))
 }
 
 async fn answer(shared: Shared, work: ring::Receiver<Work>) {
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -4,13 +4,13 @@
 
 use quincewheel_dispatch::{View, rows};
 use quincewheel_http::Body;
-use quincewheel_job::Job;
-use quincewheel_platform::{self as platform, Answer, Call, Space, Target};
+use quincewheel_job::{Answer, Call, Job, Target};
+use quincewheel_platform::Space;
 use quincewheel_store::{Change, Commit, Error, Expect, Put, Read};
 
-use super::Work;
 use super::own::put;
 use super::state::{Shared, Site};
+use super::work::Work;
 
 /// A call to the table without an answer is given up after this time. A slow
 /// table writes within some 450 ms; clients wait for 3 s and do better to ask
@@ -26,50 +26,62 @@
 /// Answers one call, and logs what did not go well.
 pub(crate) async fn answer(shared: &Shared, work: &Work) -> Answer {
     let began = quincewheel_clock::boot();
-    let answer = truthful(shared, work, decide(shared, work).await);
+    let target = find(shared, work);
+    let call = target.as_ref().ok().map(|target| target.call.clone());
+    let answer = match target {
+        Ok(target) => truthful(shared, &target.call, decide(shared, work, &target).await),
+        Err(answer) => unfound(shared, work, answer),
+    };
     let ms = quincewheel_clock::boot() - began;
-    shared.metrics.count(&work.method, &answer, ms);
+    let method = work.form.method();
+    shared.metrics.count(method, &answer, ms);
     if !answer.served() {
-        let id = work.path.rsplit('/').next().unwrap_or_default();
-        let (method, age) = (work.method.as_str(), began.saturating_sub(shared.proved.get()));
+        let id = call.as_ref().and_then(Call::id).unwrap_or_default();
+        let age = began.saturating_sub(shared.proved.get());
         let version = shared.config.borrow().as_ref().map_or(0, |config| config.version);
         log::info!(event = "refused", job = id, method = method, ms = ms, config = version, age = age; "{answer:?}");
     }
     answer
 }
 
+/// A call that was refused before it was looked at: the job that it submits may
+/// all the same have been written by an earlier try.
+fn unfound(shared: &Site, work: &Work, answer: Answer) -> Answer {
+    let config = shared.config.borrow();
+    let target = config.as_ref().map(|config| work.form.target(config, &work.body));
+    match target {
+        Some(Ok(target)) => truthful(shared, &target.call, answer),
+        _ => answer,
+    }
+}
+
 /// A submission may be called not accepted only if no earlier write for it at
 /// this entry may have taken effect.
-fn truthful(shared: &Site, work: &Work, answer: Answer) -> Answer {
-    let id = work.path.rsplit('/').next().unwrap_or_default();
+fn truthful(shared: &Site, call: &Call, answer: Answer) -> Answer {
+    let Call::Submit { id } = call else { return answer };
     let now = quincewheel_clock::boot();
     match answer {
         Answer::Accepted => {
             shared.unsettled.borrow_mut().settle(id);
             Answer::Accepted
         }
-        Answer::Unavailable(_)
-            if work.method == "POST" && shared.unsettled.borrow().holds(id, now) =>
-        {
-            Answer::Unclear
-        }
+        Answer::Unavailable(_) if shared.unsettled.borrow().holds(id, now) => Answer::Unclear,
         answer => answer,
     }
 }
 
-async fn decide(shared: &Shared, work: &Work) -> Answer {
-    let target = match find(shared, work) {
-        Ok(target) => target,
-        Err(answer) => return answer,
-    };
+async fn decide(shared: &Shared, work: &Work, target: &Target) -> Answer {
     match &target.call {
         Call::Waiting => Answer::Waiting(shared.mirror.borrow().waiting(&target.queue.name)),
-        Call::State { id } => tell_state(shared, &target, id).await,
-        Call::Cancel { id } => cancel(shared, &target, id).await,
+        Call::State { id } => tell_state(shared, target, id).await,
+        Call::Cancel { id } => cancel(shared, target, id).await,
         Call::Submit { id } => match &work.body {
             Body::Cut => Answer::Invalid("the body ended early".to_owned()),
             Body::Oversized => Answer::Oversized,
-            Body::Whole(body) => submit(shared, &target, id, body).await,
+            Body::Whole(body) => match work.form.job(target, body, quincewheel_clock::wall()) {
+                Ok(job) => submit(shared, target, id, job).await,
+                Err(text) => Answer::Invalid(text),
+            },
         },
     }
 }
@@ -77,9 +89,7 @@
 fn find(shared: &Site, work: &Work) -> Result<Target, Answer> {
     let config = shared.config.borrow();
     let Some(config) = config.as_ref() else { return Err(busy(shared)) };
-    let authorization = work.authorization.as_deref();
-    let target = platform::target(config, &work.method, &work.host, &work.path, authorization);
-    let target = target.map_err(Answer::Refused)?;
+    let target = work.form.target(config, &work.body)?;
     if target.keyed && !shared.current(quincewheel_clock::boot()) {
         return Err(busy(shared));
     }
@@ -90,11 +100,7 @@
 }
 
 /// Stores a job. One row a job: the same one again finds it there.
-async fn submit(shared: &Site, target: &Target, id: &str, body: &[u8]) -> Answer {
-    let job = match platform::submission(target, body, quincewheel_clock::wall()) {
-        Ok(job) => job,
-        Err(text) => return Answer::Invalid(text),
-    };
+async fn submit(shared: &Site, target: &Target, id: &str, job: Job) -> Answer {
     if let Some(answer) = known(shared, target, id) {
         return answer;
     }
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
-use quincewheel_platform::Answer;
+use quincewheel_job::Answer;
 
 /// What the metrics page of an entry on the platform shows.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/entry/src/site/rpc.rs
@@ -0,0 +1,156 @@
+//! The product's own remote procedures for jobs of steps and tasks.
+
+use std::time::Duration;
+
+use quincewheel_http::{Body, Reply};
+use quincewheel_job::{
+    Answer, Call, Config, Job, Need, Refusal, Schedule, State, Step, Target, is_name,
+};
+use quincewheel_schema::jobs as schema;
+
+use crate::connect::{Code, Codec, Fault};
+
+/// Where the procedures are served.
+pub(crate) const PREFIX: &str = "/quincewheel.jobs.v1.Jobs/";
+
+/// What a call asks for.
+pub(crate) fn target(
+    config: &Config,
+    name: &str,
+    codec: Codec,
+    key: &str,
+    body: &Body,
+) -> Result<Target, Answer> {
+    let Body::Whole(body) = body else {
+        return Err(match body {
+            Body::Oversized => Answer::Oversized,
+            _ => Answer::Invalid("the body ended early".to_owned()),
+        });
+    };
+    let invalid = |fault: Fault| Answer::Invalid(fault.message);
+    let (queue, call) = match name {
+        "Submit" => {
+            let request: schema::SubmitRequest = codec.decode(body).map_err(invalid)?;
+            (request.queue, Call::Submit { id: request.id })
+        }
+        "GetState" => {
+            let request: schema::GetStateRequest = codec.decode(body).map_err(invalid)?;
+            (request.queue, Call::State { id: request.id })
+        }
+        "Cancel" => {
+            let request: schema::CancelRequest = codec.decode(body).map_err(invalid)?;
+            (request.queue, Call::Cancel { id: request.id })
+        }
+        "CountWaiting" => {
+            let request: schema::CountWaitingRequest = codec.decode(body).map_err(invalid)?;
+            (request.queue, Call::Waiting)
+        }
+        _ => return Err(Answer::Refused(Refusal::Path)),
+    };
+    let queue = config.queues.get(&queue).ok_or(Answer::Refused(Refusal::Queue))?.clone();
+    let team = config.team(key).ok_or(Answer::Refused(Refusal::Key))?.to_owned();
+    if call.id().is_some_and(|id| !is_name(id)) {
+        return Err(Answer::Invalid("id must be 16 hexadecimal digits".to_owned()));
+    }
+    Ok(Target { call, queue, team, keyed: true })
+}
+
+/// The job that a submission holds.
+pub(crate) fn job(
+    target: &Target,
+    codec: Codec,
+    body: &[u8],
+    accepted: u64,
+) -> Result<Job, String> {
+    let request: schema::SubmitRequest = codec.decode(body).map_err(|fault| fault.message)?;
+    let schedule = request.schedule.filter(|schedule| schedule.times > 0);
+    let job = Job {
+        team: target.team.clone(),
+        queue: target.queue.clone(),
+        spec: request.spec,
+        steps: request.steps.into_iter().map(step).collect(),
+        schedule: schedule.map(|schedule| Schedule {
+            times: schedule.times,
+            first: schedule.first_ms,
+            every: schedule.every_ms,
+        }),
+        accepted,
+    };
+    job.check().map_err(|error| error.to_string())?;
+    Ok(job)
+}
+
+fn step(step: schema::Step) -> Step {
+    let need = step.need.unwrap_or_default();
+    Step {
+        count: step.count,
+        need: Need { cpu: need.cpu, memory: need.memory, accelerators: need.accelerators },
+        estimate: step.estimate_ms,
+        after: step.after,
+        checkpoints: step.checkpoints,
+        gang: step.gang,
+        same_rack: step.same_rack,
+        label: step.label,
+        near: step.near,
+        per_worker: step.per_worker,
+        speculative: step.speculative,
+        perpetual: step.perpetual,
+        image: step.image,
+        target: step.target_ms,
+        fills: step.fills,
+        may_miss: step.may_miss,
+    }
+}
+
+/// The answer in the form that the caller understands.
+pub(crate) fn encode(name: &str, codec: Codec, answer: &Answer) -> Reply {
+    match answer {
+        Answer::Accepted => codec.reply(&schema::SubmitReply {}),
+        Answer::Cancelled => state(codec, schema::State::Cancelled),
+        Answer::State(told) => state(codec, word(*told)),
+        Answer::Waiting(waiting) => {
+            codec.reply(&schema::CountWaitingReply { waiting: *waiting as u64 })
+        }
+        Answer::Unknown => Fault::new(Code::NotFound, "no such job").reply(),
+        Answer::Refused(Refusal::Queue) => named("queue", Code::NotFound, "no such queue"),
+        Answer::Refused(Refusal::Key) => {
+            named("authorization", Code::Unauthenticated, "give a team's key as bearer token")
+        }
+        Answer::Refused(Refusal::Path) => {
+            Fault::new(Code::Unimplemented, &format!("no procedure {name}")).reply()
+        }
+        Answer::Invalid(text) => {
+            // The text begins with the field's name.
+            let field = text.split(' ').next().unwrap_or_default();
+            Fault::invalid(field, text).reply()
+        }
+        Answer::Oversized => named("body", Code::ResourceExhausted, "the body is too large"),
+        Answer::Unavailable(after) => {
+            let fault = Fault::new(Code::Unavailable, "nothing was done; try again");
+            fault.retry_after(Duration::from_millis(*after)).reply()
+        }
+        Answer::Unclear => {
+            Fault::new(Code::Aborted, "outcome unknown; send the same again").reply()
+        }
+    }
+}
+
+fn named(field: &str, code: Code, message: &str) -> Reply {
+    let mut fault = Fault::new(code, message);
+    fault.detail.field = field.to_owned();
+    fault.reply()
+}
+
+fn state(codec: Codec, state: schema::State) -> Reply {
+    codec.reply(&schema::StateReply { state: state.into() })
+}
+
+fn word(state: State) -> schema::State {
+    match state {
+        State::Queued => schema::State::Queued,
+        State::Running => schema::State::Running,
+        State::Succeeded => schema::State::Succeeded,
+        State::Failed => schema::State::Failed,
+        State::Cancelled => schema::State::Cancelled,
+    }
+}
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -5,6 +5,8 @@
 //! their form is a contract between versions of the program.
 
 mod advice;
+mod answer;
+mod call;
 mod config;
 mod error;
 mod job;
@@ -21,6 +23,8 @@
 mod worker;
 
 pub use advice::Advice;
+pub use answer::{Answer, Refusal};
+pub use call::{Call, Target, is_name};
 pub use config::Config;
 pub use error::Error;
 pub use job::Job;
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -40,6 +40,8 @@
     life: Option<Life>,
     /// The life that said it ends, until another one reports.
     left: Option<String>,
+    /// Lives of the worker that have reported.
+    lives: u64,
     lease: Lease,
     next_call: u64,
     pinged: u64,
@@ -55,6 +57,7 @@
             link: None,
             life: None,
             left: None,
+            lives: 0,
             lease: Lease::default(),
             next_call: 1,
             pinged: 0,
@@ -77,12 +80,18 @@
         self.life.is_some() && self.link.is_none()
     }
 
+    /// How many lives of the worker have reported.
+    pub fn lives(&self) -> u64 {
+        self.lives
+    }
+
     /// The worker reported itself.
     pub fn beat(&mut self, worker: &Worker, address: &str, clock: u64, now: u64) {
         let same = self.life.as_ref().is_some_and(|life| life.worker.id == worker.id);
         let mut changed = !same;
         if !same {
             self.lease.forget_clock();
+            self.lives += 1;
             self.left = None;
             self.life = Some(Life::open(worker, address, now));
         } else if let Some(life) = &mut self.life {
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -13,3 +13,13 @@
     include!("gen/quincewheel.v1.rs");
     include!("gen/quincewheel.v1.serde.rs");
 }
+
+/// The schema of jobs of steps and tasks.
+pub const JOBS_PROTO: &str = include_str!("../proto/quincewheel/jobs/v1/jobs.proto");
+
+/// Messages of `quincewheel.jobs.v1`.
+#[allow(missing_docs, clippy::all, rustdoc::all)]
+pub mod jobs {
+    include!("gen/quincewheel.jobs.v1.rs");
+    include!("gen/quincewheel.jobs.v1.serde.rs");
+}
--- a/crates/schema/tests/generated.rs
+++ b/crates/schema/tests/generated.rs
@@ -6,7 +6,11 @@
 #[test]
 fn generated_code_is_current() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let files = ["quincewheel/v1/scheduler.proto", "quincewheel/v1/rows.proto"];
+    let files = [
+        "quincewheel/v1/scheduler.proto",
+        "quincewheel/v1/rows.proto",
+        "quincewheel/jobs/v1/jobs.proto",
+    ];
     let set = protox::compile(files, [root.join("proto")]).unwrap();
     let out = env::temp_dir().join(format!("quincewheel-schema-{}", std::process::id()));
     fs::create_dir_all(&out).unwrap();
@@ -20,7 +24,13 @@
         .build(&[".quincewheel"])
         .unwrap();
     let mut stale = Vec::new();
-    for name in ["quincewheel.v1.rs", "quincewheel.v1.serde.rs"] {
+    let names = [
+        "quincewheel.v1.rs",
+        "quincewheel.v1.serde.rs",
+        "quincewheel.jobs.v1.rs",
+        "quincewheel.jobs.v1.serde.rs",
+    ];
+    for name in names {
         let fresh = fs::read_to_string(out.join(name)).unwrap();
         let committed = root.join("src/gen").join(name);
         if env::var_os("QUINCEWHEEL_REGENERATE").is_some() {
--- a/crates/stand-in/tests/soak/client.rs
+++ b/crates/stand-in/tests/soak/client.rs
@@ -38,9 +38,13 @@
         let queue = if self.random.random_bool(0.4) { "urgent" } else { "calm" };
         let path = format!("/{queue}/{id}");
         let job = self.draw(&id);
-        let body = encode(&job);
+        // Both interfaces lead to the same jobs.
+        let (to, key_line, body) = match self.random.random_bool(0.3) {
+            true => (SUBMIT.to_owned(), format!("Bearer {key}"), procedure(queue, &id, &job)),
+            false => (path.clone(), format!("Token {key}"), encode(&job)),
+        };
         hall.lock().unwrap().judge.jobs.insert(id.clone(), job);
-        let told = self.insist(&path, key, &body).await;
+        let told = self.insist(&to, &key_line, &body).await;
         if let Some(job) = hall.lock().unwrap().judge.jobs.get_mut(&id) {
             job.told = told;
         }
@@ -52,15 +56,15 @@
                 job.cancelled = true;
             }
             // Whatever the answer: its end is asked for later.
-            let _ = self.call(Method::DELETE, &path, key, None).await;
+            let _ = self.call(Method::DELETE, &path, &format!("Token {key}"), None).await;
         }
         Some(path)
     }
 
-    async fn insist(&mut self, path: &str, key: &str, body: &Value) -> Told {
+    async fn insist(&mut self, path: &str, key_line: &str, body: &Value) -> Told {
         let mut told = Told::Refused;
         for _ in 0..TRIES {
-            match self.call(Method::POST, path, key, Some(body)).await {
+            match self.call(Method::POST, path, key_line, Some(body)).await {
                 Some((200, _)) => return Told::Accepted,
                 Some((429 | 503, _)) => {}
                 _ => told = Told::Unclear,
@@ -73,7 +77,7 @@
     /// Asks for a job's state; `gone` if there is no such job, none without an
     /// answer.
     pub async fn state(&mut self, path: &str, key: &str) -> Option<String> {
-        match self.call(Method::GET, path, key, None).await? {
+        match self.call(Method::GET, path, &format!("Token {key}"), None).await? {
             (200, body) => body["state"].as_str().map(str::to_owned),
             (410, _) => Some("gone".to_owned()),
             _ => None,
@@ -83,7 +87,8 @@
     /// Submits nothing: a malformed body with a key shows whether it is known.
     pub async fn knows(&mut self, key: &str) -> Option<bool> {
         let path = format!("/calm/{:016x}", self.random.random::<u64>());
-        let (status, _) = self.call(Method::POST, &path, key, Some(&json!({}))).await?;
+        let (status, _) =
+            self.call(Method::POST, &path, &format!("Token {key}"), Some(&json!({}))).await?;
         match status {
             400 => Some(true),
             401 => Some(false),
@@ -91,11 +96,17 @@
         }
     }
 
+    /// The status of a call, whatever it is.
+    pub async fn status(&mut self, path: &str, key_line: &str, body: &Value) -> u16 {
+        let told = self.call(Method::POST, path, key_line, Some(body)).await;
+        told.map_or(0, |(status, _)| status)
+    }
+
     async fn call(
         &mut self,
         method: Method,
         path: &str,
-        key: &str,
+        key_line: &str,
         body: Option<&Value>,
     ) -> Option<(u16, Value)> {
         let entry = &self.entries[self.random.random_range(0..self.entries.len())];
@@ -103,7 +114,7 @@
             .http
             .request(method, format!("http://{entry}{path}"))
             .insert_header(("host", "soak.example"))
-            .insert_header(("authorization", format!("Token {key}")));
+            .insert_header(("authorization", key_line));
         let sent = match body {
             Some(body) => request.send_json(body).await,
             None => request.send().await,
@@ -134,6 +145,20 @@
     }
 }
 
+/// The product's own procedure for submissions.
+pub const SUBMIT: &str = "/quincewheel.jobs.v1.Jobs/Submit";
+
+fn procedure(queue: &str, id: &str, job: &Job) -> Value {
+    let step = |step: &Step| {
+        json!({
+            "count": step.count, "estimateMs": step.ms, "after": step.after, "gang": step.gang,
+            "need": { "cpu": 1000, "memory": 1000, "accelerators": step.accelerators },
+        })
+    };
+    let steps: Vec<Value> = job.steps.iter().map(step).collect();
+    json!({ "queue": queue, "id": id, "spec": job.spec, "steps": steps })
+}
+
 fn encode(job: &Job) -> Value {
     let step = |step: &Step| {
         json!({
--- a/crates/stand-in/tests/soak/world.rs
+++ b/crates/stand-in/tests/soak/world.rs
@@ -9,7 +9,7 @@
 use quincewheel_http::Server;
 use serde_json::json;
 
-use crate::client::Client;
+use crate::client::{Client, SUBMIT};
 use crate::fault::{self, Fault};
 use crate::hall::Hall;
 use crate::judge::ATTEMPTS;
@@ -155,6 +155,7 @@
     fn run(&mut self, seed: u64, seconds: u64) -> Vec<String> {
         let entries = self.entries();
         self.wait_until_served(&entries);
+        self.check_answers(&entries);
         let stop = Arc::new(AtomicBool::new(false));
         let ticking = self.spawn_time(Arc::clone(&stop));
         let clients: Vec<_> = (0..CLIENTS)
@@ -194,6 +195,36 @@
         });
     }
 
+    /// Checks that bad calls get a clear answer, over both interfaces.
+    fn check_answers(&self, entries: &[String]) {
+        let key = self.keys.lock().unwrap().current.clone();
+        let (token, bearer) = (format!("Token {key}"), format!("Bearer {key}"));
+        let id = "00000000000000ff";
+        let itself = json!({ "steps": [{ "count": 1, "after": [0] }] });
+        let mine = json!({ "queue": "calm", "id": id, "steps": [{ "count": 1, "after": [0] }] });
+        let elsewhere = json!({ "queue": "none", "id": id });
+        let short = json!({ "queue": "calm", "id": "ff", "steps": [{ "count": 1 }] });
+        let cases = [
+            ("a step after itself", "/calm/00000000000000ff", &token, &itself, 400),
+            ("a short name", "/calm/ff", &token, &itself, 400),
+            ("no such queue", "/none/00000000000000ff", &token, &itself, 404),
+            ("an unknown key", "/calm/00000000000000ff", &"Token x".to_owned(), &itself, 401),
+            ("own: a step after itself", SUBMIT, &bearer, &mine, 400),
+            ("own: a short name", SUBMIT, &bearer, &short, 400),
+            ("own: no such queue", SUBMIT, &bearer, &elsewhere, 404),
+            ("own: an unknown key", SUBMIT, &"Bearer x".to_owned(), &mine, 401),
+            ("own: no such procedure", "/quincewheel.jobs.v1.Jobs/No", &bearer, &mine, 501),
+        ];
+        let mut client = Client::open(entries, 0);
+        for (what, path, key_line, body, expected) in cases {
+            let told = actix_rt::System::new().block_on(client.status(path, key_line, body));
+            if told != expected {
+                let text = format!("ANSWER {what}: {told} instead of {expected}");
+                self.hall.lock().unwrap().judge.report(text);
+            }
+        }
+    }
+
     /// Lets workers' time pass for as long as the run lasts.
     fn spawn_time(&self, _stop: Arc<AtomicBool>) -> thread::JoinHandle<()> {
         let hall = Arc::downgrade(&self.hall);
