Read the platform's settings again; split the owner and its planning

Ruled out: reading the file at each use (a system call for each decision).

Change: bounds are read again on SIGHUP and within 5 s of a change without one, also by a running owner (a lease never gets shorter for what was granted); addresses wait for the next start, and a bad file leaves the former bounds in force, with a log line. Records, outputs and room that is made stand in files of their own.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -5,7 +5,7 @@
 
 mod metrics;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -72,9 +72,10 @@
         take(request, reports.clone(), Arc::clone(&shown))
     })?;
     log::info!(event = "start", zone = site.zone.as_str(), peers = site.peers.as_str(); "agent");
+    let path = settings.to_owned();
     let runtime = actix_rt::Runtime::new()?;
     runtime.block_on(async move {
-        let settings = Settings { lease: site.lease, ..Settings::default() };
+        let settings = Settings { lease: site.bounds.lease, ..Settings::default() };
         let agent = Rc::new(Agent {
             runner: RefCell::new(Runner::open(settings)),
             hub,
@@ -87,14 +88,28 @@
         actix_rt::spawn(hear_worker(Rc::clone(&agent), reports_in));
         actix_rt::spawn(hear_owners(Rc::clone(&agent), peers_in));
         actix_rt::spawn(keep_time(Rc::clone(&agent)));
-        quincewheel_conf::ending().await?;
+        let grace = Cell::new(site.bounds.grace);
+        quincewheel_conf::ending(|| reload(&agent, &path, &grace)).await?;
         log::info!(event = "drain"; "shutting down");
-        tokio::time::sleep(Duration::from_millis(site.grace).saturating_sub(LAST)).await;
+        tokio::time::sleep(Duration::from_millis(grace.get()).saturating_sub(LAST)).await;
         log::info!(event = "stop"; "ended");
         Ok(())
     })
 }
 
+/// Takes in the settings file as it is now. Addresses stay as they were until the
+/// next start.
+fn reload(agent: &Agent, path: &Path, grace: &Cell<u64>) {
+    match platform::read(path) {
+        Ok(read) => {
+            log::info!(event = "reload"; "{:?}", read.bounds);
+            grace.set(read.bounds.grace);
+            agent.runner.borrow_mut().tune(read.bounds.lease);
+        }
+        Err(error) => log::warn!(event = "reload"; "{error}; the former settings stay"),
+    }
+}
+
 /// Takes a report. It is acknowledged once it is on its way to the thread
 /// that refuses starts at a worker which leaves.
 async fn take(mut request: Request, reports: ring::Sender<Report>, metrics: Arc<Metrics>) -> Reply {
--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -11,7 +11,8 @@
 use quincewheel_job::Id;
 
 use crate::candidate::Candidate;
-use crate::owner::{Output, Owner};
+use crate::output::Output;
+use crate::owner::Owner;
 
 /// What is known about one step.
 #[derive(Clone, Debug, Default)]
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 
 use quincewheel_job::{Id, Need, Step};
-use quincewheel_place::{Ask, Spot, pack, reclaim};
+use quincewheel_place::{Ask, Spot, pack};
 use quincewheel_wire::Order;
 
 use crate::board::{Board, weight};
 use crate::candidate::{Candidate, Rank};
-use crate::entry::{Entry, Phase, Placed, Reservation};
+use crate::entry::{Entry, Phase, Placed};
 use crate::goal::{Goal, Guide};
 use crate::owner::{Owner, task};
 
@@ -234,140 +234,18 @@
     }
 
     /// Sees to it that the next round is no later than this time of day.
-    fn look_again(&mut self, at: u64) {
+    pub(crate) fn look_again(&mut self, at: u64) {
         self.next_due = Some(self.next_due.map_or(at, |due| due.min(at)));
     }
 
-    /// When room that others of the same priority borrow must be made for a
-    /// guaranteed step, so that it begins within the time promised. In time of
-    /// day.
-    ///
-    /// Not earlier: borrowed gangs were stopped shortly before their end for
-    /// others that would have got room by themselves. Waiting raised the mean
-    /// worth of a full pool with ten teams from 0.44 to 0.46 (two seeds of six
-    /// days).
-    fn promised(&self, entry: &Entry, occurrence: u32) -> u64 {
-        let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(occurrence));
-        begin + self.settings.reclaim.saturating_sub(self.settings.stop + AHEAD)
-    }
-
     /// The pool that runs a job now: a configuration may have moved its queue.
     fn pool(&self, entry: &Entry) -> String {
         let queue = self.config.queues.get(&entry.job.queue.name);
         queue.unwrap_or(&entry.job.queue).pool.clone()
     }
 
-    /// Starts a step on the room that was kept for it. False if that is void.
-    fn redeem(
-        &mut self,
-        candidate: &Candidate,
-        reservation: &Reservation,
-        board: &mut Board,
-        now: u64,
-    ) -> bool {
-        let Some(entry) = self.jobs.get(&candidate.id) else { return false };
-        let Some(step) = entry.job.steps.get(candidate.step as usize).cloned() else {
-            return false;
-        };
-        let places: Vec<usize> = reservation
-            .agents
-            .iter()
-            .filter_map(|name| board.spots.iter().position(|spot| spot.name == *name))
-            .collect();
-        let cleared = |place: &usize| {
-            let worker = &board.spots[*place].worker;
-            let key = (candidate.occurrence, candidate.step, 0);
-            entry.job.queue.advice.is_none() || entry.ticket(key, worker, now).is_some()
-        };
-        let valid = places.len() == candidate.tasks.len()
-            && places.iter().all(cleared)
-            && now < reservation.since + self.settings.reservation;
-        if !valid {
-            return false;
-        }
-        let need = step.charge();
-        let mut actual = board.actual.clone();
-        let whole = places.iter().all(|&place| {
-            let fits = need.fits(&actual[place]);
-            actual[place].take(&need);
-            fits
-        });
-        if !whole {
-            let mut spots = board.spots.clone();
-            let promised = places.iter().all(|&place| {
-                let fits = need.fits(&spots[place].near(false));
-                spots[place].reserve(&need);
-                fits
-            });
-            // Else somebody who comes first took the room.
-            if promised {
-                board.spots = spots;
-            }
-            return promised;
-        }
-        if let Some(entry) = self.jobs.get_mut(&candidate.id) {
-            entry.reserved.remove(&(candidate.occurrence, candidate.step));
-        }
-        let pairs: Vec<(u32, usize)> = candidate.tasks.iter().copied().zip(places).collect();
-        self.start(candidate, &step, &pairs, board, now);
-        true
-    }
-
-    /// Stops work that gives way, and keeps its room.
-    fn make_room(
-        &mut self,
-        candidate: &Candidate,
-        step: &Step,
-        pool: &str,
-        started: usize,
-        board: &mut Board,
-        (now, wall): (u64, u64),
-    ) {
-        let rest = &candidate.tasks[started..];
-        let Some(entry) = self.jobs.get(&candidate.id) else { return };
-        let held = held(entry, candidate, &board.spots);
-        let promised = self.promised(entry, candidate.occurrence);
-        let owed = candidate.guaranteed && wall >= promised;
-        let count = rest.len() as u32;
-        let ask =
-            Ask { step, pool, count, patient: true, owed, sure: candidate.guaranteed, held: &held };
-        let Some(claim) = reclaim(&board.spots, &ask) else {
-            if candidate.guaranteed && !owed {
-                self.look_again(promised);
-            }
-            return;
-        };
-        if !candidate.guaranteed && claim.loss > candidate.work * LOSS_PER_WORK {
-            return;
-        }
-        let need = step.charge();
-        for spot in &mut board.spots {
-            for holder in spot.holders.iter().filter(|holder| claim.units.contains(&holder.unit)) {
-                spot.stopping.give(&holder.need);
-            }
-            spot.holders.retain(|holder| !claim.units.contains(&holder.unit));
-        }
-        for &place in &claim.choices {
-            board.spots[place].reserve(&need);
-        }
-        let agents = claim.choices.iter().map(|&place| board.spots[place].name.clone()).collect();
-        let reservation = Reservation { agents, since: now };
-        if let Some(entry) = self.jobs.get_mut(&candidate.id) {
-            entry.reserved.insert((candidate.occurrence, candidate.step), reservation);
-        }
-        let kind = if candidate.guaranteed { "guaranteed" } else { "borrowed" };
-        let (units, loss, work) = (claim.units.len(), claim.loss / 1000, candidate.work / 1000);
-        let detail = format!("{kind}: {units} units stop, losing {loss} core-s for {work}");
-        self.log("room reclaimed", &candidate.id, detail);
-        for unit in claim.units {
-            for (id, key) in board.units.get(&unit).cloned().unwrap_or_default() {
-                self.stop(&id, key, now);
-            }
-        }
-    }
-
     /// Orders the start of tasks on the chosen workers.
-    fn start(
+    pub(crate) fn start(
         &mut self,
         candidate: &Candidate,
         step: &Step,
@@ -463,7 +341,7 @@
 }
 
 /// Tasks of the step that each worker has.
-fn held(entry: &Entry, candidate: &Candidate, spots: &[Spot]) -> Vec<u32> {
+pub(crate) fn held(entry: &Entry, candidate: &Candidate, spots: &[Spot]) -> Vec<u32> {
     let range = (candidate.occurrence, candidate.step, 0)
         ..=(candidate.occurrence, candidate.step, u32::MAX);
     let mut held = vec![0; spots.len()];
@@ -475,18 +353,6 @@
     held
 }
 
-/// Work that may be lost, for each unit of work that then ends in time. A job
-/// of priority 0 is worth about four times its work, and whoever is stopped
-/// also waits. Taking room at once and within this bound, against waiting for
-/// it until the objective presses: mean worth of the grown deployments 0.73 and
-/// 0.55 against 0.65 and 0.45, of the small ones the same (one seed against two, and four).
-const LOSS_PER_WORK: u64 = 2;
-
-/// Room that was promised is made so many milliseconds earlier than a stop
-/// takes: the wait for the next decision, orders, ends and starts on their way,
-/// and a good part of that again.
-const AHEAD: u64 = 700;
-
 /// A job of which nothing runs leaves whole workers to urgent work for so many
 /// milliseconds while half of the pool is free.
 const IDLE: u64 = 1500;
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -11,7 +11,8 @@
 use quincewheel_job::{Condition, Machine, Wave};
 
 use crate::entry::Placed;
-use crate::owner::{Output, Owner};
+use crate::output::Output;
+use crate::owner::Owner;
 
 /// What the owner knows of maintenance.
 #[derive(Debug, Default)]
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -70,7 +70,7 @@
         take(request, work.clone(), Arc::clone(&entrance), Arc::clone(&shown))
     })?;
     log::info!(event = "start", zone = site.zone.as_str(), peers = site.peers.as_str(); "entry");
-    let grace = Duration::from_millis(site.grace);
+    let path = settings.to_owned();
     let runtime = actix_rt::Runtime::new()?;
     runtime.block_on(async move {
         let shared: Shared = Rc::new(Site::open(site, incarnation, hub, gate, metrics));
@@ -82,7 +82,9 @@
         actix_rt::spawn(advise::run(Rc::clone(&shared)));
         actix_rt::spawn(upkeep::run(Rc::clone(&shared)));
         actix_rt::spawn(answer(Rc::clone(&shared), work_in));
-        quincewheel_conf::ending().await?;
+        actix_rt::spawn(own::watch(Rc::clone(&shared), path.clone()));
+        quincewheel_conf::ending(|| own::reload(&shared, &path)).await?;
+        let grace = Duration::from_millis(shared.bounds.get().grace);
         drain(&shared, grace).await;
         log::info!(event = "stop"; "ended");
         Ok(())
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -1,12 +1,13 @@
 //! Ownership: claiming it, deciding while it lasts, handing it over.
 
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
 use quincewheel_dispatch::rows::{OWNER, Ownership};
 use quincewheel_dispatch::{Output, Owner, Settings};
 use quincewheel_peer::Command;
-use quincewheel_platform::Space;
+use quincewheel_platform::{self as platform, Space};
 use quincewheel_store::{Commit, Expect, Put};
 
 use super::follow::read_all;
@@ -19,6 +20,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// A write without an answer is repeated after this time.
 const TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time between two looks at the settings file.
+const WATCH: Duration = Duration::from_secs(5);
 /// Pause after a write that failed.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -110,17 +113,46 @@
 }
 
 fn settings(shared: &Site) -> Settings {
-    let site = &shared.settings;
+    let bounds = shared.bounds.get();
     Settings {
-        lease: site.lease,
-        stop: site.stop,
-        reclaim: site.reclaim,
-        turn: site.turn,
-        maintenance: site.maintenance,
+        lease: bounds.lease,
+        stop: bounds.stop,
+        reclaim: bounds.reclaim,
+        turn: bounds.turn,
+        maintenance: bounds.maintenance,
         ..Settings::default()
     }
 }
 
+/// Takes in the settings file as it is now, after a signal or without one.
+/// Addresses stay as they were until the next start.
+pub(crate) fn reload(shared: &Site, path: &Path) {
+    let read = match platform::read(path) {
+        Ok(read) => read,
+        Err(error) => return log::warn!(event = "reload"; "{error}; the former settings stay"),
+    };
+    let former = shared.bounds.replace(read.bounds);
+    let changed = former != read.bounds;
+    log::info!(event = "reload", changed = changed; "{:?}", read.bounds);
+    if let Some(owner) = shared.owner.borrow_mut().as_mut().filter(|_| changed) {
+        owner.tune(settings(shared));
+    }
+}
+
+/// Looks at the settings file now and then: it may change without a signal.
+pub(crate) async fn watch(shared: Shared, path: PathBuf) {
+    let modified = || std::fs::metadata(&path).and_then(|file| file.modified()).ok();
+    let mut known = modified();
+    loop {
+        tokio::time::sleep(WATCH).await;
+        let now = modified();
+        if now != known {
+            known = now;
+            reload(&shared, &path);
+        }
+    }
+}
+
 /// Lets time pass for the owner and carries out what it wants.
 pub(crate) fn step(shared: &Site) {
     let mut owner = shared.owner.borrow_mut();
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -100,7 +100,7 @@
 /// be told, half of it again: a client's submission may be sent once more, and
 /// would find no row and run anew.
 fn keep(shared: &Site) -> u64 {
-    shared.settings.keep * 3 / 2
+    shared.bounds.get().keep * 3 / 2
 }
 
 fn drop_rows(shared: &Site, expired: &[Id]) {
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -7,7 +7,7 @@
 use quincewheel_dispatch::{Election, Mirror, Owner, Question, Unsettled};
 use quincewheel_job::{Config, Wave};
 use quincewheel_peer::Hub;
-use quincewheel_platform::{self as platform, Table};
+use quincewheel_platform::{self as platform, Bounds, Table};
 use quincewheel_store::Error;
 use quincewheel_wire::{LinkId, Order};
 use tokio::sync::Notify;
@@ -36,6 +36,8 @@
 /// What an entry knows.
 pub(crate) struct Site {
     pub settings: platform::Site,
+    /// Times that the platform sets, as last read.
+    pub bounds: Cell<Bounds>,
     pub incarnation: u64,
     pub table: Table,
     /// Long polls wait on connections of their own.
@@ -92,6 +94,7 @@
             table: Table::open(&settings.table),
             feed: Table::open(&settings.table),
             election: RefCell::new(Election::open(&settings.name, incarnation, PATIENCE)),
+            bounds: Cell::new(settings.bounds),
             settings,
             incarnation,
             hub,
@@ -122,7 +125,7 @@
     /// A key that was taken away must stop working within a bound even where
     /// the table cannot be reached.
     pub fn current(&self, now: u64) -> bool {
-        let bound = self.settings.revoke * 9 / 10;
+        let bound = self.bounds.get().revoke * 9 / 10;
         self.config.borrow().is_some() && now < self.proved.get() + bound
     }
 
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// The longest lease changed.
+    pub fn tune(&mut self, lease: u64) {
+        self.settings.lease = lease;
+    }
+
     /// Takes what is to be done.
     pub fn outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.outputs)
--- a/crates/stand-in/tests/soak/process.rs
+++ b/crates/stand-in/tests/soak/process.rs
@@ -66,6 +66,14 @@
         let _ = Command::new("kill").args([number, &child.id().to_string()]).status();
     }
 
+    /// Changes a bound in its settings file, and adds a field that it does not
+    /// know.
+    pub fn change_settings(&self) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        let text = text.replace("reclaimMs = 2700", "reclaimMs = 2600\nunknown = true");
+        std::fs::write(&self.settings, text).unwrap();
+    }
+
     /// Kills it at once.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/stand-in/tests/soak/world.rs
+++ b/crates/stand-in/tests/soak/world.rs
@@ -307,7 +307,10 @@
                 self.processes[process].signal(Signal::Term);
                 self.heals.push((after(GRACE * 1000), Heal::Restarted(process)));
             }
-            Fault::Reload { process } => self.processes[process].signal(Signal::Hangup),
+            Fault::Reload { process } => {
+                self.processes[process].change_settings();
+                self.processes[process].signal(Signal::Hangup);
+            }
             Fault::Table { process, mode, ms } => {
                 self.to_table[process].set(mode);
                 self.heals.push((after(ms), Heal::Table(process)));
