Count the hand-over into the time for shutting down

Ruled out: open calls (none were under way).

Change: the end is reckoned from the signal. Before: one process killed in the incident. After: the soak's bound on ends is 0.7 s instead of 1.5 s beyond the time, with unoptimized programs.

--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -139,9 +139,13 @@
 /// as the platform allows: clients keep using them until the process is gone.
 async fn drain(shared: &Shared, grace: Duration) {
     log::info!(event = "drain"; "shutting down");
+    let begin = tokio::time::Instant::now();
     shared.gate.drain();
+    // A table that does not answer holds the hand-over up for over a second,
+    // which must not be added to the time: the process would be killed with
+    // calls in flight.
     own::hand_over(shared).await;
-    tokio::time::sleep(grace.saturating_sub(CLOSING)).await;
+    tokio::time::sleep_until(begin + grace.saturating_sub(CLOSING)).await;
     shared.gate.close();
     // A table that is slow must not cost the time that the last calls have.
     let _ = tokio::time::timeout(LAST, own::hand_over(shared)).await;
--- a/crates/stand-in/tests/soak/world.rs
+++ b/crates/stand-in/tests/soak/world.rs
@@ -28,7 +28,7 @@
 const GRACE: u64 = 3;
 /// A process that was told to end may take so much longer: the machine is busy,
 /// and the programs are not optimized.
-const LATE: Duration = Duration::from_millis(1500);
+const LATE: Duration = Duration::from_millis(700);
 /// A key that was taken away must not work after this time.
 const REVOKE: Duration = Duration::from_millis(5000);
 /// Pause of a client between two jobs. Four clients then ask for some three
