Let the test of a silent worker notice when its wait is left out

Cause: proofs/run: the mechanism switched off went unnoticed, because the test's worker listed the run, which was then adopted. Change: it lists nothing yet.

--- a/crates/dispatch/tests/members.rs
+++ b/crates/dispatch/tests/members.rs
@@ -2,7 +2,7 @@
 
 mod bed;
 
-use bed::{Bed, job, run, step, task};
+use bed::{Bed, job, step};
 use insta::assert_snapshot;
 use quincewheel_wire::Notice;
 
@@ -94,7 +94,8 @@
     bed.link(0);
     bed.status(0, &[], &[]);
     bed.link(1);
-    let (running, ended) = (vec![run(task("old", 0, 0), 7)], Vec::new());
+    // The agent has just started, and has not looked at its worker yet.
+    let (running, ended) = (Vec::new(), Vec::new());
     let worker = Some(bed::worker(1));
     let unfenced = Notice::Status { stamp: 0, worker, fenced: false, running, ended };
     bed.notice(1, unfenced);
