--- a/crates/dispatch/src/output.rs
+++ b/crates/dispatch/src/output.rs
@@ -13,7 +13,7 @@
         order: Order,
     },
     /// Ask which workers may run a step, and hand the answer to
-    /// [`Owner::advised`].
+    /// [`crate::Owner::advised`].
     Ask {
         /// What is asked.
         question: Question,
