Record that a wave is through; ask for clearance where the step could run

Cause, found while reading the diff: a new owner took a finished wave of maintenance for one under way and told operators so; and the service was asked about workers of other pools and labels.

Ruled out: reading status rows back (written for operators, in their table).

Change: the wave's row holds that it is through; questions name only workers of the pool and label.

--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -1,5 +1,6 @@
 use quincewheel_job::{Id, Progress};
 
+use crate::rows;
 use crate::saved::Saved;
 use crate::times::Times;
 
@@ -10,8 +11,8 @@
     pub jobs: Vec<(Id, Progress)>,
     /// What workers may forget once the batch is recorded.
     pub seen: Vec<Seen>,
-    /// Waves of maintenance that are new, and when they were first seen.
-    pub waves: Vec<(u64, u64)>,
+    /// Waves of maintenance that are new, or through.
+    pub waves: Vec<(u64, rows::Seen)>,
     /// Agents that are no members any more.
     pub gone: Vec<String>,
     /// Checkpoints of jobs whose tasks saved more.
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -18,8 +18,8 @@
     pub owner: Option<(Ownership, u64)>,
     /// Run times that owners have learned.
     pub times: Times,
-    /// When owners first saw waves of maintenance, in milliseconds since 1970.
-    pub waves: BTreeMap<u64, u64>,
+    /// What owners know of waves of maintenance.
+    pub waves: BTreeMap<u64, Seen>,
     /// All changes up to this version are in.
     pub version: u64,
     /// When this process first saw that a job had ended, in milliseconds.
@@ -121,7 +121,7 @@
                 None
             }),
             "wave" => serde_json::from_str(value).map(|seen: Seen| {
-                self.waves.extend(name.parse().ok().map(|number: u64| (number, seen.at)));
+                self.waves.extend(name.parse().ok().map(|number: u64| (number, seen)));
                 None
             }),
             "stop" => {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -148,7 +148,7 @@
         self.place(candidate, &step, &pool, board, (now, wall));
         board.show(hidden);
         if !barred.is_empty() && self.is_waiting(candidate) {
-            self.ask(candidate, self.roomiest(&barred, board), now);
+            self.ask(candidate, roomiest(&barred, board, &pool, &step.label), now);
         }
     }
 
@@ -172,13 +172,6 @@
         places.filter(|(_, spot)| !cleared(spot)).map(|(place, _)| place).collect()
     }
 
-    /// The workers at these places, those with the most room first.
-    fn roomiest(&self, places: &[usize], board: &Board) -> Vec<String> {
-        let mut spots: Vec<&Spot> = places.iter().map(|&place| &board.spots[place]).collect();
-        spots.sort_by_key(|spot| std::cmp::Reverse(spot.free.accelerators));
-        spots.into_iter().map(|spot| spot.worker.clone()).collect()
-    }
-
     /// Starts what it can of one candidate on the workers that are not hidden,
     /// or makes room for it there.
     fn place(
@@ -327,6 +320,17 @@
     (0..step.count).filter(open).collect()
 }
 
+/// The workers at these places that could run a step, those with the most room
+/// first.
+fn roomiest(places: &[usize], board: &Board, pool: &str, label: &String) -> Vec<String> {
+    let fits =
+        |spot: &&Spot| spot.pool == pool && (label.is_empty() || spot.labels.contains(label));
+    let mut spots: Vec<&Spot> =
+        places.iter().map(|&place| &board.spots[place]).filter(fits).collect();
+    spots.sort_by_key(|spot| std::cmp::Reverse(spot.free.accelerators));
+    spots.into_iter().map(|spot| spot.worker.clone()).collect()
+}
+
 /// Takes a step's accelerators from what the team is guaranteed and has not
 /// used. False if they are not covered.
 fn covered(
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -47,11 +47,14 @@
     format!("wave/{number}")
 }
 
-/// When a wave of maintenance was first seen.
+/// What owners know of a wave of maintenance.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Seen {
-    /// In milliseconds since 1970.
+    /// When it was first seen, in milliseconds since 1970.
     pub at: u64,
+    /// All its machines have begun. A later owner must not begin anew.
+    #[serde(default)]
+    pub done: bool,
 }
 
 /// Who owns the deployment.
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -13,6 +13,7 @@
 use crate::entry::Placed;
 use crate::output::Output;
 use crate::owner::Owner;
+use crate::rows::Seen;
 
 /// What the owner knows of maintenance.
 #[derive(Debug, Default)]
@@ -47,7 +48,7 @@
     wave: Wave,
     /// When it was first seen, in time of day.
     seen: u64,
-    /// That is recorded.
+    /// That, and whether it is through, is recorded.
     recorded: bool,
     /// Machines that have begun, or are no part of it, and when that was told.
     begun: BTreeMap<String, u64>,
@@ -119,19 +120,19 @@
 }
 
 impl Owner {
-    /// A wave is to be carried out. `known` is when an owner first knew of it, in
-    /// time of day; none if this one is the first.
-    pub fn wave(&mut self, wave: &Wave, known: Option<u64>, wall: u64) {
+    /// A wave is to be carried out. `known` is what a former owner knew of it.
+    pub fn wave(&mut self, wave: &Wave, known: Option<Seen>, wall: u64) {
+        let done = known.is_some_and(|known| known.done);
         let course = Course {
             wave: wave.clone(),
-            seen: known.unwrap_or(wall),
+            seen: known.map_or(wall, |known| known.at),
             recorded: known.is_some(),
             begun: BTreeMap::new(),
             called: BTreeMap::new(),
-            done: false,
+            done,
         };
         self.upkeep.waves.entry(wave.number).or_insert(course);
-        self.outputs.push(Output::Wave { number: wave.number, done: false });
+        self.outputs.push(Output::Wave { number: wave.number, done });
     }
 
     /// True if the wave is known.
@@ -201,12 +202,12 @@
         self.cordon(&next);
     }
 
-    /// Waves whose begin is to be recorded.
-    pub(crate) fn new_waves(&mut self) -> Vec<(u64, u64)> {
+    /// Waves of which more is to be recorded.
+    pub(crate) fn new_waves(&mut self) -> Vec<(u64, Seen)> {
         let new = self.upkeep.waves.iter_mut().filter(|(_, course)| !course.recorded);
         new.map(|(number, course)| {
             course.recorded = true;
-            (*number, course.seen)
+            (*number, Seen { at: course.seen, done: course.done })
         })
         .collect()
     }
@@ -241,6 +242,7 @@
         let done = course.left(upkeep).next().is_none() && course.called.is_empty();
         if let Some(course) = self.upkeep.waves.get_mut(&number).filter(|_| done) {
             course.done = true;
+            course.recorded = false;
             self.log("wave", &number.to_string(), "all machines have begun".to_owned());
             self.outputs.push(Output::Wave { number, done: true });
         }
--- a/crates/dispatch/tests/upkeep.rs
+++ b/crates/dispatch/tests/upkeep.rs
@@ -5,6 +5,7 @@
 use bed::{Bed, job, run, step, task};
 use insta::assert_snapshot;
 use quincewheel_dispatch::Taken;
+use quincewheel_dispatch::rows::Seen;
 use quincewheel_job::{Condition, Machine, Run, Step, Wave};
 use quincewheel_wire::Notice;
 
@@ -24,6 +25,11 @@
     bed.owner.machines(machines, bed.now);
 }
 
+/// What a former owner recorded.
+fn seen(done: bool) -> Seen {
+    Seen { at: 0, done }
+}
+
 /// Passes `ms` while all agents ping.
 fn pass(bed: &mut Bed, ms: u64, agents: u64) {
     for _ in 0..ms / 500 {
@@ -156,7 +162,7 @@
 #[test]
 fn a_new_owner_gives_no_orders_to_machines_before_the_former_ones_turn_is_over() {
     let mut bed = Bed::open(2, 1).idle(1);
-    bed.owner.wave(&wave(1, 1, 60_000), Some(0), bed.now);
+    bed.owner.wave(&wave(1, 1, 60_000), Some(seen(false)), bed.now);
     list(&mut bed, &[Condition::Up]);
     pass(&mut bed, 2500, 1);
     let early = bed.told();
@@ -175,7 +181,7 @@
 fn a_machine_that_was_down_under_a_former_owner_goes_on_taking_work() {
     let mut bed = Bed::open(2, 1).idle(1);
     pass(&mut bed, 3000, 1);
-    bed.owner.wave(&wave(1, 1, 60_000), Some(0), bed.now);
+    bed.owner.wave(&wave(1, 1, 60_000), Some(seen(false)), bed.now);
     list(&mut bed, &[Condition::Up]);
     bed.step();
     bed.owner.taken(1, "m0", Taken::Begun, bed.now);
@@ -192,3 +198,23 @@
     w0 start a.0.0.0 run 1001
     ");
 }
+
+// Symptom: a wave that was through is under way again after a change of owner.
+// Cause: only its begin was recorded.
+#[test]
+fn a_wave_that_is_through_stays_so_under_a_later_owner() {
+    let mut bed = begun(60_000);
+    for number in 0..3 {
+        bed.owner.taken(1, &format!("m{number}"), Taken::Begun, bed.now);
+    }
+    pass(&mut bed, 500, 3);
+    let recorded = bed.record().waves;
+    let mut later = Bed::open(2, 1).idle(1);
+    later.owner.wave(&wave(1, 1, 60_000), Some(seen(true)), later.now);
+    list(&mut later, &[Condition::Up]);
+    pass(&mut later, 4000, 1);
+    assert_snapshot!(format!("{recorded:?}\n{}", later.told()), @r"
+    [(1, Seen { at: 13000, done: true })]
+    wave 1 done true
+    ");
+}
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quincewheel_dispatch::rows::{self, OWNER, Ownership, Seen, TIMES};
+use quincewheel_dispatch::rows::{self, OWNER, Ownership, TIMES};
 use quincewheel_dispatch::{Batch, Owner};
 use quincewheel_job::Id;
 use quincewheel_platform::Space;
@@ -64,7 +64,7 @@
     commit.delete.extend(expired.iter().flat_map(|id| rows::of_job(id)));
     commit.put.extend(batch.times.as_ref().map(|times| put(TIMES.to_owned(), times)));
     commit.put.extend(batch.saved.iter().map(|(id, saved)| put(rows::save(id), saved)));
-    let seen = batch.waves.iter().map(|&(number, at)| put(rows::wave(number), &Seen { at }));
+    let seen = batch.waves.iter().map(|(number, seen)| put(rows::wave(*number), seen));
     commit.put.extend(seen);
     commit.delete.extend(batch.gone.iter().map(|name| rows::node(name)));
     commit.put.extend(batch.jobs.iter().map(|(id, progress)| put(rows::run(id), progress)));
