Give a field of the product's own procedures the product's own name

Cause: the field that bounds how many tasks may be missing had the platform's name. Change: max_missing.

--- a/crates/entry/src/site/rpc.rs
+++ b/crates/entry/src/site/rpc.rs
@@ -98,7 +98,7 @@
         image: step.image,
         target: step.target_ms,
         fills: step.fills,
-        may_miss: step.may_miss,
+        may_miss: step.max_missing,
     }
 }
 
--- a/crates/schema/src/gen/quincewheel.jobs.v1.rs
+++ b/crates/schema/src/gen/quincewheel.jobs.v1.rs
@@ -63,7 +63,7 @@
     /// Tasks of a perpetual step that the system may take down at one time; 0 for
     /// no bound.
     #[prost(uint32, tag = "16")]
-    pub may_miss: u32,
+    pub max_missing: u32,
 }
 /// When the steps run, for a job that runs at set times.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/schema/src/gen/quincewheel.jobs.v1.serde.rs
+++ b/crates/schema/src/gen/quincewheel.jobs.v1.serde.rs
@@ -957,7 +957,7 @@
             struct_ser.serialize_field("fills", &self.fills)?;
         }
         if true {
-            struct_ser.serialize_field("mayMiss", &self.may_miss)?;
+            struct_ser.serialize_field("maxMissing", &self.max_missing)?;
         }
         struct_ser.end()
     }
@@ -988,8 +988,8 @@
             "target_ms",
             "targetMs",
             "fills",
-            "may_miss",
-            "mayMiss",
+            "max_missing",
+            "maxMissing",
         ];
 
         #[allow(clippy::enum_variant_names)]
@@ -1009,7 +1009,7 @@
             Image,
             TargetMs,
             Fills,
-            MayMiss,
+            MaxMissing,
         }
         impl<'de> serde::Deserialize<'de> for GeneratedField {
             fn deserialize<D>(deserializer: D) -> std::result::Result<GeneratedField, D::Error>
@@ -1046,7 +1046,7 @@
                             "image" => Ok(GeneratedField::Image),
                             "targetMs" | "target_ms" => Ok(GeneratedField::TargetMs),
                             "fills" => Ok(GeneratedField::Fills),
-                            "mayMiss" | "may_miss" => Ok(GeneratedField::MayMiss),
+                            "maxMissing" | "max_missing" => Ok(GeneratedField::MaxMissing),
                             _ => Err(serde::de::Error::unknown_field(value, FIELDS)),
                         }
                     }
@@ -1081,7 +1081,7 @@
                 let mut image__ = None;
                 let mut target_ms__ = None;
                 let mut fills__ = None;
-                let mut may_miss__ = None;
+                let mut max_missing__ = None;
                 while let Some(k) = map_.next_key()? {
                     match k {
                         GeneratedField::Count => {
@@ -1185,11 +1185,11 @@
                             }
                             fills__ = Some(map_.next_value()?);
                         }
-                        GeneratedField::MayMiss => {
-                            if may_miss__.is_some() {
-                                return Err(serde::de::Error::duplicate_field("mayMiss"));
+                        GeneratedField::MaxMissing => {
+                            if max_missing__.is_some() {
+                                return Err(serde::de::Error::duplicate_field("maxMissing"));
                             }
-                            may_miss__ = 
+                            max_missing__ = 
                                 Some(map_.next_value::<::pbjson::private::NumberDeserialize<_>>()?.0)
                             ;
                         }
@@ -1211,7 +1211,7 @@
                     image: image__.unwrap_or_default(),
                     target_ms: target_ms__.unwrap_or_default(),
                     fills: fills__.unwrap_or_default(),
-                    may_miss: may_miss__.unwrap_or_default(),
+                    max_missing: max_missing__.unwrap_or_default(),
                 })
             }
         }
