--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Starts a local deployment as separate processes and ends exactly those.
 
 use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -61,17 +61,23 @@
 /// between its choice and the start of the process that is to listen there.
 const FIRST_PORT: u16 = 10_000;
 /// Ports set aside for the deployments of one process.
-const PORTS: u16 = 1_000;
+const PORTS: u16 = 10_000;
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
-/// A loopback address that nothing else in this process was given.
+/// A loopback address that nothing else was given: each process has an IP
+/// number of its own, so that deployments of several never meet.
+///
+/// Whether something listens is tried by connecting, not by listening: a process
+/// that another thread starts at that moment would inherit the listener until
+/// it runs its program, and whoever is to listen there would find the port taken
+/// and end.
 pub fn address() -> String {
-    let block = (std::process::id() % 20) as u16;
+    let id = std::process::id();
     loop {
         let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS;
-        let address = format!("127.0.0.1:{}", FIRST_PORT + block * PORTS + next);
-        if TcpListener::bind(&address).is_ok() {
+        let address = format!("127.{}.{}.1:{}", 1 + id / 250 % 250, id % 250, FIRST_PORT + next);
+        if TcpStream::connect(&address).is_err() {
             return address;
         }
     }
