Tell what a worker's answers prove: refusals to be looked at, and changes only

Ruled out: counting refusals in the metrics only; they were counted already, but no line led from a job to them. Change: a line when trouble with the worker's answers begins or changes its kind, and one when it answers again, with the time and the number of calls. No logic is changed. Conclusion: the log tells a worker that refuses from one that is gone or silent.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -3,6 +3,7 @@
 //! One thread takes the worker's reports, one keeps the connections to the
 //! system's other processes, and one carries orders to the worker.
 
+mod health;
 mod metrics;
 
 use std::cell::{Cell, RefCell};
@@ -23,6 +24,7 @@
 use quincewheel_wire::{Hello, Key, Notice, Order, Role};
 use tokio::sync::Notify;
 
+use self::health::Health;
 use self::metrics::Metrics;
 
 /// Reports of the worker that may wait.
@@ -47,6 +49,7 @@
     hub: Hub<Notice>,
     worker: platform::Caller,
     metrics: Arc<Metrics>,
+    health: Health,
     wake: Notify,
     /// The worker reported itself.
     reported: Notify,
@@ -81,6 +84,7 @@
             hub,
             worker: platform::Caller::open(),
             metrics,
+            health: Health::default(),
             wake: Notify::new(),
             reported: Notify::new(),
         });
@@ -230,10 +234,9 @@
                     let answer = agent.worker.call(&call).await;
                     let ms = quincewheel_clock::boot() - began;
                     agent.metrics.count(&call.action, &answer, ms);
-                    if let Err(error) = &answer {
-                        log::info!(event = "worker silent", worker = call.worker.as_str(); "{error:?}");
-                    }
-                    agent.runner.borrow_mut().answer(id, answer, quincewheel_clock::boot());
+                    let now = quincewheel_clock::boot();
+                    agent.health.note(&call, &answer, now);
+                    agent.runner.borrow_mut().answer(id, answer, now);
                     carry_out(&agent);
                     agent.wake.notify_one();
                 });
