Reproduce the jobs that stand still after a restart, without the platform

The same class acts in two more places, and these tests fail here: a worker that refuses every look counts as one that answers, so its silence never grows to a lease; and a start that it refuses each time counts as unclear. Ruled out: runs that the owner wrongly believed in (all older jobs stood, those of which nothing ran, too); no owner at all (new jobs started).

--- /dev/null
+++ b/crates/runner/tests/world/mod.rs
@@ -0,0 +1,206 @@
+//! An owner, agents and their workers joined without a network, in a time that the
+//! test passes in steps.
+
+use quincewheel_dispatch::{Output as Decision, Owner, Settings as Bounds};
+use quincewheel_job::{Job, Need, Queue, Run, Step, Worker};
+use quincewheel_runner::{Action, Call, Fault, Output, Reply, Runner, Settings};
+use quincewheel_wire::{Order, Refused};
+
+/// Milliseconds that pass at once.
+const STEP: u64 = 100;
+/// The table's version at which the owner claimed; older jobs have lower ones.
+pub const CLAIM: u64 = 100;
+/// When the owner claimed.
+pub const BEGIN: u64 = 10_000;
+
+/// How a worker answers calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mood {
+    /// As it should.
+    Sound,
+    /// It is unhealthy and does nothing that it is called for, but says so.
+    Refusing,
+}
+
+/// One worker, its agent, and what is on its way between them.
+pub struct Side {
+    pub mood: Mood,
+    runner: Runner,
+    running: Vec<Run>,
+    /// Calls by when they are answered.
+    calls: Vec<(u64, u64, Call)>,
+}
+
+/// All of them.
+pub struct World {
+    pub owner: Owner,
+    pub sides: Vec<Side>,
+    pub now: u64,
+    /// What was ordered, with the time since the claim.
+    lines: Vec<String>,
+}
+
+impl World {
+    /// An owner under `epoch` that has just claimed and knows the agents of so many
+    /// workers, to which it is not connected yet.
+    pub fn open(epoch: u64, workers: usize) -> World {
+        let mut owner = Owner::open(Bounds::default(), epoch, CLAIM, BEGIN);
+        for number in 0..workers {
+            owner.agent(&format!("w{number}"), BEGIN);
+        }
+        let side = |_| Side {
+            mood: Mood::Sound,
+            runner: Runner::open(Settings::default()),
+            running: Vec::new(),
+            calls: Vec::new(),
+        };
+        let sides = (0..workers).map(side).collect();
+        World { owner, sides, now: BEGIN, lines: Vec::new() }
+    }
+
+    /// A worker reports itself to its agent.
+    pub fn report(&mut self, number: usize) {
+        let now = self.now;
+        let worker = worker(number);
+        self.sides[number].runner.beat(&worker, "10.0.0.1:80", clock(now), now);
+    }
+
+    /// The owner connects to an agent.
+    pub fn link(&mut self, number: usize) {
+        self.owner.linked(&format!("w{number}"), number as u64, self.now);
+    }
+
+    /// Time passes; everybody does what is due.
+    pub fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / STEP {
+            self.now += STEP;
+            for side in &mut self.sides {
+                side.runner.tick(self.now);
+            }
+            self.owner.tick(self.now, self.now);
+            self.exchange();
+        }
+    }
+
+    /// What was ordered since the last time.
+    pub fn told(&mut self) -> String {
+        let lines = std::mem::take(&mut self.lines);
+        if lines.is_empty() { "nothing".to_owned() } else { lines.join("\n") }
+    }
+
+    /// Hands over whatever is on its way until there is nothing more.
+    fn exchange(&mut self) {
+        loop {
+            let mut quiet = true;
+            for decision in self.owner.outputs() {
+                if let Decision::Send { link, order } = decision {
+                    quiet = false;
+                    self.note(link, &order);
+                    self.sides[link as usize].runner.order(link, order, self.now);
+                }
+            }
+            for number in 0..self.sides.len() {
+                quiet &= !self.serve(number);
+            }
+            if quiet {
+                return;
+            }
+            self.owner.tick(self.now, self.now);
+        }
+    }
+
+    /// Carries out what one agent wants. False if it wants nothing.
+    fn serve(&mut self, number: usize) -> bool {
+        let now = self.now;
+        let side = &mut self.sides[number];
+        let outputs = side.runner.outputs();
+        let mut busy = !outputs.is_empty();
+        for output in outputs {
+            match output {
+                Output::Call { id, call } => {
+                    side.calls.push((due(&call, side.mood, now), id, call))
+                }
+                Output::Send { link, notice } => self.owner.notice(link, notice, now),
+                Output::Close { .. } => {}
+            }
+        }
+        let late = |(at, _, _): &(u64, u64, Call)| *at > now;
+        let (kept, ready) = std::mem::take(&mut side.calls).into_iter().partition(late);
+        side.calls = kept;
+        let ready: Vec<(u64, u64, Call)> = ready;
+        for (_, id, call) in ready {
+            busy = true;
+            let answer = side.answer(&call, now);
+            side.runner.answer(id, answer, now);
+        }
+        busy
+    }
+
+    fn note(&mut self, link: u64, order: &Order) {
+        let ms = self.now - BEGIN;
+        match order {
+            Order::Start { task, run, .. } => {
+                self.lines.push(format!("{ms} ms: w{link} start {task} run {run}"));
+            }
+            Order::Stop { task, run, .. } => {
+                self.lines.push(format!("{ms} ms: w{link} stop {task} run {run}"));
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Side {
+    fn answer(&mut self, call: &Call, now: u64) -> Result<Reply, Fault> {
+        if self.mood == Mood::Refusing {
+            return Ok(Reply::Refused(Refused::Busy));
+        }
+        let clock = clock(now);
+        match &call.action {
+            Action::Start { task, run, .. } => {
+                let saved = String::new();
+                let run = Run { task: task.clone(), number: *run, saved, percent: 10, gauge: 0 };
+                self.running.push(run);
+            }
+            Action::Stop { task, .. } => self.running.retain(|run| run.task != *task),
+            Action::Pace { .. } => {}
+            Action::Hold { .. } => {
+                let (running, ended) = (self.running.clone(), Vec::new());
+                return Ok(Reply::Held { clock, running, ended });
+            }
+        }
+        Ok(Reply::Done { clock })
+    }
+}
+
+/// When a call is answered: a look waits at a sound worker for an end, and none
+/// comes here.
+fn due(call: &Call, mood: Mood, now: u64) -> u64 {
+    match (&call.action, mood) {
+        (Action::Hold { wait, .. }, Mood::Sound) => now + wait,
+        _ => now,
+    }
+}
+
+fn clock(now: u64) -> u64 {
+    50_000 + now
+}
+
+fn worker(number: usize) -> Worker {
+    Worker {
+        id: format!("i{number}"),
+        pool: "p".into(),
+        capacity: Need { cpu: 64_000, memory: 262_144, accelerators: 8 },
+        rack: "r0".into(),
+        ..Worker::default()
+    }
+}
+
+/// A job of one step with so many tasks of one accelerator.
+pub fn job(count: u32) -> Job {
+    let queue = Queue { name: "q".into(), pool: "p".into(), attempts: 2, ..Queue::default() };
+    let need = Need { cpu: 1000, memory: 1000, accelerators: 1 };
+    let step = Step { count, need, estimate: 1000, ..Step::default() };
+    let spec = String::new();
+    Job { team: "t".into(), queue, spec, steps: vec![step], schedule: None, accepted: BEGIN }
+}
