Let only proofs put off what waits for a proof: refusals and idle leases do not

Cause: a new owner starts older jobs once each agent's worker has answered under its epoch, or has been silent for a whole lease. Three signs of life that prove nothing put the second off without end: a look that the worker refuses counted as an answer; each status that an agent told (also one without a look) set the silence to nothing; and a connection made anew began the wait for an agent's leases again. A start that the worker refused each time was taken for unclear, and its stop, refused as well, was repeated for ever. Ruled out: a time limit on settling as a whole; after it, work of the former owner could run at a worker that answers renewals but no look, and run twice. Change: an answer is one by which the worker did what it was called for. Silence is what the agent tells by its pings, nothing else; a worker that answers again is planned for at once. The lease of an agent without a connection is what was granted, not when it last connected. A start refused at each try, none without an answer, is told as not started at once. A worker silent for a lease is no member, though its agent lives: later owners do not wait.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -24,8 +24,8 @@
     pub lapse: u64,
     /// Since when the agent has known no worker; none while it knows one.
     pub unknown: Option<u64>,
-    /// Since when there has been no connection, or no worker; none while there
-    /// are both.
+    /// Since when there has been no connection, or no worker, or one that has not
+    /// answered for a whole lease; none while there is a worker that answers.
     pub absent: Option<u64>,
     /// What speaks against its worker.
     pub blame: Blame,
@@ -51,24 +51,31 @@
 }
 
 impl Agent {
-    /// Takes note of whether connection and worker are there.
-    pub fn look(&mut self, now: u64) {
-        match self.link.is_some() && self.worker.is_some() {
+    /// Takes note of whether connection and worker are there, and the worker has
+    /// answered within a `lease`. An agent that lives does not make a member of a
+    /// worker that is gone: each later owner would wait for it.
+    pub fn look(&mut self, lease: u64, now: u64) {
+        match self.link.is_some() && self.worker.is_some() && self.silent < lease {
             true => self.absent = None,
             false => _ = self.absent.get_or_insert(now),
         }
     }
 
     /// True if nothing that a former owner started can still run there. It
-    /// granted nothing after `last`, and this agent nothing that its worker
-    /// has not answered to for a `lease`.
+    /// granted nothing after `last`, this owner nothing that has not lapsed, and
+    /// the agent renewed nothing that its worker has not answered to for a `lease`.
+    ///
+    /// Only what proves that something may still run puts this off: a lease, or an
+    /// answer to a look. Signs of life that prove nothing (an agent without a
+    /// worker that asks for leases, a connection made anew, a look that is refused)
+    /// once did, and jobs accepted before a restart never started again.
     pub fn clear(&self, last: u64, lease: u64, now: u64) -> bool {
         let lapsed = now >= last + lease;
         match (&self.worker, self.link) {
             _ if self.heard || !self.former => true,
             (None, _) => lapsed,
             (Some(_), Some(_)) => self.silent >= lease,
-            (Some(_), None) => lapsed && now >= self.told + lease,
+            (Some(_), None) => lapsed && now >= self.lapse,
         }
     }
 
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -240,9 +240,7 @@
         match notice {
             Notice::Superseded { epoch } => self.outputs.push(Output::Deposed { epoch }),
             Notice::Ping { stamp, silent } => {
-                if let Some(agent) = self.agents.get_mut(&name) {
-                    agent.silent = silent;
-                }
+                self.hear(&name, silent);
                 self.grant(&name, link, stamp, now);
             }
             Notice::Left { worker } => self.left(&name, &worker),
@@ -259,8 +257,9 @@
     /// Time passed: takes lapsed leases for lapsed, and decides what starts.
     pub fn tick(&mut self, now: u64, wall: u64) {
         self.now = now;
+        let lease = self.settings.lease + self.settings.margin;
         for agent in self.agents.values_mut() {
-            agent.look(now);
+            agent.look(lease, now);
         }
         self.close_silent(now);
         self.lapse(now);
@@ -319,6 +318,15 @@
         self.send(link, Order::Grant { stamp });
     }
 
+    /// Takes note of how long a worker has owed an answer. One that answers again
+    /// takes work again, though nothing else has changed.
+    fn hear(&mut self, name: &str, silent: u64) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        let mute = self.settings.mute;
+        self.replan |= agent.silent >= mute && silent < mute;
+        agent.silent = silent;
+    }
+
     /// Closes connections on which nothing comes any more. A connection may
     /// stay open without carrying anything while a new one would; only the
     /// missing pings show it.
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -27,6 +27,7 @@
         let id = worker.id.clone();
         let reborn = agent.worker.as_ref().is_some_and(|known| known.id != id);
         if agent.worker.as_ref().is_none_or(|known| known.id != id) {
+            agent.silent = 0;
             agent.noted = 0;
             agent.seen = 0;
             agent.failures = 0;
@@ -40,7 +41,6 @@
         agent.worker = Some(worker);
         agent.fenced = fenced;
         agent.heard |= fenced;
-        agent.silent = 0;
         agent.listed = running.iter().map(|run| (run.task.clone(), run.number)).collect();
         if reborn || first {
             self.replan = true;
--- a/crates/runner/src/life.rs
+++ b/crates/runner/src/life.rs
@@ -24,9 +24,10 @@
     pub hold: Option<(u64, u64)>,
     /// No look before this time.
     pub rest: u64,
-    /// When the worker last answered a call, or owed no answer. A lease ends
-    /// no later than a full lease from here, so that a worker whose answers
-    /// are lost, but which hears every renewal, does not run on unseen.
+    /// When the worker last did what it was called for and said so, or owed no
+    /// answer. A lease ends no later than a full lease from here, so that a
+    /// worker whose answers are lost, but which hears every renewal, does not run
+    /// on unseen.
     pub answered: u64,
     /// Something changed at the worker since the last look began.
     pub changed: bool,
--- a/crates/runner/src/pending.rs
+++ b/crates/runner/src/pending.rs
@@ -6,6 +6,8 @@
 pub(crate) struct Pending {
     pub action: Action,
     pub tries: u32,
+    /// An earlier try of the start got no answer, and may take effect yet.
+    pub doubtful: bool,
     /// Why the run is being stopped, if it is because its start is unclear.
     pub unclear: bool,
     /// Repeat it at this time; none while a call is under way.
@@ -13,6 +15,11 @@
 }
 
 impl Pending {
+    /// An order to be given at once.
+    pub fn open(action: Action) -> Pending {
+        Pending { action, tries: 0, doubtful: false, unclear: false, again: Some(0) }
+    }
+
     pub fn starts(&self, task: &Task, run: u64) -> bool {
         matches!(&self.action, Action::Start { task: t, run: r, .. } if t == task && *r == run)
     }
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -140,7 +140,10 @@
 
     /// The worker answered a call, or did not.
     pub fn answer(&mut self, id: u64, answer: Result<Reply, Fault>, now: u64) {
-        if let Some(life) = self.life.as_mut().filter(|_| answer.is_ok()) {
+        // A refusal is no such answer: an unhealthy worker that refused every look
+        // kept its silence at nothing, and a new owner waited for it without end.
+        let proves = matches!(answer, Ok(Reply::Held { .. } | Reply::Done { .. }));
+        if let Some(life) = self.life.as_mut().filter(|_| proves) {
             life.answered = now;
         }
         let held = self.life.as_ref().and_then(|life| life.hold).filter(|hold| hold.0 == id);
@@ -258,7 +261,7 @@
         // order may be a repeated one, and the first may have taken effect.
         let refused = life.worker.draining || until.is_none();
         *lease = until.unwrap_or(0);
-        let mut pending = Pending { action, tries: 0, unclear: false, again: Some(0) };
+        let mut pending = Pending::open(action);
         if refused {
             pending.settle(now);
         }
@@ -272,9 +275,7 @@
         };
         // A start that is still being tried must not be repeated after its stop.
         life.orders.retain(|_, pending| !pending.starts(&task, run));
-        let action = Action::Stop { task, run };
-        let pending = Pending { action, tries: 0, unclear: false, again: Some(0) };
-        life.orders.insert(self.next_call, pending);
+        life.orders.insert(self.next_call, Pending::open(Action::Stop { task, run }));
         self.next_call += 1;
     }
 
@@ -336,11 +337,12 @@
                 }
             }
             Ok(Reply::Refused(Refused::Busy)) | Err(_) => {
+                pending.doubtful |= answer.is_err();
                 self.retry(id, now);
             }
             // An earlier try without an answer may still take effect, and what is
             // refused as old may have run.
-            Ok(Reply::Refused(why)) if start && (pending.tries > 0 || why == Refused::Old) => {
+            Ok(Reply::Refused(why)) if start && (pending.doubtful || why == Refused::Old) => {
                 pending.settle(now);
             }
             Ok(Reply::Refused(why)) => {
@@ -366,10 +368,12 @@
         }
     }
 
-    /// An order got no answer. It may still take effect, seconds later; the
-    /// same order again is harmless, since a run starts once. After the last
-    /// try the run is stopped: a worker refuses a start that comes after its
-    /// stop, so that the task can then safely start elsewhere.
+    /// An order was not carried out, or got no answer. The same order again is
+    /// harmless, since a run starts once. After the last try, a start that the
+    /// worker refused each time has not taken effect and cannot any more. One that
+    /// once got no answer may still, seconds later: it is stopped, and a worker
+    /// refuses a start that comes after its stop, so that the task can then safely
+    /// start elsewhere.
     fn retry(&mut self, id: u64, now: u64) {
         let tries = self.settings.tries;
         let pause = self.settings.pause;
@@ -379,6 +383,10 @@
         let start = matches!(pending.action, Action::Start { .. });
         if start && pending.tries < tries {
             pending.again = Some(now);
+        } else if start && !pending.doubtful {
+            let (task, run) = pending.run();
+            life.orders.remove(&id);
+            self.tell(Notice::Unstarted { task, run, why: Refused::Busy });
         } else if start {
             pending.settle(now);
         } else {
--- a/crates/runner/tests/refusals.rs
+++ b/crates/runner/tests/refusals.rs
@@ -43,7 +43,7 @@
     world.pass(14_000);
     assert_snapshot!(format!("{before}\n{}", world.told()), @r"
     nothing
-    7000 ms: w0 start old.0.0.0 run 1001
+    7100 ms: w0 start old.0.0.0 run 1001
     ");
 }
 
--- a/crates/runner/tests/world/mod.rs
+++ b/crates/runner/tests/world/mod.rs
@@ -77,6 +77,7 @@
             for side in &mut self.sides {
                 side.runner.tick(self.now);
             }
+            self.owner.confirm(self.now);
             self.owner.tick(self.now, self.now);
             self.exchange();
         }
@@ -165,6 +166,9 @@
             Action::Stop { task, .. } => self.running.retain(|run| run.task != *task),
             Action::Pace { .. } => {}
             Action::Hold { .. } => {
+                for run in &mut self.running {
+                    run.percent = (run.percent + 1).min(99);
+                }
                 let (running, ended) = (self.running.clone(), Vec::new());
                 return Ok(Reply::Held { clock, running, ended });
             }
