Reproduce work that is ordered at workers whose process is gone

The connection is refused; the agent takes that for a start without an answer, tries to stop it, in vain, and the other members wait for the whole time limit of a gang.

--- a/crates/runner/tests/world/mod.rs
+++ b/crates/runner/tests/world/mod.rs
@@ -1,11 +1,15 @@
 //! An owner, agents and their workers joined without a network, in a time that the
 //! test passes in steps.
 
+#![allow(dead_code)]
+
 use quincewheel_dispatch::{Output as Decision, Owner, Settings as Bounds};
 use quincewheel_job::{Job, Need, Queue, Run, Step, Worker};
 use quincewheel_runner::{Action, Call, Fault, Output, Reply, Runner, Settings};
 use quincewheel_wire::{Order, Refused};
 
+/// Milliseconds between reports of a worker.
+const REPORTS: u64 = 1500;
 /// Milliseconds that pass at once.
 const STEP: u64 = 100;
 /// The table's version at which the owner claimed; older jobs have lower ones.
@@ -20,6 +24,8 @@
     Sound,
     /// It is unhealthy and does nothing that it is called for, but says so.
     Refusing,
+    /// Its process is gone: connections are refused, and it reports no more.
+    Gone,
 }
 
 /// One worker, its agent, and what is on its way between them.
@@ -27,6 +33,8 @@
     pub mood: Mood,
     runner: Runner,
     running: Vec<Run>,
+    /// When it reports next; none before its first report.
+    report: Option<u64>,
     /// Calls by when they are answered.
     calls: Vec<(u64, u64, Call)>,
 }
@@ -52,6 +60,7 @@
             mood: Mood::Sound,
             runner: Runner::open(Settings::default()),
             running: Vec::new(),
+            report: None,
             calls: Vec::new(),
         };
         let sides = (0..workers).map(side).collect();
@@ -62,7 +71,9 @@
     pub fn report(&mut self, number: usize) {
         let now = self.now;
         let worker = worker(number);
-        self.sides[number].runner.beat(&worker, "10.0.0.1:80", clock(now), now);
+        let side = &mut self.sides[number];
+        side.runner.beat(&worker, "10.0.0.1:80", clock(now), now);
+        side.report = Some(now + REPORTS);
     }
 
     /// The owner connects to an agent.
@@ -74,8 +85,8 @@
     pub fn pass(&mut self, ms: u64) {
         for _ in 0..ms / STEP {
             self.now += STEP;
-            for side in &mut self.sides {
-                side.runner.tick(self.now);
+            for number in 0..self.sides.len() {
+                self.wake(number);
             }
             self.owner.confirm(self.now);
             self.owner.tick(self.now, self.now);
@@ -83,6 +94,15 @@
         }
     }
 
+    /// An agent and its worker do what is due.
+    fn wake(&mut self, number: usize) {
+        let due = self.sides[number].report.is_some_and(|at| at <= self.now);
+        if due && self.sides[number].mood != Mood::Gone {
+            self.report(number);
+        }
+        self.sides[number].runner.tick(self.now);
+    }
+
     /// What was ordered since the last time.
     pub fn told(&mut self) -> String {
         let lines = std::mem::take(&mut self.lines);
@@ -153,8 +173,10 @@
 
 impl Side {
     fn answer(&mut self, call: &Call, now: u64) -> Result<Reply, Fault> {
-        if self.mood == Mood::Refusing {
-            return Ok(Reply::Refused(Refused::Busy));
+        match self.mood {
+            Mood::Sound => {}
+            Mood::Refusing => return Ok(Reply::Refused(Refused::Busy)),
+            Mood::Gone => return Err(Fault::Unclear { detail: "not sent".into() }),
         }
         let clock = clock(now);
         match &call.action {
@@ -200,6 +222,14 @@
     }
 }
 
+/// A job of one gang of so many tasks, each of a whole worker.
+pub fn gang(count: u32) -> Job {
+    let mut job = job(count);
+    job.steps[0].gang = true;
+    job.steps[0].need.accelerators = 8;
+    job
+}
+
 /// A job of one step with so many tasks of one accelerator.
 pub fn job(count: u32) -> Job {
     let queue = Queue { name: "q".into(), pool: "p".into(), attempts: 2, ..Queue::default() };
