Tell starts that were never sent from unclear ones, and look at idle workers that are quiet

What certainly did nothing and what may yet take effect were one kind of fault, so each refused connection was made sure of, in vain; and a worker on which nothing runs was not called, so nobody knew that it was gone. Ruled out: health checks by the owner (a call a second and worker); a time limit on such a start alone (the second gang went there 0.64 s later). Change: the adapter tells an unsent call; a start that was never sent is told as not started at once, with the agent's word that its worker does not answer under this epoch, so that nothing new goes there until it answers a look, or another life of it does. The other members of a gang are called back at once. An agent whose worker misses two reports looks at it: no call while reports come. A start that is ordered again (the first may have taken effect) is still made sure of. An agent without an owner no longer wakes up 200 times a second. The runner's orders have a file of their own.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -17,7 +17,7 @@
 use quincewheel_dispatch::rows::{self, Node};
 use quincewheel_http::{Body, Reply, Request, Server};
 use quincewheel_peer::{Command, Event, Hub};
-use quincewheel_platform::{self as platform, Report, Table};
+use quincewheel_platform::{self as platform, Bounds, Report, Table};
 use quincewheel_ring as ring;
 use quincewheel_runner::{Output, Runner, Settings};
 use quincewheel_store::Error;
@@ -41,6 +41,11 @@
 const ALONE: Duration = Duration::from_millis(4000);
 /// And after this time if it stays alone.
 const LONG_ALONE: Duration = Duration::from_secs(64);
+/// Reports in a row that a worker may miss before it is looked at.
+const MISSED: u64 = 2;
+/// How late a report may come, in milliseconds: a third of the usual time between two,
+/// for agents and workers on a machine that is slow.
+const LATE: u64 = 500;
 /// What is left of the time for shutting down when the process ends.
 const LAST: Duration = Duration::from_millis(500);
 
@@ -78,7 +83,7 @@
     let path = settings.to_owned();
     let runtime = actix_rt::Runtime::new()?;
     runtime.block_on(async move {
-        let settings = Settings { lease: site.bounds.lease, ..Settings::default() };
+        let settings = bounded(&site.bounds);
         let agent = Rc::new(Agent {
             runner: RefCell::new(Runner::open(settings)),
             hub,
@@ -101,6 +106,12 @@
     })
 }
 
+/// What the platform's bounds mean for the runner.
+fn bounded(bounds: &Bounds) -> Settings {
+    let reports = MISSED * bounds.reports + LATE;
+    Settings { lease: bounds.lease, reports, ..Settings::default() }
+}
+
 /// Takes in the settings file as it is now. Addresses stay as they were until the
 /// next start.
 fn reload(agent: &Agent, path: &Path, grace: &Cell<u64>) {
@@ -108,7 +119,7 @@
         Ok(read) => {
             log::info!(event = "reload"; "{:?}", read.bounds);
             grace.set(read.bounds.grace);
-            agent.runner.borrow_mut().tune(read.bounds.lease);
+            agent.runner.borrow_mut().tune(bounded(&read.bounds));
         }
         Err(error) => log::warn!(event = "reload"; "{error}; the former settings stay"),
     }
@@ -207,8 +218,9 @@
         agent.runner.borrow_mut().tick(now);
         agent.metrics.epoch.set(agent.runner.borrow().epoch() as i64);
         carry_out(&agent);
-        let wake = agent.runner.borrow().wake();
-        let pause = Duration::from_millis(wake.saturating_sub(quincewheel_clock::boot()).max(5));
+        let now = quincewheel_clock::boot();
+        let wake = agent.runner.borrow().wake(now);
+        let pause = Duration::from_millis(wake.saturating_sub(now).max(5));
         let _ = tokio::time::timeout(pause, agent.wake.notified()).await;
     }
 }
--- a/crates/agent/src/site/metrics.rs
+++ b/crates/agent/src/site/metrics.rs
@@ -58,6 +58,7 @@
         let outcome = match answer {
             Ok(Reply::Refused(_)) => "refused",
             Ok(_) => "done",
+            Err(Fault::Unsent { .. }) => "unsent",
             Err(Fault::Unclear { .. }) => "silent",
         };
         self.calls.get_or_create(&Call { action, outcome }).inc();
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -294,7 +294,10 @@
             entry.runs.insert(key, placed);
             let task = task(&candidate.id, key);
             self.log("start", &candidate.id, format!("{task} run {run} at {name}"));
-            self.order(&name, Order::Start { worker, task, run, spec, saved, ticket });
+            self.order(
+                &name,
+                Order::Start { worker, task, run, spec, saved, ticket, again: false },
+            );
         }
     }
 }
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -94,7 +94,8 @@
                     let spec = entry.job.spec.clone();
                     let saved = entry.saved.get(&entry.key(key)).cloned().unwrap_or_default();
                     let ticket = entry.ticket(key, id, now).unwrap_or_default().to_owned();
-                    Order::Start { worker, task: task(&job, key), run, spec, saved, ticket }
+                    let task = task(&job, key);
+                    Order::Start { worker, task, run, spec, saved, ticket, again: true }
                 }
             };
             self.order(name, order);
@@ -330,9 +331,11 @@
         let others: Vec<Key> = entry.runs.range(range).map(|(key, _)| *key).collect();
         self.replan = true;
         self.log("start refused", &task.job, format!("{task} run {run} {why:?} at {name}"));
-        if matches!(why, Refused::Busy | Refused::Silent | Refused::Room | Refused::Invalid)
-            && let Some(agent) = self.agents.get_mut(name)
-        {
+        let sound = matches!(
+            why,
+            Refused::Leaving | Refused::Old | Refused::Lease | Refused::Fence | Refused::Ticket
+        );
+        if !sound && let Some(agent) = self.agents.get_mut(name) {
             agent.doubted = agent.doubted.max(now + self.settings.doubt / 10);
         }
         if gang {
--- a/crates/runner/src/call.rs
+++ b/crates/runner/src/call.rs
@@ -85,6 +85,11 @@
 /// Why a call brought no answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Fault {
+    /// Nothing was sent: the worker takes no connections.
+    Unsent {
+        /// What went wrong.
+        detail: String,
+    },
     /// It may take effect, now or later.
     Unclear {
         /// What went wrong.
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -10,6 +10,7 @@
 mod call;
 mod lease;
 mod life;
+mod orders;
 mod pending;
 mod runner;
 mod settings;
--- a/crates/runner/src/life.rs
+++ b/crates/runner/src/life.rs
@@ -29,6 +29,8 @@
     /// worker whose answers are lost, but which hears every renewal, does not run
     /// on unseen.
     pub answered: u64,
+    /// When the worker last reported or answered a look.
+    pub reported: u64,
     /// Something changed at the worker since the last look began.
     pub changed: bool,
     /// Stops that the worker confirmed, told once a look that began later was
@@ -51,6 +53,7 @@
             hold: None,
             rest: 0,
             answered: now,
+            reported: now,
             changed: false,
             stopped: Vec::new(),
             orders: BTreeMap::new(),
--- /dev/null
+++ b/crates/runner/src/orders.rs
@@ -0,0 +1,163 @@
+//! Starts and stops: given to the worker, repeated, made sure of, and told.
+
+use quincewheel_job::Task;
+use quincewheel_wire::{Notice, Refused};
+
+use crate::call::{Action, Fault, Reply};
+use crate::pending::Pending;
+use crate::runner::{Output, Runner};
+use crate::stopped::Stopped;
+
+impl Runner {
+    /// Passes a pace on. It is not tried again: the owner gives another as long
+    /// as the worker's figures are not what they should be.
+    pub(crate) fn pace(&mut self, id: &str, task: Task, run: u64, percent: u32) {
+        let Some(life) = self.life.as_ref().filter(|life| life.worker.id == id) else { return };
+        let action = Action::Pace { task, run, percent };
+        let call = life.call(self.epoch, action, self.settings.answer);
+        self.outputs.push(Output::Call { id: self.next_call, call });
+        self.next_call += 1;
+    }
+
+    pub(crate) fn start(&mut self, id: &str, mut action: Action, again: bool, now: u64) {
+        let Action::Start { task, run, until: lease, .. } = &mut action else { return };
+        let (task, run) = (task.clone(), *run);
+        let until = self.lease.until(now + self.settings.lease);
+        let until = until.filter(|_| self.lease.left(now) > self.settings.lease / 4);
+        // A worker that has not reported yet may run all the same; the owner
+        // asks again once it has.
+        let Some(life) = &mut self.life else { return };
+        if life.worker.id != id {
+            return self.tell(Notice::Unstarted { task, run, why: Refused::Leaving });
+        }
+        if life.orders.values().any(|pending| pending.starts(&task, run)) {
+            return;
+        }
+        // A worker that leaves takes nothing new with it, whatever the owner
+        // knew when it gave the order; nor does one without a lease. But the
+        // order may be a repeated one, and the first may have taken effect.
+        let refused = life.worker.draining || until.is_none();
+        *lease = until.unwrap_or(0);
+        let mut pending = Pending { doubtful: again, ..Pending::open(action) };
+        if refused {
+            pending.settle(now);
+        }
+        life.orders.insert(self.next_call, pending);
+        self.next_call += 1;
+    }
+
+    pub(crate) fn stop(&mut self, id: &str, task: Task, run: u64) {
+        let Some(life) = self.life.as_mut().filter(|life| life.worker.id == id) else {
+            return;
+        };
+        // A start that is still being tried must not be repeated after its stop.
+        life.orders.retain(|_, pending| !pending.starts(&task, run));
+        life.orders.insert(self.next_call, Pending::open(Action::Stop { task, run }));
+        self.next_call += 1;
+    }
+
+    /// The worker takes no connections. Its process is gone, and what ran there
+    /// with it, or only its port is shut, and what runs there goes on until its
+    /// lease ends; a restart takes a moment. Nothing tells which, so nothing new
+    /// goes there until it answers a look, or another life of it does: the worker
+    /// counts as one that has not answered under this epoch.
+    pub(crate) fn unreachable(&mut self, now: u64) {
+        let Some(life) = &mut self.life else { return };
+        life.changed = true;
+        if life.fenced > 0 {
+            life.fenced = 0;
+            self.tell_status(now);
+        }
+    }
+
+    /// The worker answered a start or a stop.
+    pub(crate) fn ordered(&mut self, id: u64, answer: Result<Reply, Fault>, now: u64) {
+        let Some(life) = &mut self.life else { return };
+        let Some(pending) = life.orders.get_mut(&id) else { return };
+        let start = matches!(pending.action, Action::Start { .. });
+        let (task, run) = pending.run();
+        match answer {
+            Ok(Reply::Done { clock } | Reply::Held { clock, .. }) => {
+                let unclear = pending.unclear;
+                life.orders.remove(&id);
+                life.changed = true;
+                life.rest = now;
+                self.lease.observe(clock, now);
+                match (start, unclear) {
+                    (true, _) => self.tell(Notice::Started { task, run }),
+                    (false, true) => {
+                        self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
+                    }
+                    (false, false) => self.stopped(Notice::Stopped { task, run }),
+                }
+            }
+            Err(Fault::Unsent { .. }) => {
+                if start && !pending.doubtful {
+                    life.orders.remove(&id);
+                    // First the status: nothing else may be ordered there.
+                    self.unreachable(now);
+                    self.tell(Notice::Unstarted { task, run, why: Refused::Unreachable });
+                } else {
+                    self.retry(id, now);
+                    self.unreachable(now);
+                }
+            }
+            Ok(Reply::Refused(Refused::Busy)) => self.retry(id, now),
+            Err(Fault::Unclear { .. }) => {
+                pending.doubtful = true;
+                self.retry(id, now);
+            }
+            // An earlier try without an answer may still take effect, and what is
+            // refused as old may have run.
+            Ok(Reply::Refused(why)) if start && (pending.doubtful || why == Refused::Old) => {
+                pending.settle(now);
+            }
+            Ok(Reply::Refused(why)) => {
+                let unclear = pending.unclear;
+                life.orders.remove(&id);
+                match (start, unclear) {
+                    (true, _) => self.tell(Notice::Unstarted { task, run, why }),
+                    (false, true) => {
+                        self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
+                    }
+                    (false, false) => self.stopped(Notice::Stopped { task, run }),
+                }
+            }
+        }
+    }
+
+    pub(crate) fn stopped(&mut self, notice: Notice) {
+        let look = self.next_call;
+        if let Some(life) = &mut self.life {
+            life.stopped.push(Stopped { notice, look });
+            // A look that is under way began before, and may wait for long.
+            life.hold = None;
+        }
+    }
+
+    /// An order was not carried out, or got no answer. The same order again is
+    /// harmless, since a run starts once. After the last try, a start that the
+    /// worker refused each time has not taken effect and cannot any more. One that
+    /// once got no answer may still, seconds later: it is stopped, and a worker
+    /// refuses a start that comes after its stop, so that the task can then safely
+    /// start elsewhere.
+    pub(crate) fn retry(&mut self, id: u64, now: u64) {
+        let tries = self.settings.tries;
+        let pause = self.settings.pause;
+        let Some(life) = &mut self.life else { return };
+        let Some(pending) = life.orders.get_mut(&id) else { return };
+        pending.tries += 1;
+        let start = matches!(pending.action, Action::Start { .. });
+        if start && pending.tries < tries {
+            pending.again = Some(now);
+        } else if start && !pending.doubtful {
+            let (task, run) = pending.run();
+            life.orders.remove(&id);
+            self.tell(Notice::Unstarted { task, run, why: Refused::Busy });
+        } else if start {
+            pending.settle(now);
+        } else {
+            pending.again = Some(now + pause);
+        }
+    }
+}
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -1,4 +1,4 @@
-use quincewheel_job::{Task, Worker};
+use quincewheel_job::Worker;
 use quincewheel_wire::{LinkId, Notice, Order, Refused};
 
 use crate::call::{Action, Call, Fault, Reply};
@@ -34,18 +34,18 @@
 
 /// Carries orders to one worker and its ends back.
 pub struct Runner {
-    settings: Settings,
-    epoch: u64,
-    link: Option<LinkId>,
-    life: Option<Life>,
+    pub(crate) settings: Settings,
+    pub(crate) epoch: u64,
+    pub(crate) link: Option<LinkId>,
+    pub(crate) life: Option<Life>,
     /// The life that said it ends, until another one reports.
-    left: Option<String>,
+    pub(crate) left: Option<String>,
     /// Lives of the worker that have reported.
-    lives: u64,
-    lease: Lease,
-    next_call: u64,
-    pinged: u64,
-    outputs: Vec<Output>,
+    pub(crate) lives: u64,
+    pub(crate) lease: Lease,
+    pub(crate) next_call: u64,
+    pub(crate) pinged: u64,
+    pub(crate) outputs: Vec<Output>,
 }
 
 impl Runner {
@@ -65,9 +65,9 @@
         }
     }
 
-    /// The longest lease changed.
-    pub fn tune(&mut self, lease: u64) {
-        self.settings.lease = lease;
+    /// The bounds changed.
+    pub fn tune(&mut self, settings: Settings) {
+        self.settings = settings;
     }
 
     /// Takes what is to be done.
@@ -102,6 +102,7 @@
         } else if let Some(life) = &mut self.life {
             changed = life.worker.draining != worker.draining;
             life.worker = worker.clone();
+            life.reported = now;
             address.clone_into(&mut life.address);
         }
         self.lease.observe(clock, now);
@@ -167,9 +168,15 @@
         self.step(now);
     }
 
-    /// When [`Runner::tick`] is due.
-    pub fn wake(&self) -> u64 {
-        let mut wake = self.pinged + self.settings.ping;
+    /// When [`Runner::tick`] is due at the latest.
+    ///
+    /// Without a connection no ping is due: the agent would wake up 200 times a
+    /// second for as long as no owner speaks to it.
+    pub fn wake(&self, now: u64) -> u64 {
+        let mut wake = now + self.settings.ping;
+        if self.link.is_some() {
+            wake = wake.min(self.pinged + self.settings.ping);
+        }
         if let Some(life) = &self.life {
             let again = life.orders.values().filter_map(|pending| pending.again);
             wake = again.fold(wake, u64::min);
@@ -216,9 +223,9 @@
         match order {
             Order::Claim { .. } => {}
             Order::Grant { stamp } => self.lease.grant(stamp + self.settings.lease),
-            Order::Start { worker, task, run, spec, saved, ticket } => {
+            Order::Start { worker, task, run, spec, saved, ticket, again } => {
                 let action = Action::Start { task, run, spec, saved, ticket, until: 0 };
-                self.start(&worker, action, now);
+                self.start(&worker, action, again, now);
             }
             Order::Pace { worker, task, run, percent } => self.pace(&worker, task, run, percent),
             Order::Stop { worker, task, run } => self.stop(&worker, task, run),
@@ -232,53 +239,6 @@
         }
     }
 
-    /// Passes a pace on. It is not tried again: the owner gives another as long
-    /// as the worker's figures are not what they should be.
-    fn pace(&mut self, id: &str, task: Task, run: u64, percent: u32) {
-        let Some(life) = self.life.as_ref().filter(|life| life.worker.id == id) else { return };
-        let action = Action::Pace { task, run, percent };
-        let call = life.call(self.epoch, action, self.settings.answer);
-        self.outputs.push(Output::Call { id: self.next_call, call });
-        self.next_call += 1;
-    }
-
-    fn start(&mut self, id: &str, mut action: Action, now: u64) {
-        let Action::Start { task, run, until: lease, .. } = &mut action else { return };
-        let (task, run) = (task.clone(), *run);
-        let until = self.lease.until(now + self.settings.lease);
-        let until = until.filter(|_| self.lease.left(now) > self.settings.lease / 4);
-        // A worker that has not reported yet may run all the same; the owner
-        // asks again once it has.
-        let Some(life) = &mut self.life else { return };
-        if life.worker.id != id {
-            return self.tell(Notice::Unstarted { task, run, why: Refused::Leaving });
-        }
-        if life.orders.values().any(|pending| pending.starts(&task, run)) {
-            return;
-        }
-        // A worker that leaves takes nothing new with it, whatever the owner
-        // knew when it gave the order; nor does one without a lease. But the
-        // order may be a repeated one, and the first may have taken effect.
-        let refused = life.worker.draining || until.is_none();
-        *lease = until.unwrap_or(0);
-        let mut pending = Pending::open(action);
-        if refused {
-            pending.settle(now);
-        }
-        life.orders.insert(self.next_call, pending);
-        self.next_call += 1;
-    }
-
-    fn stop(&mut self, id: &str, task: Task, run: u64) {
-        let Some(life) = self.life.as_mut().filter(|life| life.worker.id == id) else {
-            return;
-        };
-        // A start that is still being tried must not be repeated after its stop.
-        life.orders.retain(|_, pending| !pending.starts(&task, run));
-        life.orders.insert(self.next_call, Pending::open(Action::Stop { task, run }));
-        self.next_call += 1;
-    }
-
     /// The worker answered a look.
     fn held(&mut self, id: u64, epoch: u64, answer: Result<Reply, Fault>, now: u64) {
         let Some(life) = &mut self.life else { return };
@@ -292,6 +252,7 @@
                 let seen = life.seen;
                 life.ended.retain(|end| end.number > seen);
                 life.rest = if life.ended.is_empty() { now } else { now + self.settings.pause };
+                life.reported = now;
                 let stopped = std::mem::take(&mut life.stopped);
                 let (told, kept) = stopped
                     .into_iter()
@@ -308,95 +269,21 @@
                 self.life = None;
                 self.tell_status(now);
             }
-            _ => {
+            answer => {
                 life.changed = true;
                 life.rest = now + self.settings.pause;
-            }
-        }
-    }
-
-    /// The worker answered a start or a stop.
-    fn ordered(&mut self, id: u64, answer: Result<Reply, Fault>, now: u64) {
-        let Some(life) = &mut self.life else { return };
-        let Some(pending) = life.orders.get_mut(&id) else { return };
-        let start = matches!(pending.action, Action::Start { .. });
-        let (task, run) = pending.run();
-        match answer {
-            Ok(Reply::Done { clock } | Reply::Held { clock, .. }) => {
-                let unclear = pending.unclear;
-                life.orders.remove(&id);
-                life.changed = true;
-                life.rest = now;
-                self.lease.observe(clock, now);
-                match (start, unclear) {
-                    (true, _) => self.tell(Notice::Started { task, run }),
-                    (false, true) => {
-                        self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
-                    }
-                    (false, false) => self.stopped(Notice::Stopped { task, run }),
-                }
-            }
-            Ok(Reply::Refused(Refused::Busy)) | Err(_) => {
-                pending.doubtful |= answer.is_err();
-                self.retry(id, now);
-            }
-            // An earlier try without an answer may still take effect, and what is
-            // refused as old may have run.
-            Ok(Reply::Refused(why)) if start && (pending.doubtful || why == Refused::Old) => {
-                pending.settle(now);
-            }
-            Ok(Reply::Refused(why)) => {
-                let unclear = pending.unclear;
-                life.orders.remove(&id);
-                match (start, unclear) {
-                    (true, _) => self.tell(Notice::Unstarted { task, run, why }),
-                    (false, true) => {
-                        self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
-                    }
-                    (false, false) => self.stopped(Notice::Stopped { task, run }),
+                if matches!(answer, Err(Fault::Unsent { .. })) {
+                    self.unreachable(now);
                 }
             }
         }
     }
 
-    fn stopped(&mut self, notice: Notice) {
-        let look = self.next_call;
-        if let Some(life) = &mut self.life {
-            life.stopped.push(Stopped { notice, look });
-            // A look that is under way began before, and may wait for long.
-            life.hold = None;
-        }
-    }
-
-    /// An order was not carried out, or got no answer. The same order again is
-    /// harmless, since a run starts once. After the last try, a start that the
-    /// worker refused each time has not taken effect and cannot any more. One that
-    /// once got no answer may still, seconds later: it is stopped, and a worker
-    /// refuses a start that comes after its stop, so that the task can then safely
-    /// start elsewhere.
-    fn retry(&mut self, id: u64, now: u64) {
-        let tries = self.settings.tries;
-        let pause = self.settings.pause;
-        let Some(life) = &mut self.life else { return };
-        let Some(pending) = life.orders.get_mut(&id) else { return };
-        pending.tries += 1;
-        let start = matches!(pending.action, Action::Start { .. });
-        if start && pending.tries < tries {
-            pending.again = Some(now);
-        } else if start && !pending.doubtful {
-            let (task, run) = pending.run();
-            life.orders.remove(&id);
-            self.tell(Notice::Unstarted { task, run, why: Refused::Busy });
-        } else if start {
-            pending.settle(now);
-        } else {
-            pending.again = Some(now + pause);
-        }
-    }
-
     /// Makes the calls that are due.
     fn step(&mut self, now: u64) {
         let Some(life) = &mut self.life else { return };
+        let quiet = now >= life.reported + self.settings.reports;
+        life.changed |= quiet && life.hold.is_none();
         if !life.busy(self.epoch) && life.orders.is_empty() {
             life.answered = now;
         }
@@ -436,7 +323,7 @@
         }
     }
 
-    fn tell_status(&mut self, now: u64) {
+    pub(crate) fn tell_status(&mut self, now: u64) {
         let notice = match &self.life {
             None => Notice::Status {
                 stamp: now,
@@ -456,7 +343,7 @@
         self.tell(notice);
     }
 
-    fn tell(&mut self, notice: Notice) {
+    pub(crate) fn tell(&mut self, notice: Notice) {
         if let Some(link) = self.link {
             self.send(link, notice);
         }
--- a/crates/runner/src/settings.rs
+++ b/crates/runner/src/settings.rs
@@ -16,6 +16,10 @@
     pub answer: u64,
     /// Starts without an answer before the run is stopped.
     pub tries: u32,
+    /// A worker that has not reported for so long is looked at, and takes nothing
+    /// new until it answers. Two reports, which come every 1,500 ms, and the time
+    /// that one may take to be acknowledged.
+    pub reports: u64,
     /// Pause before a look at the worker while ends wait for their record, and
     /// after a call that failed.
     pub pause: u64,
@@ -23,6 +27,14 @@
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { lease: 6000, wait: 1000, ping: 1000, answer: 400, tries: 3, pause: 300 }
+        Settings {
+            lease: 6000,
+            wait: 1000,
+            ping: 1000,
+            answer: 400,
+            tries: 3,
+            reports: 3500,
+            pause: 300,
+        }
     }
 }
--- a/crates/runner/tests/gone.rs
+++ b/crates/runner/tests/gone.rs
@@ -50,3 +50,22 @@
     world.pass(1000);
     assert_snapshot!(world.told(), @"5100 ms: w1 start new.0.0.0 run 1");
 }
+
+// A worker that reports nothing and answers all the same is sound, and one that was taken
+// for gone takes work again after its first answer to a look.
+#[test]
+fn a_worker_that_answers_takes_work_whether_it_reports_or_not() {
+    let mut world = idle(1);
+    world.sides[0].mood = Mood::Gone;
+    world.pass(4000);
+    world.owner.job("new", job(1), 150, None);
+    world.pass(1000);
+    let before = world.told();
+    world.sides[0].mood = Mood::Sound;
+    world.mute(0);
+    world.pass(1000);
+    assert_snapshot!(format!("{before}\n{}", world.told()), @r"
+    nothing
+    6300 ms: w0 start new.0.0.0 run 1
+    ");
+}
--- a/crates/runner/tests/starts.rs
+++ b/crates/runner/tests/starts.rs
@@ -33,7 +33,8 @@
     fn start(&mut self, run: u64) {
         let (spec, saved) = (String::new(), String::new());
         let (worker, ticket) = ("i1".into(), String::new());
-        self.order(Order::Start { worker, task: task(), run, spec, saved, ticket });
+        let again = false;
+        self.order(Order::Start { worker, task: task(), run, spec, saved, ticket, again });
     }
 
     fn drain(&mut self) {
--- a/crates/runner/tests/world/mod.rs
+++ b/crates/runner/tests/world/mod.rs
@@ -33,6 +33,8 @@
     pub mood: Mood,
     runner: Runner,
     running: Vec<Run>,
+    /// A run was stopped since the last look: the next one need not wait.
+    ended: bool,
     /// When it reports next; none before its first report.
     report: Option<u64>,
     /// Calls by when they are answered.
@@ -60,6 +62,7 @@
             mood: Mood::Sound,
             runner: Runner::open(Settings::default()),
             running: Vec::new(),
+            ended: false,
             report: None,
             calls: Vec::new(),
         };
@@ -76,6 +79,11 @@
         side.report = Some(now + REPORTS);
     }
 
+    /// A worker reports no more.
+    pub fn mute(&mut self, number: usize) {
+        self.sides[number].report = None;
+    }
+
     /// The owner connects to an agent.
     pub fn link(&mut self, number: usize) {
         self.owner.linked(&format!("w{number}"), number as u64, self.now);
@@ -138,9 +146,7 @@
         let mut busy = !outputs.is_empty();
         for output in outputs {
             match output {
-                Output::Call { id, call } => {
-                    side.calls.push((due(&call, side.mood, now), id, call))
-                }
+                Output::Call { id, call } => side.calls.push((side.due(&call, now), id, call)),
                 Output::Send { link, notice } => self.owner.notice(link, notice, now),
                 Output::Close { .. } => {}
             }
@@ -172,11 +178,19 @@
 }
 
 impl Side {
+    /// When a call is answered: a look waits at a sound worker for an end.
+    fn due(&self, call: &Call, now: u64) -> u64 {
+        match (&call.action, self.mood) {
+            (Action::Hold { wait, .. }, Mood::Sound) if !self.ended => now + wait,
+            _ => now,
+        }
+    }
+
     fn answer(&mut self, call: &Call, now: u64) -> Result<Reply, Fault> {
         match self.mood {
             Mood::Sound => {}
             Mood::Refusing => return Ok(Reply::Refused(Refused::Busy)),
-            Mood::Gone => return Err(Fault::Unclear { detail: "not sent".into() }),
+            Mood::Gone => return Err(Fault::Unsent { detail: "refused".into() }),
         }
         let clock = clock(now);
         match &call.action {
@@ -185,9 +199,13 @@
                 let run = Run { task: task.clone(), number: *run, saved, percent: 10, gauge: 0 };
                 self.running.push(run);
             }
-            Action::Stop { task, .. } => self.running.retain(|run| run.task != *task),
+            Action::Stop { task, .. } => {
+                self.running.retain(|run| run.task != *task);
+                self.ended = true;
+            }
             Action::Pace { .. } => {}
             Action::Hold { .. } => {
+                self.ended = false;
                 for run in &mut self.running {
                     run.percent = (run.percent + 1).min(99);
                 }
@@ -199,15 +217,6 @@
     }
 }
 
-/// When a call is answered: a look waits at a sound worker for an end, and none
-/// comes here.
-fn due(call: &Call, mood: Mood, now: u64) -> u64 {
-    match (&call.action, mood) {
-        (Action::Hold { wait, .. }, Mood::Sound) => now + wait,
-        _ => now,
-    }
-}
-
 fn clock(now: u64) -> u64 {
     50_000 + now
 }
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -78,6 +78,8 @@
     Ticket,
     /// The worker is unhealthy.
     Busy,
+    /// The worker takes no connections: its process is gone, or its port shut.
+    Unreachable,
     /// The worker takes the start for malformed.
     Invalid,
     /// No answer came; the run was stopped to be sure.
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -31,6 +31,10 @@
         /// What clears the step for this worker; empty where nothing must.
         #[serde(default, skip_serializing_if = "String::is_empty")]
         ticket: String,
+        /// The same order was given before and may have taken effect, through an
+        /// agent or a connection that is gone.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        again: bool,
     },
     /// Stop a run, or see to it that it cannot start any more.
     Stop {
