Move the record of a deployment's events to a module of its own

Ruled out: a test through a deployment.

Change: none of behaviour; the pipe is made here instead of by the library that starts processes.

--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -11,6 +11,8 @@
 
 use quincewheel_audit::{Event, Kind};
 
+use crate::record::Record;
+
 /// Key that all processes of a local deployment share.
 pub const FLEET_KEY: &str = "local-fleet-key-0123456789";
 /// Operators' key of a local deployment.
@@ -52,7 +54,7 @@
     pub workers: Vec<Worker>,
     logs: Arc<Mutex<String>>,
     processes: Vec<Process>,
-    events: Arc<Mutex<Vec<Event>>>,
+    record: Record,
     quiet: bool,
 }
 
@@ -100,7 +102,7 @@
             workers: Vec::new(),
             logs: Arc::default(),
             processes: Vec::new(),
-            events: Arc::default(),
+            record: Record::default(),
             quiet,
         };
         let platform = fleet.platform.clone();
@@ -186,7 +188,7 @@
     fn start(&mut self, name: &str, bin: &str, args: &[&str], events: bool) -> io::Result<()> {
         let mut command = Command::new(self.bin.join(bin));
         command.args(args).env("QUINCEWHEEL_FLEET_KEY", FLEET_KEY).stdin(Stdio::null());
-        command.stdout(if events { Stdio::piped() } else { Stdio::null() });
+        command.stdout(if events { self.record.output()?.into() } else { Stdio::null() });
         if self.quiet {
             command.stderr(Stdio::piped());
         }
@@ -194,16 +196,6 @@
             let text = format!("start {bin}: {error}; run cargo build --workspace first");
             io::Error::new(error.kind(), text)
         })?;
-        if let Some(output) = child.stdout.take() {
-            let events = Arc::clone(&self.events);
-            thread::spawn(move || {
-                for line in BufReader::new(output).lines().map_while(Result::ok) {
-                    if let Ok(event) = serde_json::from_str(&line) {
-                        events.lock().unwrap_or_else(|p| p.into_inner()).push(event);
-                    }
-                }
-            });
-        }
         if let Some(output) = child.stderr.take() {
             let logs = Arc::clone(&self.logs);
             thread::spawn(move || {
@@ -240,8 +232,7 @@
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let kind = Kind::Vanished { worker: worker.to_owned() };
         let at = since.unwrap_or_default();
-        let event = Event { at, process: "observer".to_owned(), kind };
-        self.events.lock().unwrap_or_else(|p| p.into_inner()).push(event);
+        self.record.note(Event { at, process: "observer".to_owned(), kind });
     }
 
     /// Waits for a process to end by itself. Gives its exit code.
@@ -278,7 +269,7 @@
 
     /// All events so far.
     pub fn events(&self) -> Vec<Event> {
-        self.events.lock().unwrap_or_else(|p| p.into_inner()).clone()
+        self.record.events()
     }
 
     /// What quiet processes logged so far.
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod endpoint;
 pub mod fleet;
 pub mod platform;
+pub mod record;
 pub mod table;
