Keep what processes write in files, so that the record has all that was written

Cause: of the processes' pipes each had a thread in the test that read events into the record. The checker looked at the record when the callers had their answers; beside load the thread for the agent's pipe had not run yet since the agent wrote its last ends, and the one for the entry's pipe had. So an effect was in the record without its cause. The product did nothing wrong: the agent writes the end before it tells its owner, and the answers came after.

Change: standard output and the logs go to files without a name, which are read when somebody looks. What is written is there at once and in order, also when its writer was killed; no thread has to keep up, and no process waits for a full pipe. The check is as it was. The record is stricter: a line that is no event is an error now and was dropped, and logs that are searched for keys are whole. Logs come process by process, not mixed. The tests got an unwrap for the errors.

--- a/crates/stand-in/src/bin/demo.rs
+++ b/crates/stand-in/src/bin/demo.rs
@@ -40,7 +40,7 @@
         return Err(format!("did not end well: {}", bad.join(", ")));
     }
     println!("all entries and agents ended with exit code 0");
-    let events = fleet.events();
+    let events = fleet.events().map_err(|error| error.to_string())?;
     let end = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let violations = Checker::run(Duration::from_secs(5), &events, end);
     println!("checker: {} events, {} violations", events.len(), violations.len());
--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -1,16 +1,15 @@
 //! Starts a local deployment as separate processes and ends exactly those.
 
-use std::io::{BufRead, BufReader};
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use std::{io, thread};
 
 use quincewheel_audit::{Event, Kind};
 
+use crate::output::Output;
 use crate::record::Record;
 
 /// Key that all processes of a local deployment share.
@@ -52,7 +51,7 @@
     pub entry_listen: Vec<String>,
     /// The workers.
     pub workers: Vec<Worker>,
-    logs: Arc<Mutex<String>>,
+    logs: Vec<Output>,
     processes: Vec<Process>,
     record: Record,
     quiet: bool,
@@ -100,7 +99,7 @@
             rpcs: Vec::new(),
             entry_listen: Vec::new(),
             workers: Vec::new(),
-            logs: Arc::default(),
+            logs: Vec::new(),
             processes: Vec::new(),
             record: Record::default(),
             quiet,
@@ -190,22 +189,14 @@
         command.args(args).env("QUINCEWHEEL_FLEET_KEY", FLEET_KEY).stdin(Stdio::null());
         command.stdout(if events { self.record.output()?.into() } else { Stdio::null() });
         if self.quiet {
-            command.stderr(Stdio::piped());
+            let output = Output::open()?;
+            command.stderr(output.writer()?);
+            self.logs.push(output);
         }
-        let mut child = command.spawn().map_err(|error| {
+        let child = command.spawn().map_err(|error| {
             let text = format!("start {bin}: {error}; run cargo build --workspace first");
             io::Error::new(error.kind(), text)
         })?;
-        if let Some(output) = child.stderr.take() {
-            let logs = Arc::clone(&self.logs);
-            thread::spawn(move || {
-                for line in BufReader::new(output).lines().map_while(Result::ok) {
-                    let mut logs = logs.lock().unwrap_or_else(|p| p.into_inner());
-                    logs.push_str(&line);
-                    logs.push('\n');
-                }
-            });
-        }
         self.processes.push(Process { name: name.to_owned(), child });
         Ok(())
     }
@@ -267,14 +258,15 @@
         bad
     }
 
-    /// All events so far.
-    pub fn events(&self) -> Vec<Event> {
+    /// All events so far, as [`Record::events`] gives them.
+    pub fn events(&self) -> io::Result<Vec<Event>> {
         self.record.events()
     }
 
-    /// What quiet processes logged so far.
-    pub fn logs(&self) -> String {
-        self.logs.lock().unwrap_or_else(|p| p.into_inner()).clone()
+    /// What quiet processes logged so far, process by process.
+    pub fn logs(&self) -> io::Result<String> {
+        let logs: io::Result<Vec<Vec<u8>>> = self.logs.iter().map(|log| log.after(0)).collect();
+        Ok(String::from_utf8_lossy(&logs?.concat()).into_owned())
     }
 
     /// Processor time of a process so far, in clock ticks.
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod endpoint;
 pub mod fleet;
+pub mod output;
 pub mod platform;
 pub mod record;
 pub mod table;
--- a/crates/stand-in/tests/processes.rs
+++ b/crates/stand-in/tests/processes.rs
@@ -27,7 +27,7 @@
     })
     .await;
     // What the processes said is the only trace of one that did not start.
-    assert!(serving.is_ok(), "{serving:?}\n{}\n{}", seen.borrow(), fleet.logs());
+    assert!(serving.is_ok(), "{serving:?}\n{}\n{}", seen.borrow(), fleet.logs().unwrap());
     let body = json!({ "team": TEAM, "keyDigest": sha256(KEY) });
     let (status, reply) = operator.call(&fleet.rpcs[0], "PutTeam", &body).await.unwrap();
     assert_eq!(status, 200, "{reply}");
@@ -64,7 +64,7 @@
 
 fn check(fleet: &Fleet) {
     let end = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    let violations = Checker::run(Duration::from_secs(6), &fleet.events(), end);
+    let violations = Checker::run(Duration::from_secs(6), &fleet.events().unwrap(), end);
     assert!(violations.is_empty(), "{violations:?}");
 }
 
@@ -395,7 +395,7 @@
     let refused: u64 = refused.unwrap().split(' ').nth(1).unwrap().parse().unwrap();
     assert!(refused >= 20, "{refused} refused");
     assert_eq!(fleet.end(), Vec::<String>::new());
-    let logs = fleet.logs();
+    let logs = fleet.logs().unwrap();
     assert!(logs.contains("\"step\":\"accept\""), "the reason is logged");
     for secret in [FLEET_KEY, OPERATOR_KEY, KEY] {
         assert!(!logs.contains(secret), "a key is in the logs");
--- a/crates/stand-in/tests/record.rs
+++ b/crates/stand-in/tests/record.rs
@@ -1,6 +1,5 @@
 //! The record that the checker reads.
 
-use std::fs::File;
 use std::io::Write;
 use std::time::Duration;
 
@@ -22,10 +21,10 @@
 #[test]
 fn what_a_process_wrote_is_in_the_record_at_once() {
     let record = Record::default();
-    let mut output = File::from(record.output().unwrap());
+    let mut output = record.output().unwrap();
     let late = |version: &u64| {
         output.write_all(line(*version).as_bytes()).unwrap();
-        record.events().len() as u64 != *version
+        record.events().unwrap().len() as u64 != *version
     };
     let late: Vec<u64> = (1..=100).filter(late).collect();
     assert_eq!(late, Vec::<u64>::new(), "events that were written and not seen");
