--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -1,16 +1,17 @@
 //! Starts a local deployment as separate processes and ends exactly those.
 
-use std::io::{BufRead, BufReader};
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use std::{io, thread};
 
 use quincewheel_audit::{Event, Kind};
 
+use crate::output::Output;
+use crate::record::Record;
+
 /// Key that all processes of a local deployment share.
 pub const FLEET_KEY: &str = "local-fleet-key-0123456789";
 /// Operators' key of a local deployment.
@@ -50,9 +51,9 @@
     pub entry_listen: Vec<String>,
     /// The workers.
     pub workers: Vec<Worker>,
-    logs: Arc<Mutex<String>>,
+    logs: Vec<Output>,
     processes: Vec<Process>,
-    events: Arc<Mutex<Vec<Event>>>,
+    record: Record,
     quiet: bool,
 }
 
@@ -98,9 +99,9 @@
             rpcs: Vec::new(),
             entry_listen: Vec::new(),
             workers: Vec::new(),
-            logs: Arc::default(),
+            logs: Vec::new(),
             processes: Vec::new(),
-            events: Arc::default(),
+            record: Record::default(),
             quiet,
         };
         let platform = fleet.platform.clone();
@@ -186,34 +187,16 @@
     fn start(&mut self, name: &str, bin: &str, args: &[&str], events: bool) -> io::Result<()> {
         let mut command = Command::new(self.bin.join(bin));
         command.args(args).env("QUINCEWHEEL_FLEET_KEY", FLEET_KEY).stdin(Stdio::null());
-        command.stdout(if events { Stdio::piped() } else { Stdio::null() });
+        command.stdout(if events { self.record.output()?.into() } else { Stdio::null() });
         if self.quiet {
-            command.stderr(Stdio::piped());
+            let output = Output::open()?;
+            command.stderr(output.writer()?);
+            self.logs.push(output);
         }
-        let mut child = command.spawn().map_err(|error| {
+        let child = command.spawn().map_err(|error| {
             let text = format!("start {bin}: {error}; run cargo build --workspace first");
             io::Error::new(error.kind(), text)
         })?;
-        if let Some(output) = child.stdout.take() {
-            let events = Arc::clone(&self.events);
-            thread::spawn(move || {
-                for line in BufReader::new(output).lines().map_while(Result::ok) {
-                    if let Ok(event) = serde_json::from_str(&line) {
-                        events.lock().unwrap_or_else(|p| p.into_inner()).push(event);
-                    }
-                }
-            });
-        }
-        if let Some(output) = child.stderr.take() {
-            let logs = Arc::clone(&self.logs);
-            thread::spawn(move || {
-                for line in BufReader::new(output).lines().map_while(Result::ok) {
-                    let mut logs = logs.lock().unwrap_or_else(|p| p.into_inner());
-                    logs.push_str(&line);
-                    logs.push('\n');
-                }
-            });
-        }
         self.processes.push(Process { name: name.to_owned(), child });
         Ok(())
     }
@@ -240,8 +223,7 @@
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let kind = Kind::Vanished { worker: worker.to_owned() };
         let at = since.unwrap_or_default();
-        let event = Event { at, process: "observer".to_owned(), kind };
-        self.events.lock().unwrap_or_else(|p| p.into_inner()).push(event);
+        self.record.note(Event { at, process: "observer".to_owned(), kind });
     }
 
     /// Waits for a process to end by itself. Gives its exit code.
@@ -276,14 +258,15 @@
         bad
     }
 
-    /// All events so far.
-    pub fn events(&self) -> Vec<Event> {
-        self.events.lock().unwrap_or_else(|p| p.into_inner()).clone()
+    /// All events so far, as [`Record::events`] gives them.
+    pub fn events(&self) -> io::Result<Vec<Event>> {
+        self.record.events()
     }
 
-    /// What quiet processes logged so far.
-    pub fn logs(&self) -> String {
-        self.logs.lock().unwrap_or_else(|p| p.into_inner()).clone()
+    /// What quiet processes logged so far, process by process.
+    pub fn logs(&self) -> io::Result<String> {
+        let logs: io::Result<Vec<Vec<u8>>> = self.logs.iter().map(|log| log.after(0)).collect();
+        Ok(String::from_utf8_lossy(&logs?.concat()).into_owned())
     }
 
     /// Processor time of a process so far, in clock ticks.
