Tell why work whose turn has come does not start

Cause: only decisions were logged. What kept a decision from being made (a new owner that waits for members, a full pool, a missing clearance, workers that take nothing) was told nowhere, so 'explain' was silent for just the seconds that an on-call engineer asks about. It also ended with a job's last line, which for one that stands still may be 'accepted'.

Ruled out: telling from the round of decisions alone (it runs only on a change; a pool that begins to drain starts none); starting rounds for the sake of telling (that may change what starts); one line a job while the owner is unsettled; 'waits left out' in every job's story (one line a second in a full pool).

Change: each round notes what keeps a step from starting (dispatch/src/wait.rs names the causes); as time passes, 'waits' tells it after 1,000 ms, once for each change, ten lines a second at most, and 'waits left out' counts the rest. A change of the workers alone is looked at once a second. 'unsettled' names the members that older steps wait for, once for all. quincewheel_entry_waits{cause} counts steps that have waited for longer. 'explain' shows 'unsettled' and 'settled', and for a job that has not ended goes on to the end of the logs.

Gangs, and steps with something barred, still cost a pass over the workers each; only gangs were measured.

--- a/crates/dispatch/src/advice.rs
+++ b/crates/dispatch/src/advice.rs
@@ -60,6 +60,12 @@
         held.map(|ticket| ticket.text.as_str())
     }
 
+    /// For how many lives of workers it is not cleared, and for how many it is.
+    pub fn counts(&self, now: u64) -> (usize, usize) {
+        let held = self.tickets.keys().filter(|worker| self.ticket(worker, now).is_some());
+        (self.barred.len(), held.count())
+    }
+
     /// A worker refused the ticket.
     pub fn refuse(&mut self, worker: &str) {
         self.tickets.remove(worker);
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -7,6 +7,7 @@
 
 use crate::entry::{Key, Phase, Placed};
 use crate::owner::Owner;
+use crate::tally::Bar;
 
 /// Workers, what is free on them, and what could be taken away.
 pub(crate) struct Board {
@@ -72,11 +73,26 @@
         }
     }
 
-    /// Shows again what [`Board::spare`] took.
-    pub fn unspare(&mut self, spared: Vec<(usize, Need)>) {
-        for (place, free) in spared {
+    /// Shows again what [`Board::spare`] took, and returns where.
+    pub fn unspare(&mut self, spared: Vec<(usize, Need)>) -> Vec<usize> {
+        let show = |(place, free): (usize, Need)| {
             self.spots[place].free = free;
+            place
+        };
+        spared.into_iter().map(show).collect()
+    }
+
+    /// What bars a step from each place; empty if nothing does anywhere.
+    pub fn bars(&self, spared: &[usize], uncleared: &[usize], avoided: &[usize]) -> Vec<Bar> {
+        let kinds = [(spared, Bar::Spared), (uncleared, Bar::Uncleared), (avoided, Bar::Avoided)];
+        if kinds.iter().all(|(places, _)| places.is_empty()) {
+            return Vec::new();
+        }
+        let mut bars = vec![Bar::Open; self.spots.len()];
+        for (places, bar) in kinds {
+            places.iter().for_each(|&place| bars[place] = bar);
         }
+        bars
     }
 }
 
--- /dev/null
+++ b/crates/dispatch/src/lack.rs
@@ -0,0 +1,47 @@
+use crate::agent::Agent;
+use crate::settings::Settings;
+
+/// What keeps runs from starting at an agent's worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Lack {
+    Link,
+    Worker,
+    Answer,
+    Blame,
+    Maintenance,
+    Draining,
+    Silent,
+}
+
+impl Lack {
+    /// What is missing first; none if the worker is open.
+    pub fn of(agent: &Agent, settings: &Settings) -> Option<Lack> {
+        if agent.open(settings) {
+            return None;
+        }
+        let draining = agent.worker.as_ref().is_some_and(|worker| worker.draining);
+        let lacks = [
+            (agent.link.is_none(), Lack::Link),
+            (agent.worker.is_none(), Lack::Worker),
+            (!agent.fenced, Lack::Answer),
+            (agent.blame.until > 0, Lack::Blame),
+            (agent.cordoned || agent.doomed, Lack::Maintenance),
+            (draining, Lack::Draining),
+        ];
+        let first = lacks.into_iter().find(|(holds, _)| *holds);
+        Some(first.map_or(Lack::Silent, |(_, lack)| lack))
+    }
+
+    /// Its words in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Lack::Link => "no connection",
+            Lack::Worker => "no worker known",
+            Lack::Answer => "worker has not answered",
+            Lack::Blame => "closed after failures",
+            Lack::Maintenance => "maintenance",
+            Lack::Draining => "draining",
+            Lack::Silent => "silent",
+        }
+    }
+}
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -4,12 +4,15 @@
 use quincewheel_wire::{LinkId, Notice, Order};
 
 use crate::agent::Agent;
+use crate::awaited::Awaited;
 use crate::entry::{Entry, Key, Phase, Placed};
 use crate::output::Output;
+use crate::review::Review;
 use crate::saved::Saved;
 use crate::settings::Settings;
 use crate::times::Times;
 use crate::upkeep::Upkeep;
+use crate::waits::Waits;
 
 /// Decides over all jobs.
 pub struct Owner {
@@ -50,6 +53,12 @@
     pub(crate) followed: Option<u64>,
     /// Nothing that a former owner started can be unknown any more.
     pub(crate) settled: bool,
+    /// What was told of members that older jobs wait for.
+    pub(crate) awaited: Awaited,
+    /// Workers as they were when what waits was looked at last.
+    pub(crate) review: Review,
+    /// What waits for its start, and what was told of it.
+    pub(crate) waits: Waits,
     /// Waves of maintenance.
     pub(crate) upkeep: Upkeep,
     pub(crate) next_unit: u64,
@@ -86,6 +95,9 @@
             replan: true,
             followed: None,
             settled: false,
+            awaited: Awaited::default(),
+            review: Review::default(),
+            waits: Waits::default(),
             upkeep: Upkeep::default(),
             next_unit: 1,
             next_due: None,
@@ -281,6 +293,7 @@
             self.replan = false;
             self.plan(now, wall);
         }
+        self.tell_waits(now, wall);
     }
 
     /// True if there is a connection to the agent.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -21,9 +21,12 @@
         let mut candidates = self.candidates(wall);
         candidates.sort_by_key(|candidate| candidate.rank);
         let mut board = self.board(now);
+        self.waits.begin();
         for candidate in &candidates {
             self.serve(candidate, &mut board, now, wall);
         }
+        self.note_held_back(now, wall);
+        self.waits.end();
     }
 
     /// Everything whose turn has come.
@@ -102,11 +105,17 @@
         if self.followed.is_none() && heard * 2 >= self.agents.len() {
             self.followed = Some(now);
         }
-        let last = self.followed.unwrap_or(self.claimed + self.settings.autonomy);
-        let lease = self.settings.lease + self.settings.margin;
+        let (last, lease) = self.former_grants();
         self.agents.values().all(|agent| agent.clear(last, lease, now))
     }
 
+    /// When a former owner granted its last lease at the latest, and how long
+    /// that holds.
+    pub(crate) fn former_grants(&self) -> (u64, u64) {
+        let last = self.followed.unwrap_or(self.claimed + self.settings.autonomy);
+        (last, self.settings.lease + self.settings.margin)
+    }
+
     /// Agents whose workers may still run what a former owner started.
     pub(crate) fn unheard(&self) -> impl Iterator<Item = &str> {
         self.agents.iter().filter(|(_, agent)| !agent.heard).map(|(name, _)| name.as_str())
@@ -130,6 +139,7 @@
         let place = (candidate.occurrence, candidate.step);
         if let Some(reservation) = entry.reserved.get(&place).cloned() {
             if self.redeem(candidate, &reservation, board, now) {
+                self.note_reserved(candidate, now);
                 return;
             }
             if let Some(entry) = self.jobs.get_mut(&candidate.id) {
@@ -141,22 +151,27 @@
         let pool = self.pool(entry);
         let barred = self.barred(candidate, board, now);
         let avoided = self.avoided(candidate, board, now);
-        let mut places = [barred.clone(), avoided].concat();
+        let mut places = [barred.clone(), avoided.clone()].concat();
         places.sort_unstable();
         places.dedup();
         let hidden = board.hide(&places);
-        self.place(candidate, &step, &pool, board, (now, wall));
+        let spared = self.place(candidate, &step, &pool, board, (now, wall));
         board.show(hidden);
-        if !barred.is_empty() && self.is_waiting(candidate) {
+        if self.unplaced(candidate) == 0 {
+            return;
+        }
+        if !barred.is_empty() {
             self.ask(candidate, roomiest(&barred, board, &pool, &step.label), now);
         }
+        let bars = board.bars(&spared, &barred, &avoided);
+        self.note_wait(candidate, board, &bars, now);
     }
 
-    /// True if tasks of it have no place yet.
-    fn is_waiting(&self, candidate: &Candidate) -> bool {
-        let Some(entry) = self.jobs.get(&candidate.id) else { return false };
+    /// Tasks of it that have no place yet.
+    pub(crate) fn unplaced(&self, candidate: &Candidate) -> usize {
+        let Some(entry) = self.jobs.get(&candidate.id) else { return 0 };
         let key = |index: u32| (candidate.occurrence, candidate.step, index);
-        candidate.tasks.iter().any(|&index| !entry.runs.contains_key(&key(index)))
+        candidate.tasks.iter().filter(|&&index| !entry.runs.contains_key(&key(index))).count()
     }
 
     /// The places whose workers the step is not cleared for; none on a queue
@@ -173,7 +188,7 @@
     }
 
     /// Starts what it can of one candidate on the workers that are not hidden,
-    /// or makes room for it there.
+    /// or makes room for it there. Returns the places that it leaves to others.
     fn place(
         &mut self,
         candidate: &Candidate,
@@ -181,9 +196,9 @@
         pool: &str,
         board: &mut Board,
         (now, wall): (u64, u64),
-    ) {
-        let Some(entry) = self.jobs.get(&candidate.id) else { return };
-        let held = held(entry, candidate, &board.spots);
+    ) -> Vec<usize> {
+        let Some(entry) = self.jobs.get(&candidate.id) else { return Vec::new() };
+        let held = held(entry, (candidate.occurrence, candidate.step), &board.spots);
         let count = candidate.tasks.len() as u32;
         let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
         let patient = wall < begin + PATIENCE;
@@ -191,7 +206,7 @@
         let waits_until = self.waits_until(candidate, board.is_half_free(pool), (now, wall));
         let spared = waits_until.map(|_| board.spare(pool)).unwrap_or_default();
         let choices = pack(&board.spots, &ask);
-        board.unspare(spared);
+        let spared = board.unspare(spared);
         let started = choices.len();
         if started < candidate.tasks.len() {
             // Time alone gives it places that it leaves to others now.
@@ -206,6 +221,7 @@
         if candidate.takes_room() && started < candidate.tasks.len() {
             self.make_room(candidate, step, pool, started, board, (now, wall));
         }
+        spared
     }
 
     /// Until when the candidate leaves whole workers to work that has less time,
@@ -236,7 +252,7 @@
     }
 
     /// The pool that runs a job now: a configuration may have moved its queue.
-    fn pool(&self, entry: &Entry) -> String {
+    pub(crate) fn pool(&self, entry: &Entry) -> String {
         let queue = self.config.queues.get(&entry.job.queue.name);
         queue.unwrap_or(&entry.job.queue).pool.clone()
     }
@@ -305,7 +321,13 @@
 const RUNS_PER_EPOCH: u64 = 1000;
 
 /// The tasks of a step that wait for a place: all of a gang or none.
-fn pending(entry: &Entry, occurrence: u32, number: u32, step: &Step, id: &str) -> Vec<u32> {
+pub(crate) fn pending(
+    entry: &Entry,
+    occurrence: u32,
+    number: u32,
+    step: &Step,
+    id: &str,
+) -> Vec<u32> {
     let progress = &entry.progress;
     if progress.step_done(occurrence, number, step)
         || !progress.ready(&entry.job, occurrence, step)
@@ -349,9 +371,8 @@
 }
 
 /// Tasks of the step that each worker has.
-pub(crate) fn held(entry: &Entry, candidate: &Candidate, spots: &[Spot]) -> Vec<u32> {
-    let range = (candidate.occurrence, candidate.step, 0)
-        ..=(candidate.occurrence, candidate.step, u32::MAX);
+pub(crate) fn held(entry: &Entry, (occurrence, step): (u32, u32), spots: &[Spot]) -> Vec<u32> {
+    let range = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
     let mut held = vec![0; spots.len()];
     for (_, placed) in entry.runs.range(range) {
         if let Some(place) = spots.iter().position(|spot| spot.name == placed.agent) {
--- /dev/null
+++ b/crates/dispatch/src/review.rs
@@ -0,0 +1,53 @@
+//! Another look at what waits, where workers changed and nothing was decided.
+//!
+//! A worker that drains or falls silent changes no decision, so nothing is
+//! decided anew. What waits may then wait for it, and no longer for room.
+
+use crate::lack::Lack;
+use crate::owner::Owner;
+use crate::tally::Bar;
+use crate::wait::Cause;
+
+/// Time between two looks, in milliseconds: a line comes no sooner than that
+/// after the one before.
+const PAUSE: u64 = 1000;
+
+/// What the last look found.
+#[derive(Debug, Default)]
+pub(crate) struct Review {
+    /// No look before this time.
+    next: u64,
+    /// The agents whose workers were not open.
+    shut: Vec<String>,
+}
+
+impl Owner {
+    /// Takes note of steps whose cause has become a lack of workers, or is none
+    /// any more.
+    pub(crate) fn review_waits(&mut self, now: u64) {
+        if now < self.review.next {
+            return;
+        }
+        self.review.next = now + PAUSE;
+        let shut = |agent| Lack::of(agent, &self.settings).is_some();
+        let agents = self.agents.iter().filter(|(_, agent)| shut(agent));
+        let shut: Vec<String> = agents.map(|(name, _)| name.clone()).collect();
+        if shut == self.review.shut {
+            return;
+        }
+        self.review.shut = shut;
+        let waits = self.waits.on_workers();
+        if waits.is_empty() {
+            return;
+        }
+        let board = self.board(now);
+        let bars = vec![Bar::Open; board.spots.len()];
+        for (group, wait) in waits {
+            let found = self.diagnose(&group, wait.tasks, &board.spots, &bars);
+            let changed = |cause: &Cause| cause.is_lack() || wait.cause.is_lack();
+            if let Some((cause, room)) = found.filter(|(cause, _)| changed(cause)) {
+                self.waits.note(group, (wait.tasks, cause), room, now);
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/room.rs
+++ b/crates/dispatch/src/room.rs
@@ -103,7 +103,7 @@
     ) {
         let rest = &candidate.tasks[started..];
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
-        let held = held(entry, candidate, &board.spots);
+        let held = held(entry, (candidate.occurrence, candidate.step), &board.spots);
         let promised = self.promised(entry, candidate.occurrence);
         let owed = candidate.guaranteed && wall >= promised;
         let count = rest.len() as u32;
--- a/crates/dispatch/tests/bed/mod.rs
+++ b/crates/dispatch/tests/bed/mod.rs
@@ -11,6 +11,10 @@
     pub now: u64,
     pub lines: Vec<String>,
     pub questions: Vec<Question>,
+    /// Events whose log lines are kept.
+    pub events: Vec<&'static str>,
+    /// Those lines.
+    pub logs: Vec<String>,
 }
 
 /// The table's version at which the owner claimed; older jobs have lower ones.
@@ -23,7 +27,14 @@
         for number in 0..agents {
             owner.agent(&format!("w{number}"), 10_000);
         }
-        Bed { owner, now: 10_000, lines: Vec::new(), questions: Vec::new() }
+        Bed {
+            owner,
+            now: 10_000,
+            lines: Vec::new(),
+            questions: Vec::new(),
+            events: Vec::new(),
+            logs: Vec::new(),
+        }
     }
 
     /// Agents connect and report workers that run nothing.
@@ -94,11 +105,32 @@
                 }
                 Output::Close { link } => self.lines.push(format!("close {link}")),
                 Output::Deposed { epoch } => self.lines.push(format!("deposed by {epoch}")),
-                Output::Log { .. } => {}
+                Output::Log { event, subject, detail } => {
+                    if self.events.contains(&event) {
+                        self.logs.push(format!("{event} {subject}: {detail}"));
+                    }
+                }
             }
         }
     }
 
+    /// Lets time pass in the steps in which an owner looks at what is due, while
+    /// the first agents go on answering.
+    pub fn live(&mut self, ms: u64, agents: u64) {
+        for _ in 0..ms / 100 {
+            self.pass(100);
+            for number in 0..agents {
+                self.notice(number, Notice::Ping { stamp: self.now, silent: 0 });
+            }
+        }
+    }
+
+    /// The lines of the chosen events since the last time.
+    pub fn logged(&mut self) -> String {
+        let lines = std::mem::take(&mut self.logs);
+        if lines.is_empty() { "nothing".to_owned() } else { lines.join("\n") }
+    }
+
     /// What was ordered since the last time.
     pub fn told(&mut self) -> String {
         let lines = std::mem::take(&mut self.lines);
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -5,19 +5,29 @@
 use serde_json::{Map, Value};
 
 /// Events that concern no job, and yet what became of each.
-const COMMON: &[&str] = &["owner", "deposed", "table lost", "table back", "agent lost", "drain"];
+const COMMON: &[&str] = &[
+    "owner",
+    "deposed",
+    "unsettled",
+    "settled",
+    "table lost",
+    "table back",
+    "agent lost",
+    "drain",
+];
 
 struct Line {
     time: f64,
     process: String,
     about: bool,
+    event: String,
     text: String,
 }
 
 /// Reads log lines and writes those about `id` in the order of their time,
-/// with the changes of owner and the outages that fall between them. A line may
-/// have something before its JSON, as collectors of logs put there. Returns how
-/// many lines were about the job.
+/// with the changes of owner and the outages that fall between them, and for a job
+/// that has not ended those since. A line may have something before its JSON, as
+/// collectors of logs put there. Returns how many lines were about the job.
 pub fn explain(id: &str, logs: impl BufRead, mut out: impl Write) -> std::io::Result<usize> {
     let mut lines: Vec<Line> = Vec::new();
     for text in logs.lines() {
@@ -28,7 +38,8 @@
     let last = lines.iter().rposition(|line| line.about);
     let (Some(first), Some(last)) = (first, last) else { return Ok(0) };
     let begin = lines[first].time;
-    for line in &lines[first..=last] {
+    let end = if is_over(&lines[first..=last]) { last + 1 } else { lines.len() };
+    for line in &lines[first..end] {
         let mark = if line.about { ' ' } else { '.' };
         let at = line.time - begin;
         writeln!(out, "{at:>9.3}{mark} {:<24} {}", line.process, line.text)?;
@@ -36,6 +47,12 @@
     Ok(lines.iter().filter(|line| line.about).count())
 }
 
+/// True if nothing more can be expected: the job ended, or was refused last.
+fn is_over(story: &[Line]) -> bool {
+    let ended = story.iter().any(|line| line.about && line.event == "job ended");
+    ended || story.last().is_some_and(|line| line.event == "refused")
+}
+
 fn parse(id: &str, text: &str) -> Option<Line> {
     let start = text.find('{')?;
     let fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
@@ -56,5 +73,6 @@
         story = format!("{story}: {}", field("msg"));
     }
     let time = fields.get("t").and_then(Value::as_f64)?;
-    Some(Line { time, process: field("process").to_owned(), about, text: story })
+    let (process, event) = (field("process").to_owned(), field("event").to_owned());
+    Some(Line { time, process, about, event, text: story })
 }
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -7,6 +8,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use quincewheel_dispatch::Cause;
 use quincewheel_job::Answer;
 
 /// What the metrics page of an entry on the platform shows.
@@ -16,6 +18,7 @@
     calls: Family<Call, Counter>,
     latency: Histogram,
     decisions: Family<Decision, Counter>,
+    waits: Family<Wait, Gauge>,
     /// The epoch under which this entry owns; 0 if it does not.
     pub epoch: Gauge,
     /// Unfinished jobs of the owner.
@@ -39,6 +42,11 @@
     event: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Wait {
+    cause: &'static str,
+}
+
 /// Shortest latency that is told apart, in seconds, and how many doublings
 /// follow: 0.5 ms to 16 s.
 const LATENCY: (f64, u16) = (0.0005, 15);
@@ -51,6 +59,7 @@
             calls: Family::default(),
             latency: Histogram::new(exponential_buckets(first, 2.0, steps)),
             decisions: Family::default(),
+            waits: Family::default(),
             epoch: Gauge::default(),
             jobs: Gauge::default(),
             config: Gauge::default(),
@@ -68,6 +77,9 @@
         registry.register_with_unit("call_duration", help, Unit::Seconds, self.latency.clone());
         let help = "Decisions of the owner by kind; the kinds are the events of the log";
         registry.register("decisions", help, self.decisions.clone());
+        let help =
+            "Steps whose turn came a second ago or more and that wait, by cause, at the owner";
+        registry.register("waits", help, self.waits.clone());
         let gauges = [
             ("epoch", "Epoch under which this entry owns; 0 if it does not", &self.epoch),
             ("jobs", "Unfinished jobs, at the owner", &self.jobs),
@@ -97,6 +109,14 @@
         self.decisions.get_or_create(&Decision { event }).inc();
     }
 
+    /// Shows how many steps wait for each cause.
+    pub fn waiting(&self, counts: &BTreeMap<Cause, usize>) {
+        for cause in Cause::ALL {
+            let count = counts.get(&cause).copied().unwrap_or(0);
+            self.waits.get_or_create(&Wait { cause: cause.name() }).set(count as i64);
+        }
+    }
+
     /// The page, in the OpenMetrics text format.
     pub fn page(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -174,5 +174,6 @@
         let owner = self.owner.borrow();
         self.metrics.epoch.set(owner.as_ref().map_or(0, |owner| owner.epoch() as i64));
         self.metrics.jobs.set(owner.as_ref().map_or(0, |owner| owner.active() as i64));
+        self.metrics.waiting(&owner.as_ref().map(Owner::waiting).unwrap_or_default());
     }
 }
