Order starts only where they find a lease; drop members whose worker is silent

Ruled out: a pause after each refused start; it hides the cause, and also delays starts that are refused for reasons that pass at once. Change: a worker is open for work only while the owner's grants to its agent leave a start the part of a lease that agents ask for; a grant after a gap plans anew. What keeps a worker shut is one list, which both decides and is told. The bed's owner is now confirmed by the table at each step, as one that starts work is.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -2,6 +2,7 @@
 use quincewheel_wire::LinkId;
 
 use crate::blame::Blame;
+use crate::lack::Lack;
 use crate::settings::Settings;
 
 /// What the owner knows of one agent and its worker.
@@ -57,7 +58,7 @@
     pub fn look(&mut self, lease: u64, now: u64) {
         match self.link.is_some() && self.worker.is_some() && self.silent < lease {
             true => self.absent = None,
-            false => _ = self.absent.get_or_insert(now),
+            false => _ = self.absent.get_or_insert(now.saturating_sub(self.silent)),
         }
     }
 
@@ -79,15 +80,15 @@
         }
     }
 
+    /// True if a start that is ordered now finds a lease there. An agent refuses a
+    /// start with less than a fourth of one, and an owner that granted none but went
+    /// on ordering would be refused hundreds of times a second.
+    pub fn leased(&self, settings: &Settings, now: u64) -> bool {
+        now + settings.lease / 4 + settings.margin < self.lapse
+    }
+
     /// True if runs may start there.
-    pub fn open(&self, settings: &Settings) -> bool {
-        let ready = self.worker.as_ref().is_some_and(|worker| !worker.draining);
-        self.link.is_some()
-            && self.fenced
-            && self.blame.until == 0
-            && !self.cordoned
-            && !self.doomed
-            && ready
-            && self.silent < settings.mute
+    pub fn open(&self, settings: &Settings, now: u64) -> bool {
+        Lack::of(self, settings, now).is_none()
     }
 }
--- a/crates/dispatch/src/awaited.rs
+++ b/crates/dispatch/src/awaited.rs
@@ -47,7 +47,7 @@
     fn members(&self, now: u64) -> Vec<(String, Lack)> {
         let (last, lease) = self.former_grants();
         let agents = self.agents.iter().filter(|(_, agent)| !agent.clear(last, lease, now));
-        let lack = |agent| Lack::of(agent, &self.settings).unwrap_or(Lack::Answer);
+        let lack = |agent| Lack::of(agent, &self.settings, self.now).unwrap_or(Lack::Answer);
         agents.map(|(name, agent)| (name.clone(), lack(agent))).collect()
     }
 }
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -102,7 +102,8 @@
         let mut spots: Vec<Spot> = Vec::new();
         let mut places: BTreeMap<&str, usize> = BTreeMap::new();
         for (name, agent) in &self.agents {
-            let Some(worker) = agent.worker.as_ref().filter(|_| agent.open(&self.settings)) else {
+            let Some(worker) = agent.worker.as_ref().filter(|_| agent.open(&self.settings, now))
+            else {
                 continue;
             };
             places.insert(name, spots.len());
--- a/crates/dispatch/src/detail.rs
+++ b/crates/dispatch/src/detail.rs
@@ -45,7 +45,7 @@
         let agents =
             self.agents.iter().filter(|(_, agent)| agent.worker.as_ref().is_some_and(allowed));
         agents
-            .filter_map(|(name, agent)| Some((name, Lack::of(agent, &self.settings)?)))
+            .filter_map(|(name, agent)| Some((name, Lack::of(agent, &self.settings, self.now)?)))
             .map(|(name, lack)| format!("{name} {}", lack.name()))
             .collect()
     }
--- a/crates/dispatch/src/lack.rs
+++ b/crates/dispatch/src/lack.rs
@@ -11,14 +11,12 @@
     Maintenance,
     Draining,
     Silent,
+    Lease,
 }
 
 impl Lack {
     /// What is missing first; none if the worker is open.
-    pub fn of(agent: &Agent, settings: &Settings) -> Option<Lack> {
-        if agent.open(settings) {
-            return None;
-        }
+    pub fn of(agent: &Agent, settings: &Settings, now: u64) -> Option<Lack> {
         let draining = agent.worker.as_ref().is_some_and(|worker| worker.draining);
         let lacks = [
             (agent.link.is_none(), Lack::Link),
@@ -27,9 +25,10 @@
             (agent.blame.until > 0, Lack::Blame),
             (agent.cordoned || agent.doomed, Lack::Maintenance),
             (draining, Lack::Draining),
+            (agent.silent >= settings.mute, Lack::Silent),
+            (!agent.leased(settings, now), Lack::Lease),
         ];
-        let first = lacks.into_iter().find(|(holds, _)| *holds);
-        Some(first.map_or(Lack::Silent, |(_, lack)| lack))
+        lacks.into_iter().find(|(holds, _)| *holds).map(|(_, lack)| lack)
     }
 
     /// Its words in the log.
@@ -42,6 +41,7 @@
             Lack::Maintenance => "maintenance",
             Lack::Draining => "draining",
             Lack::Silent => "silent",
+            Lack::Lease => "no lease",
         }
     }
 }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -326,6 +326,7 @@
         }
         let lapse = now + self.settings.lease + self.settings.margin;
         if let Some(agent) = self.agents.get_mut(name) {
+            self.replan |= !agent.leased(&self.settings, now);
             agent.lapse = agent.lapse.max(lapse);
         }
         self.send(link, Order::Grant { stamp });
--- a/crates/dispatch/src/review.rs
+++ b/crates/dispatch/src/review.rs
@@ -29,7 +29,7 @@
             return;
         }
         self.review.next = now + PAUSE;
-        let shut = |agent| Lack::of(agent, &self.settings).is_some();
+        let shut = |agent| Lack::of(agent, &self.settings, now).is_some();
         let agents = self.agents.iter().filter(|(_, agent)| shut(agent));
         let shut: Vec<String> = agents.map(|(name, _)| name.clone()).collect();
         if shut == self.review.shut {
--- a/crates/dispatch/src/sight.rs
+++ b/crates/dispatch/src/sight.rs
@@ -161,7 +161,7 @@
             known.filter(|agent| agent.worker.as_ref().is_some_and(|w| w.pool == ask.pool))
         };
         let labelled = |worker: &&Worker| label.is_empty() || worker.labels.contains(label);
-        let shut = pool().filter(|agent| !agent.open(&self.settings));
+        let shut = pool().filter(|agent| !agent.open(&self.settings, self.now));
         let shut = shut.filter_map(|agent| agent.worker.as_ref()).filter(labelled);
         let more = shut.map(|worker| ask.copies(usize::MAX, &worker.capacity)).sum();
         if pool().next().is_none() {
--- a/crates/dispatch/tests/bed/mod.rs
+++ b/crates/dispatch/tests/bed/mod.rs
@@ -76,6 +76,7 @@
     }
 
     pub fn step(&mut self) {
+        self.owner.confirm(self.now);
         self.owner.tick(self.now, self.now);
         self.drain();
     }
