Wait for no former owner that has certainly ended

Cause: a new owner that reaches fewer than half of the agents waits 14.2 s for a former one that may live on, cut off, and grant leases by itself for 8 s. After all processes were killed that was the claiming entry's own former life, or one that had handed over. Ruled out: a shorter autonomy (work stops in outages of the table that it now outlives); the same for any claim by the same entry: an owner before the last one may still be cut off and not know, so the row says whether its holder had outlived all that was granted before it. Change: the ownership row tells whether its holder was settled; a claim after a settled holder that was this entry, or handed over, waits for a lease only. Before and after (tests): 14.2 s, then 6.2 s.

--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -129,6 +129,19 @@
         self.settings = Settings { lease, ..settings };
     }
 
+    /// No former owner grants leases any more. One that may live on, cut off, is
+    /// waited for until most agents follow this one, or for as long as it may grant
+    /// by itself: 14.2 s before older jobs start where all processes were killed and
+    /// half of the workers are gone, instead of a lease of 6.2 s.
+    pub fn former_ended(&mut self) {
+        self.followed = Some(self.claimed);
+    }
+
+    /// True once nothing that a former owner started can be unknown any more.
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
     /// Run times as a former owner had learned them.
     pub fn remember(&mut self, times: &Times) {
         self.times = times.clone();
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -68,6 +68,20 @@
     pub epoch: u64,
     /// Rises with each record of one owner.
     pub sequence: u64,
+    /// Nothing that an owner before this one started can be unknown any more.
+    #[serde(default)]
+    pub settled: bool,
+}
+
+impl Ownership {
+    /// True if no owner up to this one grants a lease any more, as the entry `name`
+    /// can tell at its own claim: the holder handed over, or was this very entry,
+    /// whose former life has ended. That holds for the owners before only if the
+    /// holder had outlived what they granted; one that was cut off may not know yet
+    /// that it was replaced twice.
+    pub fn has_ended(&self, name: &str) -> bool {
+        self.settled && (self.holder.is_empty() || self.holder == name)
+    }
 }
 
 /// Where a process of the system is.
--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -4,6 +4,7 @@
 
 use bed::{Bed, end, job, run, step, task};
 use insta::assert_snapshot;
+use quincewheel_dispatch::rows::Ownership;
 use quincewheel_job::How;
 use quincewheel_wire::Notice;
 
@@ -71,6 +72,44 @@
     ");
 }
 
+// Symptom: after all processes were killed, older jobs stand still for 14 s. Sequence: half
+// of the workers are lost for good, then all processes end; the entry that owned comes back
+// and claims again. Cause: it waited for a former owner that may live on, cut off, though
+// that was its own former life.
+#[test]
+fn an_owner_whose_former_life_owned_waits_for_no_more_than_a_lease() {
+    let mut bed = Bed::open(2, 4);
+    bed.owner.former_ended();
+    bed.owner.job("old", job(1, vec![step(1, 1)]), 50, None);
+    bed.link(0);
+    bed.status(0, &[], &[]);
+    for _ in 0..3 {
+        bed.pass(2033);
+        bed.notice(0, Notice::Ping { stamp: bed.now, silent: 0 });
+    }
+    let before = bed.told();
+    bed.pass(200);
+    assert_snapshot!(format!("{before}\n-- 6,300 ms\n{}", bed.told()), @r"
+    nothing
+    -- 6,300 ms
+    w0 start old.0.0.0 run 1001 
+    ");
+}
+
+// A claim that follows another one closely cannot tell whether the owner before those two
+// has ended, and must wait for it.
+#[test]
+fn only_an_owner_that_was_settled_vouches_for_those_before_it() {
+    let row = |holder: &str, settled| Ownership {
+        holder: holder.to_owned(),
+        settled,
+        ..Ownership::default()
+    };
+    let seen = [("a", true), ("a", false), ("", true), ("", false), ("b", true)];
+    let ended = seen.map(|(holder, settled)| row(holder, settled).has_ended("a"));
+    assert_eq!(ended, [true, false, true, false, false]);
+}
+
 #[test]
 fn ends_that_a_former_owner_did_not_record_count() {
     let mut bed = Bed::open(2, 1);
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -51,12 +51,14 @@
 /// Writes the ownership row, if it is still as it was seen.
 async fn claim(shared: &Site) {
     let seen = shared.mirror.borrow().owner.clone();
+    let ended = seen.as_ref().is_none_or(|(owner, _)| owner.has_ended(&shared.settings.name));
     let (epoch, version) = seen.map_or((0, 0), |(owner, version)| (owner.epoch, version));
     let mine = Ownership {
         holder: shared.settings.name.clone(),
         incarnation: shared.incarnation,
         epoch: epoch + 1,
         sequence: 0,
+        settled: false,
     };
     let commit = Commit {
         expect: vec![Expect { key: OWNER.to_owned(), version }],
@@ -86,6 +88,9 @@
     };
     let now = quincewheel_clock::boot();
     let mut owner = Owner::open(settings(shared), mine.epoch, claimed, now);
+    if ended {
+        owner.former_ended();
+    }
     if let Some(config) = shared.config.borrow().as_ref() {
         owner.configure(config);
     }
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -54,6 +54,7 @@
 async fn write(shared: &Site, batch: &Batch) {
     let Some((mut mine, mut version)) = shared.held.borrow().clone() else { return };
     mine.sequence += 1;
+    mine.settled = shared.owner.borrow().as_ref().is_some_and(Owner::is_settled);
     let mut commit = Commit {
         expect: vec![Expect { key: OWNER.to_owned(), version }],
         put: vec![put(OWNER.to_owned(), &mine)],
