Reproduce the late report of a former life that lets a task run twice

Cause: found by reading for signs of life that prove nothing. A report that a cut held up may come after its sender has crashed and another life of the worker has reported. The agent took whichever life reported last for the one that is there; the owner took all that ran on the new life for lost and started it elsewhere, 1.4 s before the agent's next look set it right. Ruled out: that the order of reports tells; each life counts its own.

--- a/crates/runner/tests/gone.rs
+++ b/crates/runner/tests/gone.rs
@@ -69,3 +69,24 @@
     6300 ms: w0 start new.0.0.0 run 1
     ");
 }
+
+// Symptom: a task runs twice. Sequence: a worker crashes behind a cut and starts anew; a
+// report of its former life, which the cut held up, comes after the first of the new one.
+// Cause: whichever life reported last was taken for the one that is there, so all that runs
+// on the new life was taken for lost and started elsewhere.
+#[test]
+fn a_late_report_of_a_former_life_is_not_believed() {
+    let mut world = idle(2);
+    world.reborn(0);
+    world.pass(2000);
+    world.owner.job("new", job(1), 150, None);
+    world.pass(1000);
+    let before = world.told();
+    world.late_report(0);
+    world.pass(3000);
+    assert_snapshot!(format!("{before}\n-- late\n{}", world.told()), @r"
+    3100 ms: w0 start new.0.0.0 run 1
+    -- late
+    nothing
+    ");
+}
--- a/crates/runner/tests/world/mod.rs
+++ b/crates/runner/tests/world/mod.rs
@@ -33,6 +33,8 @@
 /// One worker, its agent, and what is on its way between them.
 pub struct Side {
     pub mood: Mood,
+    /// Lives of the worker before this one.
+    lives: usize,
     runner: Runner,
     running: Vec<Run>,
     /// A run was stopped since the last look: the next one need not wait.
@@ -64,6 +66,7 @@
         }
         let side = |_| Side {
             mood: Mood::Sound,
+            lives: 0,
             runner: Runner::open(Settings::default()),
             running: Vec::new(),
             ended: false,
@@ -77,12 +80,26 @@
     /// A worker reports itself to its agent.
     pub fn report(&mut self, number: usize) {
         let now = self.now;
-        let worker = worker(number);
         let side = &mut self.sides[number];
+        let worker = worker(number, side.lives);
         side.runner.beat(&worker, "10.0.0.1:80", clock(now), now);
         side.report = Some(now + REPORTS);
     }
 
+    /// A worker has crashed, and reports itself under a new name.
+    pub fn reborn(&mut self, number: usize) {
+        self.sides[number].lives += 1;
+        self.sides[number].running.clear();
+        self.report(number);
+    }
+
+    /// A report of the worker's first life arrives, seconds late.
+    pub fn late_report(&mut self, number: usize) {
+        let now = self.now;
+        let late = worker(number, 0);
+        self.sides[number].runner.beat(&late, "10.0.0.1:80", clock(now), now);
+    }
+
     /// A worker reports no more.
     pub fn mute(&mut self, number: usize) {
         self.sides[number].report = None;
@@ -194,6 +211,9 @@
     }
 
     fn answer(&mut self, call: &Call, now: u64) -> Result<Reply, Fault> {
+        if !call.worker.ends_with(&format!("-{}", self.lives)) {
+            return Ok(Reply::Refused(Refused::Leaving));
+        }
         match self.mood {
             Mood::Sound => {}
             Mood::Refusing => return Ok(Reply::Refused(Refused::Busy)),
@@ -228,9 +248,9 @@
     50_000 + now
 }
 
-fn worker(number: usize) -> Worker {
+fn worker(number: usize, lives: usize) -> Worker {
     Worker {
-        id: format!("i{number}"),
+        id: format!("i{number}-{lives}"),
         pool: "p".into(),
         capacity: Need { cpu: 64_000, memory: 262_144, accelerators: 8 },
         rack: "r0".into(),
