Never believe a report of a life that was replaced

Ruled out: waiting for the next report before a change of life is believed; it costs a report for each true restart, and a second late one would pass. Change: the agent remembers the last 32 lives of its worker that were replaced, said that they end, or were found to be another one, and takes no report of them.

--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -1,3 +1,5 @@
+use std::collections::VecDeque;
+
 use quincewheel_job::Worker;
 use quincewheel_wire::{LinkId, Notice, Order, Refused};
 
@@ -8,6 +10,10 @@
 use crate::settings::Settings;
 use crate::stopped::Stopped;
 
+/// Lives that are remembered as over. A report is held up for seconds, and a worker
+/// that crashes again and again takes about a second for each life.
+const PAST: usize = 32;
+
 /// What the runner wants done.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Output {
@@ -40,6 +46,8 @@
     pub(crate) life: Option<Life>,
     /// The life that said it ends, until another one reports.
     pub(crate) left: Option<String>,
+    /// Lives of the worker that were replaced or have ended, the newest last.
+    pub(crate) past: VecDeque<String>,
     /// Lives of the worker that have reported.
     pub(crate) lives: u64,
     pub(crate) lease: Lease,
@@ -57,6 +65,7 @@
             link: None,
             life: None,
             left: None,
+            past: VecDeque::new(),
             lives: 0,
             lease: Lease::default(),
             next_call: 1,
@@ -92,12 +101,19 @@
 
     /// The worker reported itself.
     pub fn beat(&mut self, worker: &Worker, address: &str, clock: u64, now: u64) {
+        // A life that was replaced does not come back; a report of it was held up
+        // on its way. Believed, all that runs on the life that is there would be
+        // taken for lost, and would start elsewhere beside itself.
+        if self.past.contains(&worker.id) {
+            return;
+        }
         let same = self.life.as_ref().is_some_and(|life| life.worker.id == worker.id);
         let mut changed = !same;
         if !same {
             self.lease.forget_clock();
             self.lives += 1;
             self.left = None;
+            self.end_life();
             self.life = Some(Life::open(worker, address, now));
         } else if let Some(life) = &mut self.life {
             changed = life.worker.draining != worker.draining;
@@ -115,7 +131,7 @@
     /// The worker reported that it ends.
     pub fn leave(&mut self, id: &str, now: u64) {
         if self.life.as_ref().is_some_and(|life| life.worker.id == id) {
-            self.life = None;
+            self.end_life();
             self.left = Some(id.to_owned());
             self.tell(Notice::Left { worker: id.to_owned() });
             self.tell_status(now);
@@ -187,6 +203,16 @@
         wake
     }
 
+    /// The life that was there is over.
+    fn end_life(&mut self) {
+        if let Some(life) = self.life.take() {
+            self.past.push_back(life.worker.id);
+        }
+        if self.past.len() > PAST {
+            self.past.pop_front();
+        }
+    }
+
     fn claim(&mut self, link: LinkId, epoch: u64, now: u64) {
         if epoch < self.epoch {
             let epoch = self.epoch;
@@ -266,7 +292,7 @@
                 }
             }
             Ok(Reply::Refused(Refused::Leaving)) => {
-                self.life = None;
+                self.end_life();
                 self.tell_status(now);
             }
             answer => {
