Show that a start given again and refused can run beside its second start

Cause: `Runner::retry` tells `Unstarted` at once for a start that was refused busy at each try. `Owner::resume` gives the same start again on each new connection. The tries of the order given again are counted alone: the agent may have been started anew (it cannot know of the first order), or hold a stop for that very run because its start is unclear (`stop`/`settle` turn it into `Action::Stop`, which `starts` does not match). What I'd change: let the order say that it is a repeated one (a field of `Order::Start`, set by `resume`), and open its `Pending` with `doubtful: true`; and in `Runner::start`, do not open a second order while one is pending for the same run, whatever its action, or take over its doubt. Without a change of the wire, an agent could treat every start as doubtful that comes before it has been claimed for a start's longest delay. The same holds, and held before, for a repeated start refused for room, ticket or lease.

--- a/crates/runner/tests/world/mod.rs
+++ b/crates/runner/tests/world/mod.rs
@@ -1,6 +1,8 @@
 //! An owner, agents and their workers joined without a network, in a time that the
 //! test passes in steps.
 
+#![allow(dead_code)]
+
 use quincewheel_dispatch::{Output as Decision, Owner, Settings as Bounds};
 use quincewheel_job::{Job, Need, Queue, Run, Step, Worker};
 use quincewheel_runner::{Action, Call, Fault, Output, Reply, Runner, Settings};
@@ -8,6 +10,8 @@
 
 /// Milliseconds that pass at once.
 const STEP: u64 = 100;
+/// Most exchanges between owner, agents and workers in one step: 5 ms each.
+const ROUNDS: u32 = 20;
 /// The table's version at which the owner claimed; older jobs have lower ones.
 pub const CLAIM: u64 = 100;
 /// When the owner claimed.
@@ -20,6 +24,11 @@
     Sound,
     /// It is unhealthy and does nothing that it is called for, but says so.
     Refusing,
+    /// It does so for starts and stops only.
+    RefusingStarts,
+    /// Starts get no answer, and are carried out so many milliseconds after that; the
+    /// rest is as it should be.
+    Late(u64),
 }
 
 /// One worker, its agent, and what is on its way between them.
@@ -29,6 +38,8 @@
     running: Vec<Run>,
     /// Calls by when they are answered.
     calls: Vec<(u64, u64, Call)>,
+    /// Starts without an answer, by when they take effect.
+    late: Vec<(u64, Call)>,
 }
 
 /// All of them.
@@ -53,6 +64,7 @@
             runner: Runner::open(Settings::default()),
             running: Vec::new(),
             calls: Vec::new(),
+            late: Vec::new(),
         };
         let sides = (0..workers).map(side).collect();
         World { owner, sides, now: BEGIN, lines: Vec::new() }
@@ -70,11 +82,28 @@
         self.owner.linked(&format!("w{number}"), number as u64, self.now);
     }
 
+    /// An agent's process ends and starts anew; its worker runs on, and reports.
+    pub fn restart(&mut self, number: usize) {
+        self.sides[number].runner = Runner::open(Settings::default());
+        self.sides[number].calls.clear();
+        self.owner.unlinked(number as u64);
+        self.report(number);
+        self.link(number);
+    }
+
+    /// What runs at the workers now.
+    pub fn running(&self) -> Vec<String> {
+        let sides = self.sides.iter().enumerate();
+        let line = |number: usize, run: &Run| format!("w{number} {} run {}", run.task, run.number);
+        sides.flat_map(|(number, side)| side.running.iter().map(move |r| line(number, r))).collect()
+    }
+
     /// Time passes; everybody does what is due.
     pub fn pass(&mut self, ms: u64) {
         for _ in 0..ms / STEP {
             self.now += STEP;
             for side in &mut self.sides {
+                side.take_effect(self.now);
                 side.runner.tick(self.now);
             }
             self.owner.confirm(self.now);
@@ -89,9 +118,10 @@
         if lines.is_empty() { "nothing".to_owned() } else { lines.join("\n") }
     }
 
-    /// Hands over whatever is on its way until there is nothing more.
+    /// Hands over whatever is on its way until there is nothing more, or the step's
+    /// time is over.
     fn exchange(&mut self) {
-        loop {
+        for _ in 0..ROUNDS {
             let mut quiet = true;
             for decision in self.owner.outputs() {
                 if let Decision::Send { link, order } = decision {
@@ -153,9 +183,33 @@
 
 impl Side {
     fn answer(&mut self, call: &Call, now: u64) -> Result<Reply, Fault> {
-        if self.mood == Mood::Refusing {
+        let looks = matches!(call.action, Action::Hold { .. });
+        if self.mood == Mood::Refusing || (self.mood == Mood::RefusingStarts && !looks) {
             return Ok(Reply::Refused(Refused::Busy));
         }
+        if let (Mood::Late(delay), Action::Start { .. }) = (self.mood, &call.action) {
+            self.late.push((now + delay, call.clone()));
+            return Err(Fault::Unclear { detail: "no answer".into() });
+        }
+        self.carry_out(call, now)
+    }
+
+    /// Starts whose time has come take effect now, if their lease still holds.
+    fn take_effect(&mut self, now: u64) {
+        let due = |(at, _): &(u64, Call)| *at <= now;
+        let (ready, kept) = std::mem::take(&mut self.late).into_iter().partition(due);
+        self.late = kept;
+        let ready: Vec<(u64, Call)> = ready;
+        for (_, call) in ready {
+            let Action::Start { task, run, until, .. } = &call.action else { continue };
+            let known = |known: &Run| known.task == *task && known.number >= *run;
+            if *until > clock(now) && !self.running.iter().any(known) {
+                _ = self.carry_out(&call, now);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, call: &Call, now: u64) -> Result<Reply, Fault> {
         let clock = clock(now);
         match &call.action {
             Action::Start { task, run, .. } => {
@@ -181,7 +235,10 @@
 /// comes here.
 fn due(call: &Call, mood: Mood, now: u64) -> u64 {
     match (&call.action, mood) {
-        (Action::Hold { wait, .. }, Mood::Sound) => now + wait,
+        (Action::Hold { wait, .. }, Mood::Sound | Mood::RefusingStarts | Mood::Late(_)) => {
+            now + wait
+        }
+        (Action::Start { .. }, Mood::Late(_)) => now + call.timeout,
         _ => now,
     }
 }
