Show a silent worker that gets starts when its agent announces itself again

Before, the agent of this sequence was never dropped, but each new connection forgot the silence in the same way.

Cause: `dismiss` drops what is known of the agent; a new `Agent` has `silent: 0`, and its first status is `fenced`, as the worker once answered under this epoch. The first ping follows 1 s after the claim. Until then `open` is true: a worker that refuses gets starts without a pause, one that answers nothing keeps them for a lease. What I'd change: let `Runner::claim` tell the silence along with its status (a ping at once, before it), or keep an agent closed until its first ping on a connection.

--- a/crates/dispatch/tests/dismissed.rs
+++ b/crates/dispatch/tests/dismissed.rs
@@ -49,3 +49,30 @@
     let again = bed.told().lines().filter(|line| line.starts_with("w0 start")).count();
     assert_snapshot!(format!("gone {:?}, {began} began there, {again} again in 60 s", batch.gone), @r#"gone ["w1"], 1 began there, 1 again in 60 s"#);
 }
+
+// Symptom: every 12 s or so, tasks are given to a worker that answers nothing and stand
+// still there for a lease, beside idle workers. Sequence: a worker reports itself and
+// answers no call; its agent's row is dropped, and the agent announces itself, as its
+// worker reports. Cause: the owner forgets the silence with the agent, and the agent's
+// first status says that the worker answered under this epoch, as it once did; the first
+// ping follows a second later.
+#[test]
+fn a_worker_that_is_silent_gets_nothing_when_its_agent_announces_itself_again() {
+    let mut bed = Bed::open(1, 2).idle(2);
+    let silent = pass(&mut bed, 15_000, 0);
+    bed.record();
+    let dropped = bed.told();
+    bed.owner.agent("w1", bed.now);
+    bed.link(1);
+    // What the agent tells on a claim, and when: `Runner::claim` and `Runner::tick`.
+    bed.status(1, &[], &[]);
+    bed.owner.job("a", job(1, vec![step(9, 1)]), 150, None);
+    bed.pass(1000);
+    bed.notice(1, Notice::Ping { stamp: bed.now, silent: silent + 1000 });
+    let told = bed.told();
+    let there: Vec<&str> = told.lines().filter(|line| line.starts_with("w1")).collect();
+    assert_snapshot!(format!("{dropped}\n-- announced\n{}", there.join("\n")), @"
+    close 1
+    -- announced
+    ");
+}
