Show that a late report of a former life replaces the worker

Cause: `Runner::beat` takes whoever reported last for the worker; `Owner::status` then takes the runs of the later life for lost and starts them elsewhere at once, while they run. PROTOCOL.md says that such a report may come after a new boot has registered at the same address. `seq`, by which a late report of the same life could be told, is not decoded either (platform/src/agent.rs): one from before `draining` takes the draining back. What I'd change: remember the ids of former lives (a few), and the highest `seq` of this one; drop what is older.

--- /dev/null
+++ b/crates/runner/tests/lives.rs
@@ -0,0 +1,46 @@
+//! Reports that come late.
+
+use quincewheel_job::{Run, Task, Worker};
+use quincewheel_runner::{Action, Output, Reply, Runner, Settings};
+use quincewheel_wire::{Notice, Order};
+
+fn worker(id: &str) -> Worker {
+    Worker { id: id.into(), pool: "p".into(), ..Worker::default() }
+}
+
+// Symptom: a task runs on two workers. Sequence: a worker crashes; its next life reports at
+// the same machine and starts work; a report of the former life, which a cut or a frozen
+// agent held up, comes last. Cause: the agent takes whoever reported last for the worker,
+// and the owner takes the runs of the later life for lost.
+#[test]
+fn a_late_report_of_a_former_life_does_not_replace_the_later_one() {
+    let mut runner = Runner::open(Settings::default());
+    runner.beat(&worker("i1"), "10.0.0.1:80", 50_000, 1000);
+    runner.order(1, Order::Claim { epoch: 1 }, 1000);
+    runner.order(1, Order::Grant { stamp: 1000 }, 1000);
+    runner.beat(&worker("i2"), "10.0.0.1:80", 100, 1500);
+    let task = Task { job: "j".into(), occurrence: 0, step: 0, index: 0 };
+    for output in runner.outputs() {
+        if let Output::Call { id, call } = output
+            && call.worker == "i2"
+            && matches!(call.action, Action::Hold { .. })
+        {
+            let run = Run { task: task.clone(), number: 1, saved: "".into(), percent: 1, gauge: 0 };
+            let held = Reply::Held { clock: 110, running: vec![run], ended: Vec::new() };
+            runner.answer(id, Ok(held), 1510);
+        }
+    }
+    runner.outputs();
+    runner.beat(&worker("i1"), "10.0.0.1:80", 50_900, 1600);
+    let told: Vec<String> = runner
+        .outputs()
+        .into_iter()
+        .filter_map(|output| match output {
+            Output::Send { notice: Notice::Status { worker: Some(worker), .. }, .. } => {
+                Some(worker.id)
+            }
+            _ => None,
+        })
+        .collect();
+    assert!(!told.contains(&"i1".to_owned()), "the worker is told to be {told:?}");
+}
