--- a/crates/runner/tests/world/mod.rs
+++ b/crates/runner/tests/world/mod.rs
@@ -26,6 +26,11 @@
     Sound,
     /// It is unhealthy and does nothing that it is called for, but says so.
     Refusing,
+    /// It does so for starts and stops only.
+    RefusingStarts,
+    /// Starts get no answer, and are carried out so many milliseconds after that; the
+    /// rest is as it should be.
+    Late(u64),
     /// Its process is gone: connections are refused, and it reports no more.
     Gone,
 }
@@ -43,6 +48,8 @@
     report: Option<u64>,
     /// Calls by when they are answered.
     calls: Vec<(u64, u64, Call)>,
+    /// Starts without an answer, by when they take effect.
+    late: Vec<(u64, Call)>,
 }
 
 /// All of them.
@@ -72,6 +79,7 @@
             ended: false,
             report: None,
             calls: Vec::new(),
+            late: Vec::new(),
         };
         let sides = (0..workers).map(side).collect();
         World { owner, sides, now: BEGIN, confirmed: true, lines: Vec::new() }
@@ -110,6 +118,22 @@
         self.owner.linked(&format!("w{number}"), number as u64, self.now);
     }
 
+    /// An agent's process ends and starts anew; its worker runs on, and reports.
+    pub fn restart(&mut self, number: usize) {
+        self.sides[number].runner = Runner::open(Settings::default());
+        self.sides[number].calls.clear();
+        self.owner.unlinked(number as u64);
+        self.report(number);
+        self.link(number);
+    }
+
+    /// What runs at the workers now.
+    pub fn running(&self) -> Vec<String> {
+        let sides = self.sides.iter().enumerate();
+        let line = |number: usize, run: &Run| format!("w{number} {} run {}", run.task, run.number);
+        sides.flat_map(|(number, side)| side.running.iter().map(move |r| line(number, r))).collect()
+    }
+
     /// Time passes; everybody does what is due.
     pub fn pass(&mut self, ms: u64) {
         for _ in 0..ms / STEP {
@@ -131,6 +155,7 @@
         if due && self.sides[number].mood != Mood::Gone {
             self.report(number);
         }
+        self.sides[number].take_effect(self.now);
         self.sides[number].runner.tick(self.now);
     }
 
@@ -205,7 +230,11 @@
     /// When a call is answered: a look waits at a sound worker for an end.
     fn due(&self, call: &Call, now: u64) -> u64 {
         match (&call.action, self.mood) {
-            (Action::Hold { wait, .. }, Mood::Sound) if !self.ended => now + wait,
+            (Action::Hold { .. }, _) if self.ended => now,
+            (Action::Hold { wait, .. }, Mood::Sound | Mood::RefusingStarts | Mood::Late(_)) => {
+                now + wait
+            }
+            (Action::Start { .. }, Mood::Late(_)) => now + call.timeout,
             _ => now,
         }
     }
@@ -214,11 +243,37 @@
         if !call.worker.ends_with(&format!("-{}", self.lives)) {
             return Ok(Reply::Refused(Refused::Leaving));
         }
+        let looks = matches!(call.action, Action::Hold { .. });
         match self.mood {
             Mood::Sound => {}
-            Mood::Refusing => return Ok(Reply::Refused(Refused::Busy)),
+            Mood::RefusingStarts if looks => {}
+            Mood::Refusing | Mood::RefusingStarts => return Ok(Reply::Refused(Refused::Busy)),
             Mood::Gone => return Err(Fault::Unsent { detail: "refused".into() }),
+            Mood::Late(delay) if matches!(call.action, Action::Start { .. }) => {
+                self.late.push((now + delay, call.clone()));
+                return Err(Fault::Unclear { detail: "no answer".into() });
+            }
+            Mood::Late(_) => {}
         }
+        self.carry_out(call, now)
+    }
+
+    /// Starts whose time has come take effect now, if their lease still holds.
+    fn take_effect(&mut self, now: u64) {
+        let due = |(at, _): &(u64, Call)| *at <= now;
+        let (ready, kept) = std::mem::take(&mut self.late).into_iter().partition(due);
+        self.late = kept;
+        let ready: Vec<(u64, Call)> = ready;
+        for (_, call) in ready {
+            let Action::Start { task, run, until, .. } = &call.action else { continue };
+            let known = |known: &Run| known.task == *task && known.number >= *run;
+            if *until > clock(now) && !self.running.iter().any(known) {
+                _ = self.carry_out(&call, now);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, call: &Call, now: u64) -> Result<Reply, Fault> {
         let clock = clock(now);
         match &call.action {
             Action::Start { task, run, .. } => {
