Start nothing at a worker that has just said that it ends

Cause: an agent tells that its worker left, and then that it knows none; the owner decides in between, and the worker that left has the most room. Ruled out: telling both in one frame; the second is also told for other reasons. Change: a worker that has left is no worker until another life reports. Before and after: the test `what_ran_at_a_worker_that_left` fails, and passes. Conclusion: mended.

--- a/crates/dispatch/src/lack.rs
+++ b/crates/dispatch/src/lack.rs
@@ -21,7 +21,7 @@
         let draining = agent.worker.as_ref().is_some_and(|worker| worker.draining);
         let lacks = [
             (agent.link.is_none(), Lack::Link),
-            (agent.worker.is_none(), Lack::Worker),
+            (agent.worker.is_none() || agent.left, Lack::Worker),
             (!agent.fenced, Lack::Answer),
             (agent.blame.until > 0, Lack::Blame),
             (agent.refusals.until > 0, Lack::Refusing),
