Count only agents that are heard where an unconfirmed owner speaks to most

Cause: an owner that the table does not confirm grants leases while it speaks to most agents, and took connections that a cut had silenced for such for 2.5 s; its successor, which speaks to most at once, reckons that nothing was granted since. Ruled out: closing silent connections sooner; agents that are slow for a moment would be lost. Change: only agents heard within 1.1 s count. Before and after: the test `what_a_cut_off_owner_grants` fails, and passes. Conclusion: mended for cuts that silence connections at once.

--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -330,8 +330,9 @@
     /// replaced without knowing. It goes on only while it speaks to most
     /// agents, as a new owner cannot then reach them, and waits for them.
     fn grant(&mut self, name: &str, link: LinkId, stamp: u64, now: u64) {
-        let linked = self.agents.values().filter(|agent| agent.link.is_some()).count();
-        let most = linked * 2 > self.agents.len();
+        let bound = self.settings.fresh;
+        let heard = |agent: &&Agent| agent.link.is_some() && now <= agent.told + bound;
+        let most = self.agents.values().filter(heard).count() * 2 > self.agents.len();
         let unconfirmed = now.saturating_sub(self.confirmed);
         if unconfirmed > self.settings.autonomy
             || (unconfirmed > self.settings.unconfirmed && !most)
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -9,6 +9,11 @@
     /// An agent that tells nothing for so long has lost its connection. Two
     /// pings and a half; a third of a lease is left to reach it anew.
     pub silence: u64,
+    /// An owner that the table does not confirm counts only agents that it heard
+    /// within this time among those that it speaks to: a ping, and a tenth for its
+    /// way. Connections that a cut has silenced were counted for 2.5 s, and leases
+    /// granted for up to 0.8 s beyond what a successor reckons with.
+    pub fresh: u64,
     /// A worker that has owed an answer for so long gets nothing new: two lost
     /// answers in a row.
     pub mute: u64,
@@ -53,6 +58,7 @@
             lease: 6000,
             margin: 200,
             silence: 2500,
+            fresh: 1100,
             mute: 3000,
             unconfirmed: 1500,
             autonomy: 8000,
