Look again when room that was kept for a step is void

Ruled out: dropping the reservation when other room becomes free; the stop may be through then, and the work it stopped lost for nothing. Change: the end of a reservation plans anew.

--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -45,6 +45,8 @@
     pub(crate) asking: bool,
     /// When the next task may return to a worker at which it failed.
     pub(crate) avoiding: Option<u64>,
+    /// When room that is kept for a step is void, if it has not become free.
+    pub(crate) kept_until: Option<u64>,
     /// When a question that got no answer may be asked again.
     pub(crate) ask_again: Option<u64>,
     pub(crate) recording: bool,
@@ -90,6 +92,7 @@
             learned: false,
             asking: false,
             avoiding: None,
+            kept_until: None,
             ask_again: None,
             recording: false,
             replan: true,
@@ -298,6 +301,9 @@
             self.log("settled", "", detail);
         }
         self.maintain(now, wall);
+        // A job whose room did not become free would stand still beside idle workers
+        // until something else happens.
+        self.replan |= self.kept_until.take_if(|at| *at <= now).is_some();
         let due = self.next_due.is_some_and(|due| due <= wall);
         if due || self.ask_again.take_if(|at| *at <= now).is_some() {
             self.replan = true;
--- a/crates/dispatch/src/room.rs
+++ b/crates/dispatch/src/room.rs
@@ -57,9 +57,9 @@
             let key = (candidate.occurrence, candidate.step, 0);
             entry.job.queue.advice.is_none() || entry.ticket(key, worker, now).is_some()
         };
-        let valid = places.len() == candidate.tasks.len()
-            && places.iter().all(cleared)
-            && now < reservation.since + self.settings.reservation;
+        let until = reservation.since + self.settings.reservation;
+        let valid =
+            places.len() == candidate.tasks.len() && places.iter().all(cleared) && now < until;
         if !valid {
             return false;
         }
@@ -80,6 +80,7 @@
             // Else somebody who comes first took the room.
             if promised {
                 board.spots = spots;
+                self.keep_until(until);
             }
             return promised;
         }
@@ -91,6 +92,11 @@
         true
     }
 
+    /// Sees to it that the next round is no later than the end of a reservation.
+    fn keep_until(&mut self, until: u64) {
+        self.kept_until = Some(self.kept_until.map_or(until, |known| known.min(until)));
+    }
+
     /// Stops work that gives way, and keeps its room.
     pub(crate) fn make_room(
         &mut self,
@@ -130,6 +136,7 @@
         }
         let agents = claim.choices.iter().map(|&place| board.spots[place].name.clone()).collect();
         let reservation = Reservation { agents, since: now };
+        self.keep_until(now + self.settings.reservation);
         if let Some(entry) = self.jobs.get_mut(&candidate.id) {
             entry.reserved.insert((candidate.occurrence, candidate.step), reservation);
         }
