--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod entry;
 mod goal;
 mod lack;
+mod members;
 mod mirror;
 mod output;
 mod owner;
