Let each soak take addresses that no other soak on the machine has

Symptom: one of 18 runs beside others' ended at its start, "listen on 127.64.192.250:7405: Address already in use". Cause: a run's block of addresses came from its process id alone, modulo 20,000 blocks, 64 a process: ids that are a multiple of 625 apart have the same. The process that listened there was another soak, with an id 3,125 less. The 65th run of one process came back to its first block, too, whose servers live as long as the process. Change: a run has the block whose table it could bind; where that is taken, it takes the next.

--- a/crates/stand-in/tests/soak/net.rs
+++ b/crates/stand-in/tests/soak/net.rs
@@ -10,8 +10,9 @@
     second: u8,
 }
 
-/// Runs of one process until addresses come again. Servers of earlier runs live
-/// as long as the process.
+/// Blocks of addresses that there are; each run takes one.
+pub const BLOCKS: u32 = 250 * 80;
+/// Blocks between those of two processes whose ids are neighbours.
 const RUNS: u32 = 64;
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -25,8 +26,11 @@
 pub const TABLE: u16 = 7405;
 
 impl Net {
-    pub fn open() -> Net {
-        let id = std::process::id() * RUNS + NEXT.fetch_add(1, Ordering::Relaxed) % RUNS;
+    /// The next block. Another process may have it: ids that are a multiple of 625
+    /// apart begin with the same one, and servers of earlier runs live as long as
+    /// their process.
+    pub fn next() -> Net {
+        let id = std::process::id() * RUNS + NEXT.fetch_add(1, Ordering::Relaxed);
         // 127.0 and 127.1 are left to others; the third byte leaves room for
         // the proxies'.
         Net { first: 2 + (id / 80 % 250) as u8, second: 3 * (id % 80) as u8 }
--- a/crates/stand-in/tests/soak/world.rs
+++ b/crates/stand-in/tests/soak/world.rs
@@ -1,5 +1,6 @@
 //! One run: the processes, what surrounds them, and the faults.
 
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -103,11 +104,9 @@
     }
 
     fn open(folder: &Path, logs: Option<&Path>) -> World {
-        let net = Net::open();
-        let table = Arc::new(Mutex::new(Table::open(net)));
         let hall = Arc::new(Mutex::new(Hall::open(WORKERS)));
-        let address = net.own(TABLE_HOST, net::TABLE);
-        let mut servers = vec![table::serve(&address, Arc::clone(&table)).unwrap()];
+        let (net, table, server) = World::claim();
+        let (address, mut servers) = (net.own(TABLE_HOST, net::TABLE), vec![server]);
         let mut world = World {
             net,
             processes: Vec::new(),
@@ -132,6 +131,20 @@
         world
     }
 
+    /// A block of addresses, and the table there: whoever serves the table has it.
+    fn claim() -> (Net, Arc<Mutex<Table>>, Server) {
+        for _ in 0..net::BLOCKS {
+            let net = Net::next();
+            let table = Arc::new(Mutex::new(Table::open(net)));
+            match table::serve(&net.own(TABLE_HOST, net::TABLE), Arc::clone(&table)) {
+                Ok(server) => return (net, table, server),
+                Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+                Err(error) => panic!("the table: {error}"),
+            }
+        }
+        panic!("no block of addresses is free");
+    }
+
     fn add(
         &mut self,
         net: Net,
