Plan anew where a start ends the pause of a worker that refused another one

Cause: a start that takes effect forgets the refusals before it, and with them the moment at which the worker would have been looked at again. Ruled out: leaving the pause to end by itself; the worker has just shown that it takes work. Change: a worker that is opened so is planned for. Before and after: `dispatch/tests/refusals.rs` fails, and passes.

--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -312,6 +312,8 @@
             placed.phase = Phase::Running;
         }
         if let Some(agent) = self.agents.get_mut(&placed.agent) {
+            // Open again, and sooner than its pause would have told.
+            self.replan |= agent.refusals.until > 0;
             agent.refusals = Refusals::default();
         }
         if entry.progress.state == State::Queued {
