Keep room at a worker that is left alone for a moment

Cause: the pause after a refusal takes the worker off the board, and room that was being made there counted as void, so work at a second worker was stopped as well. Ruled out: leaving such workers on the board; they would be ordered the next start at once. Change: the reservation stands while one of its workers only waits for the end of its pause. Before and after: `dispatch/tests/shut.rs` fails, and passes.

--- a/crates/dispatch/src/room.rs
+++ b/crates/dispatch/src/room.rs
@@ -58,6 +58,14 @@
             entry.job.queue.advice.is_none() || entry.ticket(key, worker, now).is_some()
         };
         let until = reservation.since + self.settings.reservation;
+        // A worker that is left alone for a moment after a refusal keeps its promise; taken
+        // for void, work at another one would be stopped as well.
+        let paused =
+            |name: &String| self.agents.get(name).is_some_and(|agent| agent.refusals.until > 0);
+        if now < until && reservation.agents.iter().any(paused) {
+            self.keep_until(until);
+            return true;
+        }
         let valid =
             places.len() == candidate.tasks.len() && places.iter().all(cleared) && now < until;
         if !valid {
