Dismiss no member that announced itself before the answer to its drop

Cause: the answer to the write that drops a row may come after the feed has told the drop and a new row. Dismissed by name, the agent lost its connection and what ran there its lease. Ruled out: waiting for the feed only; it may be far behind the owner's own write. Change: only agents whose drop is still under way are dismissed, and only dismissed ones leave the mirror. Before and after: `dispatch/tests/recalled.rs` fails, and passes. Conclusion: mended. In the mirror, a new row that the feed has told stays; not tested by itself.

--- a/crates/dispatch/src/dismissal.rs
+++ b/crates/dispatch/src/dismissal.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// True if the agent was dismissed and has not announced itself since.
+    pub fn is_dismissed(&self, name: &str) -> bool {
+        self.dismissal.holds(name)
+    }
+
     /// The table's feed tells that an agent's row was dropped. The agent may have
     /// announced itself just before that, and the feed told it just now.
     pub fn unlisted(&mut self, name: &str) {
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -125,7 +125,10 @@
             self.forget(seen);
         }
         for name in &batch.gone {
-            self.dismiss(name);
+            // One that has announced itself since then is a member again.
+            if self.agents.get(name).is_some_and(|agent| agent.dropping) {
+                self.dismiss(name);
+            }
         }
         for (id, progress) in &batch.jobs {
             let idle = self.jobs.get(id).is_some_and(|entry| entry.runs.is_empty());
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -120,7 +120,7 @@
     owner.confirm(sent);
     owner.recorded(batch, true);
     let mut mirror = shared.mirror.borrow_mut();
-    for name in &batch.gone {
+    for name in batch.gone.iter().filter(|name| owner.is_dismissed(name)) {
         // Nor is it dialled until the feed tells a new row.
         mirror.nodes.remove(name);
     }
