Reckon with what a cut-off owner grants until it notices

Cause: a new owner took for the last grant of the former one the moment at which most agents followed itself. The former one grants to all until the table has not confirmed it for 1.5 s, and then until it misses the agents, 1.1 s. Ruled out: claiming later, which each lost owner would pay for; an owner that is unconfirmed for less before it counts agents, as a slow table confirms after 0.9 s. Change: agents that are not heard are waited for until 1.5 s after the claim, and 1.1 s after most followed, plus a lease; not where the former owner has certainly ended. Conclusion: safety before speed.

--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -56,6 +56,8 @@
     pub(crate) replan: bool,
     /// When most agents were first known to follow this owner.
     pub(crate) followed: Option<u64>,
+    /// No former owner grants leases any more.
+    pub(crate) former_gone: bool,
     /// Nothing that a former owner started can be unknown any more.
     pub(crate) settled: bool,
     /// What was told of members that older jobs wait for.
@@ -101,6 +103,7 @@
             recording: false,
             replan: true,
             followed: None,
+            former_gone: false,
             settled: false,
             awaited: Awaited::default(),
             review: Review::default(),
@@ -142,6 +145,7 @@
     /// half of the workers are gone, instead of a lease of 6.2 s.
     pub fn former_ended(&mut self) {
         self.followed = Some(self.claimed);
+        self.former_gone = true;
     }
 
     /// True once nothing that a former owner started can be unknown any more.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -112,7 +112,15 @@
     /// When a former owner granted its last lease at the latest, and how long
     /// that holds.
     pub(crate) fn former_grants(&self) -> (u64, u64) {
-        let last = self.followed.unwrap_or(self.claimed + self.settings.autonomy);
+        let last = match self.followed {
+            None => self.claimed + self.settings.autonomy,
+            Some(_) if self.former_gone => self.claimed,
+            // It grants to all until the table has not confirmed it for a while, and then
+            // for as long as it takes to miss the agents that follow this owner now.
+            Some(since) => {
+                (since + self.settings.fresh).max(self.claimed + self.settings.unconfirmed)
+            }
+        };
         (last, self.settings.lease + self.settings.margin)
     }
 
