Believe another life of a worker by proof only; leave owners that say nothing

And an agent counted an open connection as an owner that speaks to it; where a cut had silenced it for good, the owner had dropped the agent's row, and it never announced itself. Ruled out: the reports' own order (each life counts its own); believing the later report. Change: a report of another life prompts a look at the one that has proved itself; its answer, its refusal under the other's name or its refused connection tells which is there, or else a second report of the other while it says nothing. Only what was shown to be over is remembered so. An agent whose owner says nothing for a whole lease closes the connection. Before and after: `runner/tests/past.rs` (3) and `alone.rs` fail, and pass.

--- a/crates/runner/src/life.rs
+++ b/crates/runner/src/life.rs
@@ -29,6 +29,8 @@
     /// worker whose answers are lost, but which hears every renewal, does not run
     /// on unseen.
     pub answered: u64,
+    /// It has answered a look.
+    pub proven: bool,
     /// When the worker last reported or answered a look.
     pub reported: u64,
     /// Something changed at the worker since the last look began.
@@ -53,6 +55,7 @@
             hold: None,
             rest: 0,
             answered: now,
+            proven: false,
             reported: now,
             changed: false,
             stopped: Vec::new(),
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -46,13 +46,18 @@
     pub(crate) life: Option<Life>,
     /// The life that said it ends, until another one reports.
     pub(crate) left: Option<String>,
-    /// Lives of the worker that were replaced or have ended, the newest last.
+    /// Another life that has reported; whether it is there or its report was held up
+    /// is known after a look at the one that was.
+    pub(crate) rival: Option<(Worker, String)>,
+    /// Lives of the worker that are known to be over, the newest last.
     pub(crate) past: VecDeque<String>,
     /// Lives of the worker that have reported.
     pub(crate) lives: u64,
     pub(crate) lease: Lease,
     pub(crate) next_call: u64,
     pub(crate) pinged: u64,
+    /// When an owner last said anything.
+    pub(crate) spoken: u64,
     pub(crate) outputs: Vec<Output>,
 }
 
@@ -65,11 +70,13 @@
             link: None,
             life: None,
             left: None,
+            rival: None,
             past: VecDeque::new(),
             lives: 0,
             lease: Lease::default(),
             next_call: 1,
             pinged: 0,
+            spoken: 0,
             outputs: Vec::new(),
         }
     }
@@ -107,29 +114,62 @@
         if self.past.contains(&worker.id) {
             return;
         }
-        let same = self.life.as_ref().is_some_and(|life| life.worker.id == worker.id);
-        let mut changed = !same;
-        if !same {
-            self.lease.forget_clock();
-            self.lives += 1;
-            self.left = None;
-            self.end_life();
-            self.life = Some(Life::open(worker, address, now));
-        } else if let Some(life) = &mut self.life {
-            changed = life.worker.draining != worker.draining;
-            life.worker = worker.clone();
-            life.reported = now;
-            address.clone_into(&mut life.address);
-        }
-        self.lease.observe(clock, now);
-        if changed {
-            self.tell_status(now);
+        match &mut self.life {
+            Some(life) if life.worker.id == worker.id => {
+                let changed = life.worker.draining != worker.draining;
+                life.worker = worker.clone();
+                life.reported = now;
+                address.clone_into(&mut life.address);
+                self.lease.observe(clock, now);
+                if changed {
+                    self.tell_status(now);
+                }
+            }
+            // Which of the two is there, only a look tells; or a second report, where
+            // the one that was does not answer: what is held up comes once.
+            Some(life) if life.proven && self.epoch > 0 => {
+                let again = self.rival.as_ref().is_some_and(|(rival, _)| rival.id == worker.id);
+                if again && now > life.reported + self.settings.reports {
+                    self.change_life(now);
+                    return self.step(now);
+                }
+                life.hold = None;
+                life.changed = true;
+                life.rest = now;
+                self.rival = Some((worker.clone(), address.to_owned()));
+            }
+            _ => {
+                self.replace(worker, address, now);
+                self.lease.observe(clock, now);
+                self.tell_status(now);
+            }
         }
         self.step(now);
     }
 
+    /// Another life of the worker is there.
+    fn replace(&mut self, worker: &Worker, address: &str, now: u64) {
+        self.lease.forget_clock();
+        self.lives += 1;
+        self.left = None;
+        self.life = Some(Life::open(worker, address, now));
+    }
+
+    /// The life that was there is over, as its worker's process showed. One that has
+    /// reported since then takes its place.
+    fn change_life(&mut self, now: u64) {
+        self.end_life();
+        if let Some((worker, address)) = self.rival.take() {
+            self.replace(&worker, &address, now);
+        }
+        self.tell_status(now);
+    }
+
     /// The worker reported that it ends.
     pub fn leave(&mut self, id: &str, now: u64) {
+        if self.rival.take_if(|(rival, _)| rival.id == id).is_some() {
+            self.bury(id.to_owned());
+        }
         if self.life.as_ref().is_some_and(|life| life.worker.id == id) {
             self.end_life();
             self.left = Some(id.to_owned());
@@ -140,6 +180,9 @@
 
     /// An order came.
     pub fn order(&mut self, link: LinkId, order: Order, now: u64) {
+        if self.link == Some(link) {
+            self.spoken = now;
+        }
         if let Order::Claim { epoch } = order {
             self.claim(link, epoch, now);
         } else if self.link == Some(link) {
@@ -174,6 +217,7 @@
 
     /// Time passed.
     pub fn tick(&mut self, now: u64) {
+        self.leave_silent(now);
         if now >= self.pinged + self.settings.ping
             && let Some(link) = self.link
         {
@@ -184,6 +228,18 @@
         self.step(now);
     }
 
+    /// Leaves an owner that has said nothing for a whole lease. A cut may leave a
+    /// connection open that carries nothing; the owner has closed its end and dropped
+    /// this agent's row, and an agent that believes in it would never announce itself.
+    fn leave_silent(&mut self, now: u64) {
+        if let Some(link) = self.link
+            && now >= self.spoken + self.settings.lease
+        {
+            self.link = None;
+            self.outputs.push(Output::Close { link });
+        }
+    }
+
     /// When [`Runner::tick`] is due at the latest.
     ///
     /// Without a connection no ping is due: the agent would wake up 200 times a
@@ -206,8 +262,13 @@
     /// The life that was there is over.
     fn end_life(&mut self) {
         if let Some(life) = self.life.take() {
-            self.past.push_back(life.worker.id);
+            self.bury(life.worker.id);
         }
+    }
+
+    /// No report of this life is believed any more.
+    fn bury(&mut self, id: String) {
+        self.past.push_back(id);
         if self.past.len() > PAST {
             self.past.pop_front();
         }
@@ -239,6 +300,7 @@
             }
         }
         self.pinged = now;
+        self.spoken = now;
         if let Some(worker) = self.left.clone() {
             self.tell(Notice::Left { worker });
         }
@@ -279,11 +341,15 @@
                 life.ended.retain(|end| end.number > seen);
                 life.rest = if life.ended.is_empty() { now } else { now + self.settings.pause };
                 life.reported = now;
+                life.proven = true;
                 let stopped = std::mem::take(&mut life.stopped);
                 let (told, kept) = stopped
                     .into_iter()
                     .partition(|stop| stop.look <= id && !stop.goes_on(&life.running));
                 life.stopped = kept;
+                if let Some((late, _)) = self.rival.take() {
+                    self.bury(late.id);
+                }
                 self.lease.observe(clock, now);
                 self.tell_status(now);
                 let told: Vec<Stopped> = told;
@@ -291,10 +357,8 @@
                     self.tell(stop.notice);
                 }
             }
-            Ok(Reply::Refused(Refused::Leaving)) => {
-                self.end_life();
-                self.tell_status(now);
-            }
+            Ok(Reply::Refused(Refused::Leaving)) => self.change_life(now),
+            Err(Fault::Unsent { .. }) if self.rival.is_some() => self.change_life(now),
             answer => {
                 life.changed = true;
                 life.rest = now + self.settings.pause;
