--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -98,8 +98,7 @@
     /// was heard, or what was granted to it has lapsed.
     ///
     /// A former owner that does not know that it was replaced grants on while
-    /// it speaks to most agents. Whatever it grants it has granted by the moment
-    /// at which most follow this owner.
+    /// it speaks to most agents, and misses them soon after most follow this owner.
     pub(crate) fn settled(&mut self, now: u64) -> bool {
         let heard = self.agents.values().filter(|agent| agent.heard).count();
         if self.followed.is_none() && heard * 2 >= self.agents.len() {
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -18,8 +18,8 @@
     /// answers in a row.
     pub mute: u64,
     /// An owner that has not been confirmed by the table for so long grants
-    /// leases only while it speaks to most agents: another may have taken over.
-    /// Shorter than others wait before they do.
+    /// leases only while it speaks to most agents: another may have taken over. A
+    /// new owner reckons with leases granted until so long after its claim.
     pub unconfirmed: u64,
     /// An owner that has not been confirmed for so long grants nothing more. The
     /// longest outage through which work goes on; a new owner that cannot reach
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -75,32 +75,21 @@
         let Some(life) = &mut self.life else { return };
         let Some(pending) = life.orders.get_mut(&id) else { return };
         let start = matches!(pending.action, Action::Start { .. });
-        let (task, run) = pending.run();
         match answer {
             Ok(Reply::Done { clock } | Reply::Held { clock, .. }) => {
-                let unclear = pending.unclear;
-                life.orders.remove(&id);
                 life.changed = true;
                 life.rest = now;
                 self.lease.observe(clock, now);
-                match (start, unclear) {
-                    (true, _) => self.tell(Notice::Started { task, run }),
-                    (false, true) => {
-                        self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
-                    }
-                    (false, false) => self.stopped(Notice::Stopped { task, run }),
-                }
+                self.close(id, None);
+            }
+            Err(Fault::Unsent { .. }) if start && !pending.doubtful => {
+                // First the status: nothing else may be ordered there.
+                self.unreachable(now);
+                self.close(id, Some(Refused::Unreachable));
             }
             Err(Fault::Unsent { .. }) => {
-                if start && !pending.doubtful {
-                    life.orders.remove(&id);
-                    // First the status: nothing else may be ordered there.
-                    self.unreachable(now);
-                    self.tell(Notice::Unstarted { task, run, why: Refused::Unreachable });
-                } else {
-                    self.retry(id, now);
-                    self.unreachable(now);
-                }
+                self.retry(id, now);
+                self.unreachable(now);
             }
             Ok(Reply::Refused(Refused::Busy)) => self.retry(id, now),
             Err(Fault::Unclear { .. }) => {
@@ -112,21 +101,29 @@
             Ok(Reply::Refused(why)) if start && (pending.doubtful || why == Refused::Old) => {
                 pending.settle(now);
             }
-            Ok(Reply::Refused(why)) => {
-                let unclear = pending.unclear;
-                life.orders.remove(&id);
-                match (start, unclear) {
-                    (true, _) => self.tell(Notice::Unstarted { task, run, why }),
-                    (false, true) => {
-                        self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
-                    }
-                    (false, false) => self.stopped(Notice::Stopped { task, run }),
-                }
+            Ok(Reply::Refused(why)) => self.close(id, Some(why)),
+        }
+    }
+
+    /// Tells what became of an order that needs no more tries. A stop that was
+    /// refused is through as well: nothing of the run is there.
+    fn close(&mut self, id: u64, refused: Option<Refused>) {
+        let Some(pending) = self.life.as_mut().and_then(|life| life.orders.remove(&id)) else {
+            return;
+        };
+        let (task, run) = pending.run();
+        let start = matches!(pending.action, Action::Start { .. });
+        match refused {
+            None if start => self.tell(Notice::Started { task, run }),
+            Some(why) if start => self.tell(Notice::Unstarted { task, run, why }),
+            _ if pending.unclear => {
+                self.stopped(Notice::Unstarted { task, run, why: Refused::Silent });
             }
+            _ => self.stopped(Notice::Stopped { task, run }),
         }
     }
 
-    pub(crate) fn stopped(&mut self, notice: Notice) {
+    fn stopped(&mut self, notice: Notice) {
         let look = self.next_call;
         if let Some(life) = &mut self.life {
             life.stopped.push(Stopped { notice, look });
@@ -141,7 +138,7 @@
     /// once got no answer may still, seconds later: it is stopped, and a worker
     /// refuses a start that comes after its stop, so that the task can then safely
     /// start elsewhere.
-    pub(crate) fn retry(&mut self, id: u64, now: u64) {
+    fn retry(&mut self, id: u64, now: u64) {
         let tries = self.settings.tries;
         let pause = self.settings.pause;
         let Some(life) = &mut self.life else { return };
@@ -151,9 +148,7 @@
         if start && pending.tries < tries {
             pending.again = Some(now);
         } else if start && !pending.doubtful {
-            let (task, run) = pending.run();
-            life.orders.remove(&id);
-            self.tell(Notice::Unstarted { task, run, why: Refused::Busy });
+            self.close(id, Some(Refused::Busy));
         } else if start {
             pending.settle(now);
         } else {
