Leave out entries of other writers, one by one

Cause: lists of the platform were decoded as a whole, so that one entry without a name or with a field of another type lost all machines, all changes of rows or the whole configuration for as long as it stood there; what a worker's report lacked was taken for empty, and a state that nobody names for "ready".

Ruled out: to refuse a configuration whole (keys that it takes away would go on working); to leave entries out of a worker's own list of runs and ends (the run would be taken for gone and begun elsewhere beside itself), so such an answer is none.

Change: lists are read entry by entry (`Entries`), what is left out is told once a second and counted. A report makes a worker only if it is whole; one that names another pool under a worker's id changes nothing. Rows that cannot be read are passed on as such, and the mirror makes no job, process or owner of them; an ownership row that cannot be read keeps the known owner at the new version, so that it can be claimed. A list of machines that is not whole keeps those known before, and ends no wave.

What a life of a worker reports late (`seq`) is still not used.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -16,8 +16,9 @@
 use quincewheel_conf::Own;
 use quincewheel_dispatch::rows::{self, Node};
 use quincewheel_http::{Body, Reply, Request, Server};
+use quincewheel_log::Limit;
 use quincewheel_peer::{Command, Event, Hub};
-use quincewheel_platform::{self as platform, Bounds, Report, Table};
+use quincewheel_platform::{self as platform, Bounds, Report, Skipped, Table};
 use quincewheel_ring as ring;
 use quincewheel_runner::{Output, Runner, Settings};
 use quincewheel_store::Error;
@@ -139,7 +140,7 @@
     let status = match platform::report(&method, &path, &body) {
         None => 404,
         Some(Err(detail)) => {
-            log::warn!(event = "bad report"; "{detail}");
+            metrics.left_out(&detail, quincewheel_clock::boot());
             400
         }
         Some(Ok(report)) => match reports.try_send(report) {
@@ -156,7 +157,13 @@
 async fn announce(agent: Rc<Agent>, site: platform::Site) {
     let node = Node { address: site.peers.clone(), entry: false };
     let commit = rows::announce(&site.name, &node);
-    let table = Table::open(&site.table);
+    let limit = Limit::default();
+    let skip = move |Skipped { list, detail }| {
+        if let Some(held) = limit.pass(quincewheel_clock::boot()) {
+            log::warn!(event = "entry left out", list = list, untold = held; "{detail}");
+        }
+    };
+    let table = Table::open(&site.table, Rc::new(skip));
     let failed = |error: &Error| log::warn!(event = "table"; "{error}");
     let mut pause = ALONE;
     let mut told = 0;
--- a/crates/agent/src/site/metrics.rs
+++ b/crates/agent/src/site/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use quincewheel_log::Limit;
 use quincewheel_runner::{Action, Fault, Reply};
 
 /// What the metrics page of an agent on the platform shows.
@@ -15,6 +16,8 @@
     registry: Mutex<Registry>,
     calls: Family<Call, Counter>,
     latency: Histogram,
+    reports: Counter,
+    limit: Limit,
     /// The epoch of the owner that the agent follows.
     pub epoch: Gauge,
 }
@@ -44,7 +47,11 @@
         registry.register_with_unit("order_duration", help, Unit::Seconds, latency.clone());
         let epoch = Gauge::default();
         registry.register("epoch", "Epoch of the owner that the agent follows", epoch.clone());
-        Metrics { registry: Mutex::new(registry), calls, latency, epoch }
+        let reports = Counter::default();
+        let help = "Reports of workers that could not be read and were left out";
+        registry.register("reports_left_out", help, reports.clone());
+        let (registry, limit) = (Mutex::new(registry), Limit::default());
+        Metrics { registry, calls, latency, reports, limit, epoch }
     }
 
     /// Counts a call that took so many milliseconds.
@@ -67,6 +74,15 @@
         }
     }
 
+    /// Counts a report that cannot be read, and logs some of them: whoever writes
+    /// them may do so at any rate.
+    pub fn left_out(&self, detail: &str, now: u64) {
+        self.reports.inc();
+        if let Some(held) = self.limit.pass(now) {
+            log::warn!(event = "report left out", untold = held; "{detail}");
+        }
+    }
+
     /// The page, in the OpenMetrics text format.
     pub fn page(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use quincewheel_job::{Id, Job, Progress, State};
 use quincewheel_store::Change;
+use serde::de::IgnoredAny;
 
 use crate::rows::{Node, OWNER, Ownership, Seen, TIMES};
 use crate::saved::Saved;
@@ -109,7 +111,7 @@
             return (kind == "node").then(|| News::Unlisted(name.to_owned()));
         };
         let read = match kind {
-            "job" => serde_json::from_str(value).map(|job| self.add_job(name, job, change.version)),
+            "job" => return Some(self.read_job(name, value, change)),
             "run" => serde_json::from_str(value).map(|progress| {
                 let view = self.jobs.entry(name.to_owned()).or_default();
                 view.take_progress(progress, change.version);
@@ -126,19 +128,14 @@
                 self.waves.extend(name.parse().ok().map(|number: u64| (number, seen)));
                 None
             }),
-            "stop" => {
+            "stop" => serde_json::from_str(value).map(|IgnoredAny| {
                 self.jobs.entry(name.to_owned()).or_default().cancelled = true;
-                Ok(Some(News::Cancelled(name.to_owned())))
-            }
-            "node" => serde_json::from_str(value).map(|node: Node| {
-                self.nodes.insert(name.to_owned(), node);
-                Some(News::Node(name.to_owned()))
+                Some(News::Cancelled(name.to_owned()))
             }),
+            "node" => return Some(self.read_node(name, value, change)),
             _ => Ok(None),
         };
-        read.unwrap_or_else(|error| {
-            Some(News::Malformed { key: change.key.clone(), detail: error.to_string() })
-        })
+        read.unwrap_or_else(|error| Some(malformed(change, error.to_string())))
     }
 
     /// Jobs that ended so long ago that nobody asks for them any more, at most
@@ -164,9 +161,34 @@
         self.jobs.values().filter(waits).count()
     }
 
-    fn add_job(&mut self, name: &str, job: Job, version: u64) -> Option<News> {
-        self.jobs.entry(name.to_owned()).or_default().job = Some((job, version));
-        Some(News::Job(name.to_owned()))
+    /// A job that no entry would have accepted is nobody's: decided over, a step that
+    /// waits for one that is not there would stand still for ever.
+    fn read_job(&mut self, name: &str, value: &str, change: &Change) -> News {
+        let job: Result<Job, String> = serde_json::from_str(value).map_err(|e| e.to_string());
+        match job.and_then(|job| job.check().map(|()| job).map_err(|e| e.to_string())) {
+            Err(detail) => malformed(change, detail),
+            Ok(job) => {
+                let view = self.jobs.entry(name.to_owned()).or_default();
+                view.job = Some((job, change.version));
+                News::Job(name.to_owned())
+            }
+        }
+    }
+
+    /// A process that cannot be reached is none: an owner would wait a lease for what
+    /// runs at an agent that nobody has started.
+    fn read_node(&mut self, name: &str, value: &str, change: &Change) -> News {
+        let node: Result<Node, String> = serde_json::from_str(value).map_err(|e| e.to_string());
+        match node {
+            Err(detail) => malformed(change, detail),
+            Ok(node) if node.address.parse::<SocketAddr>().is_err() => {
+                malformed(change, format!("{:?} is no address", node.address))
+            }
+            Ok(node) => {
+                self.nodes.insert(name.to_owned(), node);
+                News::Node(name.to_owned())
+            }
+        }
     }
 
     fn apply_owner(&mut self, change: &Change) -> Option<News> {
@@ -180,7 +202,11 @@
                 Some(News::Owner)
             }
             Err(error) => {
-                Some(News::Malformed { key: OWNER.to_owned(), detail: error.to_string() })
+                // A claim must name the version that it replaces, or nobody could own
+                // the deployment any more.
+                let known = self.owner.take().map(|(owner, _)| owner).unwrap_or_default();
+                self.owner = Some((known, change.version));
+                Some(malformed(change, error.to_string()))
             }
         }
     }
@@ -191,9 +217,7 @@
                 self.times = times;
                 None
             }
-            Err(error) => {
-                Some(News::Malformed { key: TIMES.to_owned(), detail: error.to_string() })
-            }
+            Err(error) => Some(malformed(change, error.to_string())),
         }
     }
 
@@ -209,3 +233,7 @@
         }
     }
 }
+
+fn malformed(change: &Change, detail: String) -> News {
+    News::Malformed { key: change.key.clone(), detail }
+}
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -22,6 +22,8 @@
     machines: BTreeMap<String, Machine>,
     /// When the list that is known was asked for; none before the first.
     listed: Option<u64>,
+    /// The list has entries that could not be read.
+    partial: bool,
     /// When a list was last asked for.
     asked: u64,
 }
@@ -112,6 +114,13 @@
         names.filter_map(|name| upkeep.machines.get(name))
     }
 
+    /// True if each machine of the wave was ever listed, or has had its turn.
+    fn is_known(&self, upkeep: &Upkeep) -> bool {
+        let known =
+            |name: &String| upkeep.machines.contains_key(name) || self.begun.contains_key(name);
+        self.wave.machines.iter().all(known)
+    }
+
     /// True if the machines that are left need all the time that is left.
     fn presses(&self, left: usize, length: u64, wall: u64) -> bool {
         let turns = left.div_ceil(self.wave.most.max(1)) as u64;
@@ -140,10 +149,18 @@
         self.upkeep.waves.contains_key(&number)
     }
 
-    /// The platform listed all machines, by a call that was sent at `sent`.
-    pub fn machines(&mut self, machines: Vec<Machine>, sent: u64) {
+    /// The platform listed all machines, by a call that was sent at `sent`; those
+    /// whose entries could be read, if the list is not `whole`.
+    ///
+    /// A machine whose entry cannot be read is still there, and stays as it was known:
+    /// taken for gone, its wave would be told as through before its turn.
+    pub fn machines(&mut self, machines: Vec<Machine>, whole: bool, sent: u64) {
+        if whole {
+            self.upkeep.machines.clear();
+        }
         let by_name = machines.into_iter().map(|machine| (machine.name.clone(), machine));
-        self.upkeep.machines = by_name.collect();
+        self.upkeep.machines.extend(by_name);
+        self.upkeep.partial = !whole;
         self.upkeep.listed = Some(sent);
         for name in self.upkeep.back(sent) {
             self.reprieve(&name);
@@ -239,7 +256,8 @@
     fn finish_wave(&mut self, number: u64) {
         let upkeep = &self.upkeep;
         let Some(course) = upkeep.waves.get(&number) else { return };
-        let done = course.left(upkeep).next().is_none() && course.called.is_empty();
+        let known = !upkeep.partial || course.is_known(upkeep);
+        let done = known && course.left(upkeep).next().is_none() && course.called.is_empty();
         if let Some(course) = self.upkeep.waves.get_mut(&number).filter(|_| done) {
             course.done = true;
             course.recorded = false;
--- a/crates/dispatch/tests/mirror.rs
+++ b/crates/dispatch/tests/mirror.rs
@@ -111,3 +111,38 @@
     assert_eq!(there, Some(News::Node("w0".into())));
     assert_eq!(gone, Some(News::Unlisted("w0".into())));
 }
+
+// Symptom: nobody can own the deployment, or a new owner waits a lease for an agent that
+// nobody has started, or a job stands still for ever. Sequence: somebody else writes a row
+// of the system's. Cause: what a row holds was believed by its key.
+#[test]
+fn rows_of_another_writer_make_no_owner_no_agent_and_no_job() {
+    let mut mirror = Mirror::default();
+    let owner = Ownership { holder: "e".into(), epoch: 4, ..Ownership::default() };
+    mirror.apply(&put(OWNER.into(), 3, &owner));
+    let mut told = Vec::new();
+    for (key, value) in [
+        (OWNER.to_owned(), "\u{fffd}"),
+        (rows::node("n1"), r#"{"address":"nowhere"}"#),
+        (rows::node("n2"), r#"{"entry":false}"#),
+        (rows::job("a"), "[]"),
+        (rows::stop("a"), "\u{fffd}"),
+        (rows::run("a"), "7"),
+        (rows::save("a"), "no row"),
+        (rows::wave(1), r#"{"at":"now"}"#),
+        ("times".to_owned(), "{\"queues\":1}"),
+    ] {
+        let change = Change { key, version: 9, value: Some(value.to_owned()) };
+        let news = mirror.apply(&change);
+        let left_out = matches!(news, Some(News::Malformed { .. }));
+        told.push(format!("{} left out: {left_out}", change.key));
+    }
+    let mut endless = job(1, vec![step(1, 1)]);
+    endless.steps[0].after = vec![5];
+    let news = mirror.apply(&put(rows::job("b"), 10, &endless));
+    told.push(format!("job/b left out: {}", matches!(news, Some(News::Malformed { .. }))));
+    told.push(format!("{} jobs, {} processes", mirror.jobs.len(), mirror.nodes.len()));
+    let (owner, version) = mirror.owner.unwrap();
+    told.push(format!("owner {} of epoch {} at version {version}", owner.holder, owner.epoch));
+    assert_snapshot!(told.join("\n"));
+}
--- a/crates/dispatch/tests/upkeep.rs
+++ b/crates/dispatch/tests/upkeep.rs
@@ -22,7 +22,7 @@
         worker: format!("i{number}"),
     };
     let machines = conditions.iter().enumerate().map(machine).collect();
-    bed.owner.machines(machines, bed.now);
+    bed.owner.machines(machines, true, bed.now);
 }
 
 /// What a former owner recorded.
@@ -218,3 +218,26 @@
     wave 1 done true
     ");
 }
+
+// Symptom: a wave is told as through, and a machine of it keeps running without its
+// maintenance. Sequence: the list of machines has an entry of another writer under that
+// machine's place. Cause: a machine that is not listed counts as gone.
+#[test]
+fn a_machine_whose_entry_cannot_be_read_is_not_taken_for_gone() {
+    let mut bed = Bed::open(1, 2).idle(2);
+    pass(&mut bed, 3000, 2);
+    bed.owner.wave(&wave(2, 2, 60_000), None, bed.now);
+    let first = Machine { name: "m0".into(), condition: Condition::Up, worker: "i0".into() };
+    bed.owner.machines(vec![first.clone()], false, bed.now);
+    bed.step();
+    bed.owner.taken(1, "m0", Taken::Begun, bed.now);
+    pass(&mut bed, 500, 2);
+    let unread = bed.told();
+    list(&mut bed, &[Condition::Maintained, Condition::Up]);
+    bed.step();
+    bed.owner.taken(1, "m1", Taken::Begun, bed.now);
+    // Known before, m1 holds beside an entry that cannot be read.
+    bed.owner.machines(vec![first], false, bed.now);
+    bed.step();
+    assert_snapshot!(format!("{unread}\n--\n{}", bed.told()));
+}
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -13,6 +13,7 @@
 mod own;
 mod record;
 mod rpc;
+mod skips;
 mod state;
 mod upkeep;
 mod work;
--- a/crates/entry/src/site/advise.rs
+++ b/crates/entry/src/site/advise.rs
@@ -1,5 +1,6 @@
 //! Asks the service that clears steps for workers, one question at a time.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use quincewheel_dispatch::Question;
@@ -13,7 +14,8 @@
 
 /// Carries the owner's questions to the service for ever.
 pub(crate) async fn run(shared: Shared) {
-    let advisor = Advisor::open(shared.settings.advice.as_deref().unwrap_or_default());
+    let address = shared.settings.advice.as_deref().unwrap_or_default();
+    let advisor = Advisor::open(address, Rc::clone(&shared.skip));
     loop {
         let question = shared.question.borrow_mut().take();
         match question {
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quincewheel_dispatch::News;
-use quincewheel_platform::{self as platform, Space, Table};
+use quincewheel_platform::{self as platform, Skipped, Space, Table};
 use quincewheel_store::{Change, Changes, Error, Read};
 
 use super::own;
@@ -67,18 +67,18 @@
 
 fn configure(shared: &Site, change: &Change) {
     let Some(value) = &change.value else { return };
-    match platform::wave(&change.key, value) {
+    match platform::wave(&change.key, value, &*shared.skip) {
         None => {}
-        Some(Err(detail)) => log::warn!(event = "bad wave", key = change.key.as_str(); "{detail}"),
+        Some(Err(detail)) => unreadable(shared, &change.key, &detail),
         Some(Ok(wave)) => {
             log::info!(event = "wave", number = wave.number; "{} machines", wave.machines.len());
             shared.waves.borrow_mut().insert(wave.number, wave);
             shared.wake.notify_one();
         }
     }
-    match platform::config(&change.key, value) {
+    match platform::config(&change.key, value, &*shared.skip) {
         None => {}
-        Some(Err(detail)) => log::warn!(event = "bad configuration"; "{detail}"),
+        Some(Err(detail)) => unreadable(shared, &change.key, &detail),
         Some(Ok(config)) => {
             let mut known = shared.config.borrow_mut();
             if known.as_ref().is_none_or(|known| known.version < config.version) {
@@ -90,6 +90,11 @@
     }
 }
 
+/// A row holds what its key does not promise. What was known before stays.
+fn unreadable(shared: &Site, key: &str, detail: &str) {
+    (shared.skip)(Skipped { list: "rows", detail: format!("{key}: {detail}") });
+}
+
 /// Follows the system's own rows for ever.
 pub(crate) async fn rows(shared: Shared) {
     let mut version = None;
@@ -144,9 +149,7 @@
     let mirror = shared.mirror.borrow();
     let mut owner = shared.owner.borrow_mut();
     match news {
-        News::Malformed { key, detail } => {
-            log::warn!(event = "bad row", key = key.as_str(); "{detail}");
-        }
+        News::Malformed { key, detail } => unreadable(shared, &key, &detail),
         News::Owner => unreachable!("handled above, without the owner borrowed"),
         News::Node(name) => {
             let node = mirror.nodes.get(&name);
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -19,6 +19,7 @@
     latency: Histogram,
     decisions: Family<Decision, Counter>,
     waits: Family<Wait, Gauge>,
+    skipped: Family<List, Counter>,
     /// The epoch under which this entry owns; 0 if it does not.
     pub epoch: Gauge,
     /// Unfinished jobs of the owner.
@@ -42,6 +43,11 @@
     event: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct List {
+    list: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Wait {
     cause: &'static str,
@@ -60,6 +66,7 @@
             latency: Histogram::new(exponential_buckets(first, 2.0, steps)),
             decisions: Family::default(),
             waits: Family::default(),
+            skipped: Family::default(),
             epoch: Gauge::default(),
             jobs: Gauge::default(),
             config: Gauge::default(),
@@ -80,6 +87,8 @@
         let help =
             "Steps whose turn came a second ago or more and that wait, by cause, at the owner";
         registry.register("waits", help, self.waits.clone());
+        let help = "Entries of the platform's lists that could not be read and were left out";
+        registry.register("entries_left_out", help, self.skipped.clone());
         let gauges = [
             ("epoch", "Epoch under which this entry owns; 0 if it does not", &self.epoch),
             ("jobs", "Unfinished jobs, at the owner", &self.jobs),
@@ -104,6 +113,11 @@
         self.latency.observe(ms as f64 / 1000.0);
     }
 
+    /// Counts an entry of a list that was left out.
+    pub fn skipped(&self, list: &'static str) {
+        self.skipped.get_or_create(&List { list }).inc();
+    }
+
     /// Counts a decision of the owner.
     pub fn decided(&self, event: &'static str) {
         self.decisions.get_or_create(&Decision { event }).inc();
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -7,7 +7,7 @@
 use quincewheel_dispatch::{Election, Mirror, Owner, Question, Unsettled};
 use quincewheel_job::{Config, Wave};
 use quincewheel_peer::Hub;
-use quincewheel_platform::{self as platform, Bounds, Table};
+use quincewheel_platform::{self as platform, Bounds, Skip, Table};
 use quincewheel_store::Error;
 use quincewheel_wire::{LinkId, Order};
 use tokio::sync::Notify;
@@ -15,6 +15,7 @@
 use super::dials::Dials;
 use super::gate::Gate;
 use super::metrics::Metrics;
+use super::skips;
 use super::upkeep::Wish;
 
 /// The deciding thread's state, shared by its tasks.
@@ -45,6 +46,8 @@
     pub hub: Hub<Order>,
     pub gate: Arc<Gate>,
     pub metrics: Arc<Metrics>,
+    /// Takes note of entries of the platform's lists that cannot be read.
+    pub skip: Skip,
     pub config: RefCell<Option<Config>>,
     /// When the call was sent by which the table last proved the configuration
     /// to be the newest.
@@ -90,9 +93,11 @@
         gate: Arc<Gate>,
         metrics: Arc<Metrics>,
     ) -> Site {
+        let skip = skips::open(Arc::clone(&metrics));
         Site {
-            table: Table::open(&settings.table),
-            feed: Table::open(&settings.table),
+            table: Table::open(&settings.table, Rc::clone(&skip)),
+            feed: Table::open(&settings.table, Rc::clone(&skip)),
+            skip,
             election: RefCell::new(Election::open(&settings.name, incarnation, PATIENCE)),
             bounds: Cell::new(settings.bounds),
             settings,
--- a/crates/entry/src/site/upkeep.rs
+++ b/crates/entry/src/site/upkeep.rs
@@ -29,7 +29,7 @@
 /// hold up the others.
 pub(crate) async fn run(shared: Shared) {
     let machines = shared.settings.machines.as_deref().unwrap_or_default();
-    let machines = Rc::new(Machines::open(machines));
+    let machines = Rc::new(Machines::open(machines, Rc::clone(&shared.skip)));
     loop {
         let wishes = std::mem::take(&mut *shared.wishes.borrow_mut());
         for wish in wishes {
@@ -56,7 +56,7 @@
     match machines.list(TIMEOUT).await {
         Ok(listed) => {
             if let Some(owner) = shared.owner.borrow_mut().as_mut() {
-                owner.machines(listed, sent);
+                owner.machines(listed.machines, listed.whole, sent);
             }
         }
         Err(error) => log::warn!(event = "machines"; "{error}"),
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -7,6 +7,7 @@
 //! `thread` and where in the code), and under `attributes` the `process` and
 //! whichever of `step`, `peer`, `job` and `attempt` the place that logs knows.
 
+mod limit;
 mod lines;
 
 use std::fmt;
@@ -17,6 +18,7 @@
 use log4rs::config::{Appender, Config, Logger as Logging, Root};
 use log4rs::encode::json::JsonEncoder;
 
+pub use limit::Limit;
 pub use lines::Lines;
 
 /// Why logging could not be set up.
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -115,6 +115,8 @@
             return;
         }
         match &mut self.life {
+            // A life stays in its pool: this report is another writer's.
+            Some(life) if life.worker.id == worker.id && life.worker.pool != worker.pool => {}
             Some(life) if life.worker.id == worker.id => {
                 let changed = life.worker.draining != worker.draining;
                 life.worker = worker.clone();
--- a/crates/runner/tests/lives.rs
+++ b/crates/runner/tests/lives.rs
@@ -44,3 +44,18 @@
         .collect();
     assert!(!told.contains(&"i1".to_owned()), "the worker is told to be {told:?}");
 }
+
+// Symptom: a worker that is well takes no more work, or that of another pool. Sequence: a
+// report under its id names another service. Cause: whatever a report says of the life that
+// is there is taken over; but a life stays in its pool.
+#[test]
+fn a_report_that_names_another_pool_does_not_change_the_worker() {
+    let mut runner = Runner::open(Settings::default());
+    runner.beat(&worker("i1"), "10.0.0.1:80", 50_000, 1000);
+    runner.order(1, Order::Claim { epoch: 1 }, 1000);
+    runner.outputs();
+    let foreign = Worker { pool: "q".into(), draining: true, ..worker("i1") };
+    runner.beat(&foreign, "10.0.0.2:80", 50_100, 1100);
+    let sent = runner.outputs().into_iter().filter(|out| matches!(out, Output::Send { .. }));
+    assert_eq!(sent.count(), 0);
+}
