--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -57,6 +57,8 @@
     pub since: u64,
     /// When it was started.
     pub began: u64,
+    /// When its worker was first known to have it.
+    pub confirmed: Option<u64>,
     /// Names the unit that stops as a whole.
     pub unit: u64,
     /// How far it is, 0 to 100.
@@ -70,6 +72,14 @@
 }
 
 impl Placed {
+    /// How long its start took to be confirmed and how long it ran from there, for the
+    /// log; nothing if it never was.
+    pub fn spent(&self, now: u64) -> String {
+        let Some(confirmed) = self.confirmed else { return String::new() };
+        let (start, ran) = (confirmed - self.began, now - confirmed);
+        format!(", started after {start} ms, ran {ran} ms")
+    }
+
     /// True if, going by its progress, it ends by itself about as soon as a
     /// stop would take: stopping it then only throws its work away.
     pub fn ends_within(&self, settings: &Settings, now: u64) -> bool {
--- a/crates/dispatch/src/goal.rs
+++ b/crates/dispatch/src/goal.rs
@@ -64,6 +64,11 @@
         Goal { begin, objective: LASTING, left: LASTING }
     }
 
+    /// Milliseconds from its begin within which it should end.
+    pub fn objective(&self) -> u64 {
+        self.objective
+    }
+
     /// The latest start, in milliseconds since 1970, that keeps the objective.
     pub fn latest(&self) -> i64 {
         (self.begin + self.objective) as i64 - self.left as i64
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -7,6 +7,7 @@
 use crate::awaited::Awaited;
 use crate::dismissal::Dismissal;
 use crate::entry::{Entry, Key, Phase, Placed};
+use crate::goal::{Goal, Guide};
 use crate::output::Output;
 use crate::review::Review;
 use crate::saved::Saved;
@@ -186,6 +187,9 @@
         };
         self.jobs.insert(id.to_owned(), entry);
         self.replan = true;
+        if self.loaded > 0 {
+            self.log("known", id, format!("version {version}"));
+        }
     }
 
     /// All jobs up to this version of the table have been taken in.
@@ -300,7 +304,23 @@
         for key in keys {
             self.stop(id, key, now);
         }
-        self.log("job ended", id, format!("{state:?}"));
+        self.tell_end(id, state);
+    }
+
+    /// Tells how a job ended, and what its objective was by what is known of its run
+    /// times now: from that line and `accepted` follows whether it was late.
+    pub(crate) fn tell_end(&mut self, id: &str, state: State) {
+        let Some(entry) = self.jobs.get(id) else { return };
+        let pools = self.pools();
+        let guide = Guide { times: &self.times, pools: &pools };
+        let detail = match entry.job.schedule {
+            Some(_) => format!("{state:?}, scheduled"),
+            None => {
+                let objective = Goal::open(entry, 0, &guide).objective();
+                format!("{state:?}, objective {objective} ms")
+            }
+        };
+        self.log("job ended", id, detail);
     }
 
     /// Orders the stop of a run.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -26,7 +26,7 @@
             self.serve(candidate, &mut board, now, wall);
         }
         self.note_held_back(now, wall);
-        self.waits.end();
+        self.tell_waited(now);
     }
 
     /// Everything whose turn has come.
@@ -86,7 +86,7 @@
     }
 
     /// What the workers of each pool have in all.
-    fn pools(&self) -> BTreeMap<String, Need> {
+    pub(crate) fn pools(&self) -> BTreeMap<String, Need> {
         let mut pools: BTreeMap<String, Need> = BTreeMap::new();
         for worker in self.agents.values().filter_map(|agent| agent.worker.as_ref()) {
             pools.entry(worker.pool.clone()).or_default().give(&worker.capacity);
@@ -310,6 +310,7 @@
                 began: now,
                 unit,
                 percent: 0,
+                confirmed: None,
                 moved: now,
                 pace: 100,
                 whole: saved.is_empty(),
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -116,6 +116,7 @@
         match entry.runs.get_mut(&key) {
             Some(placed) if placed.worker == id && placed.run == run.number => {
                 placed.since = now;
+                placed.confirmed.get_or_insert(now);
                 if placed.percent != run.percent {
                     placed.moved = now;
                 }
@@ -142,6 +143,7 @@
                     phase: Phase::Running,
                     since: now,
                     began: now,
+                    confirmed: Some(now),
                     unit,
                     percent: run.percent,
                     moved: now,
@@ -211,10 +213,11 @@
         if current || vacant {
             entry.save(slot, &end.saved);
         }
+        let spent = run.as_ref().map(|run| run.spent(now)).unwrap_or_default();
         self.log(
             "run ended",
             &job,
-            format!("{} run {} {:?} at {name}", end.task, end.run, end.how),
+            format!("{} run {} {:?} at {name}{spent}", end.task, end.run, end.how),
         );
         match end.how {
             How::Done => {
@@ -266,7 +269,7 @@
             self.stop(&task.job, key(task), now);
         }
         if ended {
-            self.log("job ended", &task.job, "Succeeded".to_owned());
+            self.tell_end(&task.job, State::Succeeded);
         }
     }
 
@@ -308,6 +311,7 @@
             return;
         }
         placed.since = now;
+        placed.confirmed.get_or_insert(now);
         if placed.phase == Phase::Starting {
             placed.phase = Phase::Running;
         }
--- a/crates/dispatch/src/sight.rs
+++ b/crates/dispatch/src/sight.rs
@@ -93,6 +93,21 @@
         }
     }
 
+    /// Tells what had waited, and for what, once it waits no more.
+    pub(crate) fn tell_waited(&mut self, now: u64) {
+        for (group, wait) in self.waits.end(now) {
+            let (id, occurrence, step) = &group;
+            let begun = |entry: &Entry| entry.placed(*occurrence, *step);
+            if !self.jobs.get(id).is_some_and(begun) {
+                continue;
+            }
+            let spent: Vec<String> =
+                wait.spent().map(|(cause, ms)| format!("{} {ms} ms", cause.name())).collect();
+            let spent = spent.join(", ");
+            self.log("waited", id, format!("{id}.{occurrence}.{step}: {spent}"));
+        }
+    }
+
     /// Writes the lines that are due.
     pub(crate) fn tell_waits(&mut self, now: u64, wall: u64) {
         self.tell_unsettled(now, wall);
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -8,6 +8,9 @@
 /// is made and most short work ends within it: a stop takes up to 900. After a
 /// second a client's objective of a few seconds is at risk.
 pub(crate) const BOUND: u64 = 1000;
+/// A wait that is over is told if it took so many milliseconds: more than the ways to
+/// the table, the owner and a worker, and a good part of what urgent work has to spare.
+const WORTH: u64 = 100;
 /// Lines in a second over all jobs: what a reader can follow. A full pool may
 /// have thousands of jobs waiting.
 const LINES: usize = 10;
@@ -28,6 +31,10 @@
     pub cause: Cause,
     /// How many of them fit now, and how many would if nothing ran.
     pub room: (u64, u64),
+    /// Milliseconds for which each cause kept them, up to `noted`.
+    spent: [u64; Cause::ALL.len()],
+    /// When the cause was noted last.
+    noted: u64,
     /// The cause that was told last.
     told: Option<Cause>,
     /// No line before this time.
@@ -64,8 +71,11 @@
         now: u64,
     ) {
         let round = self.round;
-        let new = Wait { since: now, tasks, cause, room, told: None, next: now + BOUND, round };
+        let spent = [0; Cause::ALL.len()];
+        let (noted, next) = (now, now + BOUND);
+        let new = Wait { since: now, tasks, cause, room, spent, noted, told: None, next, round };
         let wait = self.groups.entry(group).or_insert(new);
+        wait.spend(now);
         *wait = Wait { tasks, cause, room, round, ..*wait };
         if wait.untold() {
             let next = wait.next;
@@ -73,10 +83,17 @@
         }
     }
 
-    /// The round is over: what was not seen in it waits no more.
-    pub fn end(&mut self) {
+    /// The round is over: what was not seen in it waits no more. Returns what had
+    /// waited for [`WORTH`].
+    pub fn end(&mut self, now: u64) -> Vec<(Group, Wait)> {
         let round = self.round;
-        self.groups.retain(|_, wait| wait.round == round);
+        let over = self.groups.extract_if(.., |_, wait| wait.round != round);
+        let long = over.filter(|(_, wait)| now >= wait.since + WORTH);
+        let spend = |(group, mut wait): (Group, Wait)| {
+            wait.spend(now);
+            (group, wait)
+        };
+        long.map(spend).collect()
     }
 
     /// Steps that wait for room on workers, or for workers: what a change of the
@@ -133,6 +150,17 @@
         self.told != Some(self.cause) && self.cause != Cause::Unsettled
     }
 
+    /// Milliseconds by cause, without those that took none.
+    pub fn spent(&self) -> impl Iterator<Item = (Cause, u64)> {
+        let all = Cause::ALL.into_iter().zip(self.spent);
+        all.filter(|(_, ms)| *ms > 0)
+    }
+
+    fn spend(&mut self, now: u64) {
+        self.spent[self.cause as usize] += now.saturating_sub(self.noted);
+        self.noted = now;
+    }
+
     fn tell(&mut self, now: u64) -> Wait {
         self.told = Some(self.cause);
         self.next = now + BOUND;
--- /dev/null
+++ b/crates/entry/src/day.rs
@@ -0,0 +1,37 @@
+//! Sums the logs of a time up: which jobs were late or lost, and where their time went.
+
+mod account;
+mod phase;
+mod table;
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+
+use self::account::Account;
+use self::table::Table;
+use crate::line::Line;
+
+/// Reads the log lines of all processes, in any order, and writes a table of queues and
+/// one of the jobs that were late, failed or did not end. Times count from `zero`, in
+/// seconds since 1970, or from the first job. Returns how many jobs there are.
+pub fn sum_up(zero: Option<f64>, logs: impl BufRead, out: impl Write) -> std::io::Result<usize> {
+    let mut lines = Vec::new();
+    for text in logs.lines() {
+        let line = Line::read(&text?);
+        lines.extend(line.and_then(|line| line.time().map(|time| (time, line))));
+    }
+    lines.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut jobs: BTreeMap<String, Account> = BTreeMap::new();
+    for (time, line) in &lines {
+        match line.text("event") {
+            // A new owner knows all that was accepted before.
+            "owner" => jobs.values_mut().for_each(|job| job.owned(*time)),
+            _ if line.text("job").is_empty() => {}
+            _ => jobs.entry(line.text("job").to_owned()).or_default().take(*time, line),
+        }
+    }
+    jobs.retain(|_, job| job.accepted.is_some());
+    let first = jobs.values().filter_map(|job| job.accepted).min_by(f64::total_cmp);
+    Table::open(zero.or(first).unwrap_or_default(), &jobs).write(out)?;
+    Ok(jobs.len())
+}
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, Write};
 
-use serde_json::{Map, Value};
+use crate::line::Line;
 
 /// Events that concern no job, and yet what became of each.
 const COMMON: &[&str] = &[
@@ -16,7 +16,7 @@
     "drain",
 ];
 
-struct Line {
+struct Told {
     time: f64,
     process: String,
     about: bool,
@@ -29,7 +29,7 @@
 /// that has not ended those since. A line may have something before its JSON, as
 /// collectors of logs put there. Returns how many lines were about the job.
 pub fn explain(id: &str, logs: impl BufRead, mut out: impl Write) -> std::io::Result<usize> {
-    let mut lines: Vec<Line> = Vec::new();
+    let mut lines: Vec<Told> = Vec::new();
     for text in logs.lines() {
         lines.extend(parse(id, &text?));
     }
@@ -48,31 +48,28 @@
 }
 
 /// True if nothing more can be expected: the job ended, or was refused last.
-fn is_over(story: &[Line]) -> bool {
+fn is_over(story: &[Told]) -> bool {
     let ended = story.iter().any(|line| line.about && line.event == "job ended");
     ended || story.last().is_some_and(|line| line.event == "refused")
 }
 
-fn parse(id: &str, text: &str) -> Option<Line> {
-    let start = text.find('{')?;
-    let fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
-    let field = |name: &str| fields.get(name).and_then(Value::as_str).unwrap_or_default();
-    let about = field("job") == id || field("msg").contains(id);
-    if !about && !COMMON.contains(&field("event")) {
+fn parse(id: &str, text: &str) -> Option<Told> {
+    let line = Line::read(text)?;
+    let about = line.text("job") == id || line.text("msg").contains(id);
+    if !about && !COMMON.contains(&line.text("event")) {
         return None;
     }
-    let mut story = field("event").to_owned();
-    for (name, value) in &fields {
+    let mut story = line.text("event").to_owned();
+    for (name, value) in line.fields() {
         if ["t", "process", "event", "msg", "job", "level"].contains(&name.as_str()) {
             continue;
         }
         let value = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
         story = format!("{story} {name}={value}");
     }
-    if !field("msg").is_empty() {
-        story = format!("{story}: {}", field("msg"));
+    if !line.text("msg").is_empty() {
+        story = format!("{story}: {}", line.text("msg"));
     }
-    let time = fields.get("t").and_then(Value::as_f64)?;
-    let (process, event) = (field("process").to_owned(), field("event").to_owned());
-    Some(Line { time, process, about, event, text: story })
+    let (process, event) = (line.text("process").to_owned(), line.text("event").to_owned());
+    Some(Told { time: line.time()?, process, about, event, text: story })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,7 +9,9 @@
 mod burn_report;
 mod connect;
 mod convert;
+mod day;
 mod explain;
+mod line;
 mod metrics;
 mod routes;
 mod run;
@@ -17,6 +19,7 @@
 mod site;
 
 pub use burn::{Burn, Objective};
+pub use day::sum_up;
 pub use explain::explain;
 pub use run::run;
 pub use settings::{DEFINITIONS, PROGRAM, Settings};
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,6 +17,7 @@
 use crate::brain::{Brain, Inbox, Status, Stored, Work};
 use crate::burn::Burn;
 use crate::burn_report;
+use crate::day::sum_up;
 use crate::explain::explain;
 use crate::metrics::Metrics;
 use crate::routes::Routes;
@@ -48,6 +49,11 @@
             Err(error) => PROGRAM.end(Err(error)),
         };
     }
+    if let [command, rest @ ..] = args
+        && command == "day"
+    {
+        return day(rest);
+    }
     let (command, values) = match PROGRAM.launch(args) {
         Ok(launched) => launched,
         Err(code) => return code,
@@ -74,6 +80,26 @@
     }
 }
 
+/// Sums up the logs of a time that began `ZERO` seconds after 1970.
+fn day(args: &[String]) -> ExitCode {
+    let zero = match args {
+        [] => None,
+        [zero] if zero.parse::<f64>().is_ok() => zero.parse().ok(),
+        _ => {
+            eprintln!("day takes one argument, a time in seconds since 1970, or none");
+            return ExitCode::from(2);
+        }
+    };
+    match sum_up(zero, io::stdin().lock(), io::stdout().lock()) {
+        Ok(0) => {
+            eprintln!("no job was accepted in these logs; check that all processes' are there");
+            ExitCode::FAILURE
+        }
+        Ok(_) => ExitCode::SUCCESS,
+        Err(error) => PROGRAM.end(Err(error)),
+    }
+}
+
 fn serve(settings: Settings) -> io::Result<()> {
     quincewheel_log::open(&settings.name, settings.log_level).map_err(io::Error::other)?;
     let start = Instant::now();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -109,6 +109,7 @@
         ("serve", "Serve callers and operators until SIGTERM"),
         ("check", "Check the settings and print those in effect"),
         ("explain", "Tell one job's story: explain ID < logs of all processes"),
+        ("day", "Sum up which jobs were late and why: day [ZERO] < logs of all processes"),
         ("burn", "Print the service-level burn report of the entry at --rpc"),
     ],
     definitions: DEFINITIONS,
--- /dev/null
+++ b/crates/entry/tests/day.rs
@@ -0,0 +1,41 @@
+//! A day's logs, summed up.
+
+use insta::assert_snapshot;
+use quincewheel_entry::sum_up;
+
+const LOGS: &str = r#"
+0.5 e1 | {"t":100.500,"process":"e1","event":"accepted","job":"aa","queue":"q","msg":"version 7 2x8 gang rack"}
+{"t":100.900,"process":"e2","event":"known","job":"aa","msg":"version 7"}
+{"t":101.400,"process":"e2","event":"waited","job":"aa","msg":"aa.0.0: no room 180 ms, room being made 320 ms"}
+{"t":101.400,"process":"e2","event":"start","job":"aa","msg":"aa.0.0.0 run 1 at w1"}
+{"t":101.400,"process":"e2","event":"start","job":"aa","msg":"aa.0.0.1 run 1 at w2"}
+{"t":102.400,"process":"e2","event":"run ended","job":"aa","msg":"aa.0.0.0 run 1 Failed at w1, started after 20 ms, ran 980 ms"}
+{"t":102.500,"process":"e2","event":"start","job":"aa","msg":"aa.0.0.0 run 2 at w3"}
+{"t":105.500,"process":"e2","event":"run ended","job":"aa","msg":"aa.0.0.0 run 2 Done at w3, started after 30 ms, ran 2970 ms"}
+{"t":105.500,"process":"e2","event":"job ended","job":"aa","msg":"Succeeded, objective 4500 ms"}
+{"t":101.000,"process":"e1","event":"accepted","job":"bb","queue":"q","msg":"version 8 1x1"}
+{"t":101.010,"process":"e2","event":"known","job":"bb","msg":"version 8"}
+{"t":101.010,"process":"e2","event":"start","job":"bb","msg":"bb.0.0.0 run 1 at w1"}
+{"t":102.010,"process":"e2","event":"run ended","job":"bb","msg":"bb.0.0.0 run 1 Done at w1, started after 4 ms, ran 996 ms"}
+{"t":102.010,"process":"e2","event":"job ended","job":"bb","msg":"Succeeded, objective 1750 ms"}
+{"t":103.000,"process":"e1","event":"accepted","job":"cc","queue":"r","msg":"version 9 1x1"}
+{"t":104.000,"process":"e3","event":"owner","msg":"took over"}
+{"t":104.500,"process":"e3","event":"start","job":"cc","msg":"cc.0.0.0 run 1001 at w1"}
+{"t":105.000,"process":"e3","event":"run lost","job":"cc","msg":"(0, 0, 0): worker at w1 started anew"}
+{"t":103.000,"process":"e1","event":"accepted","job":"dd","queue":"r","msg":"version 9 1x1"}
+{"t":109.000,"process":"e1","event":"job ended","job":"dd","msg":"Succeeded, scheduled"}
+{"t":103.000,"process":"e1","event":"refused","job":"ee","msg":"Unavailable(1000)"}
+not a line of ours
+"#;
+
+#[test]
+fn late_and_unfinished_jobs_are_told_with_where_their_time_went() {
+    let mut told = Vec::new();
+    let jobs = sum_up(Some(100.0), LOGS.as_bytes(), &mut told).unwrap();
+    assert_snapshot!(format!("{jobs} jobs\n{}", String::from_utf8(told).unwrap()));
+}
+
+#[test]
+fn logs_without_jobs_have_none() {
+    assert_eq!(sum_up(None, "x\n{}\n".as_bytes(), Vec::new()).unwrap(), 0);
+}
