Count the tries before acceptance, and the longest task of a step

A job's objective was reckoned from the first task of a step that ended, which is its shortest: 60 of 216 urgent jobs that the summary called late were late by that alone.

Change: `accepted` tells how long the write took, refused submissions count from their first one, runs that a later start of the task replaces count as gone; a step's time is that of its longest task, also where the owner reckons what a job has left.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -31,7 +31,7 @@
     pub kept: u64,
     /// The last number given to a run of each task, or of a gang under index 0.
     pub numbers: BTreeMap<Key, u64>,
-    /// How long the first task of each step took that ran without a break.
+    /// How long the longest task of each step took that ran without a break.
     pub took: BTreeMap<u32, u64>,
     /// Lives of workers at which a task, or a gang under index 0, has failed, and
     /// until when it does not return there.
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -232,16 +232,20 @@
         self.settle(&job);
     }
 
-    /// Takes note of how long a task took that is done. One a step: the tasks of
-    /// a step take much the same time.
+    /// Takes note of how long a task took that is done. The longest of a step is what
+    /// its job's objective allows for; one a step is enough to learn from.
     fn learn(&mut self, task: &Task, run: &Placed, now: u64) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let estimate = entry.step(key(task)).map_or(0, |step| step.estimate);
-        if !run.whole || estimate == 0 || entry.took.contains_key(&task.step) {
+        if !run.whole || estimate == 0 {
             return;
         }
         let took = now.saturating_sub(run.began);
-        entry.took.insert(task.step, took);
+        let known = entry.took.get(&task.step).copied();
+        entry.took.insert(task.step, took.max(known.unwrap_or(0)));
+        if known.is_some() {
+            return;
+        }
         self.times.learn(&entry.job.queue.name, estimate, took);
         self.learned = true;
     }
--- a/crates/entry/src/day.rs
+++ b/crates/entry/src/day.rs
@@ -30,8 +30,8 @@
             _ => jobs.entry(line.text("job").to_owned()).or_default().take(*time, line),
         }
     }
-    jobs.retain(|_, job| job.accepted.is_some());
-    let first = jobs.values().filter_map(|job| job.accepted).min_by(f64::total_cmp);
+    jobs.retain(|_, job| job.asked.is_some());
+    let first = jobs.values().filter_map(|job| job.asked).min_by(f64::total_cmp);
     Table::open(zero.or(first).unwrap_or_default(), &jobs).write(out)?;
     Ok(jobs.len())
 }
--- a/crates/entry/src/day/account.rs
+++ b/crates/entry/src/day/account.rs
@@ -6,6 +6,8 @@
 /// What the lines tell of one job.
 #[derive(Debug, Default)]
 pub(crate) struct Account {
+    /// When an entry first had its submission.
+    pub asked: Option<f64>,
     /// When it was accepted.
     pub accepted: Option<f64>,
     /// Its queue.
@@ -36,6 +38,7 @@
     Failed,
     Cancelled,
     Open,
+    Unaccepted,
     Scheduled,
 }
 
@@ -52,11 +55,13 @@
         let text = line.text("msg");
         match line.text("event") {
             "accepted" => {
+                self.ask(time, line);
                 self.accepted.get_or_insert(time);
                 self.queue = line.text("queue").to_owned();
                 // What follows the words "version N".
                 self.shape = text.splitn(3, ' ').nth(2).unwrap_or_default().to_owned();
             }
+            "refused" if line.text("method") == "POST" => self.ask(time, line),
             "known" => {
                 self.known.get_or_insert(time);
             }
@@ -71,6 +76,9 @@
 
     /// How it fared, as far as the lines tell.
     pub fn fate(&self) -> Fate {
+        if self.accepted.is_none() && self.known.is_none() {
+            return Fate::Unaccepted;
+        }
         let Some((_, how)) = &self.ended else { return Fate::Open };
         match (how.as_str(), self.scheduled) {
             ("Cancelled", _) => Fate::Cancelled,
@@ -81,10 +89,10 @@
         }
     }
 
-    /// Milliseconds from its acceptance to its end.
+    /// Milliseconds from its first submission to its end.
     pub fn took(&self) -> Option<u64> {
         let (end, _) = self.ended.as_ref()?;
-        Some(ms(end - self.accepted?))
+        Some(ms(end - self.asked?))
     }
 
     /// Milliseconds beyond its objective.
@@ -97,6 +105,9 @@
     /// run side by side, and so do some steps: it is an account of the slowest ones.
     pub fn phases(&self) -> BTreeMap<Phase, u64> {
         let mut sums: BTreeMap<Phase, u64> = BTreeMap::new();
+        if let (Some(asked), Some(accepted)) = (self.asked, self.accepted) {
+            sums.insert(Phase::Accepting, ms(accepted - asked));
+        }
         if let (Some(accepted), Some(known)) = (self.accepted, self.known) {
             sums.insert(Phase::ToOwner, ms(known - accepted));
         }
@@ -118,6 +129,12 @@
         sums
     }
 
+    /// An entry has answered its submission after so many milliseconds.
+    fn ask(&mut self, time: f64, line: &Line) {
+        let begun = time - line.number("ms") as f64 / 1000.0;
+        self.asked = Some(self.asked.map_or(begun, |asked| asked.min(begun)));
+    }
+
     /// `JOB.K.STEP: CAUSE N ms, CAUSE N ms`
     fn waited(&mut self, text: &str) {
         let Some((step, causes)) = text.split_once(": ") else { return };
@@ -133,9 +150,13 @@
     /// `TASK run N at AGENT`
     fn start(&mut self, time: f64, text: &str) {
         let words: Vec<&str> = text.split(' ').collect();
-        if let [task, "run", run, ..] = words[..] {
-            self.open.insert((task.to_owned(), run.to_owned()), time);
+        let [task, "run", run, ..] = words[..] else { return };
+        // Of a run that went with its worker or its owner no end is told.
+        let former = self.open.extract_if(.., |(known, _), _| known == task);
+        for (_, begun) in former.collect::<Vec<_>>() {
+            self.add(task, Phase::Lost("gone".to_owned()), ms(time - begun));
         }
+        self.open.insert((task.to_owned(), run.to_owned()), time);
     }
 
     /// `TASK run N HOW at AGENT, started after N ms, ran N ms`
--- a/crates/entry/src/day/phase.rs
+++ b/crates/entry/src/day/phase.rs
@@ -1,6 +1,8 @@
 /// Where the time of a job went.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Phase {
+    /// From its first try at any entry until it was accepted.
+    Accepting,
     /// From its acceptance until the owner knew it.
     ToOwner,
     /// Its turn had come, and something kept it from starting.
@@ -17,6 +19,7 @@
     /// Its words in the table.
     pub fn name(&self) -> String {
         match self {
+            Phase::Accepting => "accepting".to_owned(),
             Phase::ToOwner => "to the owner".to_owned(),
             Phase::Waited(cause) => cause.clone(),
             Phase::Start => "starting".to_owned(),
--- a/crates/entry/src/day/table.rs
+++ b/crates/entry/src/day/table.rs
@@ -11,20 +11,21 @@
 }
 
 /// The fates that the first table counts, and their heads.
-const FATES: [(Fate, &str); 6] = [
+const FATES: [(Fate, &str); 7] = [
     (Fate::InTime, "in time"),
     (Fate::Late, "late"),
     (Fate::Failed, "failed"),
     (Fate::Open, "open"),
+    (Fate::Unaccepted, "not accepted"),
     (Fate::Cancelled, "cancelled"),
     (Fate::Scheduled, "scheduled"),
 ];
 
 impl<'a> Table<'a> {
-    /// The jobs in the order in which they were accepted.
+    /// The jobs in the order in which they were submitted.
     pub fn open(zero: f64, jobs: &'a BTreeMap<String, Account>) -> Table<'a> {
         let mut jobs: Vec<_> = jobs.iter().map(|(id, job)| (id.as_str(), job)).collect();
-        jobs.sort_by(|a, b| a.1.accepted.unwrap_or(0.0).total_cmp(&b.1.accepted.unwrap_or(0.0)));
+        jobs.sort_by(|a, b| a.1.asked.unwrap_or(0.0).total_cmp(&b.1.asked.unwrap_or(0.0)));
         Table { zero, jobs }
     }
 
@@ -61,13 +62,13 @@
 
     /// A line for each job that was late, failed, or did not end.
     fn write_late(&self, out: &mut impl Write) -> io::Result<()> {
-        writeln!(out, "accepted at, job, queue, fate, took, late by: where its time went")?;
+        writeln!(out, "asked at, job, queue, fate, took, late by: where its time went")?;
         for (id, job) in &self.jobs {
             let fate = job.fate();
-            if !matches!(fate, Fate::Late | Fate::Failed | Fate::Open) {
+            if !matches!(fate, Fate::Late | Fate::Failed | Fate::Open | Fate::Unaccepted) {
                 continue;
             }
-            let at = job.accepted.unwrap_or(self.zero) - self.zero;
+            let at = job.asked.unwrap_or(self.zero) - self.zero;
             let took = job.took().map_or("-".to_owned(), |took| took.to_string());
             let (late, spent) = (job.late(), told(&job.phases()));
             let (queue, shape) = (&job.queue, &job.shape);
--- a/crates/entry/src/line.rs
+++ b/crates/entry/src/line.rs
@@ -23,6 +23,11 @@
         self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
     }
 
+    /// A field that is a whole number; 0 if there is none.
+    pub fn number(&self, name: &str) -> u64 {
+        self.fields.get(name).and_then(Value::as_u64).unwrap_or_default()
+    }
+
     /// All fields.
     pub fn fields(&self) -> &Map<String, Value> {
         &self.fields
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -110,10 +110,11 @@
         put: vec![row],
         delete: Vec::new(),
     };
+    let began = quincewheel_clock::boot();
     let result = store(shared, id, &commit).await;
     match result {
         Ok(version) => {
-            accepted(shared, id, job, version);
+            accepted(shared, id, job, version, quincewheel_clock::boot() - began);
             Answer::Accepted
         }
         Err(Error::Conflict { .. }) => match look(shared, id).await {
@@ -179,9 +180,10 @@
     })
 }
 
-fn accepted(shared: &Site, id: &str, job: Job, version: u64) {
+/// It took so many milliseconds to write it.
+fn accepted(shared: &Site, id: &str, job: Job, version: u64, ms: u64) {
     let (queue, team, chain) = (job.queue.name.as_str(), job.team.as_str(), job.chain());
-    log::info!(event = "accepted", job = id, queue = queue, team = team, chain = chain; "version {version} {}", job.shape());
+    log::info!(event = "accepted", job = id, queue = queue, team = team, chain = chain, ms = ms; "version {version} {}", job.shape());
     let mut mirror = shared.mirror.borrow_mut();
     mirror.jobs.entry(id.to_owned()).or_default().job = Some((job, version));
 }
