Tell clients of a job's end as soon as it is recorded, at every entry

Cause: clients ask for a job's state within some 10 ms of its last task's end.

Ruled out: telling "succeeded" before the record (a loss of power would run the job again); pushing each end to all entries (half of the clients ask before a push could come); holding questions about jobs that run on: only an end that the owner knows and is recording is waited for, 50 ms at the most, and "running" is told at once otherwise.

Change: the recorder is woken by what clients wait for; an entry that does not own asks the owner (`Peer::Look`), and the owner answers when what it knows is recorded. An owner that does not answer within 60 ms is not asked for a second.

--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// How far the job is by its row, and the row's version.
+    pub fn recorded(&self) -> Option<(Progress, u64)> {
+        self.progress.clone().map(|progress| (progress, self.told))
+    }
+
     /// The job's state as a client is told.
     pub fn state(&self) -> State {
         let state = self.progress.as_ref().map_or(State::Queued, |progress| progress.state);
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -250,6 +250,8 @@
             Notice::Started { task, run } => self.started(&task, run, now),
             Notice::Unstarted { task, run, why } => self.unstarted(&name, &task, run, why, now),
             Notice::Stopped { task, run } => self.stopped(&task, run),
+            // Not an agent's: jobs reach the owner as rows of the table.
+            Notice::Entry(_) => {}
         }
     }
 
@@ -286,6 +288,12 @@
         self.tell_waits(now, wall);
     }
 
+    /// True if the owner knows that the job has ended, recorded or not.
+    pub fn has_ended(&self, id: &str) -> bool {
+        let over = || self.over.contains(id);
+        self.jobs.get(id).map_or_else(over, |entry| entry.progress.state.ended())
+    }
+
     /// Number of jobs that have not ended.
     pub fn active(&self) -> usize {
         self.jobs.len()
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod gate;
 mod links;
+mod looks;
 mod metrics;
 mod own;
 mod record;
@@ -30,7 +31,7 @@
 use quincewheel_peer::{Event, Hub};
 use quincewheel_platform as platform;
 use quincewheel_ring as ring;
-use quincewheel_wire::{Hello, Key, Notice, Order, Role};
+use quincewheel_wire::{Hello, Key, Notice, Role, Sent};
 use tokio::sync::oneshot;
 
 use self::gate::Gate;
@@ -59,7 +60,7 @@
     let (peers, peers_in) = ring::open::<Event<Notice>>(PEERS);
     let hello = Hello { role: Role::Entry, name: site.name.clone(), incarnation };
     let key = Key::new(own.fleet_key.as_bytes());
-    let hub: Hub<Order> =
+    let hub: Hub<Sent> =
         Hub::bind(&site.peers, key, hello, peers, |event| event).map_err(io::Error::other)?;
     let gate = Arc::new(Gate::default());
     let entrance = Arc::clone(&gate);
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -8,6 +8,7 @@
 use quincewheel_platform::Space;
 use quincewheel_store::{Change, Commit, Error, Expect, Put, Read};
 
+use super::looks;
 use super::own::put;
 use super::state::{Shared, Site};
 use super::work::Work;
@@ -189,6 +190,7 @@
 }
 
 async fn tell_state(shared: &Site, target: &Target, id: &str) -> Answer {
+    looks::refresh(shared, id).await;
     match find_job(shared, id).await {
         Ok(Some(view)) if owned(&view, target) => Answer::State(view.state()),
         Ok(_) => Answer::Unknown,
--- a/crates/entry/src/site/links.rs
+++ b/crates/entry/src/site/links.rs
@@ -1,14 +1,16 @@
 //! Connections: the owner's to agents and to the other entries, and the one
 //! that tells another entry whether the owner lives.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use quincewheel_dispatch::rows::{self, Node};
 use quincewheel_peer::{Command, Event};
 use quincewheel_ring as ring;
 use quincewheel_store::Error;
-use quincewheel_wire::{Hello, LinkId, Notice, Role};
+use quincewheel_wire::{Hello, LinkId, Notice, Peer, Role};
 
+use super::looks;
 use super::own::step;
 use super::state::{Shared, Site};
 
@@ -45,6 +47,7 @@
                 linked(&shared, link, &hello, dialled.is_empty(), now);
             }
             Event::Unlinked { link } => unlinked(&shared, link, now),
+            Event::Frame { link, frame: Notice::Entry(peer) } => hear_entry(&shared, link, peer),
             Event::Frame { link, frame } => {
                 if let Some(owner) = shared.owner.borrow_mut().as_mut() {
                     owner.notice(link, frame, now);
@@ -62,6 +65,16 @@
     }
 }
 
+/// Takes in what another entry tells.
+fn hear_entry(shared: &Shared, link: LinkId, peer: Peer) {
+    match peer {
+        Peer::Look { number, id } => {
+            actix_rt::spawn(looks::answer(Rc::clone(shared), link, number, id));
+        }
+        Peer::Found { number, id, progress } => looks::found(shared, number, &id, progress),
+    }
+}
+
 fn linked(shared: &Site, link: LinkId, hello: &Hello, inbound: bool, now: u64) {
     let mut owner = shared.owner.borrow_mut();
     match (hello.role, owner.as_mut()) {
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -9,6 +9,7 @@
 use quincewheel_peer::Command;
 use quincewheel_platform::{self as platform, Space};
 use quincewheel_store::{Commit, Expect, Put};
+use quincewheel_wire::Sent;
 
 use super::follow::read_all;
 use super::links::dial;
@@ -167,11 +168,14 @@
     }
     add_waves(shared, current);
     current.tick(quincewheel_clock::boot(), quincewheel_clock::wall());
+    if current.urgent() {
+        shared.unrecorded.notify_one();
+    }
     let mut deposed = None;
     for output in current.outputs() {
         match output {
             Output::Send { link, order } => {
-                if !shared.hub.ask(Command::Send { link, frame: order }) {
+                if !shared.hub.ask(Command::Send { link, frame: Sent::Order(order) }) {
                     log::warn!(event = "hub full", link = link; "connection closed");
                     current.unlinked(link);
                     shared.hub.ask(Command::Close { link, reason: "too many orders wait" });
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -24,7 +24,8 @@
 const EXPIRED: usize = 5;
 /// Pause after a write that failed.
 const PAUSE: Duration = Duration::from_millis(200);
-/// Time between two looks at whether something is to be recorded.
+/// Longest time between two looks at whether something is to be recorded. What clients
+/// wait for is not looked for, but told.
 const LOOK: Duration = Duration::from_millis(20);
 
 /// Records what the owner wants recorded, one transaction after the other,
@@ -37,7 +38,7 @@
             owner.urgent() || (owner.unrecorded() && now >= last + GATHER) || now >= last + RENEW
         });
         if !wanted {
-            tokio::time::sleep(LOOK).await;
+            let _ = tokio::time::timeout(LOOK, shared.unrecorded.notified()).await;
             continue;
         }
         last = now;
@@ -120,6 +121,7 @@
     owner.confirm(sent);
     owner.recorded(batch, true);
     let mut mirror = shared.mirror.borrow_mut();
+    shared.recorded.notify_waiters();
     for name in batch.gone.iter().filter(|name| owner.is_dismissed(name)) {
         // Nor is it dialled until the feed tells a new row.
         mirror.nodes.remove(name);
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -9,11 +9,12 @@
 use quincewheel_peer::Hub;
 use quincewheel_platform::{self as platform, Bounds, Skip, Table};
 use quincewheel_store::Error;
-use quincewheel_wire::{LinkId, Order};
+use quincewheel_wire::{LinkId, Sent};
 use tokio::sync::Notify;
 
 use super::dials::Dials;
 use super::gate::Gate;
+use super::looks::Looks;
 use super::metrics::Metrics;
 use super::skips;
 use super::upkeep::Wish;
@@ -43,7 +44,7 @@
     pub table: Table,
     /// Long polls wait on connections of their own.
     pub feed: Table,
-    pub hub: Hub<Order>,
+    pub hub: Hub<Sent>,
     pub gate: Arc<Gate>,
     pub metrics: Arc<Metrics>,
     /// Takes note of entries of the platform's lists that cannot be read.
@@ -65,6 +66,8 @@
     pub entries: RefCell<BTreeMap<String, LinkId>>,
     /// The connection that the owner made to this entry, and the owner's name.
     pub from_owner: RefCell<Option<(LinkId, String)>>,
+    /// Questions to the owner that wait for an answer.
+    pub looks: RefCell<Looks>,
     /// Submissions whose write got no answer.
     pub unsettled: RefCell<Unsettled>,
     /// Calls in a row that the table did not answer.
@@ -81,6 +84,10 @@
     pub question: RefCell<Option<Question>>,
     /// There is one.
     pub asked: Notify,
+    /// Something is to be recorded that clients wait for.
+    pub unrecorded: Notify,
+    /// A record is through.
+    pub recorded: Notify,
     /// Something changed that the owner's loop should look at.
     pub wake: Notify,
 }
@@ -89,7 +96,7 @@
     pub fn open(
         settings: platform::Site,
         incarnation: u64,
-        hub: Hub<Order>,
+        hub: Hub<Sent>,
         gate: Arc<Gate>,
         metrics: Arc<Metrics>,
     ) -> Site {
@@ -114,6 +121,7 @@
             dials: RefCell::default(),
             entries: RefCell::default(),
             from_owner: RefCell::new(None),
+            looks: RefCell::default(),
             unsettled: RefCell::default(),
             failures: Cell::new(0),
             table_lost: Cell::new(None),
@@ -122,6 +130,8 @@
             wished: Notify::new(),
             question: RefCell::new(None),
             asked: Notify::new(),
+            unrecorded: Notify::new(),
+            recorded: Notify::new(),
             wake: Notify::new(),
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,9 @@
 mod notice;
 mod order;
 mod outcome;
+mod peer;
 mod proof;
+mod sent;
 mod task;
 
 pub use answer::{Answer, Process, Refusal, Team, Worker};
@@ -32,7 +34,9 @@
 pub use notice::{Notice, Refused};
 pub use order::Order;
 pub use outcome::Outcome;
+pub use peer::Peer;
 pub use proof::Key;
+pub use sent::Sent;
 pub use task::{Report, Task};
 
 /// Names an open connection within one process.
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -1,6 +1,8 @@
 use quincewheel_job::{End, Run, Task, Worker};
 use serde::{Deserialize, Serialize};
 
+use crate::peer::Peer;
+
 /// What an agent tells the owner about its worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Notice {
@@ -59,6 +61,8 @@
         /// Which start of it.
         run: u64,
     },
+    /// Not from an agent: one entry tells another something about a job.
+    Entry(Peer),
 }
 
 /// Why a start did not take effect.
