Record ends that no client waits for within 20 ms

Cause: a worker tells its next end only after the ones before are recorded, or 300 ms later.

Change: such ends are recorded within 20 ms instead of 100.

--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -15,7 +15,7 @@
 pub(crate) const RENEW: u64 = 500;
 /// Progress that no client waits for is recorded after this time, in
 /// milliseconds, together with what else there is by then.
-const GATHER: u64 = 100;
+const GATHER: u64 = 20;
 /// A write without an answer is repeated after this time: a slow table answers
 /// within some 450 ms, and others take the ownership over after 1,700.
 const TIMEOUT: Duration = Duration::from_millis(700);
