Tell the owner of stored jobs and cancellations directly

Cause: no entry told the owner what it had stored; the feed was the only way, also for jobs that the owner's own clients submitted.

Ruled out: deciding over a told job at once. A former owner that does not know of a claim yet would start what the new owner starts, too.

Change: entries send `Peer::Accepted` and `Peer::Cancelled`. A told job that the feed has not reached waits for a write of the owner that the table performs after the job's, which proves that nobody else has claimed; the recorder is woken for it. What the feed has passed is not taken from such a message. Rows stored after a read of all rows stay in the mirror.

A message that is lost is not repeated: the feed tells the job.

--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -94,10 +94,17 @@
         let known = std::mem::take(&mut self.jobs);
         *self = Mirror { owner: self.owner.take(), version, ..Mirror::default() };
         let news = changes.iter().filter_map(|change| self.apply(change)).collect();
-        for (id, view) in known.into_iter().filter(|(_, view)| view.told > version) {
-            if let (Some(progress), Some(now)) = (view.progress, self.jobs.get_mut(&id)) {
+        for (id, view) in known {
+            let later = view.job.as_ref().is_some_and(|(_, stored)| *stored > version);
+            if view.told > version
+                && let (Some(progress), Some(now)) = (view.progress.clone(), self.jobs.get_mut(&id))
+            {
                 now.take_progress(progress, view.told);
             }
+            // Stored since the rows were read.
+            if later {
+                self.jobs.entry(id).or_insert(view);
+            }
         }
         news
     }
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -11,6 +11,7 @@
 mod links;
 mod looks;
 mod metrics;
+mod news;
 mod own;
 mod record;
 mod rpc;
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -9,6 +9,7 @@
 use quincewheel_store::{Change, Commit, Error, Expect, Put, Read};
 
 use super::looks;
+use super::news;
 use super::own::put;
 use super::state::{Shared, Site};
 use super::work::Work;
@@ -185,8 +186,7 @@
 fn accepted(shared: &Site, id: &str, job: Job, version: u64, ms: u64) {
     let (queue, team, chain) = (job.queue.name.as_str(), job.team.as_str(), job.chain());
     log::info!(event = "accepted", job = id, queue = queue, team = team, chain = chain, ms = ms; "version {version} {}", job.shape());
-    let mut mirror = shared.mirror.borrow_mut();
-    mirror.jobs.entry(id.to_owned()).or_default().job = Some((job, version));
+    news::accepted(shared, id, job, version);
 }
 
 async fn tell_state(shared: &Site, target: &Target, id: &str) -> Answer {
@@ -217,7 +217,7 @@
     match write(shared, &commit).await {
         Ok(version) => {
             log::info!(event = "cancelled", job = id; "version {version}");
-            shared.mirror.borrow_mut().jobs.entry(id.to_owned()).or_default().cancelled = true;
+            news::cancelled(shared, id);
             if known { Answer::Cancelled } else { Answer::Unknown }
         }
         Err(error) => failed(shared, &error),
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quincewheel_dispatch::News;
+use quincewheel_dispatch::{Mirror, News, Owner};
 use quincewheel_platform::{self as platform, Skipped, Space, Table};
 use quincewheel_store::{Change, Changes, Error, Read};
 
@@ -172,19 +172,23 @@
             }
         }
         News::Job(id) => {
-            let view = mirror.jobs.get(&id);
-            if let (Some(owner), Some(view)) = (owner.as_mut(), view)
-                && let Some((job, version)) = &view.job
-            {
-                owner.job(&id, job.clone(), *version, view.progress.clone());
-                if view.cancelled {
-                    owner.cancel(&id, now);
-                }
+            if let Some(owner) = owner.as_mut() {
+                tell_job(owner, &mirror, &id, now);
             }
         }
     }
 }
 
+/// Tells the owner of a job as the rows have it.
+pub(crate) fn tell_job(owner: &mut Owner, mirror: &Mirror, id: &str, now: u64) {
+    let Some(view) = mirror.jobs.get(id) else { return };
+    let Some((job, version)) = &view.job else { return };
+    owner.job(id, job.clone(), *version, view.progress.clone());
+    if view.cancelled {
+        owner.cancel(id, now);
+    }
+}
+
 /// Reads all rows, as changes from nothing.
 pub(crate) async fn read_all(table: &Table, space: Space) -> Result<Changes, Error> {
     let mut all = Changes::default();
--- a/crates/entry/src/site/links.rs
+++ b/crates/entry/src/site/links.rs
@@ -11,6 +11,7 @@
 use quincewheel_wire::{Hello, LinkId, Notice, Peer, Role};
 
 use super::looks;
+use super::news;
 use super::own::step;
 use super::state::{Shared, Site};
 
@@ -68,6 +69,8 @@
 /// Takes in what another entry tells.
 fn hear_entry(shared: &Shared, link: LinkId, peer: Peer) {
     match peer {
+        Peer::Accepted { id, version, job } => news::hear_accepted(shared, &id, job, version),
+        Peer::Cancelled { id } => news::hear_cancelled(shared, &id),
         Peer::Look { number, id } => {
             actix_rt::spawn(looks::answer(Rc::clone(shared), link, number, id));
         }
--- /dev/null
+++ b/crates/entry/src/site/news.rs
@@ -0,0 +1,99 @@
+//! Jobs and cancellations that an entry has just stored, told to the owner at once.
+//!
+//! The table's feed tells the owner, too, and proves that none is missed. But it may be
+//! slow, broken or turned away at the owner while the entry that stored the job is served,
+//! and urgent work has a quarter of a second to spare.
+
+use quincewheel_dispatch::Owner;
+use quincewheel_job::{Id, Job};
+use quincewheel_peer::Command;
+use quincewheel_wire::{Peer, Sent};
+
+use super::follow::tell_job;
+use super::state::Site;
+
+/// Jobs that were told to this owner and that it may not decide over yet, with the
+/// versions of their rows.
+///
+/// Another entry may have claimed the ownership before such a job was stored, and starts
+/// it at once; an owner that does not know of that claim yet would start it, too. The
+/// feed tells the claim first. A job that is told past the feed waits for a write of
+/// this owner that the table performs after the job's: its condition is that nobody else
+/// has claimed.
+#[derive(Debug, Default)]
+pub(crate) struct Unproven {
+    jobs: Vec<(Id, u64)>,
+}
+
+impl Unproven {
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    pub fn clear(&mut self) {
+        self.jobs.clear();
+    }
+
+    /// Takes the jobs that were stored before a version.
+    fn before(&mut self, version: u64) -> Vec<Id> {
+        let older = self.jobs.extract_if(.., |(_, stored)| *stored < version);
+        older.map(|(id, _)| id).collect()
+    }
+}
+
+/// This entry stored a job: tells the owner.
+pub(crate) fn accepted(shared: &Site, id: &str, job: Job, version: u64) {
+    if shared.owner.borrow().is_some() {
+        return hear_accepted(shared, id, job, version);
+    }
+    store(shared, id, &job, version);
+    tell(shared, Peer::Accepted { id: id.to_owned(), version, job });
+}
+
+/// This entry stored a cancellation: tells the owner.
+pub(crate) fn cancelled(shared: &Site, id: &str) {
+    hear_cancelled(shared, id);
+    tell(shared, Peer::Cancelled { id: id.to_owned() });
+}
+
+/// An entry has stored a job.
+pub(crate) fn hear_accepted(shared: &Site, id: &str, job: Job, version: u64) {
+    // The feed has told it, and perhaps that its rows were dropped since.
+    if version <= shared.mirror.borrow().version {
+        return;
+    }
+    store(shared, id, &job, version);
+    if shared.owner.borrow().is_some() {
+        shared.unproven.borrow_mut().jobs.push((id.to_owned(), version));
+        shared.unrecorded.notify_one();
+    }
+}
+
+/// An entry has stored a cancellation. It needs no proof: a stop harms nothing.
+pub(crate) fn hear_cancelled(shared: &Site, id: &str) {
+    shared.mirror.borrow_mut().jobs.entry(id.to_owned()).or_default().cancelled = true;
+    if let Some(owner) = shared.owner.borrow_mut().as_mut() {
+        owner.cancel(id, quincewheel_clock::boot());
+    }
+    shared.wake.notify_one();
+}
+
+/// The table has performed a write of this owner that has this version.
+pub(crate) fn prove(shared: &Site, owner: &mut Owner, version: u64) {
+    let proven = shared.unproven.borrow_mut().before(version);
+    let mirror = shared.mirror.borrow();
+    for id in proven {
+        tell_job(owner, &mirror, &id, quincewheel_clock::boot());
+    }
+}
+
+fn store(shared: &Site, id: &str, job: &Job, version: u64) {
+    let mut mirror = shared.mirror.borrow_mut();
+    mirror.jobs.entry(id.to_owned()).or_default().job = Some((job.clone(), version));
+}
+
+fn tell(shared: &Site, peer: Peer) {
+    if let Some((link, _)) = *shared.from_owner.borrow() {
+        shared.hub.ask(Command::Send { link, frame: Sent::from(peer) });
+    }
+}
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -242,6 +242,7 @@
     let Some(owner) = shared.owner.borrow_mut().take() else { return };
     log::info!(event = "deposed", epoch = owner.epoch(); "{reason}");
     *shared.held.borrow_mut() = None;
+    shared.unproven.borrow_mut().clear();
     let entries = std::mem::take(&mut *shared.entries.borrow_mut());
     for link in owner.links().into_iter().chain(entries.into_values()) {
         shared.hub.ask(Command::Close { link, reason: "no longer the owner" });
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -8,6 +8,7 @@
 use quincewheel_platform::Space;
 use quincewheel_store::{Commit, Error, Expect, Read};
 
+use super::news;
 use super::own::{depose, put, step};
 use super::state::{Shared, Site};
 
@@ -35,7 +36,10 @@
     loop {
         let now = quincewheel_clock::boot();
         let wanted = shared.owner.borrow().as_ref().is_some_and(|owner| {
-            owner.urgent() || (owner.unrecorded() && now >= last + GATHER) || now >= last + RENEW
+            let told = !shared.unproven.borrow().is_empty();
+            told || owner.urgent()
+                || (owner.unrecorded() && now >= last + GATHER)
+                || now >= last + RENEW
         });
         if !wanted {
             let _ = tokio::time::timeout(LOOK, shared.unrecorded.notified()).await;
@@ -120,6 +124,7 @@
     *shared.held.borrow_mut() = Some((mine.clone(), version));
     owner.confirm(sent);
     owner.recorded(batch, true);
+    news::prove(shared, owner, version);
     let mut mirror = shared.mirror.borrow_mut();
     shared.recorded.notify_waiters();
     for name in batch.gone.iter().filter(|name| owner.is_dismissed(name)) {
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -16,6 +16,7 @@
 use super::gate::Gate;
 use super::looks::Looks;
 use super::metrics::Metrics;
+use super::news::Unproven;
 use super::skips;
 use super::upkeep::Wish;
 
@@ -66,6 +67,8 @@
     pub entries: RefCell<BTreeMap<String, LinkId>>,
     /// The connection that the owner made to this entry, and the owner's name.
     pub from_owner: RefCell<Option<(LinkId, String)>>,
+    /// Jobs that the owner may not decide over yet.
+    pub unproven: RefCell<Unproven>,
     /// Questions to the owner that wait for an answer.
     pub looks: RefCell<Looks>,
     /// Submissions whose write got no answer.
@@ -121,6 +124,7 @@
             dials: RefCell::default(),
             entries: RefCell::default(),
             from_owner: RefCell::new(None),
+            unproven: RefCell::default(),
             looks: RefCell::default(),
             unsettled: RefCell::default(),
             failures: Cell::new(0),
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -15,7 +15,7 @@
 const PAST: usize = 32;
 
 /// What the runner wants done.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Call the worker and hand the answer to [`Runner::answer`].
     Call {
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -4,7 +4,7 @@
 use crate::peer::Peer;
 
 /// What an agent tells the owner about its worker.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Notice {
     /// The agent follows a later epoch than the one claimed.
     Superseded {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,9 +1,23 @@
-use quincewheel_job::{Id, Progress};
+use quincewheel_job::{Id, Job, Progress};
 use serde::{Deserialize, Serialize};
 
 /// What entries tell one another about jobs.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Peer {
+    /// To the owner: the sender has stored this job.
+    Accepted {
+        /// The job.
+        id: Id,
+        /// The version of its row.
+        version: u64,
+        /// What the row holds.
+        job: Job,
+    },
+    /// To the owner: the sender has stored a client's cancellation.
+    Cancelled {
+        /// The job.
+        id: Id,
+    },
     /// To the owner: how far is this job?
     Look {
         /// Names the question.
--- a/crates/wire/src/sent.rs
+++ b/crates/wire/src/sent.rs
@@ -8,7 +8,7 @@
 ///
 /// Written without a mark of its own: whoever reads knows by the sender's role which of
 /// the two it is.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(untagged)]
 pub enum Sent {
     /// To an agent.
