--- a/crates/entry/src/site/news.rs
+++ b/crates/entry/src/site/news.rs
@@ -5,42 +5,13 @@
 //! and urgent work has a quarter of a second to spare.
 
 use quincewheel_dispatch::Owner;
-use quincewheel_job::{Id, Job};
+use quincewheel_job::Job;
 use quincewheel_peer::Command;
 use quincewheel_wire::{Peer, Sent};
 
 use super::follow::tell_job;
 use super::state::Site;
 
-/// Jobs that were told to this owner and that it may not decide over yet, with the
-/// versions of their rows.
-///
-/// Another entry may have claimed the ownership before such a job was stored, and starts
-/// it at once; an owner that does not know of that claim yet would start it, too. The
-/// feed tells the claim first. A job that is told past the feed waits for a write of
-/// this owner that the table performs after the job's: its condition is that nobody else
-/// has claimed.
-#[derive(Debug, Default)]
-pub(crate) struct Unproven {
-    jobs: Vec<(Id, u64)>,
-}
-
-impl Unproven {
-    pub fn is_empty(&self) -> bool {
-        self.jobs.is_empty()
-    }
-
-    pub fn clear(&mut self) {
-        self.jobs.clear();
-    }
-
-    /// Takes the jobs that were stored before a version.
-    fn before(&mut self, version: u64) -> Vec<Id> {
-        let older = self.jobs.extract_if(.., |(_, stored)| *stored < version);
-        older.map(|(id, _)| id).collect()
-    }
-}
-
 /// This entry stored a job: tells the owner.
 pub(crate) fn accepted(shared: &Site, id: &str, job: Job, version: u64) {
     if shared.owner.borrow().is_some() {
@@ -64,7 +35,7 @@
     }
     store(shared, id, &job, version);
     if shared.owner.borrow().is_some() {
-        shared.unproven.borrow_mut().jobs.push((id.to_owned(), version));
+        shared.unproven.borrow_mut().add(id, version);
         shared.unrecorded.notify_one();
     }
 }
@@ -80,7 +51,7 @@
 
 /// The table has performed a write of this owner that has this version.
 pub(crate) fn prove(shared: &Site, owner: &mut Owner, version: u64) {
-    let proven = shared.unproven.borrow_mut().before(version);
+    let proven = shared.unproven.borrow_mut().prove(version);
     let mirror = shared.mirror.borrow();
     for id in proven {
         tell_job(owner, &mirror, &id, quincewheel_clock::boot());
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use quincewheel_dispatch::rows::Ownership;
-use quincewheel_dispatch::{Election, Mirror, Owner, Question, Unsettled};
+use quincewheel_dispatch::{Election, Mirror, Owner, Question, Unproven, Unsettled};
 use quincewheel_job::{Config, Wave};
 use quincewheel_peer::Hub;
 use quincewheel_platform::{self as platform, Bounds, Skip, Table};
@@ -16,7 +16,6 @@
 use super::gate::Gate;
 use super::looks::Looks;
 use super::metrics::Metrics;
-use super::news::Unproven;
 use super::skips;
 use super::upkeep::Wish;
 
