Have another entry store what the table does not answer to

Ruled out: answering before the row is stored; asking from the first moment (each job would be written twice); asking where the table is known to be lost to all (the other entry refuses at once, and so does this one).

Change: a write without an answer for 100 ms, or refused, is given to another entry as well (`Peer::Store`, `Peer::Cancel`); both expect that the row is not there. What may have been stored there is never called not accepted.

--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -4,6 +4,7 @@
 //! the table, answers, and, if this entry owns the deployment, decides.
 
 mod advise;
+mod asks;
 mod calls;
 mod dials;
 mod follow;
@@ -17,6 +18,7 @@
 mod rpc;
 mod skips;
 mod state;
+mod stores;
 mod upkeep;
 mod work;
 
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -1,17 +1,19 @@
 //! Answers clients' calls.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use quincewheel_dispatch::{View, rows};
 use quincewheel_http::Body;
 use quincewheel_job::{Answer, Call, Job, Target};
 use quincewheel_platform::Space;
-use quincewheel_store::{Change, Commit, Error, Expect, Put, Read};
+use quincewheel_store::{Change, Commit, Error, Read};
+use quincewheel_wire::{Peer, Verdict};
 
 use super::looks;
 use super::news;
-use super::own::put;
 use super::state::{Shared, Site};
+use super::stores;
 use super::work::Work;
 
 /// A call to the table without an answer is given up after this time. A slow
@@ -106,17 +108,10 @@
     if let Some(answer) = known(shared, target, id) {
         return answer;
     }
-    let row = put(rows::job(id), &job);
-    let commit = Commit {
-        expect: vec![Expect { key: row.key.clone(), version: 0 }],
-        put: vec![row],
-        delete: Vec::new(),
-    };
     let began = quincewheel_clock::boot();
-    let result = store(shared, id, &commit).await;
-    match result {
-        Ok(version) => {
-            accepted(shared, id, job, version, quincewheel_clock::boot() - began);
+    match store(shared, id, &job).await {
+        Ok(stored) => {
+            accepted(shared, id, job, stored, quincewheel_clock::boot() - began);
             Answer::Accepted
         }
         Err(Error::Conflict { .. }) => match look(shared, id).await {
@@ -129,9 +124,55 @@
     }
 }
 
+/// How a job was stored.
+#[derive(Clone, Copy)]
+enum Stored {
+    /// By this entry, at this version.
+    Here(u64),
+    /// By another entry, which tells the owner.
+    Elsewhere(Option<u64>),
+}
+
+/// Writes a job's row, or has another entry write it where the table does not answer
+/// this one.
+async fn store(shared: &Site, id: &str, job: &Job) -> Result<Stored, Error> {
+    let commit = stores::job_row(id, job);
+    let mut here = pin!(store_here(shared, id, &commit));
+    let ask = |number| Peer::Store { number, id: id.to_owned(), job: job.clone() };
+    let mut elsewhere = pin!(stores::elsewhere(shared, id, ask));
+    match tokio::time::timeout(stores::HEDGE, &mut here).await {
+        Ok(Err(error @ (Error::Refused { .. } | Error::Unclear { .. }))) => {
+            settled(elsewhere.await).unwrap_or(Err(error))
+        }
+        Ok(result) => result.map(Stored::Here),
+        Err(_) => tokio::select! {
+            result = &mut here => match result {
+                Err(error @ (Error::Refused { .. } | Error::Unclear { .. })) => {
+                    settled(elsewhere.await).unwrap_or(Err(error))
+                }
+                result => result.map(Stored::Here),
+            },
+            verdict = &mut elsewhere => match settled(verdict) {
+                Some(result) => result,
+                None => here.await.map(Stored::Here),
+            },
+        },
+    }
+}
+
+/// What another entry's verdict means; none if this entry's own write decides.
+fn settled(verdict: Verdict) -> Option<Result<Stored, Error>> {
+    match verdict {
+        Verdict::Stored(version) => Some(Ok(Stored::Elsewhere(Some(version)))),
+        Verdict::Known => Some(Ok(Stored::Elsewhere(None))),
+        Verdict::Foreign => Some(Err(Error::Conflict { key: String::new() })),
+        Verdict::Refused | Verdict::Unclear => None,
+    }
+}
+
 /// Writes a job's row. Once a write got no answer, tries go on for a while even
 /// where the table is lost: only another one tells what became of it.
-async fn store(shared: &Site, id: &str, commit: &Commit) -> Result<u64, Error> {
+async fn store_here(shared: &Site, id: &str, commit: &Commit) -> Result<u64, Error> {
     let begun = quincewheel_clock::boot();
     loop {
         let now = quincewheel_clock::boot();
@@ -163,7 +204,7 @@
     attempt(shared, commit).await
 }
 
-async fn attempt(shared: &Site, commit: &Commit) -> Result<u64, Error> {
+pub(crate) async fn attempt(shared: &Site, commit: &Commit) -> Result<u64, Error> {
     let result = shared.table.commit(commit, TIMEOUT).await;
     match &result {
         Ok(_) | Err(Error::Conflict { .. }) => shared.table_answered(Ok(())),
@@ -183,10 +224,18 @@
 }
 
 /// It took so many milliseconds to write it.
-fn accepted(shared: &Site, id: &str, job: Job, version: u64, ms: u64) {
+fn accepted(shared: &Site, id: &str, job: Job, stored: Stored, ms: u64) {
     let (queue, team, chain) = (job.queue.name.as_str(), job.team.as_str(), job.chain());
+    let version = match stored {
+        Stored::Here(version) | Stored::Elsewhere(Some(version)) => version,
+        Stored::Elsewhere(None) => 0,
+    };
     log::info!(event = "accepted", job = id, queue = queue, team = team, chain = chain, ms = ms; "version {version} {}", job.shape());
-    news::accepted(shared, id, job, version);
+    match stored {
+        Stored::Here(version) => news::accepted(shared, id, job, version),
+        Stored::Elsewhere(Some(version)) => news::keep(shared, id, &job, version),
+        Stored::Elsewhere(None) => {}
+    }
 }
 
 async fn tell_state(shared: &Site, target: &Target, id: &str) -> Answer {
@@ -212,9 +261,14 @@
     if view.as_ref().is_some_and(|view| view.state().ended()) {
         return if known { Answer::Cancelled } else { Answer::Unknown };
     }
-    let row = Put { key: rows::stop(id), value: "{}".to_owned() };
-    let commit = Commit { put: vec![row], ..Commit::default() };
-    match write(shared, &commit).await {
+    let mut result = write(shared, &stores::cancel_row(id)).await;
+    if matches!(result, Err(Error::Refused { .. } | Error::Unclear { .. })) {
+        let ask = |number| Peer::Cancel { number, id: id.to_owned() };
+        if let Verdict::Stored(version) = stores::elsewhere(shared, id, ask).await {
+            result = Ok(version);
+        }
+    }
+    match result {
         Ok(version) => {
             log::info!(event = "cancelled", job = id; "version {version}");
             news::cancelled(shared, id);
@@ -235,7 +289,7 @@
 }
 
 /// Reads a job's rows.
-async fn look(shared: &Site, id: &str) -> Result<Option<View>, Error> {
+pub(crate) async fn look(shared: &Site, id: &str) -> Result<Option<View>, Error> {
     if shared.is_table_lost() {
         let (step, peer) = ("read", shared.settings.table.clone());
         let detail = "not sent: the table does not answer".to_owned();
--- a/crates/entry/src/site/links.rs
+++ b/crates/entry/src/site/links.rs
@@ -14,6 +14,7 @@
 use super::news;
 use super::own::step;
 use super::state::{Shared, Site};
+use super::stores;
 
 /// A write of the entry's own row is repeated after this time.
 const TIMEOUT: Duration = Duration::from_millis(1200);
@@ -74,7 +75,17 @@
         Peer::Look { number, id } => {
             actix_rt::spawn(looks::answer(Rc::clone(shared), link, number, id));
         }
-        Peer::Found { number, id, progress } => looks::found(shared, number, &id, progress),
+        Peer::Found { number, ref id, ref progress } => {
+            looks::found(shared, id, progress.clone());
+            shared.asks.borrow_mut().answer(number, peer);
+        }
+        Peer::Store { number, id, job } => {
+            actix_rt::spawn(stores::hear_job(Rc::clone(shared), link, number, id, job));
+        }
+        Peer::Cancel { number, id } => {
+            actix_rt::spawn(stores::hear_cancel(Rc::clone(shared), link, number, id));
+        }
+        Peer::Stored { number, .. } => shared.asks.borrow_mut().answer(number, peer),
     }
 }
 
--- a/crates/entry/src/site/looks.rs
+++ b/crates/entry/src/site/looks.rs
@@ -6,15 +6,14 @@
 //! answers when what it knows is recorded: "succeeded" may be told only once no loss of
 //! power can take it back.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use quincewheel_job::{Id, Progress};
 use quincewheel_peer::Command;
 use quincewheel_wire::{LinkId, Peer, Sent};
-use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use super::asks::ask;
 use super::state::{Shared, Site};
 
 /// Longest time for which the state of a job waits for the record of its end: several
@@ -27,15 +26,6 @@
 /// cut off, and each client would wait for it.
 const SILENCE: u64 = 1000;
 
-/// Questions to the owner that wait for an answer.
-#[derive(Debug, Default)]
-pub(crate) struct Looks {
-    next: u64,
-    waiting: BTreeMap<u64, oneshot::Sender<()>>,
-    /// The owner is not asked before this time.
-    silent_until: u64,
-}
-
 /// Brings what this entry knows of a job up to date, as far as that takes no longer than
 /// a record does.
 pub(crate) async fn refresh(shared: &Site, id: &str) {
@@ -46,27 +36,15 @@
     if shared.owner.borrow().is_some() {
         return recorded(shared, id).await;
     }
-    let Some(answer) = ask(shared, id) else { return };
-    if timeout(ANSWER, answer).await.is_err() {
-        let until = quincewheel_clock::boot() + SILENCE;
-        shared.looks.borrow_mut().silent_until = until;
+    if quincewheel_clock::boot() < shared.owner_silent.get() {
+        return;
     }
-}
-
-/// Asks the owner, if one is connected and answers.
-fn ask(shared: &Site, id: &str) -> Option<oneshot::Receiver<()>> {
-    let (link, _) = shared.from_owner.borrow().clone()?;
-    let mut looks = shared.looks.borrow_mut();
-    if quincewheel_clock::boot() < looks.silent_until {
-        return None;
+    let Some((link, _)) = shared.from_owner.borrow().clone() else { return };
+    let question = |number| Peer::Look { number, id: id.to_owned() };
+    let Some(answer) = ask(shared, link, question) else { return };
+    if timeout(ANSWER, answer).await.is_err() {
+        shared.owner_silent.set(quincewheel_clock::boot() + SILENCE);
     }
-    looks.waiting.retain(|_, waits| !waits.is_closed());
-    looks.next += 1;
-    let number = looks.next;
-    let (told, answer) = oneshot::channel();
-    looks.waiting.insert(number, told);
-    let frame = Sent::from(Peer::Look { number, id: id.to_owned() });
-    shared.hub.ask(Command::Send { link, frame }).then_some(answer)
 }
 
 /// Answers another entry once what this one knows is recorded.
@@ -78,15 +56,11 @@
 }
 
 /// The owner's answer came.
-pub(crate) fn found(shared: &Site, number: u64, id: &str, progress: Option<(Progress, u64)>) {
+pub(crate) fn found(shared: &Site, id: &str, progress: Option<(Progress, u64)>) {
     let mut mirror = shared.mirror.borrow_mut();
     if let (Some(view), Some((progress, version))) = (mirror.jobs.get_mut(id), progress) {
         view.take_progress(progress, version);
     }
-    if let Some(told) = shared.looks.borrow_mut().waiting.remove(&number) {
-        // A client that went away does not wait any more.
-        let _ = told.send(());
-    }
 }
 
 /// Waits while the end of a job is being recorded, if this entry owns and knows that it
--- a/crates/entry/src/site/news.rs
+++ b/crates/entry/src/site/news.rs
@@ -17,7 +17,7 @@
     if shared.owner.borrow().is_some() {
         return hear_accepted(shared, id, job, version);
     }
-    store(shared, id, &job, version);
+    keep(shared, id, &job, version);
     tell(shared, Peer::Accepted { id: id.to_owned(), version, job });
 }
 
@@ -33,7 +33,7 @@
     if version <= shared.mirror.borrow().version {
         return;
     }
-    store(shared, id, &job, version);
+    keep(shared, id, &job, version);
     if shared.owner.borrow().is_some() {
         shared.unproven.borrow_mut().add(id, version);
         shared.unrecorded.notify_one();
@@ -58,7 +58,8 @@
     }
 }
 
-fn store(shared: &Site, id: &str, job: &Job, version: u64) {
+/// Takes in a job whose row has this version.
+pub(crate) fn keep(shared: &Site, id: &str, job: &Job, version: u64) {
     let mut mirror = shared.mirror.borrow_mut();
     mirror.jobs.entry(id.to_owned()).or_default().job = Some((job.clone(), version));
 }
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -12,9 +12,9 @@
 use quincewheel_wire::{LinkId, Sent};
 use tokio::sync::Notify;
 
+use super::asks::Asks;
 use super::dials::Dials;
 use super::gate::Gate;
-use super::looks::Looks;
 use super::metrics::Metrics;
 use super::skips;
 use super::upkeep::Wish;
@@ -68,8 +68,10 @@
     pub from_owner: RefCell<Option<(LinkId, String)>>,
     /// Jobs that the owner may not decide over yet.
     pub unproven: RefCell<Unproven>,
-    /// Questions to the owner that wait for an answer.
-    pub looks: RefCell<Looks>,
+    /// Questions to other entries that wait for an answer.
+    pub asks: RefCell<Asks>,
+    /// The owner did not answer one, and is not asked before this time.
+    pub owner_silent: Cell<u64>,
     /// Submissions whose write got no answer.
     pub unsettled: RefCell<Unsettled>,
     /// Calls in a row that the table did not answer.
@@ -124,7 +126,8 @@
             entries: RefCell::default(),
             from_owner: RefCell::new(None),
             unproven: RefCell::default(),
-            looks: RefCell::default(),
+            asks: RefCell::default(),
+            owner_silent: Cell::new(0),
             unsettled: RefCell::default(),
             failures: Cell::new(0),
             table_lost: Cell::new(None),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -34,7 +34,7 @@
 pub use notice::{Notice, Refused};
 pub use order::Order;
 pub use outcome::Outcome;
-pub use peer::Peer;
+pub use peer::{Peer, Verdict};
 pub use proof::Key;
 pub use sent::Sent;
 pub use task::{Report, Task};
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,21 @@
 use quincewheel_job::{Id, Job, Progress};
 use serde::{Deserialize, Serialize};
 
+/// What became of a row that another entry was asked to store.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Verdict {
+    /// It is stored, at this version.
+    Stored(u64),
+    /// It was there already, and is the same team's.
+    Known,
+    /// Another team's job has this name.
+    Foreign,
+    /// It was not stored by this entry and will not be.
+    Refused,
+    /// It may be stored, or may yet be.
+    Unclear,
+}
+
 /// What entries tell one another about jobs.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Peer {
@@ -18,6 +33,29 @@
         /// The job.
         id: Id,
     },
+    /// Store this job: the table does not answer the sender.
+    Store {
+        /// Names the question.
+        number: u64,
+        /// The job.
+        id: Id,
+        /// What its row is to hold.
+        job: Job,
+    },
+    /// Store a client's cancellation: the table does not answer the sender.
+    Cancel {
+        /// Names the question.
+        number: u64,
+        /// The job.
+        id: Id,
+    },
+    /// What became of it.
+    Stored {
+        /// Names the question.
+        number: u64,
+        /// The answer.
+        verdict: Verdict,
+    },
     /// To the owner: how far is this job?
     Look {
         /// Names the question.
