Hand the ownership over where the table answers others only

Cause: an owner that the table turned away, reset or left without answers kept the ownership until its row had stood still for 1.7 s and more. Meanwhile no end was recorded (clients were told "running" 0.9 to 2.9 s after the end), and nothing that other entries had accepted was known where the feed was gone, too.

Ruled out: handing over after one answer that was lost (the owner's own read still works, and a change of owner costs some 100 ms in which nothing starts), and where the table answers nobody (then no other owner would do better).

Change: after a write without an answer for 350 ms, or refused, the owner reads its row; where that fails, it asks the other entries whether the table answers them (`Peer::Reach`, which reads, too), stops deciding, and has one of them write that nobody owns (`Peer::HandOver`). Handing over at the end of a process moved to the same module.

--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -9,6 +9,7 @@
 mod dials;
 mod follow;
 mod gate;
+mod handover;
 mod links;
 mod looks;
 mod metrics;
@@ -149,11 +150,11 @@
     // A table that does not answer holds the hand-over up for over a second,
     // which must not be added to the time: the process would be killed with
     // calls in flight.
-    own::hand_over(shared).await;
+    handover::hand_over(shared).await;
     tokio::time::sleep_until(begin + grace.saturating_sub(CLOSING)).await;
     shared.gate.close();
     // A table that is slow must not cost the time that the last calls have.
-    let _ = tokio::time::timeout(LAST, own::hand_over(shared)).await;
+    let _ = tokio::time::timeout(LAST, handover::hand_over(shared)).await;
     let end = tokio::time::Instant::now() + LAST;
     tokio::time::sleep(LAST / 2).await;
     while shared.gate.active() > 0 && tokio::time::Instant::now() < end {
--- /dev/null
+++ b/crates/entry/src/site/handover.rs
@@ -0,0 +1,104 @@
+//! Handing the ownership over: when the process ends, and where the table does not answer
+//! this entry while it serves others.
+//!
+//! An owner that the table does not answer cannot record ends, nor does it hear of new
+//! jobs; others take over once its row has stood still for 1.7 s, while urgent work has a
+//! quarter of a second to spare. It knows sooner itself, and can ask the others.
+
+use std::time::Duration;
+
+use quincewheel_dispatch::rows::{OWNER, Ownership};
+use quincewheel_peer::Command;
+use quincewheel_store::{Commit, Expect};
+use quincewheel_wire::{LinkId, Peer};
+use tokio::time::timeout;
+
+use super::asks::ask;
+use super::own::{depose, put};
+use super::record::read_owner;
+use super::state::{Shared, Site};
+
+/// A write without an answer is repeated after this time.
+const TIMEOUT: Duration = Duration::from_millis(1200);
+/// A table that has not answered a read for so long does not answer at all: a slow one
+/// takes up to 450 ms for a write, and less for a read.
+const PROBE: Duration = Duration::from_millis(400);
+/// Longest time for which another entry is asked: its probe, and the way there and back.
+const ANSWER: Duration = Duration::from_millis(450);
+
+/// Gives the ownership up, so that another entry takes it without waiting.
+pub(crate) async fn hand_over(shared: &Site) {
+    let Some((mine, version)) = shared.held.borrow().clone() else { return };
+    depose(shared, "shutting down");
+    if let Err(error) = shared.table.commit(&vacant(mine, version), TIMEOUT).await {
+        // The others take over once the row stands still.
+        log::warn!(event = "hand over"; "{error}");
+    }
+}
+
+/// Gives the ownership up if the table answers another entry and not this one. One
+/// answer that is lost, or a table that answers nobody, is no reason: then no other owner
+/// would do better, and changing it costs some 100 ms in which nothing starts.
+pub(crate) async fn leave_if_cut_off(shared: &Site) -> bool {
+    if answers(shared).await {
+        return false;
+    }
+    let Some(link) = well(shared).await else { return false };
+    let Some((mine, version)) = shared.held.borrow().clone() else { return false };
+    let commit = vacant(mine, version);
+    let value = commit.put.into_iter().map(|row| row.value).collect();
+    let frame = Peer::HandOver { value, version }.into();
+    // Sent before the connections are closed, which sends what is queued first.
+    shared.hub.ask(Command::Send { link, frame });
+    depose(shared, "the table answers others only");
+    true
+}
+
+/// Another entry asks whether the table answers this one.
+pub(crate) async fn hear_reach(shared: Shared, link: LinkId, number: u64) {
+    let well = answers(&shared).await;
+    shared.hub.ask(Command::Send { link, frame: Peer::Reached { number, well }.into() });
+}
+
+/// The former owner asks to write that nobody owns.
+///
+/// Its last write may have been performed without an answer: then the row has a later
+/// version than it knows, which this entry's feed tells.
+pub(crate) async fn hear_hand_over(shared: Shared, value: String, version: u64) {
+    let seen = shared.mirror.borrow().owner.clone();
+    let Ok(mine) = serde_json::from_str::<Ownership>(&value) else { return };
+    let same = seen.filter(|(owner, _)| owner.epoch == mine.epoch);
+    let version = same.map_or(version, |(_, seen)| seen.max(version));
+    if let Err(error) = shared.table.commit(&vacant(mine, version), TIMEOUT).await {
+        // The others take over once the row stands still.
+        log::warn!(event = "hand over"; "{error}");
+    }
+}
+
+/// The write that tells that nobody owns.
+fn vacant(mut mine: Ownership, version: u64) -> Commit {
+    mine.holder = String::new();
+    mine.sequence += 1;
+    Commit {
+        expect: vec![Expect { key: OWNER.to_owned(), version }],
+        put: vec![put(OWNER.to_owned(), &mine)],
+        delete: Vec::new(),
+    }
+}
+
+async fn answers(shared: &Site) -> bool {
+    matches!(timeout(PROBE, read_owner(shared)).await, Ok(Ok(_)))
+}
+
+/// A connection to an entry that the table answers.
+async fn well(shared: &Site) -> Option<LinkId> {
+    let links: Vec<LinkId> = shared.entries.borrow().values().copied().collect();
+    for link in links {
+        let Some(answer) = ask(shared, link, |number| Peer::Reach { number }) else { continue };
+        let answer = timeout(ANSWER, answer).await;
+        if matches!(answer, Ok(Ok(Peer::Reached { well: true, .. }))) {
+            return Some(link);
+        }
+    }
+    None
+}
--- a/crates/entry/src/site/links.rs
+++ b/crates/entry/src/site/links.rs
@@ -10,6 +10,7 @@
 use quincewheel_store::Error;
 use quincewheel_wire::{Hello, LinkId, Notice, Peer, Role};
 
+use super::handover;
 use super::looks;
 use super::news;
 use super::own::step;
@@ -85,7 +86,15 @@
         Peer::Cancel { number, id } => {
             actix_rt::spawn(stores::hear_cancel(Rc::clone(shared), link, number, id));
         }
-        Peer::Stored { number, .. } => shared.asks.borrow_mut().answer(number, peer),
+        Peer::Reach { number } => {
+            actix_rt::spawn(handover::hear_reach(Rc::clone(shared), link, number));
+        }
+        Peer::HandOver { value, version } => {
+            actix_rt::spawn(handover::hear_hand_over(Rc::clone(shared), value, version));
+        }
+        Peer::Stored { number, .. } | Peer::Reached { number, .. } => {
+            shared.asks.borrow_mut().answer(number, peer);
+        }
     }
 }
 
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -249,23 +249,6 @@
     }
 }
 
-/// Gives the ownership up, so that another entry takes it without waiting.
-pub(crate) async fn hand_over(shared: &Site) {
-    let Some((mut mine, version)) = shared.held.borrow().clone() else { return };
-    depose(shared, "shutting down");
-    mine.holder = String::new();
-    mine.sequence += 1;
-    let commit = Commit {
-        expect: vec![Expect { key: OWNER.to_owned(), version }],
-        put: vec![put(OWNER.to_owned(), &mine)],
-        delete: Vec::new(),
-    };
-    if let Err(error) = shared.table.commit(&commit, TIMEOUT).await {
-        // The others take over once the row stands still.
-        log::warn!(event = "hand over"; "{error}");
-    }
-}
-
 pub(crate) fn put(key: String, value: &impl serde::Serialize) -> Put {
     let value = serde_json::to_string(value).expect("rows are plain data");
     Put { key, value }
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -1,5 +1,6 @@
 //! Records what the owner must not forget, and renews its ownership with it.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use quincewheel_dispatch::rows::{self, OWNER, Ownership, TIMES};
@@ -7,7 +8,9 @@
 use quincewheel_job::Id;
 use quincewheel_platform::Space;
 use quincewheel_store::{Commit, Error, Expect, Read};
+use tokio::time::timeout;
 
+use super::handover::leave_if_cut_off;
 use super::news;
 use super::own::{depose, put, step};
 use super::state::{Shared, Site};
@@ -20,6 +23,9 @@
 /// A write without an answer is repeated after this time: a slow table answers
 /// within some 450 ms, and others take the ownership over after 1,700.
 const TIMEOUT: Duration = Duration::from_millis(700);
+/// An owner looks whether it is cut off from the table when a write has had no answer
+/// for so long: most of what a slow table takes.
+const SLOW: Duration = Duration::from_millis(350);
 /// Most jobs whose rows are dropped with one record; four rows each, and a
 /// transaction takes 100 rows.
 const EXPIRED: usize = 5;
@@ -76,7 +82,13 @@
     commit.put.extend(batch.jobs.iter().map(|(id, progress)| put(rows::run(id), progress)));
     loop {
         let sent = quincewheel_clock::boot();
-        match shared.table.commit(&commit, TIMEOUT).await {
+        let mut writing = pin!(shared.table.commit(&commit, TIMEOUT));
+        let result = match timeout(SLOW, &mut writing).await {
+            Ok(result) => result,
+            Err(_) if leave_if_cut_off(shared).await => return,
+            Err(_) => writing.await,
+        };
+        match result {
             Ok(written) => {
                 version = written;
                 finish(shared, batch, &mine, version, sent);
@@ -95,7 +107,7 @@
             },
             Err(error) => shared.table_answered(Err(&error)),
         }
-        if shared.owner.borrow().is_none() {
+        if shared.owner.borrow().is_none() || leave_if_cut_off(shared).await {
             return;
         }
         tokio::time::sleep(PAUSE).await;
@@ -139,7 +151,7 @@
     }
 }
 
-async fn read_owner(shared: &Site) -> Result<(Ownership, u64), Error> {
+pub(crate) async fn read_owner(shared: &Site) -> Result<(Ownership, u64), Error> {
     let read = Read { prefix: OWNER.to_owned(), after: String::new(), limit: 1 };
     let (page, _) = shared.table.read(Space::Own, &read, TIMEOUT).await?;
     let row = page.rows.into_iter().next();
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -56,6 +56,25 @@
         /// The answer.
         verdict: Verdict,
     },
+    /// From the owner: does the table answer you?
+    Reach {
+        /// Names the question.
+        number: u64,
+    },
+    /// Whether it does.
+    Reached {
+        /// Names the question.
+        number: u64,
+        /// It answered just now.
+        well: bool,
+    },
+    /// From the former owner: write that nobody owns. The sender decides no more.
+    HandOver {
+        /// What the ownership row is to hold.
+        value: String,
+        /// The row's version, as far as the sender knows.
+        version: u64,
+    },
     /// To the owner: how far is this job?
     Look {
         /// Names the question.
