Move what decides into a crate of plain functions

Cause: rank, spare room, the price of making room, blame and pace stood in sixteen files of `dispatch` that hold `Owner` in a circle, and could be tested only through an owner with agents and orders.

Change: `quincewheel-policy` holds them as plain functions on plain views of jobs and workers, without an owner, a network or a clock; `dispatch` applies what they decide. Moved, not copied: `Goal`, `Rank`, `Hope`, `spare`, `loss`, `pays`, `promised`, `Blame`, `share`, `stands_still`, `waves`; the two sums of what teams are guaranteed became one (`Guarantees`). Tests name the pattern of load that each answers and the ground of its figures.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -1,7 +1,7 @@
 use quincewheel_job::{Task, Worker};
+use quincewheel_policy::Blame;
 use quincewheel_wire::LinkId;
 
-use crate::blame::Blame;
 use crate::lack::Lack;
 use crate::refusals::Refusals;
 use crate::settings::Settings;
--- a/crates/dispatch/src/blame.rs
+++ b/crates/dispatch/src/blame.rs
@@ -1,75 +1,15 @@
-//! Failures: the task's own, or its worker's.
-//!
-//! A worker may fail everything that it starts, within a tenth of a second, and
-//! report itself well. In a full pool its places are the ones that are free, so
-//! a task that failed there would start there again, and burn all its attempts
-//! in less than a second. So a task does not return to a worker at which it
-//! failed, and a worker at which several jobs fail, and none succeeds, is closed
-//! for a while. Jobs whose tasks fail everywhere close no worker by themselves.
+//! Applies what speaks against workers.
 
 use std::collections::BTreeSet;
 
-use quincewheel_job::{Id, Task};
+use quincewheel_job::Task;
+use quincewheel_policy::{AVOIDED, bound_avoided, most_closed};
 
 use crate::board::Board;
 use crate::candidate::Candidate;
 use crate::owner::Owner;
 use crate::reports::key;
 
-/// Failures in a row after which a worker is closed ...
-const FAILURES: u32 = 3;
-/// ... if they are of so many jobs.
-const JOBS: usize = 2;
-/// How long it is closed at first, in milliseconds: half of what such a state
-/// lasts. Doubles each time until a run succeeds there.
-const CLOSED: u64 = 3000;
-/// Most doublings.
-const DOUBLINGS: u32 = 3;
-/// A task does not return to a worker at which it failed for so many
-/// milliseconds. No longer, since no other worker may be able to run it.
-const AVOIDED: u64 = 2500;
-/// No more than one worker in so many is closed, nor avoided by one step: where
-/// most fail, the cause is elsewhere.
-const PART: usize = 4;
-
-/// What speaks against a worker.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Blame {
-    /// Runs that failed there in a row.
-    failures: u32,
-    /// Their jobs.
-    jobs: BTreeSet<Id>,
-    /// How often it was closed in a row.
-    times: u32,
-    /// It is closed until then.
-    pub until: u64,
-}
-
-impl Blame {
-    /// A run succeeded.
-    pub fn clear(&mut self) {
-        *self = Blame::default();
-    }
-
-    fn note(&mut self, job: &str) {
-        self.failures += 1;
-        self.jobs.insert(job.to_owned());
-    }
-
-    fn is_due(&self) -> bool {
-        self.failures >= FAILURES && self.jobs.len() >= JOBS
-    }
-
-    fn close(&mut self, now: u64) -> u64 {
-        let length = CLOSED << self.times.min(DOUBLINGS);
-        self.until = now + length;
-        self.times += 1;
-        self.failures = 0;
-        self.jobs.clear();
-        length
-    }
-}
-
 impl Owner {
     /// Takes note of a failure at an agent's worker.
     pub(crate) fn blame(&mut self, name: &str, task: &Task, now: u64) {
@@ -82,10 +22,9 @@
             self.avoiding = Some(self.avoiding.map_or(until, |at| at.min(until)));
         }
         let closed = self.agents.values().filter(|agent| now < agent.blame.until).count();
-        let most = (self.agents.len() / PART).max(1);
+        let most = most_closed(self.agents.len());
         let Some(agent) = self.agents.get_mut(name) else { return };
-        agent.blame.note(&task.job);
-        if agent.blame.is_due() && closed < most {
+        if agent.blame.note(&task.job) && closed < most {
             let ms = agent.blame.close(now);
             self.log("worker closed", name, format!("for {ms} ms: all that it starts fails"));
         }
@@ -127,6 +66,6 @@
         let places = board.spots.iter().enumerate();
         let avoided: Vec<usize> =
             places.filter(|(_, spot)| workers.contains(&spot.worker)).map(|(at, _)| at).collect();
-        if avoided.len() > (board.spots.len() / PART).max(1) { Vec::new() } else { avoided }
+        bound_avoided(avoided, board.spots.len())
     }
 }
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Id, Need, Step};
+use quincewheel_job::{Id, Need};
 use quincewheel_place::{Holder, Spot};
+use quincewheel_policy::{Guarantees, loss};
 
-use crate::entry::{Key, Phase, Placed};
+use crate::entry::{Key, Phase};
 use crate::owner::Owner;
 use crate::tally::Bar;
 
@@ -20,47 +21,6 @@
 }
 
 impl Board {
-    /// Hides whole workers of a pool from work that can wait, and returns what
-    /// they have free.
-    ///
-    /// Urgent gangs come at any moment, want whole workers of one rack, and have
-    /// less time than a stop takes. Where work that has many seconds left takes
-    /// the last such workers, each urgent gang stops some of it.
-    pub fn spare(&mut self, pool: &str) -> Vec<(usize, Need)> {
-        let mine = |spot: &&Spot| spot.pool == pool;
-        let all = self.spots.iter().filter(mine).count();
-        let mut free: Vec<usize> = (0..self.spots.len())
-            .filter(|&place| {
-                let spot = &self.spots[place];
-                spot.pool == pool && spot.free == spot.capacity
-            })
-            .collect();
-        // Whole racks first: gangs want one.
-        let rack = |place: &usize| {
-            let rack = &self.spots[*place].rack;
-            let same = free.iter().filter(|&&other| self.spots[other].rack == *rack).count();
-            (usize::MAX - same, rack.clone())
-        };
-        let mut order: Vec<_> = free.iter().map(|place| (rack(place), *place)).collect();
-        order.sort();
-        free = order.into_iter().map(|(_, place)| place).take(all * SPARE / 100).collect();
-        free.into_iter().map(|place| (place, std::mem::take(&mut self.spots[place].free))).collect()
-    }
-
-    /// True if half of the pool is free by any measure: of accelerators,
-    /// processors or memory.
-    pub fn is_half_free(&self, pool: &str) -> bool {
-        let mut all = Need::default();
-        let mut free = Need::default();
-        for spot in self.spots.iter().filter(|spot| spot.pool == pool) {
-            all.give(&spot.capacity);
-            free.give(&spot.free);
-        }
-        free.accelerators * 2 >= all.accelerators
-            || free.cpu * 2 >= all.cpu
-            || free.memory * 2 >= all.memory
-    }
-
     /// Hides workers that a step is not cleared for.
     pub fn hide(&mut self, places: &[usize]) -> Vec<(usize, Spot)> {
         places.iter().map(|&place| (place, std::mem::take(&mut self.spots[place]))).collect()
@@ -73,15 +33,6 @@
         }
     }
 
-    /// Shows again what [`Board::spare`] took, and returns where.
-    pub fn unspare(&mut self, spared: Vec<(usize, Need)>) -> Vec<usize> {
-        let show = |(place, free): (usize, Need)| {
-            self.spots[place].free = free;
-            place
-        };
-        spared.into_iter().map(show).collect()
-    }
-
     /// What bars a step from each place; empty if nothing does anywhere.
     pub fn bars(&self, spared: &[usize], uncleared: &[usize], avoided: &[usize]) -> Vec<Bar> {
         let kinds = [(spared, Bar::Spared), (uncleared, Bar::Uncleared), (avoided, Bar::Avoided)];
@@ -140,7 +91,7 @@
                 if placed.phase == Phase::Stopping {
                     spots[place].stopping.give(&need);
                 } else if yields && self.may_yield(id, *key, &mut taken) {
-                    let loss = loss(step, placed, now);
+                    let loss = loss(step, now.saturating_sub(placed.began));
                     let unit = placed.unit;
                     spots[place].holders.push(Holder { unit, need, borrows, loss, ending });
                 }
@@ -173,42 +124,13 @@
                 units.entry(placed.unit).or_insert((&entry.job.team, 0)).1 += need;
             }
         }
-        let mut used: BTreeMap<&str, u64> = BTreeMap::new();
-        let mut borrowed = BTreeSet::new();
-        for (unit, (team, need)) in units {
-            let guaranteed = self.config.teams.get(team).map_or(0, |team| team.guaranteed);
-            let used = used.entry(team).or_default();
-            *used += need;
-            if *used > guaranteed {
-                borrowed.insert(unit);
-            }
-        }
-        borrowed
+        let units = units.into_iter().map(|(unit, (team, need))| (unit, team, need));
+        self.guarantees().borrowed(units)
     }
-}
-
-/// What a task of the step takes, in cores.
-pub(crate) fn weight(step: &Step) -> u64 {
-    step.need.cpu / 1000 + CORES_PER_ACCELERATOR * step.need.accelerators
-}
 
-/// What stopping a run loses, in core-milliseconds: all since its start, or
-/// with checkpoints, which are also made at a stop, what it takes to resume.
-fn loss(step: &Step, placed: &Placed, now: u64) -> u64 {
-    let ran = now.saturating_sub(placed.began);
-    let unsaved = if step.checkpoints { ran.min(RESUME) } else { ran };
-    unsaved * weight(step) * u64::from(if step.gang { step.count } else { 1 })
+    /// What teams are guaranteed, of which nothing is taken.
+    pub(crate) fn guarantees(&self) -> Guarantees<impl Fn(&str) -> u64> {
+        let teams = &self.config.teams;
+        Guarantees::open(|team: &str| teams.get(team).map_or(0, |team| team.guaranteed))
+    }
 }
-
-/// Upper bound of what it takes to resume from a checkpoint, in milliseconds.
-const RESUME: u64 = 600;
-
-/// Accelerators count as so many cores where lost work is compared.
-const CORES_PER_ACCELERATOR: u64 = 8;
-
-/// Whole workers of a pool that are kept for work that cannot wait, in percent
-/// of the pool, as long as they are free. Mean worth of eight seeds of each day
-/// of two pools of 11, and of two seeds of pools of 76 and 57: with 0, 0.842,
-/// 0.764, 0.752 and 0.664; with 20, 0.847, 0.773, 0.764 and 0.658; with 30, 0.846,
-/// 0.768, 0.776 and 0.674; with 40, 0.831, 0.773, 0.762 and 0.684.
-const SPARE: usize = 30;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,7 +18,7 @@
 mod dismissal;
 mod election;
 mod entry;
-mod goal;
+mod guide;
 mod lack;
 mod members;
 mod mirror;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -7,7 +7,7 @@
 use crate::awaited::Awaited;
 use crate::dismissal::Dismissal;
 use crate::entry::{Entry, Key, Phase, Placed};
-use crate::goal::{Goal, Guide};
+use crate::guide::Guide;
 use crate::output::Output;
 use crate::review::Review;
 use crate::saved::Saved;
@@ -324,7 +324,7 @@
         let detail = match entry.job.schedule {
             Some(_) => format!("{state:?}, scheduled"),
             None => {
-                let objective = Goal::open(entry, 0, &guide).objective();
+                let objective = guide.goal(entry, 0).objective();
                 format!("{state:?}, objective {objective} ms")
             }
         };
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -1,22 +1,14 @@
 //! Runs that stand still, and are better begun elsewhere.
 //!
 //! Tasks on a worker may stand still while it reports itself well; only their
-//! progress shows it. Workers that merely turned slow are not told apart from
-//! tasks that take long: estimates are off by up to 0.9, and a task away from
-//! its rack takes three times as long. Moving what seemed to need three times
-//! its estimate cut the mean worth of eight seeds from 0.82 and 0.75 to 0.78
-//! and 0.41.
+//! progress shows it.
 
 use quincewheel_job::Step;
+use quincewheel_policy as policy;
 
 use crate::entry::{Key, Phase, Placed};
 use crate::owner::Owner;
 
-/// A run whose progress stands still for this part of its estimate, and for
-/// [`STILL`], does not go on.
-const STILL_SHARE: u64 = 4;
-/// The shortest standstill, in milliseconds: two looks at the worker.
-const STILL: u64 = 2500;
 impl Owner {
     /// Stops runs at a worker that stand still, so that they start elsewhere,
     /// and makes the worker the last choice.
@@ -58,8 +50,5 @@
 /// is through waits for the others, which is no standstill.
 fn stands_still(step: &Step, placed: &Placed, moved: u64, now: u64) -> bool {
     let still = now.saturating_sub(moved);
-    placed.phase == Phase::Running
-        && !step.perpetual
-        && step.estimate > 0
-        && still >= STILL.max(step.estimate / STILL_SHARE)
+    placed.phase == Phase::Running && !step.perpetual && policy::stands_still(step.estimate, still)
 }
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -4,12 +4,13 @@
 
 use quincewheel_job::{Id, Need, Step};
 use quincewheel_place::{Ask, Spot, pack};
+use quincewheel_policy::{Guarantees, Rank, is_half_free, spare, unspare, weight};
 use quincewheel_wire::Order;
 
-use crate::board::{Board, weight};
-use crate::candidate::{Candidate, Rank};
+use crate::board::Board;
+use crate::candidate::Candidate;
 use crate::entry::{Entry, Phase, Placed};
-use crate::goal::{Goal, Guide};
+use crate::guide::Guide;
 use crate::owner::{Owner, task};
 
 impl Owner {
@@ -32,7 +33,7 @@
     /// Everything whose turn has come.
     fn candidates(&mut self, wall: u64) -> Vec<Candidate> {
         let settled = self.settled;
-        let mut used = self.guaranteed_use();
+        let mut guarantees = self.guaranteed_use();
         let mut next_due: Option<u64> = None;
         let mut found = Vec::new();
         let pools = self.pools();
@@ -53,15 +54,15 @@
                         break;
                     }
                 }
-                let goal = Goal::open(entry, occurrence, &guide);
+                let goal = guide.goal(entry, occurrence);
                 for (number, step) in (0u32..).zip(&entry.job.steps) {
                     let tasks = pending(entry, occurrence, number, step, id);
                     if tasks.is_empty() {
                         continue;
                     }
                     let need = step.need.accelerators * tasks.len() as u64;
-                    let guaranteed = entry.job.queue.priority == 0
-                        && covered(&mut used, &self.config, &entry.job.team, need);
+                    let guaranteed =
+                        entry.job.queue.priority == 0 && guarantees.cover(&entry.job.team, need);
                     let rank = Rank {
                         borrowed: !guaranteed,
                         priority: entry.job.queue.priority,
@@ -75,12 +76,12 @@
                         step: number,
                         work: weight(step) * guide.expect(entry, number, step) * tasks.len() as u64,
                         tasks,
-                        guaranteed,
                         rank,
                     });
                 }
             }
         }
+        drop(guarantees);
         self.next_due = next_due;
         found
     }
@@ -129,15 +130,15 @@
     }
 
     /// Accelerators that each team's jobs of priority 0 hold.
-    fn guaranteed_use(&self) -> BTreeMap<String, u64> {
-        let mut used: BTreeMap<String, u64> = BTreeMap::new();
+    fn guaranteed_use(&self) -> Guarantees<impl Fn(&str) -> u64> {
+        let mut guarantees = self.guarantees();
         for entry in self.jobs.values().filter(|entry| entry.job.queue.priority == 0) {
             for key in entry.runs.keys() {
                 let need = entry.step(*key).map_or(0, |step| step.need.accelerators);
-                *used.entry(entry.job.team.clone()).or_default() += need;
+                guarantees.hold(&entry.job.team, need);
             }
         }
-        used
+        guarantees
     }
 
     /// Starts what it can of one candidate, or makes room for it.
@@ -210,10 +211,11 @@
         let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
         let patient = wall < begin + PATIENCE;
         let ask = Ask { step, pool, count, patient, owed: false, sure: false, held: &held };
-        let waits_until = self.waits_until(candidate, board.is_half_free(pool), (now, wall));
-        let spared = waits_until.map(|_| board.spare(pool)).unwrap_or_default();
+        let waits_until =
+            self.waits_until(candidate, is_half_free(&board.spots, pool), (now, wall));
+        let spared = waits_until.map(|_| spare(&mut board.spots, pool)).unwrap_or_default();
         let choices = pack(&board.spots, &ask);
-        let spared = board.unspare(spared);
+        let spared = unspare(&mut board.spots, spared);
         let started = choices.len();
         if started < candidate.tasks.len() {
             // Time alone gives it places that it leaves to others now.
@@ -225,7 +227,7 @@
         let pairs: Vec<(u32, usize)> =
             candidate.tasks.iter().copied().zip(choices.iter().copied()).collect();
         self.start(candidate, step, &pairs, board, now);
-        if candidate.takes_room() && started < candidate.tasks.len() {
+        if candidate.rank.takes_room() && started < candidate.tasks.len() {
             self.make_room(candidate, step, pool, started, board, (now, wall));
         }
         spared
@@ -244,7 +246,7 @@
         half_free: bool,
         (now, wall): (u64, u64),
     ) -> Option<u64> {
-        let until = candidate.waits_until().filter(|&until| until > wall)?;
+        let until = candidate.rank.waits_until().filter(|&until| until > wall)?;
         let idle = self.jobs.get(&candidate.id).and_then(|entry| entry.idle);
         match idle.filter(|_| half_free) {
             Some(since) if now >= since + IDLE => None,
@@ -364,23 +366,6 @@
     spots.into_iter().map(|spot| spot.worker.clone()).collect()
 }
 
-/// Takes a step's accelerators from what the team is guaranteed and has not
-/// used. False if they are not covered.
-fn covered(
-    used: &mut BTreeMap<String, u64>,
-    config: &quincewheel_job::Config,
-    team: &str,
-    need: u64,
-) -> bool {
-    let guaranteed = config.teams.get(team).map_or(0, |team| team.guaranteed);
-    let used = used.entry(team.to_owned()).or_default();
-    if *used + need > guaranteed {
-        return false;
-    }
-    *used += need;
-    true
-}
-
 /// Tasks of the step that each worker has.
 pub(crate) fn held(entry: &Entry, (occurrence, step): (u32, u32), spots: &[Spot]) -> Vec<u32> {
     let range = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
--- a/crates/dispatch/src/room.rs
+++ b/crates/dispatch/src/room.rs
@@ -2,39 +2,15 @@
 
 use quincewheel_job::Step;
 use quincewheel_place::{Ask, reclaim};
+use quincewheel_policy::{pays, promised};
 
 use crate::board::Board;
 use crate::candidate::Candidate;
-use crate::entry::{Entry, Reservation};
+use crate::entry::Reservation;
 use crate::owner::Owner;
 use crate::plan::held;
 
-/// Work that may be lost, for each unit of work that then ends in time. A job
-/// of priority 0 is worth about four times its work, and whoever is stopped
-/// also waits. Mean worth of eight seeds of each day of two pools of 11, and of
-/// three of pools of 76 and 57: with 1, 0.886, 0.819, 0.796 and 0.704; with 2,
-/// 0.886, 0.817, 0.796 and 0.700; with 3, 0.887 and 0.816 on the small ones.
-const LOSS_PER_WORK: u64 = 2;
-
-/// Room that was promised is made so many milliseconds earlier than a stop
-/// takes: the wait for the next decision, orders, ends and starts on their way,
-/// and a good part of that again.
-const AHEAD: u64 = 700;
-
 impl Owner {
-    /// When room that others of the same priority borrow must be made for a
-    /// guaranteed step, so that it begins within the time promised. In time of
-    /// day.
-    ///
-    /// Not earlier: borrowed gangs were stopped shortly before their end for
-    /// others that would have got room by themselves. Waiting raised the mean
-    /// worth of a full pool with ten teams from 0.44 to 0.46 (two seeds of six
-    /// days).
-    pub(crate) fn promised(&self, entry: &Entry, occurrence: u32) -> u64 {
-        let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(occurrence));
-        begin + self.settings.reclaim.saturating_sub(self.settings.stop + AHEAD)
-    }
-
     /// Starts a step on the room that was kept for it. False if that is void.
     pub(crate) fn redeem(
         &mut self,
@@ -118,18 +94,19 @@
         let rest = &candidate.tasks[started..];
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let held = held(entry, (candidate.occurrence, candidate.step), &board.spots);
-        let promised = self.promised(entry, candidate.occurrence);
-        let owed = candidate.guaranteed && wall >= promised;
+        let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
+        let promised = promised(begin, self.settings.reclaim, self.settings.stop);
+        let guaranteed = candidate.guaranteed();
+        let owed = guaranteed && wall >= promised;
         let count = rest.len() as u32;
-        let ask =
-            Ask { step, pool, count, patient: true, owed, sure: candidate.guaranteed, held: &held };
+        let ask = Ask { step, pool, count, patient: true, owed, sure: guaranteed, held: &held };
         let Some(claim) = reclaim(&board.spots, &ask) else {
-            if candidate.guaranteed && !owed {
+            if guaranteed && !owed {
                 self.look_again(promised);
             }
             return;
         };
-        if !candidate.guaranteed && claim.loss > candidate.work * LOSS_PER_WORK {
+        if !pays(claim.loss, candidate.work, guaranteed) {
             return;
         }
         let need = step.charge();
@@ -148,7 +125,7 @@
         if let Some(entry) = self.jobs.get_mut(&candidate.id) {
             entry.reserved.insert((candidate.occurrence, candidate.step), reservation);
         }
-        let kind = if candidate.guaranteed { "guaranteed" } else { "borrowed" };
+        let kind = if guaranteed { "guaranteed" } else { "borrowed" };
         let (units, loss, work) = (claim.units.len(), claim.loss / 1000, candidate.work / 1000);
         let detail = format!("{kind}: {units} units stop, losing {loss} core-s for {work}");
         self.log("room reclaimed", &candidate.id, detail);
--- a/crates/dispatch/src/throttle.rs
+++ b/crates/dispatch/src/throttle.rs
@@ -6,21 +6,13 @@
 //! work follows that figure.
 
 use quincewheel_job::Run;
+use quincewheel_policy::share;
 use quincewheel_wire::Order;
 
 use crate::entry::{Key, Phase};
 use crate::owner::Owner;
 use crate::reports::key;
 
-/// From this part of its target on, in percent, a task that serves is close to
-/// it: its neighbours slow down.
-const CLOSE: u64 = 80;
-/// Below this part of its target, its neighbours speed up again.
-const EASY: u64 = 55;
-/// By so many percent at a time: a share that was too much is cut at once, one
-/// that was too little costs only time.
-const STEP: u32 = 10;
-
 impl Owner {
     /// Sets the pace of the tasks that fill one worker by how those that serve
     /// there do. Given again each time while they are over: an order may be lost.
@@ -33,7 +25,7 @@
             let Some(placed) = entry.runs.get_mut(&key(&run.task)).filter(|_| fills) else {
                 continue;
             };
-            let percent = pace(placed.pace, load);
+            let percent = share(placed.pace, load);
             if placed.phase != Phase::Stopping && (percent != placed.pace || load >= 100) {
                 placed.pace = percent;
                 orders.push((placed.worker.clone(), run.task.clone(), placed.run, percent));
@@ -77,13 +69,3 @@
         step.may_miss.saturating_sub(away)
     }
 }
-
-/// The share at which tasks that fill work next.
-fn pace(percent: u32, load: u64) -> u32 {
-    match load {
-        100.. => 0,
-        CLOSE..100 => percent / 2,
-        EASY..CLOSE => percent,
-        _ => (percent + STEP).min(100),
-    }
-}
--- a/crates/dispatch/src/goal.rs
+++ b/crates/policy/src/goal.rs
@@ -1,16 +1,12 @@
 //! When a job should end, and what it can still earn.
 
-use std::collections::BTreeMap;
-
 use quincewheel_job::{Need, Step};
 
-use crate::candidate::Hope;
-use crate::entry::Entry;
-use crate::times::Times;
+use crate::rank::Hope;
 
 /// Where one occurrence of a job stands against its objective.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Goal {
+pub struct Goal {
     /// When it was accepted or due, in milliseconds since 1970.
     begin: u64,
     /// Milliseconds from there within which it should end.
@@ -19,14 +15,6 @@
     left: u64,
 }
 
-/// What steps are expected to take.
-pub(crate) struct Guide<'a> {
-    /// Learned run times.
-    pub times: &'a Times,
-    /// What the workers of each pool have in all.
-    pub pools: &'a BTreeMap<String, Need>,
-}
-
 /// A job that ends after so many times its objective earns nothing.
 const LATE: u64 = 3;
 
@@ -43,24 +31,16 @@
 const SHARE: u64 = 4;
 
 impl Goal {
-    /// The goal of an occurrence.
-    pub fn open(entry: &Entry, occurrence: u32, guide: &Guide<'_>) -> Goal {
-        let job = &entry.job;
-        let begin = job.schedule.map_or(job.accepted, |schedule| schedule.due(occurrence));
-        if job.perpetual() {
-            return Goal::lasting(begin);
-        }
-        let whole = job.chain_by(|number, step| guide.expect(entry, number, step));
-        let left = job.chain_by(|number, step| {
-            let done = entry.progress.step_done(occurrence, number, step);
-            if done { 0 } else { guide.expect(entry, number, step) }
-        });
-        Goal { begin, objective: (job.queue.stretch * whole as f64) as u64 + job.queue.slack, left }
+    /// The goal of what began at `begin`, whose longest chain takes `whole`
+    /// milliseconds in all, of which `left` are left. It should end within
+    /// `stretch` times the former and `slack` milliseconds more.
+    pub fn open(begin: u64, (whole, left): (u64, u64), stretch: f64, slack: u64) -> Goal {
+        Goal { begin, objective: (stretch * whole as f64) as u64 + slack, left }
     }
 
     /// The goal of tasks that run until they are cancelled: each moment without
     /// them counts, so they start at once.
-    fn lasting(begin: u64) -> Goal {
+    pub fn lasting(begin: u64) -> Goal {
         Goal { begin, objective: LASTING, left: LASTING }
     }
 
@@ -85,19 +65,10 @@
     }
 }
 
-impl Guide<'_> {
-    /// How long a step of the job is expected to take, in milliseconds.
-    pub fn expect(&self, entry: &Entry, number: u32, step: &Step) -> u64 {
-        let queue = &entry.job.queue;
-        let known = entry.took.get(&number).copied();
-        let time = known.unwrap_or_else(|| self.times.expect(&queue.name, step.estimate));
-        time * self.waves(&queue.pool, step)
-    }
-
-    fn waves(&self, pool: &str, step: &Step) -> u64 {
-        let Some(all) = self.pools.get(pool).filter(|_| !step.gang) else { return 1 };
-        let count = u64::from(step.count);
-        let most = step.charge().copies(all, u64::MAX) / SHARE;
-        count.div_ceil(most.max(1)).max(1)
-    }
+/// How many times over the tasks of a step run one after the other, in a pool that
+/// has `all`.
+pub fn waves(step: &Step, all: Option<&Need>) -> u64 {
+    let Some(all) = all.filter(|_| !step.gang) else { return 1 };
+    let most = step.charge().copies(all, u64::MAX) / SHARE;
+    u64::from(step.count).div_ceil(most.max(1)).max(1)
 }
--- a/crates/stand-in/tests/soak/cut_off.rs
+++ b/crates/stand-in/tests/soak/cut_off.rs
@@ -27,7 +27,7 @@
 pub fn play() -> Vec<String> {
     let folder = std::env::temp_dir().join(format!("soak-{}-cut-off", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let mut world = World::open(&folder, None);
+    let world = World::open(&folder, None);
     let entries = world.entries();
     world.check_answers(&entries);
     thread::sleep(LINKED);
