--- a/crates/entry/src/day/account.rs
+++ b/crates/entry/src/day/account.rs
@@ -151,6 +151,7 @@
     fn start(&mut self, time: f64, text: &str) {
         let words: Vec<&str> = text.split(' ').collect();
         let [task, "run", run, ..] = words[..] else { return };
+        self.known.get_or_insert(time);
         // Of a run that went with its worker or its owner no end is told.
         let former = self.open.extract_if(.., |(known, _), _| known == task);
         for (_, begun) in former.collect::<Vec<_>>() {
