Ask an entry to store only what it can, and all at once whether they can

The entry knew that the table was gone and asked another one, which did not; its write broke off and was unclear.

Ruled out: leaving the other's failed write out of the account (it may have been performed, and a refusal must be true).

Change: an entry first asks the others whether the table answers them (`Peer::Reach`, a read), all at once, and has one that says so store the row. One that knows that the table is lost says so without a read.

--- a/crates/entry/src/site/handover.rs
+++ b/crates/entry/src/site/handover.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::select_ok;
 use quincewheel_dispatch::rows::{OWNER, Ownership};
 use quincewheel_peer::Command;
 use quincewheel_store::{Commit, Expect};
@@ -25,6 +26,8 @@
 const PROBE: Duration = Duration::from_millis(400);
 /// Longest time for which another entry is asked: its probe, and the way there and back.
 const ANSWER: Duration = Duration::from_millis(450);
+/// Entries that are asked at most: the table seldom turns more away than it serves.
+const ASKED: usize = 4;
 
 /// Gives the ownership up, so that another entry takes it without waiting.
 pub(crate) async fn hand_over(shared: &Site) {
@@ -43,7 +46,8 @@
     if answers(shared).await {
         return false;
     }
-    let Some(link) = well(shared).await else { return false };
+    let links = shared.entries.borrow().values().copied().collect();
+    let Some(link) = first_served(shared, links).await else { return false };
     let Some((mine, version)) = shared.held.borrow().clone() else { return false };
     let commit = vacant(mine, version);
     let value = commit.put.into_iter().map(|row| row.value).collect();
@@ -56,7 +60,7 @@
 
 /// Another entry asks whether the table answers this one.
 pub(crate) async fn hear_reach(shared: Shared, link: LinkId, number: u64) {
-    let well = answers(&shared).await;
+    let well = !shared.is_table_lost() && answers(&shared).await;
     shared.hub.ask(Command::Send { link, frame: Peer::Reached { number, well }.into() });
 }
 
@@ -90,15 +94,25 @@
     matches!(timeout(PROBE, read_owner(shared)).await, Ok(Ok(_)))
 }
 
-/// A connection to an entry that the table answers.
-async fn well(shared: &Site) -> Option<LinkId> {
-    let links: Vec<LinkId> = shared.entries.borrow().values().copied().collect();
-    for link in links {
+/// The first of these entries that tells that the table answers it. All are asked at
+/// once: one after the other, a table that is silent to all would hold a client up for
+/// as many times as long.
+pub(crate) async fn first_served(shared: &Site, links: Vec<LinkId>) -> Option<LinkId> {
+    let mut probes = Vec::new();
+    for link in links.into_iter().take(ASKED) {
         let Some(answer) = ask(shared, link, |number| Peer::Reach { number }) else { continue };
-        let answer = timeout(ANSWER, answer).await;
-        if matches!(answer, Ok(Ok(Peer::Reached { well: true, .. }))) {
-            return Some(link);
-        }
+        probes.push(Box::pin(async move {
+            match answer.await {
+                Ok(Peer::Reached { well: true, .. }) => Ok(link),
+                _ => Err(()),
+            }
+        }));
+    }
+    if probes.is_empty() {
+        return None;
+    }
+    match timeout(ANSWER, select_ok(probes)).await {
+        Ok(Ok((link, _))) => Some(link),
+        _ => None,
     }
-    None
 }
--- a/crates/entry/src/site/stores.rs
+++ b/crates/entry/src/site/stores.rs
@@ -17,6 +17,7 @@
 
 use super::asks::ask;
 use super::calls::{attempt, look};
+use super::handover::first_served;
 use super::news;
 use super::own::put;
 use super::state::{Shared, Site};
@@ -41,22 +42,27 @@
     Commit { put: vec![row], ..Commit::default() }
 }
 
-/// Has another entry store a row, one after the other until one does or nobody can tell
-/// any more. [`Verdict::Refused`] if none has.
-pub(crate) async fn elsewhere(shared: &Site, id: &str, question: impl Fn(u64) -> Peer) -> Verdict {
-    for link in links(shared) {
-        let Some(answer) = ask(shared, link, &question) else { continue };
-        match timeout(ANSWER, answer).await {
-            Ok(Ok(Peer::Stored { verdict: Verdict::Refused, .. })) => {}
-            Ok(Ok(Peer::Stored { verdict, .. })) if verdict != Verdict::Unclear => return verdict,
-            _ => {
-                // It may store the row yet: nothing may be called not accepted.
-                shared.unsettled.borrow_mut().note(id, quincewheel_clock::boot());
-                return Verdict::Unclear;
-            }
+/// Has another entry store a row, if the table answers one. [`Verdict::Refused`] if none
+/// has.
+///
+/// One that does not know yet that the table is gone for all would try, and its failed
+/// write could not be called refused any more: a client that could have come back would
+/// be told "unclear", and may not try again. So it reads first.
+pub(crate) async fn elsewhere(
+    shared: &Site,
+    id: &str,
+    question: impl FnOnce(u64) -> Peer,
+) -> Verdict {
+    let Some(link) = first_served(shared, links(shared)).await else { return Verdict::Refused };
+    let Some(answer) = ask(shared, link, question) else { return Verdict::Refused };
+    match timeout(ANSWER, answer).await {
+        Ok(Ok(Peer::Stored { verdict, .. })) if verdict != Verdict::Unclear => verdict,
+        _ => {
+            // It may store the row yet: nothing may be called not accepted.
+            shared.unsettled.borrow_mut().note(id, quincewheel_clock::boot());
+            Verdict::Unclear
         }
     }
-    Verdict::Refused
 }
 
 /// The entries to which there are connections: the owner, or for the owner all others.
