Count a lease at a worker that owes an answer from its last answer

Cause, traced: 22 workers are taken at 10.50 s. Their agents live until 20.70 s and ping; each ping was a new lease by the owner's book, though the agents renewed nothing after their workers' last answers. Ruled out: the agent (its renewals end with the last answer); the dismissal (21.8 to 30.1 s, later). Change: where a ping tells 1.8 s of silence or more, the grant is as old as that answer, at both ends. Before: lapsed at 30.04 s. Test fails before (11,700 ms instead of 7,700). Conclusion: kept; at most once is untouched, since owner and agent reckon from the same moment.

--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -62,7 +62,12 @@
     /// An owner that the table has not confirmed for a while may have been
     /// replaced without knowing. It goes on only while it speaks to most
     /// agents, as a new owner cannot then reach them, and waits for them.
-    pub(crate) fn grant(&mut self, name: &str, link: LinkId, stamp: u64, now: u64) {
+    ///
+    /// Where the worker has owed an answer for long, the lease counts from that answer,
+    /// at the agent as here: no renewal is known to have arrived since. Counted from the
+    /// agent's word, which lives beside a dead worker for as long as it has for shutting
+    /// down, what ran there was held for a lease longer: 19 s instead of 10.
+    pub(crate) fn grant(&mut self, name: &str, link: LinkId, stamp: u64, silent: u64, now: u64) {
         let bound = self.settings.fresh;
         let heard = |agent: &&Agent| agent.link.is_some() && now <= agent.told + bound;
         let most = self.agents.values().filter(heard).count() * 2 > self.agents.len();
@@ -72,12 +77,12 @@
         {
             return;
         }
-        let lapse = now + self.settings.lease + self.settings.margin;
-        if let Some(agent) = self.agents.get_mut(name) {
-            self.replan |= !agent.leased(&self.settings, now);
-            agent.lapse = agent.lapse.max(lapse);
-        }
-        self.send(link, Order::Grant { stamp });
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        let age = if silent >= self.settings.overdue { silent } else { 0 };
+        let lapse = (now + self.settings.lease + self.settings.margin).saturating_sub(age);
+        self.replan |= !agent.leased(&self.settings, now);
+        agent.lapse = agent.lapse.max(lapse);
+        self.send(link, Order::Grant { stamp: stamp.saturating_sub(age) });
     }
 
     /// Takes note of how long a worker has owed an answer. One that answers again
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -240,11 +240,11 @@
             Notice::Superseded { epoch } => self.outputs.push(Output::Deposed { epoch }),
             Notice::Ping { stamp, silent } => {
                 self.hear(&name, silent);
-                self.grant(&name, link, stamp, now);
+                self.grant(&name, link, stamp, silent, now);
             }
             Notice::Left { worker } => self.left(&name, &worker),
             Notice::Status { stamp, worker, fenced, running, ended } => {
-                self.grant(&name, link, stamp, now);
+                self.grant(&name, link, stamp, 0, now);
                 self.status(&name, worker, fenced, &running, &ended, now);
             }
             Notice::Started { task, run } => self.started(&task, run, now),
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -14,6 +14,9 @@
     /// way. Connections that a cut has silenced were counted for 2.5 s, and leases
     /// granted for up to 0.8 s beyond what a successor reckons with.
     pub fresh: u64,
+    /// A worker that has owed an answer for so long gets leases from its last answer
+    /// only. A look takes up to 1,000 ms, its repeat 400, and a ping is a second old.
+    pub overdue: u64,
     /// A worker that has owed an answer for so long gets nothing new: two lost
     /// answers in a row.
     pub mute: u64,
@@ -59,6 +62,7 @@
             margin: 200,
             silence: 2500,
             fresh: 1100,
+            overdue: 1800,
             mute: 3000,
             unconfirmed: 1500,
             autonomy: 8000,
--- a/crates/dispatch/tests/links.rs
+++ b/crates/dispatch/tests/links.rs
@@ -75,3 +75,32 @@
     w1 start b.0.0.0 run 1
     ");
 }
+
+// Symptom: gangs wait for 19 s with `remains of a former start`, while a lease is 10 s.
+// Sequence: a worker is taken away; its agent lives on for as long as it has for shutting
+// down, pings, and ends just before the silence is a lease long. Cause: from then on the
+// leases counted from the agent's last ping, as if its worker had answered then.
+#[test]
+fn what_ran_at_a_dead_worker_lapses_by_its_last_answer_though_its_agent_lived_on() {
+    let mut bed = Bed::open(1, 2).idle(2);
+    bed.owner.job("a", job(1, vec![step(1, 8)]), 150, None);
+    bed.step();
+    bed.status(0, &[run(task("a", 0, 0), 1)], &[]);
+    bed.told();
+    let begin = bed.now;
+    for silent in (500..=5500).step_by(500) {
+        bed.pass(500);
+        bed.notice(1, Notice::Ping { stamp: bed.now, silent: 0 });
+        bed.notice(0, Notice::Ping { stamp: bed.now, silent });
+    }
+    bed.owner.unlinked(0);
+    let mut again = String::new();
+    while again.is_empty() && bed.now < begin + 20_000 {
+        bed.pass(100);
+        bed.notice(1, Notice::Ping { stamp: bed.now, silent: 0 });
+        let told = bed.told();
+        let start = told.lines().find(|line| line.contains("start"));
+        again = start.map(|line| format!("{} ms: {line}", bed.now - begin)).unwrap_or_default();
+    }
+    assert_snapshot!(again, @"7700 ms: w1 start a.0.0.0 run 2");
+}
