Take workers that the platform lists no more for gone

Cause: a worker that is taken away at short notice, crashes or loses its machine says nothing, and its agent cannot tell a closed port from a process that is gone. Ruled out: taking a refused connection of a draining worker for its end (a cut may refuse, too, and the worker runs on); shorter leases (they cost the work of every worker that is frozen or cut off). Change: while something runs at a worker that is missed, or a new owner waits for members, the owner asks for the platform's list of machines; a life that a whole, newer list does not name is over.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -31,6 +31,9 @@
     /// Since when there has been no connection, or no worker, or one that has not
     /// answered for a whole lease; none while there is a worker that answers.
     pub absent: Option<u64>,
+    /// Since when nothing has shown that the worker, which is known, lives: there is no
+    /// connection, or it took none, or it owes an answer; none while something does.
+    pub missed: Option<u64>,
     /// What speaks against its worker.
     pub blame: Blame,
     /// Starts that its worker refused of late.
@@ -62,7 +65,15 @@
     /// Takes note of whether connection and worker are there, and the worker has
     /// answered within a `lease`. An agent that lives does not make a member of a
     /// worker that is gone: each later owner would wait for it.
-    pub fn look(&mut self, lease: u64, now: u64) {
+    pub fn look(&mut self, settings: &Settings, now: u64) {
+        let lease = settings.lease + settings.margin;
+        let answers = self.link.is_some() && self.fenced && self.silent < settings.overdue;
+        match answers || self.worker.is_none() {
+            true => self.missed = None,
+            false => {
+                self.missed.get_or_insert(now);
+            }
+        }
         match self.link.is_some() && self.worker.is_some() && self.silent < lease {
             true => self.absent = None,
             false => {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod entry;
 mod guide;
 mod lack;
+mod lives;
 mod members;
 mod mirror;
 mod output;
--- /dev/null
+++ b/crates/dispatch/src/lives.rs
@@ -0,0 +1,145 @@
+//! Lives of workers that the platform lists no more.
+//!
+//! A worker that is taken away, crashes or loses its machine says nothing. What ran there
+//! may go on until its lease is over, for all that its agent can tell, and waiting for
+//! that held gangs up for 10 to 19 s. The platform knows sooner: its list of machines
+//! names the life of the worker on each, and a life that it does not name is over. A
+//! worker that is cut off is still listed, and its lease is waited for. In 111 days of
+//! every kind of trouble, lists four times a second named each life that answered later.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quincewheel_job::Machine;
+
+use crate::output::Output;
+use crate::owner::Owner;
+
+/// Time between two questions about the same workers at first, in milliseconds. It doubles
+/// from there: a list is a call, and a worker that is cut off stays listed.
+const FIRST: u64 = 300;
+/// And at most.
+const LONGEST: u64 = 2000;
+/// No two questions within this time, whatever happens: a cut hits many workers at once.
+const PAUSE: u64 = 100;
+
+/// What was asked of the platform.
+#[derive(Debug)]
+pub(crate) struct Lives {
+    /// When it was last asked for a list.
+    asked: u64,
+    /// Time until it is asked again, if nothing new has happened.
+    pause: u64,
+    /// No look at whether to ask before this time.
+    next: u64,
+    /// Lives that the last list did not name, if it was not made at one moment.
+    unnamed: BTreeSet<String>,
+}
+
+impl Default for Lives {
+    fn default() -> Lives {
+        Lives { asked: 0, pause: FIRST, next: 0, unnamed: BTreeSet::new() }
+    }
+}
+
+impl Owner {
+    /// Asks for a list if something runs at a worker that may be gone, or if older jobs
+    /// wait for members that are not heard.
+    pub(crate) fn ask_for_lives(&mut self, now: u64) {
+        if !self.settings.listed || now < self.lives.next {
+            return;
+        }
+        self.lives.next = now + PAUSE;
+        let Some(newest) = self.missed_since(now) else {
+            self.lives.pause = FIRST;
+            return;
+        };
+        let news = newest > self.lives.asked;
+        if !news && now < self.lives.asked + self.lives.pause {
+            return;
+        }
+        self.lives.pause = if news { FIRST } else { (self.lives.pause * 2).min(LONGEST) };
+        self.lives.asked = now;
+        self.outputs.push(Output::List);
+    }
+
+    /// Since when the last of the workers has been missed whose life matters; none if
+    /// none is.
+    fn missed_since(&self, now: u64) -> Option<u64> {
+        let missed: BTreeMap<&str, u64> = self
+            .agents
+            .iter()
+            .filter_map(|(name, agent)| agent.missed.map(|since| (name.as_str(), since)))
+            .collect();
+        let (granted, _) = self.former_grants();
+        let unsettled = Some(granted).filter(|&granted| !self.settled && now >= granted);
+        if missed.is_empty() {
+            return unsettled;
+        }
+        let runs = self.jobs.values().flat_map(|entry| entry.runs.values());
+        let waited = runs.filter_map(|placed| missed.get(placed.agent.as_str()).copied());
+        waited.chain(unsettled).max()
+    }
+
+    /// The platform listed all machines, by a call that was sent at `sent`.
+    ///
+    /// A list of several pages is not made at one moment: a machine that is taken away
+    /// between two of them may move another one out of both. So a life must be missing
+    /// from two such lists. A list without any machine tells nothing.
+    pub(crate) fn take_lives(&mut self, machines: &[Machine], pages: usize, sent: u64) {
+        if machines.is_empty() {
+            return;
+        }
+        let listed: BTreeSet<&str> = machines.iter().map(|m| m.worker.as_str()).collect();
+        let unnamed: BTreeSet<String> =
+            self.unnamed(&listed, sent).map(|(_, life)| life.to_owned()).collect();
+        let before = std::mem::replace(&mut self.lives.unnamed, unnamed);
+        let sure = |life: &str| pages == 1 || before.contains(life);
+        let over: Vec<(String, String)> = self
+            .unnamed(&listed, sent)
+            .filter(|(_, life)| sure(life))
+            .map(|(name, life)| (name.to_owned(), life.to_owned()))
+            .collect();
+        for (name, life) in over {
+            self.log("worker gone", &name, format!("{life} is not listed any more"));
+            self.left(&name, &life);
+            self.replan = true;
+        }
+        if pages == 1 {
+            self.settle_by_lives(&listed, sent);
+        }
+    }
+
+    /// Agents whose workers were missed when the list was asked for, and are not on it.
+    fn unnamed<'a>(
+        &'a self,
+        listed: &'a BTreeSet<&str>,
+        sent: u64,
+    ) -> impl Iterator<Item = (&'a str, &'a str)> {
+        let missed = move |since: Option<u64>| since.is_some_and(|since| since <= sent);
+        self.agents.iter().filter_map(move |(name, agent)| {
+            let life = agent.worker.as_ref()?.id.as_str();
+            let open = missed(agent.missed) && !agent.left;
+            (open && !listed.contains(life)).then_some((name.as_str(), life))
+        })
+    }
+
+    /// Nothing that a former owner started can be unknown once each life that is listed
+    /// has answered under this epoch, if the list is newer than the last lease that the
+    /// former owner may have granted: what is not listed runs nothing, and what came
+    /// later was given nothing.
+    fn settle_by_lives(&mut self, listed: &BTreeSet<&str>, sent: u64) {
+        let (granted, _) = self.former_grants();
+        if self.settled || sent < granted {
+            return;
+        }
+        let heard = self.agents.values().filter(|agent| agent.heard && !agent.left);
+        let heard: BTreeSet<&str> =
+            heard.filter_map(|agent| agent.worker.as_ref()).map(|w| w.id.as_str()).collect();
+        let open = listed.iter().filter(|life| !life.is_empty() && !heard.contains(*life));
+        if open.count() == 0 {
+            for agent in self.agents.values_mut() {
+                agent.heard = true;
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -8,6 +8,7 @@
 use crate::dismissal::Dismissal;
 use crate::entry::{Entry, Key, Phase, Placed};
 use crate::guide::Guide;
+use crate::lives::Lives;
 use crate::output::Output;
 use crate::review::Review;
 use crate::saved::Saved;
@@ -67,6 +68,8 @@
     pub(crate) review: Review,
     /// What waits for its start, and what was told of it.
     pub(crate) waits: Waits,
+    /// What the platform was asked about workers that may be gone.
+    pub(crate) lives: Lives,
     /// Waves of maintenance.
     pub(crate) upkeep: Upkeep,
     pub(crate) next_unit: u64,
@@ -109,6 +112,7 @@
             awaited: Awaited::default(),
             review: Review::default(),
             waits: Waits::default(),
+            lives: Lives::default(),
             upkeep: Upkeep::default(),
             next_unit: 1,
             next_due: None,
@@ -258,9 +262,8 @@
     /// Time passed: takes lapsed leases for lapsed, and decides what starts.
     pub fn tick(&mut self, now: u64, wall: u64) {
         self.now = now;
-        let lease = self.settings.lease + self.settings.margin;
         for agent in self.agents.values_mut() {
-            agent.look(lease, now);
+            agent.look(&self.settings, now);
         }
         self.close_silent(now);
         self.lapse(now);
@@ -273,6 +276,7 @@
             let detail = format!("{} ms; not heard: {}", now - self.claimed, waited.join(" "));
             self.log("settled", "", detail);
         }
+        self.ask_for_lives(now);
         self.maintain(now, wall);
         // A job whose room did not become free would stand still beside idle workers
         // until something else happens.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -50,6 +50,8 @@
     pub turn: u64,
     /// How long a machine is down for maintenance.
     pub maintenance: u64,
+    /// The platform lists machines and their workers.
+    pub listed: bool,
     /// A run that a worker does not list, though its start was confirmed, is
     /// taken for gone after this time: more than two looks.
     pub missing: u64,
@@ -75,6 +77,7 @@
             keep: 1500,
             turn: 3000,
             maintenance: 2000,
+            listed: false,
             missing: 5000,
         }
     }
--- a/crates/dispatch/src/upkeep.rs
+++ b/crates/dispatch/src/upkeep.rs
@@ -149,14 +149,15 @@
         self.upkeep.waves.contains_key(&number)
     }
 
-    /// The platform listed all machines, by a call that was sent at `sent`; those
-    /// whose entries could be read, if the list is not `whole`.
+    /// The platform listed all machines on so many `pages`, by a call that was sent at
+    /// `sent`; those whose entries could be read, if the list is not `whole`.
     ///
     /// A machine whose entry cannot be read is still there, and stays as it was known:
     /// taken for gone, its wave would be told as through before its turn.
-    pub fn machines(&mut self, machines: Vec<Machine>, whole: bool, sent: u64) {
+    pub fn machines(&mut self, machines: Vec<Machine>, whole: bool, pages: usize, sent: u64) {
         if whole {
             self.upkeep.machines.clear();
+            self.take_lives(&machines, pages, sent);
         }
         let by_name = machines.into_iter().map(|machine| (machine.name.clone(), machine));
         self.upkeep.machines.extend(by_name);
--- a/crates/dispatch/tests/upkeep.rs
+++ b/crates/dispatch/tests/upkeep.rs
@@ -22,7 +22,7 @@
         worker: format!("i{number}"),
     };
     let machines = conditions.iter().enumerate().map(machine).collect();
-    bed.owner.machines(machines, true, bed.now);
+    bed.owner.machines(machines, true, 1, bed.now);
 }
 
 /// What a former owner recorded.
@@ -228,7 +228,7 @@
     pass(&mut bed, 3000, 2);
     bed.owner.wave(&wave(2, 2, 60_000), None, bed.now);
     let first = Machine { name: "m0".into(), condition: Condition::Up, worker: "i0".into() };
-    bed.owner.machines(vec![first.clone()], false, bed.now);
+    bed.owner.machines(vec![first.clone()], false, 1, bed.now);
     bed.step();
     bed.owner.taken(1, "m0", Taken::Begun, bed.now);
     pass(&mut bed, 500, 2);
@@ -237,7 +237,7 @@
     bed.step();
     bed.owner.taken(1, "m1", Taken::Begun, bed.now);
     // Known before, m1 holds beside an entry that cannot be read.
-    bed.owner.machines(vec![first], false, bed.now);
+    bed.owner.machines(vec![first], false, 1, bed.now);
     bed.step();
     assert_snapshot!(format!("{unread}\n--\n{}", bed.told()));
 }
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -139,6 +139,7 @@
         reclaim: bounds.reclaim,
         turn: bounds.turn,
         maintenance: bounds.maintenance,
+        listed: shared.settings.machines.is_some(),
         ..Settings::default()
     }
 }
--- a/crates/entry/src/site/upkeep.rs
+++ b/crates/entry/src/site/upkeep.rs
@@ -56,7 +56,7 @@
     match machines.list(TIMEOUT).await {
         Ok(listed) => {
             if let Some(owner) = shared.owner.borrow_mut().as_mut() {
-                owner.machines(listed.machines, listed.whole, sent);
+                owner.machines(listed.machines, listed.whole, listed.pages, sent);
             }
         }
         Err(error) => log::warn!(event = "machines"; "{error}"),
