Spread clients' rows over parts of the table

Cause: all rows were in one part, which performs one transaction after the other: five a second. The owner's writes alone need all of that; 7 jobs a second wait behind them, the owner's renewal behind those, and what would wait for a second is refused with 429. Each entry that then claims the ownership adds a write. Ruled out: the rate of calls (3,200 writes a second are allowed; 60 came). Change: rows of jobs and cancellations are spread over eight parts by the job's name. All parts are read at the same time at a takeover, which takes as long as one. The soak's table keeps parts apart and refuses a transaction over several that does not say so.

--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -16,6 +16,33 @@
 /// Key of the row that holds the run times which owners have learned.
 pub const TIMES: &str = "times";
 
+/// Parts of the table over which clients' jobs and cancellations are spread. A part takes
+/// one transaction after the other: while a slow table takes 180 ms for each, a single one
+/// takes 5 a second, of which the owner's own writes need all, and refuses what waits for
+/// longer than a second. Clients then wait for seconds, with 200 jobs accepted in 34 s. An
+/// eighth of them is less than one a second for each part.
+const SPREAD: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7"];
+
+/// The part that the owner's rows and members' lie in.
+const MAIN: &str = "";
+
+/// The part of the table that a row lies in.
+pub fn part(key: &str) -> &'static str {
+    match key.split_once('/') {
+        Some(("job" | "stop", id)) => {
+            let sum = id.bytes().fold(0, |sum: usize, byte| sum * 31 % 8191 + usize::from(byte));
+            SPREAD[sum % SPREAD.len()]
+        }
+        _ => MAIN,
+    }
+}
+
+/// All parts that hold rows, jobs first: their checkpoints, which are in the main one, are
+/// taken in only after them.
+pub fn parts() -> impl Iterator<Item = &'static str> {
+    SPREAD.into_iter().chain([MAIN])
+}
+
 /// Key of a job's row.
 pub fn job(id: &str) -> String {
     format!("job/{id}")
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -82,7 +82,7 @@
         let shared: Shared = Rc::new(Site::open(site, incarnation, hub, gate, metrics));
         actix_rt::spawn(links::announce(Rc::clone(&shared)));
         actix_rt::spawn(follow::configuration(Rc::clone(&shared)));
-        actix_rt::spawn(follow::rows(Rc::clone(&shared)));
+        actix_rt::spawn(follow::own_rows(Rc::clone(&shared)));
         actix_rt::spawn(links::listen(Rc::clone(&shared), peers_in));
         actix_rt::spawn(own::run(Rc::clone(&shared)));
         actix_rt::spawn(advise::run(Rc::clone(&shared)));
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -296,8 +296,9 @@
     }
     let mut found = quincewheel_dispatch::Mirror::default();
     for key in [rows::job(id), rows::run(id), rows::stop(id)] {
+        let part = rows::part(&key);
         let read = Read { prefix: key, after: String::new(), limit: 1 };
-        let (page, _) = shared.table.read(Space::Own, &read, TIMEOUT).await?;
+        let (page, _) = shared.table.read(Space::Own, part, &read, TIMEOUT).await?;
         for row in page.rows {
             let (key, version) = (row.key, row.version);
             found.apply(&Change { key, version, value: Some(row.value) });
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use quincewheel_dispatch::{Mirror, News, Owner};
+use futures_util::future::try_join_all;
+use quincewheel_dispatch::{Mirror, News, Owner, rows};
 use quincewheel_platform::{self as platform, Skipped, Space, Table};
 use quincewheel_store::{Change, Changes, Error, Read};
 
@@ -96,7 +97,7 @@
 }
 
 /// Follows the system's own rows for ever.
-pub(crate) async fn rows(shared: Shared) {
+pub(crate) async fn own_rows(shared: Shared) {
     let mut version = None;
     loop {
         let result = match version {
@@ -193,11 +194,30 @@
 }
 
 /// Reads all rows, as changes from nothing.
+///
+/// Parts are read at the same time, since a new owner decides nothing before it has them
+/// all; each is as of a moment of its own. The earliest counts: what changed since then
+/// comes again.
 pub(crate) async fn read_all(table: &Table, space: Space) -> Result<Changes, Error> {
+    let parts: Vec<&str> = match space {
+        Space::Own => rows::parts().collect(),
+        Space::Operator => vec![""],
+    };
+    let read = parts.into_iter().map(|part| read_part(table, space, part));
+    let mut all = Changes { rows: Vec::new(), version: u64::MAX };
+    for part in try_join_all(read).await? {
+        all.version = all.version.min(part.version);
+        all.rows.extend(part.rows);
+    }
+    Ok(all)
+}
+
+/// Reads all rows of a part.
+async fn read_part(table: &Table, space: Space, part: &str) -> Result<Changes, Error> {
     let mut all = Changes::default();
     let mut read = Read { prefix: String::new(), after: String::new(), limit: PAGE };
     loop {
-        let (page, version) = table.read(space, &read, TIMEOUT).await?;
+        let (page, version) = table.read(space, part, &read, TIMEOUT).await?;
         if all.version == 0 {
             // Later pages may be newer; what changed meanwhile comes again.
             all.version = version;
--- a/crates/stand-in/tests/soak/table.rs
+++ b/crates/stand-in/tests/soak/table.rs
@@ -32,7 +32,8 @@
 /// Rows, and the changes to them.
 #[derive(Default)]
 pub struct Table {
-    rows: BTreeMap<(String, String), (u64, String)>,
+    /// By table, part and key.
+    rows: BTreeMap<(String, String, String), (u64, String)>,
     changes: VecDeque<(u64, String, String, Option<String>)>,
     version: u64,
     /// Changes up to this version are forgotten.
@@ -46,6 +47,8 @@
 #[derive(Deserialize)]
 struct Named {
     table: String,
+    #[serde(default)]
+    part: String,
     key: String,
     #[serde(default)]
     ver: u64,
@@ -61,6 +64,17 @@
     set: Vec<Named>,
     #[serde(default)]
     delete: Vec<Named>,
+    #[serde(default)]
+    across: bool,
+}
+
+impl Transaction {
+    /// True if all its rows lie in one part, or it says that they do not.
+    fn is_allowed(&self) -> bool {
+        let mut named = self.expected.iter().chain(&self.set).chain(&self.delete);
+        let first = named.next().map(|named| named.part.as_str());
+        self.across || named.all(|named| Some(named.part.as_str()) == first)
+    }
 }
 
 /// Most rows in one answer.
@@ -80,7 +94,7 @@
     /// Writes a row as an operator.
     pub fn put(&mut self, table: &str, key: &str, value: &str) {
         self.version += 1;
-        self.set(table, key, Some(STANDARD.encode(value)));
+        self.set((table, "", key), Some(STANDARD.encode(value)));
     }
 
     /// Forgets which rows changed when.
@@ -89,8 +103,9 @@
         self.forgotten = self.version;
     }
 
-    fn set(&mut self, table: &str, key: &str, value: Option<String>) {
-        let (row, version) = ((table.to_owned(), key.to_owned()), self.version);
+    fn set(&mut self, (table, part, key): (&str, &str, &str), value: Option<String>) {
+        let row = (table.to_owned(), part.to_owned(), key.to_owned());
+        let version = self.version;
         match &value {
             Some(value) => _ = self.rows.insert(row, (version, value.clone())),
             None => _ = self.rows.remove(&row),
@@ -105,33 +120,37 @@
 
     fn commit(&mut self, transaction: &Transaction) -> (u16, Value) {
         let holds = |named: &Named| {
-            let row = self.rows.get(&(named.table.clone(), named.key.clone()));
+            let row = self.rows.get(&(named.table.clone(), named.part.clone(), named.key.clone()));
             row.map_or(0, |(version, _)| *version) == named.ver
         };
+        if !transaction.is_allowed() {
+            return (400, json!({}));
+        }
         if !transaction.expected.iter().all(holds) {
             return (412, json!({ "rows": [], "ver": self.version }));
         }
         self.version += 1;
         for named in &transaction.set {
-            self.set(&named.table, &named.key, Some(named.value.clone()));
+            self.set((&named.table, &named.part, &named.key), Some(named.value.clone()));
         }
         for named in &transaction.delete {
-            self.set(&named.table, &named.key, None);
+            self.set((&named.table, &named.part, &named.key), None);
         }
         (200, json!({ "ver": self.version, "nowMs": 0 }))
     }
 
     fn read(&self, query: &BTreeMap<String, String>) -> Value {
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
-        let (table, from, to) = (text("table"), text("from"), text("to"));
+        let (table, part) = (text("table"), text("part"));
+        let (from, to) = (text("from"), text("to"));
         let limit = query.get("limit").and_then(|text| text.parse().ok()).unwrap_or(PAGE);
         let inside = |key: &str| key >= from.as_str() && (to.is_empty() || key < to.as_str());
         let mut found: Vec<Value> = self
             .rows
             .iter()
-            .filter(|((known, key), _)| *known == table && inside(key))
+            .filter(|((known, within, key), _)| *known == table && *within == part && inside(key))
             .take(limit + 1)
-            .map(|((_, key), (version, value))| self.row(key, *version, Some(value)))
+            .map(|((_, _, key), (version, value))| self.row(key, *version, Some(value)))
             .collect();
         let more = found.len() > limit;
         found.truncate(limit);
