Hand over past a write without an answer, and let entries that end retire

Where entries restart one after the other, those that had just ended still stood first, and the next one waited 80 ms for them. A new owner dialled agents up to 50 ms late: settled after 50 ms, not 12. Change: on a conflict the row is read, and written again if the same owner wrote it; an entry that drains says in its row that it is the last that should own; a new owner dials at once; the second candidate waits 60 ms.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -31,7 +31,7 @@
 /// The second candidate waits for so many milliseconds beyond the first: what a claim
 /// takes, 10 ms, until all others have heard of it, which read their feed every 40 ms.
 /// Without a wait all claimed at once, and a machine that was too small won by chance.
-const SECOND: u64 = 80;
+const SECOND: u64 = 60;
 
 /// And each further one for so many more: a claim that is refused costs one write.
 const STEP: u64 = 20;
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -151,6 +151,7 @@
     // which must not be added to the time: the process would be killed with
     // calls in flight.
     handover::hand_over(shared).await;
+    actix_rt::spawn(links::retire(Rc::clone(shared)));
     tokio::time::sleep_until(begin + grace.saturating_sub(CLOSING)).await;
     shared.gate.close();
     // A table that is slow must not cost the time that the last calls have.
--- a/crates/entry/src/site/handover.rs
+++ b/crates/entry/src/site/handover.rs
@@ -10,7 +10,7 @@
 use futures_util::future::select_ok;
 use quincewheel_dispatch::rows::{OWNER, Ownership};
 use quincewheel_peer::Command;
-use quincewheel_store::{Change, Commit, Expect};
+use quincewheel_store::{Change, Commit, Error, Expect};
 use quincewheel_wire::{LinkId, Peer};
 use tokio::time::timeout;
 
@@ -82,14 +82,29 @@
     let Ok(mine) = serde_json::from_str::<Ownership>(&value) else { return };
     let same = seen.filter(|(owner, _)| owner.epoch == mine.epoch);
     let version = same.map_or(version, |(_, seen)| seen.max(version));
-    let commit = vacant(mine, version);
-    match shared.table.commit(&commit, TIMEOUT).await {
-        Ok(version) => step_in(&shared, &commit, version),
+    let commit = vacant(mine.clone(), version);
+    let written = match shared.table.commit(&commit, TIMEOUT).await {
+        Err(Error::Conflict { .. }) => vacate_again(&shared, &mine).await,
+        written => written.map(|version| (commit, version)),
+    };
+    match written {
+        Ok((commit, version)) => step_in(&shared, &commit, version),
         // The others take over once the row stands still.
         Err(error) => log::warn!(event = "hand over"; "{error}"),
     }
 }
 
+/// Writes that nobody owns over a write of the former owner that had no answer, and that
+/// the feed has not told yet. Left at that, nobody owned for 1.9 s.
+async fn vacate_again(shared: &Site, mine: &Ownership) -> Result<(Commit, u64), Error> {
+    let (found, version) = read_owner(shared).await?;
+    if found.epoch != mine.epoch || found.holder != mine.holder {
+        return Err(Error::Conflict { key: OWNER.to_owned() });
+    }
+    let commit = vacant(found, version);
+    shared.table.commit(&commit, TIMEOUT).await.map(|version| (commit, version))
+}
+
 /// Claims what was just handed over: the former owner has chosen this entry, and the
 /// feed would tell only after some 25 ms.
 fn step_in(shared: &Site, commit: &Commit, version: u64) {
--- a/crates/entry/src/site/links.rs
+++ b/crates/entry/src/site/links.rs
@@ -155,7 +155,16 @@
 /// Writes where this entry is, so that the owner connects to it.
 pub(crate) async fn announce(shared: Shared) {
     let size = shared.settings.size;
-    let size = Size { processor: size.processor, link: size.link };
+    write_node(&shared, Size { processor: size.processor, link: size.link }).await;
+}
+
+/// Writes that this entry is the last that should own: it ends. Where entries restart one
+/// after the other, the next owner would wait in vain for those that are about to end.
+pub(crate) async fn retire(shared: Shared) {
+    write_node(&shared, Size::default()).await;
+}
+
+async fn write_node(shared: &Site, size: Size) {
     let node = Node { address: shared.settings.peers.clone(), entry: true, size };
     let commit = rows::announce(&shared.settings.name, &node);
     let failed = |error: &Error| shared.table_answered(Err(error));
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -39,6 +39,8 @@
         let now = quincewheel_clock::boot();
         if due(&shared, now) {
             claim(&shared).await;
+            // A new owner decides over older jobs only once it has heard all agents.
+            dialled = 0;
         }
         step(&shared);
         if now >= dialled + DIAL {
