Do not end a worker's new life by a list that is older than it

A worker that crashed is missed and looked up; its next life reports before the list comes, inherits the time of the miss, is not on the list, and its agent is dismissed: nothing starts there for some 2 s. Nothing ran there yet, so no rule was in danger. Change: a new life is missed from its own first moment. The test fails before (w0 is dropped).

--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -29,6 +29,8 @@
         let other = agent.worker.as_ref().is_none_or(|known| known.id != id);
         let reborn = agent.worker.as_ref().is_some_and(|known| known.id != id);
         if other {
+            // A list that was asked for before this life began cannot name it.
+            agent.missed = None;
             agent.noted = 0;
             agent.seen = 0;
             agent.failures = 0;
--- a/crates/dispatch/tests/lives.rs
+++ b/crates/dispatch/tests/lives.rs
@@ -21,6 +21,18 @@
     bed
 }
 
+/// A new owner that two of three agents follow, and a job of the former owner's time.
+fn taken_over() -> Bed {
+    let mut bed = Bed::open(2, 3);
+    bed.owner.tune(Settings { listed: true, ..Settings::default() });
+    bed.owner.job("old", job(1, vec![step(1, 1)]), 50, None);
+    for number in 0..2 {
+        bed.link(number);
+        bed.status(number, &[], &[]);
+    }
+    bed
+}
+
 /// The first agent's worker takes no connections any more.
 fn refuse(bed: &mut Bed) {
     let running = vec![run(task("a", 0, 0), 1)];
@@ -137,13 +149,7 @@
 // the owner is replaced. Cause: the new owner waited for leases at workers that are gone.
 #[test]
 fn older_jobs_start_once_each_listed_worker_has_answered() {
-    let mut bed = Bed::open(2, 3);
-    bed.owner.tune(Settings { listed: true, ..Settings::default() });
-    bed.owner.job("old", job(1, vec![step(1, 1)]), 50, None);
-    for number in 0..2 {
-        bed.link(number);
-        bed.status(number, &[], &[]);
-    }
+    let mut bed = taken_over();
     let mut told = Vec::new();
     let begin = bed.now;
     while bed.now < begin + 3000 {
@@ -167,13 +173,7 @@
 // A listed worker that nobody has heard of may run what the former owner started.
 #[test]
 fn a_listed_worker_that_is_not_heard_is_waited_for() {
-    let mut bed = Bed::open(2, 3);
-    bed.owner.tune(Settings { listed: true, ..Settings::default() });
-    bed.owner.job("old", job(1, vec![step(1, 1)]), 50, None);
-    for number in 0..2 {
-        bed.link(number);
-        bed.status(number, &[], &[]);
-    }
+    let mut bed = taken_over();
     let mut told = String::new();
     for _ in 0..30 {
         bed.pass(100);
@@ -186,3 +186,23 @@
     let settled = |owner: &Owner| owner.is_settled();
     assert_snapshot!(format!("{:?} {}", told.trim(), settled(&bed.owner)), @r#""" false"#);
 }
+
+// Symptom: an agent whose worker has just restarted is dismissed, and takes no work for 2 s.
+// Sequence: a worker crashes and is missed; the list is asked for; another life of it reports;
+// then the list comes, which is older than that life. Cause: the new life inherited the time
+// from which the former one was missed.
+#[test]
+fn a_list_that_is_older_than_a_life_does_not_end_it() {
+    let mut bed = running();
+    refuse(&mut bed);
+    bed.pass(100);
+    let asked = bed.now;
+    bed.pass(100);
+    let (stamp, running, ended) = (bed.now, Vec::new(), Vec::new());
+    let worker = Some(quincewheel_job::Worker { id: "j0".into(), ..bed::worker(0) });
+    bed.notice(0, Notice::Status { stamp, worker, fenced: false, running, ended });
+    bed.told();
+    bed.owner.machines(machines(&["", "i1"]), true, 1, asked);
+    bed.step();
+    assert_snapshot!(format!("{:?}", bed.record().gone), @"[]");
+}
