Adopt the later of two runs of a task

Cause, traced: 87 workers are taken at 12.36 s; the owner learns it from the list and starts their tasks elsewhere (run 2); it is killed at 12.85 s. The agents of the workers that are gone still list run 1, and the new owner adopts whichever is told first: run 1. Run 2, which goes on, is stopped as a remnant; the list drops run 1; the task starts (run 1001) 66 ms before run 2 has ended. Ruled out: the list (each worker that it left out was gone); the settling (not told yet). Change: a listed run with a higher number takes the place of the one that is known. Test: dispatch/tests/lives.rs, fails before (stop of run 2, start beside it).

--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -122,6 +122,16 @@
             return self.stop_stray(name, id, &run.task, run.number, now);
         };
         let slot = entry.key(key);
+        // A former owner started the later run only when the earlier one was gone, and the
+        // agent of a worker that is gone still lists what ran there: without this the run
+        // that goes on would be stopped as a remnant, and its task start beside it.
+        let earlier = entry.runs.get(&key).is_some_and(|placed| placed.run < run.number);
+        if earlier && let Some(former) = entry.runs.remove(&key) {
+            let detail =
+                format!("{key:?} run {} at {}: a later one runs", former.run, former.agent);
+            self.log("run lost", &run.task.job, detail);
+        }
+        let Some(entry) = self.jobs.get_mut(&run.task.job) else { return };
         match entry.runs.get_mut(&key) {
             Some(placed) if placed.worker == id && placed.run == run.number => {
                 placed.since = now;
--- a/crates/dispatch/tests/lives.rs
+++ b/crates/dispatch/tests/lives.rs
@@ -206,3 +206,33 @@
     bed.step();
     assert_snapshot!(format!("{:?}", bed.record().gone), @"[]");
 }
+
+// Symptom: tasks run twice for some 70 ms after a change of owner. Sequence: a worker is taken
+// away; the owner learns that from the list and starts its task elsewhere, under a higher number;
+// the owner is killed. The agent of the worker that is gone still lists the first run, and tells
+// the new owner before the agent of the second. The list drops the first. Cause: the first run
+// that was told was adopted, and the later one stopped as a remnant, while its task began anew.
+#[test]
+fn of_two_runs_of_a_task_the_later_one_is_adopted() {
+    let mut bed = Bed::open(2, 3);
+    bed.owner.tune(Settings { listed: true, ..Settings::default() });
+    bed.owner.job("old", job(1, vec![step(1, 1)]), 50, None);
+    for number in 0..3 {
+        bed.link(number);
+    }
+    let (stamp, running, ended) = (bed.now, vec![run(task("old", 0, 0), 1)], Vec::new());
+    let worker = Some(bed::worker(0));
+    bed.notice(0, Notice::Status { stamp, worker, fenced: false, running, ended });
+    bed.status(1, &[run(task("old", 0, 0), 2)], &[]);
+    bed.status(2, &[], &[]);
+    bed.pass(1500);
+    let mut told = bed.told();
+    told += "\n-- listed\n";
+    told += &listed(&mut bed, &["", "i1", "i2"]);
+    assert_snapshot!(told, @r"
+    list
+    list
+    -- listed
+    nothing
+    ");
+}
