--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -22,7 +22,7 @@
 use quincewheel_ring as ring;
 use quincewheel_runner::{Output, Runner, Settings};
 use quincewheel_store::Error;
-use quincewheel_wire::{Hello, Key, Notice, Order, Role};
+use quincewheel_wire::{Hello, Key, Notice, Order, Role, list_starts};
 use tokio::sync::Notify;
 
 use self::health::Health;
@@ -238,6 +238,10 @@
     for output in outputs {
         match output {
             Output::Send { link, notice } => {
+                if let Notice::Broke { worker, starts } = &notice {
+                    let (worker, starts) = (worker.as_str(), list_starts(starts));
+                    log::info!(event = "worker broke", worker = worker; "just after {starts}");
+                }
                 if !agent.hub.ask(Command::Send { link, frame: notice }) {
                     log::warn!(event = "hub full", link = link; "connection closed");
                     agent.hub.ask(Command::Close { link, reason: "too many notices wait" });
--- a/crates/dispatch/src/lives.rs
+++ b/crates/dispatch/src/lives.rs
@@ -101,7 +101,7 @@
             .collect();
         for (name, life) in over {
             self.log("worker gone", &name, format!("{life} is not listed any more"));
-            self.left(&name, &life);
+            self.left(&name, &life, "is gone");
             self.replan = true;
         }
         if pages == 1 {
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -255,7 +255,8 @@
                 self.hear(&name, silent);
                 self.grant(&name, link, stamp, silent, now);
             }
-            Notice::Left { worker } => self.left(&name, &worker),
+            Notice::Left { worker } => self.left(&name, &worker, "left"),
+            Notice::Broke { worker, starts } => self.broke(&name, &worker, &starts),
             Notice::Status { stamp, worker, fenced, running, ended } => {
                 self.grant(&name, link, stamp, 0, now);
                 self.status(&name, worker, fenced, &running, &ended, now);
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -1,7 +1,7 @@
 //! What agents report, brought into the owner's picture.
 
 use quincewheel_job::{End, How, Run, State, Task, Worker};
-use quincewheel_wire::{Order, Refused};
+use quincewheel_wire::{Order, Refused, list_starts};
 
 use crate::entry::{Key, Phase, Placed};
 use crate::owner::{Owner, task};
@@ -80,15 +80,20 @@
         }
     }
 
-    /// A worker said that it ends.
-    pub(crate) fn left(&mut self, name: &str, id: &str) {
+    /// A worker broke its connections.
+    pub(crate) fn broke(&mut self, name: &str, id: &str, starts: &[(Task, u64)]) {
+        self.log("worker broke", name, format!("{id} just after {}", list_starts(starts)));
+    }
+
+    /// A worker said that it ends, or is known to be gone.
+    pub(crate) fn left(&mut self, name: &str, id: &str, how: &str) {
         if let Some(agent) = self.agents.get_mut(name) {
             agent.heard = true;
             agent.left = true;
         }
         let gone = self.runs_where(|placed| placed.agent == name && placed.worker == id);
         for (job, key) in gone {
-            self.log("run lost", &job, format!("{key:?}: worker at {name} left"));
+            self.log("run lost", &job, format!("{key:?}: worker at {name} {how}"));
             self.drop_run(&job, key);
         }
     }
--- a/crates/runner/src/call.rs
+++ b/crates/runner/src/call.rs
@@ -92,6 +92,8 @@
     },
     /// It may take effect, now or later.
     Unclear {
+        /// The connection broke before the answer; otherwise none came in time.
+        closed: bool,
         /// What went wrong.
         detail: String,
     },
--- a/crates/runner/src/life.rs
+++ b/crates/runner/src/life.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use quincewheel_job::{End, Run, Worker};
+use quincewheel_job::{End, Run, Task, Worker};
 
 use crate::call::{Action, Call};
 use crate::pending::Pending;
@@ -39,6 +39,11 @@
     /// answered: only then is it sure that the run does not go on.
     pub stopped: Vec<Stopped>,
     pub orders: BTreeMap<u64, Pending>,
+    /// Starts that were confirmed of late, and when.
+    pub fresh: Vec<(Task, u64, u64)>,
+    /// The starts just before the worker broke its connections, if it has, and has not
+    /// answered since.
+    pub broke: Option<Vec<(Task, u64)>>,
 }
 
 impl Life {
@@ -60,9 +65,33 @@
             changed: false,
             stopped: Vec::new(),
             orders: BTreeMap::new(),
+            fresh: Vec::new(),
+            broke: None,
         }
     }
 
+    /// A start was confirmed. Those that are no longer fresh are forgotten.
+    pub fn note_start(&mut self, task: Task, run: u64, fresh: u64, now: u64) {
+        self.fresh.retain(|(_, _, at)| now <= at + fresh);
+        self.fresh.push((task, run, now));
+    }
+
+    /// The starts that may be why the worker has just broken its connections: `closed` one
+    /// that was open, or else took no new one. One that takes none has not seen the starts
+    /// that are on their way for the first time.
+    pub fn suspects(&self, closed: bool, fresh: u64, now: u64) -> Vec<(Task, u64)> {
+        let confirmed = self.fresh.iter().filter(|(_, _, at)| now <= at + fresh);
+        let confirmed = confirmed.map(|(task, run, _)| (task.clone(), *run));
+        let starts = self.orders.values().filter(|pending| pending.is_start());
+        let sent = starts.filter(|pending| pending.doubtful || closed && pending.again.is_none());
+        confirmed.chain(sent.map(Pending::run)).collect()
+    }
+
+    /// True if the look or order was made to this life, and its answer is awaited.
+    pub fn made(&self, id: u64) -> bool {
+        self.hold.is_some_and(|hold| hold.0 == id) || self.orders.contains_key(&id)
+    }
+
     /// True if the worker has to be looked at: it is not fenced yet, or runs
     /// something, or has ends that it does not know to be recorded.
     pub fn busy(&self, epoch: u64) -> bool {
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -74,11 +74,15 @@
     pub(crate) fn ordered(&mut self, id: u64, answer: Result<Reply, Fault>, now: u64) {
         let Some(life) = &mut self.life else { return };
         let Some(pending) = life.orders.get_mut(&id) else { return };
-        let start = matches!(pending.action, Action::Start { .. });
+        let start = pending.is_start();
         match answer {
             Ok(Reply::Done { clock } | Reply::Held { clock, .. }) => {
                 life.changed = true;
                 life.rest = now;
+                if start {
+                    let (task, run) = pending.run();
+                    life.note_start(task, run, self.settings.fresh, now);
+                }
                 self.lease.observe(clock, now);
                 self.close(id, None);
             }
@@ -112,7 +116,7 @@
             return;
         };
         let (task, run) = pending.run();
-        let start = matches!(pending.action, Action::Start { .. });
+        let start = pending.is_start();
         match refused {
             None if start => self.tell(Notice::Started { task, run }),
             Some(why) if start => self.tell(Notice::Unstarted { task, run, why }),
@@ -144,7 +148,7 @@
         let Some(life) = &mut self.life else { return };
         let Some(pending) = life.orders.get_mut(&id) else { return };
         pending.tries += 1;
-        let start = matches!(pending.action, Action::Start { .. });
+        let start = pending.is_start();
         if start && pending.tries < tries {
             pending.again = Some(now);
         } else if start && !pending.doubtful {
--- a/crates/runner/src/pending.rs
+++ b/crates/runner/src/pending.rs
@@ -24,6 +24,10 @@
         matches!(&self.action, Action::Start { task: t, run: r, .. } if t == task && *r == run)
     }
 
+    pub fn is_start(&self) -> bool {
+        matches!(self.action, Action::Start { .. })
+    }
+
     /// Stops the run, since its start is unclear.
     pub fn settle(&mut self, now: u64) {
         let (task, run) = self.run();
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -208,6 +208,11 @@
         if let Some(life) = self.life.as_mut().filter(|_| proves) {
             life.answered = now;
         }
+        match answer {
+            Err(Fault::Unclear { closed: true, .. }) => self.broke(id, true, now),
+            Err(Fault::Unsent { .. }) => self.broke(id, false, now),
+            _ => {}
+        }
         let held = self.life.as_ref().and_then(|life| life.hold).filter(|hold| hold.0 == id);
         if let Some((_, epoch)) = held {
             self.held(id, epoch, answer, now);
@@ -217,6 +222,25 @@
         self.step(now);
     }
 
+    /// The worker broke the connection of a call, or takes none. Told once: until it answers
+    /// a look nothing more can be learned of which start was the last.
+    fn broke(&mut self, id: u64, closed: bool, now: u64) {
+        let fresh = self.settings.fresh;
+        // The answer to a call of a former life says nothing of this one.
+        let made = |life: &&mut Life| life.made(id) && life.broke.is_none();
+        let Some(life) = self.life.as_mut().filter(made) else { return };
+        life.broke = Some(life.suspects(closed, fresh, now));
+        self.tell_broke();
+    }
+
+    fn tell_broke(&mut self) {
+        let Some(life) = &self.life else { return };
+        if let Some(starts) = life.broke.clone() {
+            let worker = life.worker.id.clone();
+            self.tell(Notice::Broke { worker, starts });
+        }
+    }
+
     /// Time passed.
     pub fn tick(&mut self, now: u64) {
         self.leave_silent(now);
@@ -307,6 +331,7 @@
             self.tell(Notice::Left { worker });
         }
         self.tell_status(now);
+        self.tell_broke();
     }
 
     fn obey(&mut self, order: Order, now: u64) {
@@ -344,6 +369,7 @@
                 life.rest = if life.ended.is_empty() { now } else { now + self.settings.pause };
                 life.reported = now;
                 life.proven = true;
+                life.broke = None;
                 let stopped = std::mem::take(&mut life.stopped);
                 let (told, kept) = stopped
                     .into_iter()
--- a/crates/runner/src/settings.rs
+++ b/crates/runner/src/settings.rs
@@ -20,6 +20,10 @@
     /// new until it answers. Two reports, which come every 1,500 ms, and the time
     /// that one may take to be acknowledged.
     pub reports: u64,
+    /// A start that was confirmed no longer than this before the worker broke its
+    /// connections may be why. A task that crashes its worker does so within some 10 ms;
+    /// an agent whose share of the processor is used up learns of it 85 ms later.
+    pub fresh: u64,
     /// Pause before a look at the worker while ends wait for their record, and
     /// after a call that failed.
     pub pause: u64,
@@ -34,6 +38,7 @@
             answer: 400,
             tries: 3,
             reports: 3500,
+            fresh: 150,
             pause: 300,
         }
     }
--- /dev/null
+++ b/crates/runner/tests/broke.rs
@@ -0,0 +1,183 @@
+//! What an agent tells of a worker that breaks its connections.
+
+use insta::assert_snapshot;
+use quincewheel_job::{Run, Task, Worker};
+use quincewheel_runner::{Action, Fault, Output, Reply, Runner, Settings};
+use quincewheel_wire::{Notice, Order, list_starts};
+
+/// An agent whose worker is fenced and runs nothing.
+struct Bed {
+    runner: Runner,
+    now: u64,
+    /// The last look and the last start that were called.
+    look: u64,
+    start: u64,
+    told: Vec<String>,
+}
+
+impl Bed {
+    fn open() -> Bed {
+        let runner = Runner::open(Settings::default());
+        let mut bed = Bed { runner, now: 1000, look: 0, start: 0, told: Vec::new() };
+        bed.report("i1");
+        bed.runner.order(1, Order::Claim { epoch: 1 }, bed.now);
+        bed.runner.order(1, Order::Grant { stamp: bed.now }, bed.now);
+        bed.drain();
+        bed.looked(&[]);
+        bed.told.clear();
+        bed
+    }
+
+    fn report(&mut self, id: &str) {
+        let worker = Worker { id: id.into(), pool: "p".into(), ..Worker::default() };
+        self.runner.beat(&worker, "10.0.0.1:80", 50_000 + self.now, self.now);
+        self.drain();
+    }
+
+    fn order(&mut self, index: u32) {
+        let (spec, saved, ticket) = (String::new(), String::new(), String::new());
+        let (worker, task) = ("i1".to_owned(), task(index));
+        let start = Order::Start { worker, task, run: 1, spec, saved, ticket, again: false };
+        self.runner.order(1, start, self.now);
+        self.drain();
+    }
+
+    /// The last start is confirmed.
+    fn started(&mut self) {
+        self.answer(self.start, Ok(Reply::Done { clock: 50_000 + self.now }));
+    }
+
+    /// The last look is answered.
+    fn looked(&mut self, running: &[u32]) {
+        let run = |&index: &u32| Run {
+            task: task(index),
+            number: 1,
+            saved: String::new(),
+            percent: 1,
+            gauge: 0,
+        };
+        let running = running.iter().map(run).collect();
+        let held = Reply::Held { clock: 50_000 + self.now, running, ended: Vec::new() };
+        self.answer(self.look, Ok(held));
+    }
+
+    fn answer(&mut self, id: u64, answer: Result<Reply, Fault>) {
+        self.runner.answer(id, answer, self.now);
+        self.drain();
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now += ms;
+        self.runner.tick(self.now);
+        self.drain();
+    }
+
+    fn drain(&mut self) {
+        for output in self.runner.outputs() {
+            match output {
+                Output::Call { id, call } => match call.action {
+                    Action::Hold { .. } => self.look = id,
+                    Action::Start { .. } => self.start = id,
+                    _ => {}
+                },
+                Output::Send { notice: Notice::Broke { worker, starts }, .. } => {
+                    self.told.push(format!("{worker} broke: {}", list_starts(&starts)));
+                }
+                Output::Send { .. } | Output::Close { .. } => {}
+            }
+        }
+    }
+}
+
+fn task(index: u32) -> Task {
+    Task { job: "j".into(), occurrence: 0, step: 0, index }
+}
+
+fn closed() -> Result<Reply, Fault> {
+    Err(Fault::Unclear { closed: true, detail: "closed".into() })
+}
+
+fn refused() -> Result<Reply, Fault> {
+    Err(Fault::Unsent { detail: "refused".into() })
+}
+
+// Symptom: on-call engineers see that a run was lost with its worker, and not that the worker
+// crashed just after the start. Sequence: a task has run for a while, another starts, and 10 ms
+// later the process is gone. Cause: nobody told how long a worker had lived on.
+#[test]
+fn only_starts_of_the_last_moment_are_named() {
+    let mut bed = Bed::open();
+    bed.order(0);
+    bed.started();
+    bed.pass(300);
+    bed.looked(&[0]);
+    bed.order(1);
+    bed.started();
+    bed.pass(10);
+    bed.answer(bed.look, closed());
+    bed.pass(300);
+    bed.answer(bed.look, refused());
+    assert_snapshot!(bed.told.join("\n"), @"i1 broke: j.0.0.1 run 1");
+}
+
+// A worker may crash before it answers the start.
+#[test]
+fn a_start_without_an_answer_is_named() {
+    let mut bed = Bed::open();
+    bed.order(0);
+    bed.answer(bed.start, closed());
+    assert_snapshot!(bed.told.join("\n"), @"i1 broke: j.0.0.0 run 1");
+}
+
+// A start that found nobody there has not crashed anything.
+#[test]
+fn a_start_that_was_not_sent_is_not_named() {
+    let mut bed = Bed::open();
+    bed.order(0);
+    bed.order(1);
+    bed.answer(bed.start, refused());
+    assert_snapshot!(bed.told.join("\n"), @"i1 broke: no start");
+}
+
+// No answer in time tells nothing of when the worker was gone, or whether it is.
+#[test]
+fn silence_is_no_break() {
+    let mut bed = Bed::open();
+    bed.order(0);
+    bed.started();
+    bed.answer(bed.look, Err(Fault::Unclear { closed: false, detail: "nothing".into() }));
+    assert_snapshot!(bed.told.join("\n"), @"");
+}
+
+// A new owner may have taken over between the crash and its consequences.
+#[test]
+fn a_new_owner_is_told_as_well_until_the_worker_answers() {
+    let mut bed = Bed::open();
+    bed.order(0);
+    bed.started();
+    bed.answer(bed.look, closed());
+    bed.runner.order(2, Order::Claim { epoch: 2 }, bed.now);
+    bed.drain();
+    bed.pass(300);
+    bed.looked(&[0]);
+    bed.runner.order(3, Order::Claim { epoch: 3 }, bed.now);
+    bed.drain();
+    assert_snapshot!(bed.told.join("\n"), @r"
+    i1 broke: j.0.0.0 run 1
+    i1 broke: j.0.0.0 run 1
+    ");
+}
+
+// The answer to a call of a life that is over says nothing of the one that took its place.
+#[test]
+fn a_call_to_a_former_life_does_not_count_for_the_next() {
+    let mut bed = Bed::open();
+    bed.order(0);
+    bed.started();
+    let (look, start) = (bed.look, bed.start);
+    bed.runner.leave("i1", bed.now);
+    bed.report("i2");
+    bed.answer(look, closed());
+    bed.answer(start, closed());
+    assert_snapshot!(bed.told.join("\n"), @"");
+}
--- a/crates/runner/tests/starts.rs
+++ b/crates/runner/tests/starts.rs
@@ -122,7 +122,7 @@
 }
 
 fn silence() -> Result<Reply, Fault> {
-    Err(Fault::Unclear { detail: "nothing".into() })
+    Err(Fault::Unclear { closed: false, detail: "nothing".into() })
 }
 
 fn ok() -> Result<Reply, Fault> {
--- a/crates/runner/tests/world/mod.rs
+++ b/crates/runner/tests/world/mod.rs
@@ -261,7 +261,7 @@
             Mood::Gone => return Err(Fault::Unsent { detail: "refused".into() }),
             Mood::Late(delay) if matches!(call.action, Action::Start { .. }) => {
                 self.late.push((now + delay, call.clone()));
-                return Err(Fault::Unclear { detail: "no answer".into() });
+                return Err(Fault::Unclear { closed: false, detail: "no answer".into() });
             }
             Mood::Late(_) => {}
         }
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -24,6 +24,14 @@
         /// Which life of it.
         worker: String,
     },
+    /// The worker broke its connections, or takes none: its process may be gone. Void once
+    /// a status says again that the worker answers.
+    Broke {
+        /// Which life of it.
+        worker: String,
+        /// Starts that it had confirmed just before, or had not answered yet.
+        starts: Vec<(Task, u64)>,
+    },
     /// What the worker is and does.
     Status {
         /// The agent's clock, in milliseconds.
@@ -89,3 +97,10 @@
     /// No answer came; the run was stopped to be sure.
     Silent,
 }
+
+/// Starts of tasks, for a line in the log.
+pub fn list_starts(starts: &[(Task, u64)]) -> String {
+    let starts: Vec<String> =
+        starts.iter().map(|(task, run)| format!("{task} run {run}")).collect();
+    if starts.is_empty() { "no start".to_owned() } else { starts.join(", ") }
+}
