--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -36,6 +36,9 @@
     pub missed: Option<u64>,
     /// What speaks against its worker.
     pub blame: Blame,
+    /// Starts just after which the worker broke its connections, if it has not answered
+    /// since: if it is gone, one of them has crashed it.
+    pub suspects: Vec<(Task, u64)>,
     /// Starts that its worker refused of late.
     pub refusals: Refusals,
     /// Its worker said that it ends, and no other has reported since.
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -8,6 +8,7 @@
 
 use crate::entry::{Key, Phase};
 use crate::owner::Owner;
+use crate::suspects::Fresh;
 use crate::tally::Bar;
 
 /// Workers, what is free on them, and what could be taken away.
@@ -18,6 +19,29 @@
     pub actual: Vec<Need>,
     /// The runs of each unit that stops as a whole.
     pub units: BTreeMap<u64, Vec<(Id, Key)>>,
+    /// Places at which something has just started.
+    pub fresh: BTreeMap<usize, Fresh>,
+}
+
+/// Places that a step leaves free, by why.
+#[derive(Debug, Default)]
+pub(crate) struct Barred {
+    /// It is not cleared for the workers.
+    pub uncleared: Vec<usize>,
+    /// Its tasks failed there.
+    pub avoided: Vec<usize>,
+    /// A crash there could not be told from another's.
+    pub apart: Vec<usize>,
+}
+
+impl Barred {
+    /// All of them.
+    pub fn places(&self) -> Vec<usize> {
+        let mut places = [&self.uncleared[..], &self.avoided, &self.apart].concat();
+        places.sort_unstable();
+        places.dedup();
+        places
+    }
 }
 
 impl Board {
@@ -33,9 +57,26 @@
         }
     }
 
+    /// Takes note of a start at a place.
+    pub fn note_start(&mut self, place: usize, fresh: Fresh) {
+        let known = self.fresh.entry(place).or_insert(fresh);
+        *known = fresh.max(*known);
+    }
+
+    /// Places at which something runs.
+    pub fn busy(&self) -> Vec<usize> {
+        let places = self.spots.iter().enumerate();
+        places.filter(|(_, spot)| spot.free != spot.capacity).map(|(place, _)| place).collect()
+    }
+
     /// What bars a step from each place; empty if nothing does anywhere.
-    pub fn bars(&self, spared: &[usize], uncleared: &[usize], avoided: &[usize]) -> Vec<Bar> {
-        let kinds = [(spared, Bar::Spared), (uncleared, Bar::Uncleared), (avoided, Bar::Avoided)];
+    pub fn bars(&self, spared: &[usize], barred: &Barred) -> Vec<Bar> {
+        let kinds = [
+            (spared, Bar::Spared),
+            (&barred.uncleared, Bar::Uncleared),
+            (&barred.avoided, Bar::Avoided),
+            (&barred.apart, Bar::Apart),
+        ];
         if kinds.iter().all(|(places, _)| places.is_empty()) {
             return Vec::new();
         }
@@ -75,6 +116,7 @@
         let borrowed = self.borrowed();
         let mut taken = BTreeMap::new();
         let mut units: BTreeMap<u64, Vec<(Id, Key)>> = BTreeMap::new();
+        let mut fresh: BTreeMap<usize, Fresh> = BTreeMap::new();
         for (id, entry) in &self.jobs {
             for (key, placed) in &entry.runs {
                 let Some(step) = entry.step(*key) else { continue };
@@ -82,6 +124,10 @@
                 let Some(&place) = places.get(placed.agent.as_str()) else { continue };
                 let need = step.charge();
                 spots[place].free.take(&need);
+                if let Some(started) = Fresh::of(id, entry, *key, placed, now) {
+                    let known = fresh.entry(place).or_insert(started);
+                    *known = started.max(*known);
+                }
                 let borrows = borrowed.contains(&placed.unit);
                 let yields = entry.job.queue.priority > 0 || borrows;
                 let ending = !step.perpetual && entry.unit_ends(placed, &self.settings, now);
@@ -98,7 +144,7 @@
             }
         }
         let actual = spots.iter().map(|spot| spot.free).collect();
-        Board { spots, actual, units }
+        Board { spots, actual, units, fresh }
     }
 
     /// True if the run may be taken away at all: of a step that lasts, only as
--- a/crates/dispatch/src/candidate.rs
+++ b/crates/dispatch/src/candidate.rs
@@ -14,6 +14,8 @@
     pub tasks: Vec<u32>,
     /// Their own work, in core-milliseconds: what stopping others may cost.
     pub work: u64,
+    /// One of them may crash the workers that start it.
+    pub suspect: bool,
     /// Lower comes first.
     pub rank: Rank,
 }
--- a/crates/dispatch/src/detail.rs
+++ b/crates/dispatch/src/detail.rs
@@ -30,7 +30,9 @@
             Cause::Pool => self.pool(entry),
             Cause::Label => format!("{label} in pool {}", self.pool(entry)),
             Cause::Closed => list(closed),
-            Cause::Few | Cause::Room | Cause::Spared | Cause::Rack => format!("{room}{shut}"),
+            Cause::Few | Cause::Room | Cause::Spared | Cause::Rack | Cause::Apart => {
+                format!("{room}{shut}")
+            }
             Cause::Reserved => reserved(entry, group, now),
             Cause::Clearance => self.clearance(entry, group, now),
             Cause::Avoided => format!("failed at {}", list(self.failed_at(entry, group, now))),
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -40,6 +40,9 @@
     pub clearances: BTreeMap<(u32, u32), Clearance>,
     /// Room that is being made for a step.
     pub reserved: BTreeMap<(u32, u32), Reservation>,
+    /// A crash under one of its tasks is not recorded yet: none of it starts, or a change of
+    /// owner could forget the crash, and the task be started without end.
+    pub unrecorded: bool,
 }
 
 /// A run that may exist.
@@ -69,6 +72,10 @@
     pub pace: u32,
     /// It began anew, here: neither from a checkpoint nor under a former owner.
     pub whole: bool,
+    /// When the worker first listed it, by the agent's clock.
+    pub listed: Option<u64>,
+    /// Its worker has outlived its start.
+    pub outlived: bool,
 }
 
 impl Placed {
@@ -164,6 +171,11 @@
                 .all(|other| other.ends_within(settings, now))
     }
 
+    /// How many workers in a row crashed just after starts of a task.
+    pub fn crashes(&self, id: &str, key: Key) -> u32 {
+        if self.progress.suspected() { self.progress.crashes(&self.job, &task(id, key)) } else { 0 }
+    }
+
     /// True if a run of the step may exist.
     pub fn placed(&self, occurrence: u32, step: u32) -> bool {
         let all = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod saved;
 mod settings;
 mod sight;
+mod suspects;
 mod tally;
 mod throttle;
 mod times;
--- a/crates/dispatch/src/lives.rs
+++ b/crates/dispatch/src/lives.rs
@@ -101,7 +101,8 @@
             .collect();
         for (name, life) in over {
             self.log("worker gone", &name, format!("{life} is not listed any more"));
-            self.left(&name, &life, "is gone");
+            self.convict(&name);
+            self.over(&name, &life, "is gone");
             self.replan = true;
         }
         if pages == 1 {
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -197,6 +197,7 @@
             avoided: BTreeMap::new(),
             clearances: BTreeMap::new(),
             reserved: BTreeMap::new(),
+            unrecorded: false,
         };
         self.jobs.insert(id.to_owned(), entry);
         self.replan = true;
@@ -255,11 +256,11 @@
                 self.hear(&name, silent);
                 self.grant(&name, link, stamp, silent, now);
             }
-            Notice::Left { worker } => self.left(&name, &worker, "left"),
-            Notice::Broke { worker, starts } => self.broke(&name, &worker, &starts),
+            Notice::Left { worker } => self.left(&name, &worker),
+            Notice::Broke { worker, starts } => self.broke(&name, &worker, starts),
             Notice::Status { stamp, worker, fenced, running, ended } => {
                 self.grant(&name, link, stamp, 0, now);
-                self.status(&name, worker, fenced, &running, &ended, now);
+                self.status(&name, worker, fenced, (&running, &ended), (stamp, now));
             }
             Notice::Started { task, run } => self.started(&task, run, now),
             Notice::Unstarted { task, run, why } => self.unstarted(&name, &task, run, why, now),
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -4,14 +4,15 @@
 
 use quincewheel_job::{Id, Need, Step};
 use quincewheel_place::{Ask, Spot, pack};
-use quincewheel_policy::{Guarantees, Rank, is_half_free, spare, unspare, weight};
+use quincewheel_policy::{APART, Guarantees, Rank, is_half_free, spare, unspare, weight};
 use quincewheel_wire::Order;
 
-use crate::board::Board;
+use crate::board::{Barred, Board};
 use crate::candidate::Candidate;
 use crate::entry::{Entry, Phase, Placed};
 use crate::guide::Guide;
 use crate::owner::{Owner, task};
+use crate::suspects::{Fresh, one_by_one};
 
 impl Owner {
     /// Decides what starts now.
@@ -26,13 +27,17 @@
         for candidate in &candidates {
             self.serve(candidate, &mut board, now, wall);
         }
+        // What waits for a suspect to outlive its start is decided by time alone.
+        if board.fresh.values().any(|fresh| *fresh == Fresh::Suspect) {
+            self.look_again(wall + APART);
+        }
         self.note_held_back(now, wall);
         self.tell_waited(now);
     }
 
     /// Everything whose turn has come.
     fn candidates(&mut self, wall: u64) -> Vec<Candidate> {
-        let settled = self.settled;
+        let (settled, now) = (self.settled, self.now);
         let mut guarantees = self.guaranteed_use();
         let mut next_due: Option<u64> = None;
         let mut found = Vec::new();
@@ -60,24 +65,30 @@
                     if tasks.is_empty() {
                         continue;
                     }
-                    let need = step.need.accelerators * tasks.len() as u64;
-                    let guaranteed =
-                        entry.job.queue.priority == 0 && guarantees.cover(&entry.job.team, need);
-                    let rank = Rank {
-                        borrowed: !guaranteed,
-                        priority: entry.job.queue.priority,
-                        hope: goal.hope(wall),
-                        latest: goal.latest(),
-                        version: entry.version,
-                    };
-                    found.push(Candidate {
-                        id: id.clone(),
-                        occurrence,
-                        step: number,
-                        work: weight(step) * guide.expect(entry, number, step) * tasks.len() as u64,
-                        tasks,
-                        rank,
-                    });
+                    for (tasks, suspect) in one_by_one(id, entry, (occurrence, number), tasks, now)
+                    {
+                        let need = step.need.accelerators * tasks.len() as u64;
+                        let guaranteed = entry.job.queue.priority == 0
+                            && guarantees.cover(&entry.job.team, need);
+                        let rank = Rank {
+                            borrowed: !guaranteed,
+                            priority: entry.job.queue.priority,
+                            hope: goal.hope(wall),
+                            latest: goal.latest(),
+                            version: entry.version,
+                        };
+                        found.push(Candidate {
+                            id: id.clone(),
+                            occurrence,
+                            step: number,
+                            work: weight(step)
+                                * guide.expect(entry, number, step)
+                                * tasks.len() as u64,
+                            tasks,
+                            suspect,
+                            rank,
+                        });
+                    }
                 }
             }
         }
@@ -157,24 +168,50 @@
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let Some(step) = entry.job.steps.get(candidate.step as usize).cloned() else { return };
         let pool = self.pool(entry);
-        let barred = self.barred(candidate, board, now);
-        let avoided = self.avoided(candidate, board, now);
-        let mut places = [barred.clone(), avoided.clone()].concat();
-        places.sort_unstable();
-        places.dedup();
-        let hidden = board.hide(&places);
-        let spared = self.place(candidate, &step, &pool, board, (now, wall));
-        board.show(hidden);
+        let barred = Barred {
+            uncleared: self.uncleared(candidate, board, now),
+            avoided: self.avoided(candidate, board, now),
+            apart: self.kept_apart(candidate, board),
+        };
+        let places = barred.places();
+        if candidate.suspect {
+            // Where nothing runs a crash costs least.
+            let mut busy = [places.clone(), board.busy()].concat();
+            busy.sort_unstable();
+            busy.dedup();
+            self.place_on_rest(candidate, (&step, &pool), (board, &busy), (now, wall));
+            if self.unplaced(candidate) == 0 {
+                return;
+            }
+        }
+        let spared = self.place_on_rest(candidate, (&step, &pool), (board, &places), (now, wall));
         if self.unplaced(candidate) == 0 {
             return;
         }
-        if !barred.is_empty() {
-            self.ask(candidate, roomiest(&barred, board, &pool, &step.label), now);
+        if !barred.apart.is_empty() {
+            self.look_again(wall + APART);
+        }
+        if !barred.uncleared.is_empty() {
+            self.ask(candidate, roomiest(&barred.uncleared, board, &pool, &step.label), now);
         }
-        let bars = board.bars(&spared, &barred, &avoided);
+        let bars = board.bars(&spared, &barred);
         self.note_wait(candidate, board, &bars, now);
     }
 
+    /// Starts what it can of one candidate on the workers at other places than these.
+    fn place_on_rest(
+        &mut self,
+        candidate: &Candidate,
+        (step, pool): (&Step, &str),
+        (board, barred): (&mut Board, &[usize]),
+        time: (u64, u64),
+    ) -> Vec<usize> {
+        let hidden = board.hide(barred);
+        let spared = self.place(candidate, step, pool, board, time);
+        board.show(hidden);
+        spared
+    }
+
     /// Tasks of it that have no place yet.
     pub(crate) fn unplaced(&self, candidate: &Candidate) -> usize {
         let Some(entry) = self.jobs.get(&candidate.id) else { return 0 };
@@ -184,7 +221,7 @@
 
     /// The places whose workers the step is not cleared for; none on a queue
     /// that needs no clearance.
-    fn barred(&self, candidate: &Candidate, board: &Board, now: u64) -> Vec<usize> {
+    fn uncleared(&self, candidate: &Candidate, board: &Board, now: u64) -> Vec<usize> {
         let Some(entry) = self.jobs.get(&candidate.id) else { return Vec::new() };
         if entry.job.queue.advice.is_none() {
             return Vec::new();
@@ -227,7 +264,9 @@
         let pairs: Vec<(u32, usize)> =
             candidate.tasks.iter().copied().zip(choices.iter().copied()).collect();
         self.start(candidate, step, &pairs, board, now);
-        if candidate.rank.takes_room() && started < candidate.tasks.len() {
+        // Nobody gives way to what may crash the worker that is cleared for it.
+        let takes = candidate.rank.takes_room() && !candidate.suspect;
+        if takes && started < candidate.tasks.len() {
             self.make_room(candidate, step, pool, started, board, (now, wall));
         }
         spared
@@ -282,6 +321,7 @@
             spot.free.take(&need);
             board.actual[place].take(&need);
             let name = spot.name.clone();
+            board.note_start(place, if candidate.suspect { Fresh::Suspect } else { Fresh::Any });
             let Some(worker) = self.agents.get(&name).and_then(|agent| agent.worker.as_ref())
             else {
                 continue;
@@ -316,6 +356,8 @@
                 moved: now,
                 pace: 100,
                 whole: saved.is_empty(),
+                listed: None,
+                outlived: false,
             };
             entry.runs.insert(key, placed);
             let task = task(&candidate.id, key);
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -131,6 +131,7 @@
             }
         }
         for (id, progress) in &batch.jobs {
+            self.note_recorded(id);
             let idle = self.jobs.get(id).is_some_and(|entry| entry.runs.is_empty());
             if progress.state.ended() && idle && !self.dirty.contains(id) {
                 self.close_job(id);
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -1,7 +1,7 @@
 //! What agents report, brought into the owner's picture.
 
 use quincewheel_job::{End, How, Run, State, Task, Worker};
-use quincewheel_wire::{Order, Refused, list_starts};
+use quincewheel_wire::{Order, Refused};
 
 use crate::entry::{Key, Phase, Placed};
 use crate::owner::{Owner, task};
@@ -14,10 +14,14 @@
         name: &str,
         worker: Option<Worker>,
         fenced: bool,
-        running: &[Run],
-        ended: &[End],
-        now: u64,
+        (running, ended): (&[Run], &[End]),
+        (stamp, now): (u64, u64),
     ) {
+        let Some(agent) = self.agents.get(name) else { return };
+        let known = agent.worker.as_ref().map(|known| known.id.as_str());
+        if worker.as_ref().is_some_and(|worker| known.is_some_and(|id| id != worker.id)) {
+            self.convict(name);
+        }
         let Some(agent) = self.agents.get_mut(name) else { return };
         let Some(worker) = worker else {
             agent.worker = None;
@@ -62,6 +66,7 @@
             self.running(name, &id, run, now);
         }
         if fenced {
+            self.clear_suspects(name, &id, running, stamp);
             self.throttle(name, running);
             self.missing(name, running, now);
             self.leave_still(name, now);
@@ -80,13 +85,16 @@
         }
     }
 
-    /// A worker broke its connections.
-    pub(crate) fn broke(&mut self, name: &str, id: &str, starts: &[(Task, u64)]) {
-        self.log("worker broke", name, format!("{id} just after {}", list_starts(starts)));
+    /// A worker said that it ends.
+    pub(crate) fn left(&mut self, name: &str, id: &str) {
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.suspects.clear();
+        }
+        self.over(name, id, "left");
     }
 
-    /// A worker said that it ends, or is known to be gone.
-    pub(crate) fn left(&mut self, name: &str, id: &str, how: &str) {
+    /// A worker's life is over, and all that ran in it.
+    pub(crate) fn over(&mut self, name: &str, id: &str, how: &str) {
         if let Some(agent) = self.agents.get_mut(name) {
             agent.heard = true;
             agent.left = true;
@@ -173,6 +181,8 @@
                     moved: now,
                     pace: 100,
                     whole: false,
+                    listed: None,
+                    outlived: false,
                 };
                 let unit = entry.runs.range((key.0, key.1, 0)..=(key.0, key.1, u32::MAX));
                 let gang = entry.job.steps.get(key.1 as usize).is_some_and(|step| step.gang);
@@ -249,6 +259,9 @@
             &job,
             format!("{} run {} {:?} at {name}{spent}", end.task, end.run, end.how),
         );
+        if matches!(end.how, How::Done | How::Failed) {
+            self.clear_suspect(&end.task);
+        }
         match end.how {
             How::Done => {
                 if let Some(run) = run {
--- a/crates/dispatch/src/room.rs
+++ b/crates/dispatch/src/room.rs
@@ -9,6 +9,7 @@
 use crate::entry::Reservation;
 use crate::owner::Owner;
 use crate::plan::held;
+use crate::suspects::Fresh;
 
 impl Owner {
     /// Starts a step on the room that was kept for it. False if that is void.
@@ -38,7 +39,8 @@
         // for void, work at another one would be stopped as well.
         let paused =
             |name: &String| self.agents.get(name).is_some_and(|agent| agent.refusals.until > 0);
-        if now < until && reservation.agents.iter().any(paused) {
+        let trial = |place: &usize| board.fresh.get(place) == Some(&Fresh::Suspect);
+        if now < until && (reservation.agents.iter().any(paused) || places.iter().any(trial)) {
             self.keep_until(until);
             return true;
         }
--- /dev/null
+++ b/crates/dispatch/src/suspects.rs
@@ -0,0 +1,162 @@
+//! Tasks that may crash the workers that start them: counted, kept apart, cleared, given up.
+
+use quincewheel_job::{Run, State, Task};
+use quincewheel_policy::{APART, CRASHES};
+use quincewheel_wire::list_starts;
+
+use crate::board::Board;
+use crate::candidate::Candidate;
+use crate::entry::{Entry, Key, Placed};
+use crate::owner::Owner;
+use crate::reports::key;
+
+impl Owner {
+    /// A worker broke its connections just after these starts. One that leaves or is taken
+    /// down does so, too.
+    pub(crate) fn broke(&mut self, name: &str, id: &str, starts: Vec<(Task, u64)>) {
+        self.log("worker broke", name, format!("{id} just after {}", list_starts(&starts)));
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        let sound = |worker: &quincewheel_job::Worker| worker.id == id && !worker.draining;
+        if agent.worker.as_ref().is_some_and(sound) && !agent.doomed {
+            agent.suspects = starts;
+        }
+    }
+
+    /// The life of an agent's worker is over. Counts it against what had just started there,
+    /// and gives up a task that has crashed too many workers in a row.
+    pub(crate) fn convict(&mut self, name: &str) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        let suspects = std::mem::take(&mut agent.suspects);
+        let among = suspects.len();
+        for (task, run) in suspects {
+            self.count_crash(name, &task, run, among);
+        }
+    }
+
+    fn count_crash(&mut self, name: &str, task: &Task, run: u64, among: usize) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        if entry.progress.state.ended() {
+            return;
+        }
+        let crashes = entry.progress.crash(&entry.job, task, run);
+        entry.unrecorded = true;
+        entry.reserved.remove(&(task.occurrence, task.step));
+        let detail = format!(
+            "{task} run {run} at {name}, one of {among} just started there: {crashes} of {CRASHES}"
+        );
+        self.log("crash suspected", &task.job, detail);
+        self.touch(&task.job, true);
+        if crashes >= CRASHES {
+            self.end_job(&task.job, State::Failed, self.now);
+        }
+    }
+
+    /// The record of a job was written: crashes under its tasks are not forgotten any more.
+    pub(crate) fn note_recorded(&mut self, id: &str) {
+        let newer = self.dirty.contains(id);
+        if let Some(entry) = self.jobs.get_mut(id).filter(|entry| entry.unrecorded && !newer) {
+            entry.unrecorded = false;
+            self.replan = true;
+        }
+    }
+
+    /// A worker answered, by its agent's clock at `stamp`: nothing has crashed it, and what
+    /// it has listed for a while has outlived its start.
+    pub(crate) fn clear_suspects(&mut self, name: &str, id: &str, running: &[Run], stamp: u64) {
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.suspects.clear();
+        }
+        for run in running {
+            let Some(entry) = self.jobs.get_mut(&run.task.job) else { continue };
+            let Some(placed) = entry.runs.get_mut(&key(&run.task)) else { continue };
+            if placed.worker != id || placed.run != run.number || placed.outlived {
+                continue;
+            }
+            let first = *placed.listed.get_or_insert(stamp);
+            placed.outlived = stamp >= first + APART;
+            let unit = placed.unit;
+            let unit = |other: &&Placed| other.unit == unit;
+            if entry.runs.values().filter(unit).all(|other| other.outlived) {
+                self.clear_suspect(&run.task);
+            }
+        }
+    }
+
+    /// A task outlived its start, and so did its gang.
+    pub(crate) fn clear_suspect(&mut self, task: &Task) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        if entry.crashes(&task.job, key(task)) == 0 {
+            return;
+        }
+        entry.progress.clear(&entry.job, task);
+        self.replan = true;
+        self.log("crash cleared", &task.job, format!("{task} outlived its start"));
+        self.touch(&task.job, false);
+    }
+
+    /// The places at which a candidate must not start now, lest a crash there be blamed on
+    /// it or on what has just started there: for a suspect all at which anything has, for
+    /// others those at which a suspect has.
+    pub(crate) fn kept_apart(&self, candidate: &Candidate, board: &Board) -> Vec<usize> {
+        let kept = |fresh: Fresh| candidate.suspect || fresh == Fresh::Suspect;
+        let fresh = board.fresh.iter().filter(|(_, fresh)| kept(**fresh));
+        fresh.map(|(place, _)| *place).collect()
+    }
+}
+
+/// What has just started at a worker.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Fresh {
+    /// Tasks of which nothing is known.
+    Any,
+    /// A task that may have crashed a worker before.
+    Suspect,
+}
+
+impl Fresh {
+    /// Which it is, if the run has just started.
+    pub fn of(id: &str, entry: &Entry, key: Key, placed: &Placed, now: u64) -> Option<Fresh> {
+        if placed.outlived || now >= placed.confirmed.unwrap_or(now) + APART {
+            return None;
+        }
+        Some(if entry.crashes(id, key) > 0 { Fresh::Suspect } else { Fresh::Any })
+    }
+}
+
+/// The tasks of a step that may start now, in groups, and whether a group is suspected.
+///
+/// Of a job with a suspect that one comes first, and by itself: tasks of one job are alike,
+/// and each of them would cost a worker. The others wait until it has outlived its start; those
+/// of other steps, which may find room where it does not, no longer than [`PATIENCE`].
+pub(crate) fn one_by_one(
+    id: &str,
+    entry: &Entry,
+    (occurrence, step): (u32, u32),
+    tasks: Vec<u32>,
+    now: u64,
+) -> Vec<(Vec<u32>, bool)> {
+    if !entry.progress.suspected() {
+        return vec![(tasks, false)];
+    }
+    let under_way = |(key, placed): (&Key, &Placed)| {
+        Fresh::of(id, entry, *key, placed, now) == Some(Fresh::Suspect)
+    };
+    if entry.unrecorded || entry.runs.iter().any(under_way) {
+        return Vec::new();
+    }
+    let runs = |slot: &Key| entry.runs.keys().any(|key| entry.key(*key) == *slot);
+    let mut untried = entry.progress.suspects().filter(|slot| !runs(slot));
+    let here = |index: &u32| entry.crashes(id, (occurrence, step, *index)) > 0;
+    let (suspects, others): (Vec<u32>, Vec<u32>) = tasks.into_iter().partition(here);
+    let gang = entry.job.steps.get(step as usize).is_some_and(|step| step.gang);
+    let first = if gang { suspects } else { suspects.into_iter().take(1).collect() };
+    let patient = entry.idle.is_none_or(|since| now < since + PATIENCE);
+    let waits = |slot: Key| (slot.0, slot.1) == (occurrence, step) || patient;
+    let others = if untried.any(waits) { Vec::new() } else { others };
+    let groups = [(first, true), (others, false)];
+    groups.into_iter().filter(|(tasks, _)| !tasks.is_empty()).collect()
+}
+
+/// Other steps of a job of which nothing runs wait no longer than this for a place for a
+/// suspect, in milliseconds: a job must not stand still beside idle workers.
+const PATIENCE: u64 = 1500;
--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -11,6 +11,7 @@
     Spared,
     Uncleared,
     Avoided,
+    Apart,
 }
 
 /// Room for tasks of one step, by what bars the step from it.
@@ -27,7 +28,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums {
     /// Tasks that fit into what is free, by bar.
-    free: [u64; 4],
+    free: [u64; 5],
     /// Tasks that would fit if nothing ran; counted until it is enough.
     whole: u64,
 }
@@ -81,6 +82,7 @@
             (Bar::Spared, Cause::Spared),
             (Bar::Uncleared, Cause::Clearance),
             (Bar::Avoided, Cause::Avoided),
+            (Bar::Apart, Cause::Apart),
         ];
         if let Some((_, cause)) = lifted.into_iter().find(|(bar, _)| self.holds(*bar)) {
             return cause;
--- a/crates/dispatch/src/wait.rs
+++ b/crates/dispatch/src/wait.rs
@@ -30,11 +30,13 @@
     Clearance,
     /// They failed a moment ago at the workers that have room.
     Avoided,
+    /// One of them may crash workers, and something has just started at those that have room.
+    Apart,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Cause; 13] = [
+    pub const ALL: [Cause; 14] = [
         Cause::Unsettled,
         Cause::Remains,
         Cause::Unconfigured,
@@ -48,6 +50,7 @@
         Cause::Reserved,
         Cause::Clearance,
         Cause::Avoided,
+        Cause::Apart,
     ];
 
     /// True if it is a matter of workers, or of room on them.
@@ -77,6 +80,7 @@
             Cause::Reserved => "room being made",
             Cause::Clearance => "no clearance",
             Cause::Avoided => "workers avoided",
+            Cause::Apart => "kept apart after a crash",
         }
     }
 }
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -2,10 +2,13 @@
 
 mod bed;
 
-use bed::{Bed, job, step};
+use std::collections::BTreeMap;
+use std::sync::LazyLock;
+
+use bed::{Bed, CLAIM, job, step};
 use insta::assert_snapshot;
-use quincewheel_dispatch::Settings;
-use quincewheel_job::{Job, Machine, Run, State, Task, Worker};
+use quincewheel_dispatch::{Output, Owner, Settings};
+use quincewheel_job::{Id, Job, Machine, Progress, Run, Task, Worker};
 use quincewheel_wire::{Notice, Order};
 
 /// Workers, their lives, and tasks that crash them.
@@ -25,15 +28,23 @@
     crashes: usize,
     /// When statuses come next: agents look each second.
     look: u64,
+    /// The table takes writes.
+    writes: bool,
+    /// Progress as the table has it.
+    recorded: BTreeMap<Id, Progress>,
 }
 
+/// Bounds on a platform that lists machines.
+static SETTINGS: LazyLock<Settings> =
+    LazyLock::new(|| Settings { listed: true, ..Settings::default() });
+
 /// How long a worker that crashed is away, in milliseconds.
 const AWAY: u64 = 3000;
 
 impl Pool {
     fn open(epoch: u64, workers: u64) -> Pool {
         let mut bed = Bed::open(epoch, workers);
-        bed.owner.tune(Settings { listed: true, ..Settings::default() });
+        bed.owner.tune(*SETTINGS);
         let mut pool = Pool {
             bed,
             lives: vec![0; workers as usize],
@@ -43,6 +54,8 @@
             starts: Vec::new(),
             crashes: 0,
             look: 0,
+            writes: true,
+            recorded: BTreeMap::new(),
         };
         for number in 0..workers {
             pool.bed.link(number);
@@ -68,6 +81,30 @@
         self.bed.owner.job(name, job, version, None);
     }
 
+    /// Another entry owns from now on, and knows what was recorded.
+    fn take_over(&mut self, epoch: u64, jobs: Vec<(&'static str, Job)>) {
+        let now = self.bed.now;
+        self.bed.owner = Owner::open(*SETTINGS, epoch, CLAIM * epoch, now);
+        self.bed.owner.former_ended();
+        for number in 0..self.lives.len() as u64 {
+            self.bed.owner.agent(&format!("w{number}"), now);
+        }
+        for (name, job) in jobs {
+            let progress = self.recorded.get(name).cloned();
+            self.bed.owner.job(name, job, CLAIM, progress);
+        }
+        for number in 0..self.lives.len() as u64 {
+            self.bed.link(number);
+            if !self.away(number) {
+                self.report(number);
+            }
+        }
+    }
+
+    fn away(&self, number: u64) -> bool {
+        self.back.iter().any(|(_, away)| *away == number)
+    }
+
     /// Time passes; workers do what they are told, and crash.
     fn pass(&mut self, ms: u64) {
         for _ in 0..ms / 10 {
@@ -88,16 +125,18 @@
             self.bed.owner.confirm(now);
             self.bed.owner.tick(now, now);
             self.carry_out();
-            let batch = self.bed.owner.record();
-            if let Some(batch) = batch {
-                self.bed.owner.recorded(&batch, true);
+            if let Some(batch) = self.bed.owner.record() {
+                self.bed.owner.recorded(&batch, self.writes);
+                if self.writes {
+                    self.recorded.extend(batch.jobs);
+                }
             }
         }
     }
 
     fn look_at_all(&mut self) {
         for number in 0..self.lives.len() as u64 {
-            if !self.back.iter().any(|(_, away)| *away == number) {
+            if !self.away(number) {
                 self.report(number);
             }
             let notice = Notice::Ping { stamp: self.bed.now, silent: 0 };
@@ -109,13 +148,13 @@
         let mut fresh: Vec<(u64, Task, u64)> = Vec::new();
         for output in self.bed.owner.outputs() {
             match output {
-                quincewheel_dispatch::Output::Send { link, order } => {
+                Output::Send { link, order } => {
                     if let Order::Start { task, run, .. } = order {
                         self.starts.push(task.to_string());
                         fresh.push((link, task, run));
                     }
                 }
-                quincewheel_dispatch::Output::List => self.list(),
+                Output::List => self.list(),
                 _ => {}
             }
         }
@@ -149,18 +188,26 @@
     }
 
     fn list(&mut self) {
-        let away = |number: u64| self.back.iter().any(|(_, away)| *away == number);
         let machine = |number: u64| Machine {
             name: format!("m{number}"),
-            worker: if away(number) { String::new() } else { self.worker(number).id },
+            worker: if self.away(number) { String::new() } else { self.worker(number).id },
             ..Machine::default()
         };
         let machines = (0..self.lives.len() as u64).map(machine).collect();
         self.bed.owner.machines(machines, true, 1, self.bed.now);
     }
 
-    fn started(&self, task: &str) -> usize {
-        self.starts.iter().filter(|start| *start == task).count()
+    /// How often a job's tasks were started, and whether it has ended.
+    fn story(&self, job: &str) -> String {
+        let starts = self.starts.iter().filter(|start| start.starts_with(job)).count();
+        let recorded = self.recorded.get(job).is_some_and(|progress| progress.state.ended());
+        let ended = if recorded { ", ended" } else { "" };
+        format!("{job}: {starts} starts{ended}")
+    }
+
+    fn stories(&self, jobs: &[&str]) -> String {
+        let stories: Vec<String> = jobs.iter().map(|job| self.story(job)).collect();
+        format!("{}\n{} crashes", stories.join("\n"), self.crashes)
     }
 }
 
@@ -182,3 +229,152 @@
         @"3 starts, 3 crashes, ended true"
     );
 }
+
+// Symptom: a sound job is given up beside a bad one. Sequence: the pool has lost its workers; all
+// that waits starts in one round where the first one is back, the bad task among it, and is lost
+// with it; so again at the next. Cause: what had just started when a worker crashed was counted,
+// and nothing told who had done it.
+#[test]
+fn a_task_that_starts_beside_a_bad_one_is_not_given_up() {
+    let mut pool = Pool::open(1, 1);
+    pool.bad = vec!["bad"];
+    for (name, version) in [("a", 150), ("bad", 151), ("c", 152)] {
+        pool.submit(name, job(1, vec![step(1, 1)]), version);
+    }
+    pool.pass(30_000);
+    assert_snapshot!(pool.stories(&["a", "bad", "c"]), @r"
+    a: 4 starts
+    bad: 3 starts, ended
+    c: 2 starts
+    3 crashes
+    ");
+}
+
+// Symptom: as above, where many jobs wait and several are bad. Each bad one costs three workers
+// at most, no sound one is given up.
+#[test]
+fn several_bad_tasks_are_told_from_the_sound_ones() {
+    let mut pool = Pool::open(1, 2);
+    pool.bad = vec!["bad1", "bad2"];
+    let jobs = ["a", "bad1", "c", "bad2", "e", "f"];
+    for (name, version) in jobs.into_iter().zip(150..) {
+        pool.submit(name, job(1, vec![step(1, 1)]), version);
+    }
+    pool.pass(60_000);
+    let starts = |job: &str| pool.starts.iter().filter(|start| start.starts_with(job)).count();
+    let most = pool.bad.iter().map(|job| starts(job)).max();
+    let ended: Vec<&str> = jobs.into_iter().filter(|job| pool.bed.owner.has_ended(job)).collect();
+    assert_snapshot!(format!("{ended:?} {most:?}"), @r#"["bad1", "bad2"] Some(3)"#);
+}
+
+// Symptom: the same task takes workers down again under each new owner. Sequence: a task has
+// crashed two workers; the owner is replaced; the new one starts from nothing. Cause: the count
+// was not recorded.
+#[test]
+fn a_new_owner_knows_of_crashes_before() {
+    let mut pool = Pool::open(1, 11);
+    pool.bad = vec!["bad"];
+    let bad = job(1, vec![step(1, 4)]);
+    pool.submit("bad", bad.clone(), 150);
+    for epoch in 2..5 {
+        pool.pass(400);
+        pool.take_over(epoch, vec![("bad", bad.clone())]);
+        pool.pass(7000);
+    }
+    assert_snapshot!(pool.stories(&["bad"]), @r"
+    bad: 3 starts, ended
+    3 crashes
+    ");
+}
+
+// Symptom: as above, while the table takes no writes. Nothing of the job starts until the table
+// has the crash.
+#[test]
+fn a_task_waits_until_its_crash_is_recorded() {
+    let mut pool = Pool::open(1, 11);
+    pool.bad = vec!["bad"];
+    pool.submit("bad", job(1, vec![step(1, 4)]), 150);
+    pool.writes = false;
+    pool.pass(5000);
+    let before = pool.stories(&["bad"]);
+    pool.writes = true;
+    pool.pass(5000);
+    assert_snapshot!(format!("{before}\n-- the table is back\n{}", pool.stories(&["bad"])), @r"
+    bad: 1 starts
+    1 crashes
+    -- the table is back
+    bad: 3 starts, ended
+    3 crashes
+    ");
+}
+
+// Tasks of one job are alike: the first that is suspected is tried by itself, and the others do
+// not cost a worker each.
+#[test]
+fn other_tasks_of_a_bad_job_wait_for_the_first() {
+    let mut pool = Pool::open(1, 11);
+    pool.bad = vec!["bad"];
+    pool.submit("bad", job(1, vec![step(20, 8)]), 150);
+    pool.pass(30_000);
+    let before = pool.starts.iter().take_while(|start| **start != "bad.0.0.0").count();
+    assert_snapshot!(format!("{before} {}", pool.story("bad")), @"0 bad: 13 starts, ended");
+}
+
+// A gang is given up as one, by its starts.
+#[test]
+fn a_gang_that_crashes_workers_is_given_up() {
+    let mut pool = Pool::open(1, 11);
+    pool.bad = vec!["bad"];
+    let mut bad = job(1, vec![step(3, 8)]);
+    bad.steps[0].gang = true;
+    pool.submit("bad", bad, 150);
+    pool.pass(30_000);
+    assert_snapshot!(pool.stories(&["bad"]), @r"
+    bad: 9 starts, ended
+    9 crashes
+    ");
+}
+
+// A worker that crashes by itself, just after a start by chance, ends nobody's job, and a task
+// that has outlived a start begins its count anew.
+#[test]
+fn crashes_that_come_by_chance_are_forgotten() {
+    let mut pool = Pool::open(1, 4);
+    pool.submit("a", job(1, vec![step(1, 8)]), 150);
+    for _ in 0..6 {
+        pool.pass(10);
+        while pool.running.iter().all(Vec::is_empty) {
+            pool.pass(10);
+        }
+        let number = pool.running.iter().position(|runs| !runs.is_empty()).unwrap_or(0);
+        let run = pool.running[number][0].clone();
+        pool.crash(number as u64, vec![(run.task, run.number)]);
+        // It outlives every second start.
+        while pool.running.iter().all(Vec::is_empty) {
+            pool.pass(10);
+        }
+        pool.pass(3000);
+        let number = pool.running.iter().position(|runs| !runs.is_empty()).unwrap_or(0);
+        pool.crash(number as u64, Vec::new());
+    }
+    assert_snapshot!(pool.stories(&["a"]), @r"
+    a: 12 starts
+    12 crashes
+    ");
+}
+
+// A worker that ends in good order breaks its connections, too.
+#[test]
+fn a_worker_that_leaves_has_not_crashed() {
+    let mut pool = Pool::open(1, 2);
+    pool.submit("a", job(1, vec![step(1, 8)]), 150);
+    pool.pass(10);
+    let number = pool.running.iter().position(|runs| !runs.is_empty()).unwrap_or(0) as u64;
+    let worker = pool.worker(number).id;
+    let run = pool.running[number as usize][0].clone();
+    let starts = vec![(run.task, run.number)];
+    pool.bed.events = vec!["crash suspected"];
+    pool.bed.notice(number, Notice::Broke { worker: worker.clone(), starts });
+    pool.bed.notice(number, Notice::Left { worker });
+    assert_snapshot!(pool.bed.logged(), @"nothing");
+}
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -29,6 +29,9 @@
     }
 }
 
+/// Numbers of runs, by occurrence, step and task, or by gang under index 0.
+type Runs = BTreeMap<u32, BTreeMap<u32, BTreeMap<u32, BTreeSet<u64>>>>;
+
 /// How far a job has come: what the owner must not forget.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Progress {
@@ -37,7 +40,11 @@
     /// Tasks that are done, by occurrence and step.
     done: BTreeMap<u32, BTreeMap<u32, Vec<u32>>>,
     /// The runs of each unfinished task that failed, or of the gang under index 0.
-    failed: BTreeMap<u32, BTreeMap<u32, BTreeMap<u32, BTreeSet<u64>>>>,
+    failed: Runs,
+    /// The runs of each unfinished task, or gang, just after whose start a worker crashed,
+    /// and which have not been shown to be innocent of it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    crashed: Runs,
 }
 
 impl Progress {
@@ -91,11 +98,64 @@
     /// number. Counted twice, one would let a job fail that has tries left; left
     /// out, it would let a task start once too often.
     pub fn fail(&mut self, job: &Job, task: &Task, run: u64) -> u32 {
-        let gang = job.steps.get(task.step as usize).is_some_and(|step| step.gang);
-        let index = if gang { 0 } else { task.index };
-        let steps = self.failed.entry(task.occurrence).or_default();
-        let runs = steps.entry(task.step).or_default().entry(index).or_default();
-        runs.insert(run);
-        runs.len() as u32
+        count(&mut self.failed, &slot(job, task), run)
+    }
+
+    /// Counts a run just after whose start a worker crashed, and returns how many there were
+    /// of its task or gang since one of them outlived its start.
+    pub fn crash(&mut self, job: &Job, task: &Task, run: u64) -> u32 {
+        count(&mut self.crashed, &slot(job, task), run)
+    }
+
+    /// How many workers in a row crashed just after the start of the task or its gang.
+    pub fn crashes(&self, job: &Job, task: &Task) -> u32 {
+        if self.crashed.is_empty() {
+            return 0;
+        }
+        let slot = slot(job, task);
+        let steps = self.crashed.get(&slot.occurrence).and_then(|steps| steps.get(&slot.step));
+        steps.and_then(|tasks| tasks.get(&slot.index)).map_or(0, |runs| runs.len() as u32)
+    }
+
+    /// Occurrence, step and index of the tasks, or of the first members of gangs, that may
+    /// crash workers.
+    pub fn suspects(&self) -> impl Iterator<Item = (u32, u32, u32)> {
+        self.crashed.iter().flat_map(|(&occurrence, steps)| {
+            let tasks = |(&step, tasks): (&u32, &BTreeMap<u32, BTreeSet<u64>>)| {
+                tasks.keys().map(move |&index| (occurrence, step, index)).collect::<Vec<_>>()
+            };
+            steps.iter().flat_map(tasks).collect::<Vec<_>>()
+        })
     }
+
+    /// True if a worker crashed just after a start of any task, and nothing has shown that
+    /// another one was the cause.
+    pub fn suspected(&self) -> bool {
+        !self.crashed.is_empty()
+    }
+
+    /// A run of the task or its gang outlived its start: it crashes no workers.
+    pub fn clear(&mut self, job: &Job, task: &Task) {
+        let slot = slot(job, task);
+        if let Some(steps) = self.crashed.get_mut(&slot.occurrence) {
+            if let Some(tasks) = steps.get_mut(&slot.step) {
+                tasks.remove(&slot.index);
+            }
+            steps.retain(|_, tasks| !tasks.is_empty());
+        }
+        self.crashed.retain(|_, steps| !steps.is_empty());
+    }
+}
+
+/// The task under which runs are counted: a gang's are those of its first member.
+fn slot(job: &Job, task: &Task) -> Task {
+    let gang = job.steps.get(task.step as usize).is_some_and(|step| step.gang);
+    Task { index: if gang { 0 } else { task.index }, ..task.clone() }
+}
+
+fn count(runs: &mut Runs, slot: &Task, run: u64) -> u32 {
+    let steps = runs.entry(slot.occurrence).or_default();
+    let runs = steps.entry(slot.step).or_default().entry(slot.index).or_default();
+    runs.insert(run);
+    runs.len() as u32
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! what both decide.
 
 mod blame;
+mod crash;
 mod goal;
 mod pace;
 mod rank;
@@ -13,6 +14,7 @@
 mod spare;
 
 pub use blame::{AVOIDED, Blame, bound_avoided, most_closed};
+pub use crash::{APART, CRASHES};
 pub use goal::{Goal, waves};
 pub use pace::{share, stands_still};
 pub use rank::{Hope, Rank};
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -453,7 +453,8 @@
             Some(life) => Notice::Status {
                 stamp: now,
                 worker: Some(life.worker.clone()),
-                fenced: life.fenced == self.epoch,
+                // One that broke its connections answers nothing until it is looked at again.
+                fenced: life.fenced == self.epoch && life.broke.is_none(),
                 running: life.running.clone(),
                 ended: life.ended.clone(),
             },
--- a/crates/runner/tests/broke.rs
+++ b/crates/runner/tests/broke.rs
@@ -13,12 +13,14 @@
     look: u64,
     start: u64,
     told: Vec<String>,
+    /// The last status said that the worker answers.
+    fenced: bool,
 }
 
 impl Bed {
     fn open() -> Bed {
         let runner = Runner::open(Settings::default());
-        let mut bed = Bed { runner, now: 1000, look: 0, start: 0, told: Vec::new() };
+        let mut bed = Bed { runner, now: 1000, look: 0, start: 0, told: Vec::new(), fenced: false };
         bed.report("i1");
         bed.runner.order(1, Order::Claim { epoch: 1 }, bed.now);
         bed.runner.order(1, Order::Grant { stamp: bed.now }, bed.now);
@@ -83,6 +85,7 @@
                 Output::Send { notice: Notice::Broke { worker, starts }, .. } => {
                     self.told.push(format!("{worker} broke: {}", list_starts(&starts)));
                 }
+                Output::Send { notice: Notice::Status { fenced, .. }, .. } => self.fenced = fenced,
                 Output::Send { .. } | Output::Close { .. } => {}
             }
         }
@@ -168,6 +171,24 @@
     ");
 }
 
+// Symptom: a crash is not counted. Sequence: the worker closes its connection; before the next
+// look it is told that it leaves, so its agent tells its status. Cause: that status said that the
+// worker answers, by its last answer before the crash.
+#[test]
+fn no_status_says_that_a_worker_answers_which_broke_its_connections() {
+    let mut bed = Bed::open();
+    bed.order(0);
+    bed.started();
+    bed.answer(bed.look, closed());
+    let worker = Worker { id: "i1".into(), pool: "p".into(), draining: true, ..Worker::default() };
+    bed.runner.beat(&worker, "10.0.0.1:80", 51_000, bed.now);
+    bed.drain();
+    let before = bed.fenced;
+    bed.pass(300);
+    bed.looked(&[0]);
+    assert_eq!((before, bed.fenced), (false, true));
+}
+
 // The answer to a call of a life that is over says nothing of the one that took its place.
 #[test]
 fn a_call_to_a_former_life_does_not_count_for_the_next() {
