--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -46,6 +46,7 @@
         if reborn {
             agent.silent = 0;
         }
+        let changed = agent.worker.as_ref().is_some_and(|known| known.fits_others(&worker));
         let first = fenced && !agent.fenced;
         agent.unknown = None;
         agent.left = false;
@@ -53,7 +54,7 @@
         agent.fenced = fenced;
         agent.heard |= fenced;
         agent.listed = running.iter().map(|run| (run.task.clone(), run.number)).collect();
-        if reborn || first {
+        if reborn || first || changed {
             self.replan = true;
         }
         if other {
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -22,3 +22,10 @@
     /// Milliseconds that it stays at least, while it drains.
     pub remaining: u64,
 }
+
+impl Worker {
+    /// True if it can run other tasks than a later report of the same life says.
+    pub fn fits_others(&self, later: &Worker) -> bool {
+        self.capacity != later.capacity || self.labels != later.labels
+    }
+}
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -118,7 +118,9 @@
             // A life stays in its pool: this report is another writer's.
             Some(life) if life.worker.id == worker.id && life.worker.pool != worker.pool => {}
             Some(life) if life.worker.id == worker.id => {
-                let changed = life.worker.draining != worker.draining;
+                // An idle worker is not looked at, so nothing else would tell its owner.
+                let drains = life.worker.draining != worker.draining;
+                let changed = drains || life.worker.fits_others(worker);
                 life.worker = worker.clone();
                 life.reported = now;
                 address.clone_into(&mut life.address);
