--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -54,6 +54,8 @@
     pub silent: u64,
     /// The runs that the worker listed last.
     pub listed: Vec<(Task, u64)>,
+    /// Those of them that nobody waits for: they are being stopped.
+    pub strays: Vec<Task>,
     /// When it was last seen to that what should run there is listed.
     pub checked: u64,
     /// The last end that was taken note of.
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -6,8 +6,10 @@
 use quincewheel_place::{Holder, Spot};
 use quincewheel_policy::{Guarantees, loss};
 
+use crate::agent::Agent;
 use crate::entry::{Key, Phase};
 use crate::owner::Owner;
+use crate::reports::key;
 use crate::suspects::Fresh;
 use crate::tally::Bar;
 
@@ -106,7 +108,7 @@
                 rack: worker.rack.clone(),
                 labels: worker.labels.clone(),
                 capacity: worker.capacity,
-                free: worker.capacity,
+                free: self.left_by_strays(agent, worker.capacity),
                 stopping: Need::default(),
                 ending: Need::default(),
                 doubtful: agent.doubted > now || agent.silent > self.settings.mute / 2,
@@ -147,6 +149,19 @@
         Board { spots, actual, units, fresh }
     }
 
+    /// What runs that nobody waits for leave of a worker's capacity until their stops are
+    /// through; nothing if it is not known what one of them takes. A worker that does not
+    /// check for itself would be given more than it has.
+    fn left_by_strays(&self, agent: &Agent, capacity: Need) -> Need {
+        let mut left = capacity;
+        for task in &agent.strays {
+            let step = self.jobs.get(&task.job).and_then(|entry| entry.step(key(task)));
+            let Some(step) = step else { return Need::default() };
+            left.take(&step.charge());
+        }
+        left
+    }
+
     /// True if the run may be taken away at all: of a step that lasts, only as
     /// many as may be missing at one time.
     fn may_yield(&self, id: &Id, key: Key, taken: &mut BTreeMap<(Id, u32, u32), u32>) -> bool {
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -54,6 +54,7 @@
         agent.fenced = fenced;
         agent.heard |= fenced;
         agent.listed = running.iter().map(|run| (run.task.clone(), run.number)).collect();
+        self.replan |= !std::mem::take(&mut agent.strays).is_empty();
         if reborn || first || changed {
             self.replan = true;
         }
@@ -204,6 +205,9 @@
     /// Stops a run that nobody waits for. The worker lists it until its stop
     /// is through; one order is enough meanwhile.
     fn stop_stray(&mut self, name: &str, id: &str, task: &Task, run: u64, now: u64) {
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.strays.push(task.clone());
+        }
         let bound = self.settings.reservation;
         self.strays.retain(|_, since| now < *since + bound);
         if self.strays.contains_key(&(task.clone(), run)) {
--- a/crates/dispatch/tests/capacity.rs
+++ b/crates/dispatch/tests/capacity.rs
@@ -55,3 +55,22 @@
     w0 start b.0.0.0 run 1
     ");
 }
+
+// Symptom: a worker that does not check for itself is given more than it has. Sequence: it lists
+// a run that nobody waits for any more (its job has ended, or a later run exists elsewhere), which
+// is stopped; before the stop is through, its room is given away. Cause: only runs that are waited
+// for were counted.
+#[test]
+fn room_of_a_run_that_nobody_waits_for_is_free_only_when_it_is_gone() {
+    let mut bed = Bed::open(1, 1).idle(1);
+    bed.status(0, &[run(task("unknown", 0, 0), 7)], &[]);
+    bed.owner.job("a", job(1, vec![step(1, 1)]), 150, None);
+    bed.step();
+    let stopping = bed.told();
+    bed.status(0, &[], &[]);
+    assert_snapshot!(format!("{stopping}\n-- gone\n{}", bed.told()), @r"
+    w0 stop unknown.0.0.0 run 7
+    -- gone
+    w0 start a.0.0.0 run 1
+    ");
+}
