--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -1,6 +1,6 @@
 //! Tasks that may crash the workers that start them: counted, kept apart, cleared, given up.
 
-use quincewheel_job::{Run, State, Task, Worker};
+use quincewheel_job::{Run, State, Task};
 use quincewheel_policy::{APART, CRASHES};
 use quincewheel_wire::list_starts;
 
@@ -25,9 +25,13 @@
     pub(crate) fn broke(&mut self, name: &str, id: &str, starts: Vec<(Task, u64)>) {
         self.log("worker broke", name, format!("{id} just after {}", list_starts(&starts)));
         let Some(agent) = self.agents.get_mut(name) else { return };
-        let sound = |worker: &Worker| worker.id == id && !worker.draining;
-        if agent.worker.as_ref().is_some_and(sound) && !agent.doomed {
-            agent.suspects = Some(Suspects { life: id.to_owned(), starts });
+        let there = agent.worker.as_ref().filter(|worker| worker.id == id);
+        if there.is_some_and(|worker| worker.draining) || agent.doomed {
+            return;
+        }
+        agent.suspects = Some(Suspects { life: id.to_owned(), starts });
+        if agent.worker.as_ref().is_some_and(|worker| worker.id != id) {
+            self.convict(name);
         }
     }
 
@@ -53,7 +57,11 @@
         if entry.progress.state.ended() {
             return;
         }
+        let known = entry.progress.crashes(&entry.job, task);
         let crashes = entry.progress.crash(&entry.job, task, run);
+        if crashes == known {
+            return;
+        }
         entry.unrecorded = true;
         entry.reserved.remove(&(task.occurrence, task.step));
         let detail = format!(
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -401,3 +401,20 @@
         @"crash suspected a: a.0.0.0 run 1 at w0, one of 1 just started there: 1 of 3"
     );
 }
+
+// An owner that is told late, when the next life is there already.
+#[test]
+fn a_crash_of_a_life_before_the_one_that_is_there_counts_at_once() {
+    let mut bed = Bed::open(1, 1);
+    bed.owner.job("a", job(1, vec![step(1, 8)]), 150, None);
+    let mut bed = bed.idle(1);
+    bed.events = vec!["crash suspected"];
+    let starts = vec![(bed::task("a", 0, 0), 1)];
+    for _ in 0..2 {
+        let starts = starts.clone();
+        bed.notice(0, Notice::Broke { worker: "i0-before".into(), starts });
+    }
+    assert_snapshot!(bed.logged(), @r"
+    crash suspected a: a.0.0.0 run 1 at w0, one of 1 just started there: 1 of 3
+    ");
+}
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use quincewheel_job::Worker;
+use quincewheel_job::{Task, Worker};
 use quincewheel_wire::{LinkId, Notice, Order, Refused};
 
 use crate::call::{Action, Call, Fault, Reply};
@@ -14,6 +14,19 @@
 /// that crashes again and again takes about a second for each life.
 const PAST: usize = 32;
 
+/// For so long a crash of the worker is told to new owners, in milliseconds: an owner is
+/// missed and replaced within some 2 s, and while there is none nothing starts.
+const CRASHED: u64 = 10_000;
+
+/// A life of the worker that broke its connections just after starts and did not come back.
+#[derive(Clone, Debug)]
+struct Crashed {
+    life: String,
+    starts: Vec<(Task, u64)>,
+    /// When that was known.
+    at: u64,
+}
+
 /// What the runner wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -51,6 +64,8 @@
     pub(crate) rival: Option<(Worker, String)>,
     /// Lives of the worker that are known to be over, the newest last.
     pub(crate) past: VecDeque<String>,
+    /// Those of them that broke their connections just after a start.
+    crashed: Vec<Crashed>,
     /// Lives of the worker that have reported.
     pub(crate) lives: u64,
     pub(crate) lease: Lease,
@@ -72,6 +87,7 @@
             left: None,
             rival: None,
             past: VecDeque::new(),
+            crashed: Vec::new(),
             lives: 0,
             lease: Lease::default(),
             next_call: 1,
@@ -162,7 +178,7 @@
     /// The life that was there is over, as its worker's process showed. One that has
     /// reported since then takes its place.
     fn change_life(&mut self, now: u64) {
-        self.end_life();
+        self.end_life(now);
         if let Some((worker, address)) = self.rival.take() {
             self.replace(&worker, &address, now);
         }
@@ -174,8 +190,10 @@
         if self.rival.take_if(|(rival, _)| rival.id == id).is_some() {
             self.bury(id.to_owned());
         }
-        if self.life.as_ref().is_some_and(|life| life.worker.id == id) {
-            self.end_life();
+        if let Some(life) = self.life.as_mut().filter(|life| life.worker.id == id) {
+            // It ends in good order, and its connections with it.
+            life.broke = None;
+            self.end_life(now);
             self.left = Some(id.to_owned());
             self.tell(Notice::Left { worker: id.to_owned() });
             self.tell_status(now);
@@ -243,6 +261,15 @@
         }
     }
 
+    /// Tells a new owner of lives that were crashed of late: the one before it may have had
+    /// no connection then, or no time to record it. Told twice, a crash counts once.
+    fn tell_crashed(&mut self, now: u64) {
+        self.crashed.retain(|crashed| now <= crashed.at + CRASHED);
+        for Crashed { life, starts, .. } in self.crashed.clone() {
+            self.tell(Notice::Broke { worker: life, starts });
+        }
+    }
+
     /// Time passed.
     pub fn tick(&mut self, now: u64) {
         self.leave_silent(now);
@@ -288,10 +315,14 @@
     }
 
     /// The life that was there is over.
-    fn end_life(&mut self) {
-        if let Some(life) = self.life.take() {
-            self.bury(life.worker.id);
+    fn end_life(&mut self, now: u64) {
+        let Some(life) = self.life.take() else { return };
+        let starts = life.broke.filter(|starts| !starts.is_empty() && !life.worker.draining);
+        if let Some(starts) = starts {
+            let life = life.worker.id.clone();
+            self.crashed.push(Crashed { life, starts, at: now });
         }
+        self.bury(life.worker.id);
     }
 
     /// No report of this life is believed any more.
@@ -333,6 +364,7 @@
             self.tell(Notice::Left { worker });
         }
         self.tell_status(now);
+        self.tell_crashed(now);
         self.tell_broke();
     }
 
--- a/crates/runner/tests/broke.rs
+++ b/crates/runner/tests/broke.rs
@@ -3,7 +3,7 @@
 use insta::assert_snapshot;
 use quincewheel_job::{Run, Task, Worker};
 use quincewheel_runner::{Action, Fault, Output, Reply, Runner, Settings};
-use quincewheel_wire::{Notice, Order, list_starts};
+use quincewheel_wire::{Notice, Order, Refused, list_starts};
 
 /// An agent whose worker is fenced and runs nothing.
 struct Bed {
@@ -202,3 +202,28 @@
     bed.answer(start, closed());
     assert_snapshot!(bed.told.join("\n"), @"");
 }
+
+// Symptom: a task takes down one more worker under each owner. Sequence: a worker crashes while its
+// agent has no connection to an owner; the next life of the worker is known before there is one.
+// Cause: what had crashed a life was forgotten with that life.
+#[test]
+fn an_owner_that_connects_later_is_told_of_a_life_that_was_crashed() {
+    let mut bed = Bed::open();
+    bed.order(0);
+    bed.started();
+    bed.runner.unlinked(1);
+    bed.answer(bed.look, closed());
+    bed.pass(300);
+    bed.answer(bed.look, Ok(Reply::Refused(Refused::Leaving)));
+    bed.report("i2");
+    bed.runner.order(2, Order::Claim { epoch: 2 }, bed.now);
+    bed.drain();
+    let soon = std::mem::take(&mut bed.told).join("\n");
+    bed.pass(12_000);
+    bed.runner.order(3, Order::Claim { epoch: 3 }, bed.now);
+    bed.drain();
+    assert_snapshot!(format!("{soon}\n-- 12 s later\n{}", bed.told.join("\n")), @r"
+    i1 broke: j.0.0.0 run 1
+    -- 12 s later
+    ");
+}
--- a/crates/stand-in/tests/soak/worker.rs
+++ b/crates/stand-in/tests/soak/worker.rs
@@ -142,7 +142,7 @@
         return refused(hall, "late");
     }
     // Workers of odd numbers do not check for themselves.
-    if at % 2 == 0 && hall.used(at) + hall.need(&task) > hall.workers[at].room() {
+    if at.is_multiple_of(2) && hall.used(at) + hall.need(&task) > hall.workers[at].room() {
         return refused(hall, "room");
     }
     hall.begin(at, task, call.run, &call.spec);
