--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -20,7 +20,7 @@
 use quincewheel_peer::{Command, Event, Hub};
 use quincewheel_platform::{self as platform, Bounds, Report, Skipped, Table};
 use quincewheel_ring as ring;
-use quincewheel_runner::{Output, Runner, Settings};
+use quincewheel_runner::{Announcement, Output, Runner, Settings};
 use quincewheel_store::Error;
 use quincewheel_wire::{Hello, Key, Notice, Order, Role, list_starts};
 use tokio::sync::Notify;
@@ -36,12 +36,6 @@
 const MAX_REPORT: usize = 4 << 20;
 /// A write of the agent's own row is repeated after this time.
 const TIMEOUT: Duration = Duration::from_millis(1500);
-/// An agent whose worker reports, and to which no owner speaks, writes its row
-/// again after this time at first. An owner that lives dials within 0.4 s of
-/// reading the row, and a change of owner takes some 2 s.
-const ALONE: Duration = Duration::from_millis(4000);
-/// And after this time if it stays alone.
-const LONG_ALONE: Duration = Duration::from_secs(64);
 /// Reports in a row that a worker may miss before it is looked at.
 const MISSED: u64 = 2;
 /// How late a report may come, in milliseconds: a third of the usual time between two,
@@ -57,7 +51,7 @@
     metrics: Arc<Metrics>,
     health: Health,
     wake: Notify,
-    /// The worker reported itself.
+    /// The worker reported itself, or another life of it is known.
     reported: Notify,
 }
 
@@ -165,27 +159,21 @@
     };
     let table = Table::open(&site.table, Rc::new(skip));
     let failed = |error: &Error| log::warn!(event = "table"; "{error}");
-    let mut pause = ALONE;
-    let mut told = 0;
+    let mut announcement = Announcement::open();
     loop {
-        agent.reported.notified().await;
+        let now = quincewheel_clock::boot();
         let lives = agent.runner.borrow().lives();
-        if !agent.runner.borrow().is_alone() {
-            pause = ALONE;
-            told = lives;
-            continue;
-        }
-        if lives == told {
-            // Spread, so that a large deployment that lost its owner does not
-            // flood the table.
-            tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-        }
-        // An owner drops the row of an agent whose worker has left; another life
-        // of the worker is news, and announced at once.
-        told = lives;
-        if agent.runner.borrow().is_alone() {
-            table.insist(&commit, TIMEOUT, failed).await;
-            pause = (pause * 2).min(LONG_ALONE);
+        let due = announcement.due(&agent.runner.borrow(), rand::random(), now);
+        match due {
+            None => agent.reported.notified().await,
+            Some(at) if at > now => {
+                let wait = Duration::from_millis(at - now);
+                let _ = tokio::time::timeout(wait, agent.reported.notified()).await;
+            }
+            Some(_) => {
+                table.insist(&commit, TIMEOUT, failed).await;
+                announcement.written(lives);
+            }
         }
     }
 }
@@ -259,7 +247,11 @@
                     agent.metrics.count(&call.action, &answer, ms);
                     let now = quincewheel_clock::boot();
                     agent.health.note(&call, &answer, now);
+                    let lives = agent.runner.borrow().lives();
                     agent.runner.borrow_mut().answer(id, answer, now);
+                    if agent.runner.borrow().lives() != lives {
+                        agent.reported.notify_one();
+                    }
                     carry_out(&agent);
                     agent.wake.notify_one();
                 });
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -7,6 +7,7 @@
 //! a clock that also counts while the machine is suspended, or an agent that
 //! wakes up would extend leases that its owner took for lapsed.
 
+mod announcement;
 mod call;
 mod lease;
 mod life;
@@ -16,6 +17,7 @@
 mod settings;
 mod stopped;
 
+pub use announcement::Announcement;
 pub use call::{Action, Call, Fault, Reply};
 pub use lease::Lease;
 pub use runner::{Output, Runner};
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -68,6 +68,8 @@
     crashed: Vec<Crashed>,
     /// Lives of the worker that have reported.
     pub(crate) lives: u64,
+    /// Reports of the worker that were taken.
+    reports: u64,
     pub(crate) lease: Lease,
     pub(crate) next_call: u64,
     pub(crate) pinged: u64,
@@ -89,6 +91,7 @@
             past: VecDeque::new(),
             crashed: Vec::new(),
             lives: 0,
+            reports: 0,
             lease: Lease::default(),
             next_call: 1,
             pinged: 0,
@@ -122,6 +125,11 @@
         self.lives
     }
 
+    /// How many reports of the worker were taken.
+    pub fn reports(&self) -> u64 {
+        self.reports
+    }
+
     /// The worker reported itself.
     pub fn beat(&mut self, worker: &Worker, address: &str, clock: u64, now: u64) {
         // A life that was replaced does not come back; a report of it was held up
@@ -130,6 +138,7 @@
         if self.past.contains(&worker.id) {
             return;
         }
+        self.reports += 1;
         match &mut self.life {
             // A life stays in its pool: this report is another writer's.
             Some(life) if life.worker.id == worker.id && life.worker.pool != worker.pool => {}
