--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Job, Progress, Step};
 
@@ -40,6 +40,11 @@
     pub clearances: BTreeMap<(u32, u32), Clearance>,
     /// Room that is being made for a step.
     pub reserved: BTreeMap<(u32, u32), Reservation>,
+    /// Tasks, or gangs under index 0, that have outlived a start.
+    pub sound: BTreeSet<Key>,
+    /// Suspects, or their gangs under index 0, that were lost beside a task that has since
+    /// crashed a worker by itself.
+    pub explained: BTreeSet<Key>,
     /// A crash under one of its tasks is not recorded yet: none of it starts, or a change of
     /// owner could forget the crash, and the task be started without end.
     pub unrecorded: bool,
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -73,6 +73,8 @@
     pub(crate) waits: Waits,
     /// What the platform was asked about workers that may be gone.
     pub(crate) lives: Lives,
+    /// What had just started at workers that crashed, where it was several tasks.
+    pub(crate) shared: Vec<Vec<Task>>,
     /// Waves of maintenance.
     pub(crate) upkeep: Upkeep,
     pub(crate) next_unit: u64,
@@ -122,6 +124,7 @@
             review: Review::default(),
             waits: Waits::default(),
             lives: Lives::default(),
+            shared: Vec::new(),
             upkeep: Upkeep::default(),
             next_unit: 1,
             next_due: None,
@@ -197,6 +200,8 @@
             avoided: BTreeMap::new(),
             clearances: BTreeMap::new(),
             reserved: BTreeMap::new(),
+            sound: BTreeSet::new(),
+            explained: BTreeSet::new(),
             unrecorded: false,
         };
         self.jobs.insert(id.to_owned(), entry);
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -263,7 +263,7 @@
             format!("{} run {} {:?} at {name}{spent}", end.task, end.run, end.how),
         );
         if matches!(end.how, How::Done | How::Failed) {
-            self.clear_suspect(&end.task);
+            self.outlived(&end.task);
         }
         match end.how {
             How::Done => {
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -10,6 +10,10 @@
 use crate::owner::Owner;
 use crate::reports::key;
 
+/// Crashes that may have been the doing of several tasks, as far as they are remembered. A task
+/// that is tried by itself is found out within a second; in that time few workers crash.
+const SHARED: usize = 32;
+
 /// Starts that may have crashed a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Suspects {
@@ -47,8 +51,30 @@
         let Some(agent) = self.agents.get_mut(name) else { return };
         let Some(Suspects { starts, .. }) = agent.suspects.take() else { return };
         let among = starts.len();
-        for (task, run) in starts {
-            self.count_crash(name, &task, run, among);
+        for (task, run) in &starts {
+            self.count_crash(name, task, *run, among);
+        }
+        match &starts[..] {
+            [] => {}
+            [(alone, _)] => self.explain_others(alone),
+            _ => {
+                self.shared.push(starts.into_iter().map(|(task, _)| task).collect());
+                if self.shared.len() > SHARED {
+                    self.shared.remove(0);
+                }
+            }
+        }
+    }
+
+    /// A task crashed a worker by itself: what was lost beside it before was hardly the cause.
+    /// It keeps its count, as several bad tasks may have been lost together.
+    fn explain_others(&mut self, bad: &Task) {
+        let with_bad = |tasks: &mut Vec<Task>| tasks.contains(bad);
+        let others: Vec<Vec<Task>> = self.shared.extract_if(.., with_bad).collect();
+        for task in others.iter().flatten().filter(|task| *task != bad) {
+            let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
+            entry.explained.insert(entry.key(key(task)));
+            self.replan = true;
         }
     }
 
@@ -57,11 +83,15 @@
         if entry.progress.state.ended() {
             return;
         }
+        if entry.sound.contains(&entry.key(key(task))) {
+            return;
+        }
         let known = entry.progress.crashes(&entry.job, task);
         let crashes = entry.progress.crash(&entry.job, task, run);
         if crashes == known {
             return;
         }
+        entry.explained.remove(&entry.key(key(task)));
         entry.unrecorded = true;
         entry.reserved.remove(&(task.occurrence, task.step));
         let detail = format!(
@@ -100,20 +130,28 @@
             let unit = placed.unit;
             let unit = |other: &&Placed| other.unit == unit;
             if entry.runs.values().filter(unit).all(|other| other.outlived) {
-                self.clear_suspect(&run.task);
+                self.outlived(&run.task);
             }
         }
     }
 
-    /// A task outlived its start, and so did its gang.
-    pub(crate) fn clear_suspect(&mut self, task: &Task) {
+    /// A task outlived its start, and so did its gang: it crashes no workers, as one that does
+    /// crashes each.
+    pub(crate) fn outlived(&mut self, task: &Task) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        entry.sound.insert(entry.key(key(task)));
+        self.clear_suspect(task, "it outlived its start");
+    }
+
+    /// A task is no suspect any more.
+    fn clear_suspect(&mut self, task: &Task, why: &str) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         if entry.crashes(&task.job, key(task)) == 0 {
             return;
         }
         entry.progress.clear(&entry.job, task);
         self.replan = true;
-        self.log("crash cleared", &task.job, format!("{task} outlived its start"));
+        self.log("crash cleared", &task.job, format!("{task}: {why}"));
         self.touch(&task.job, false);
     }
 
@@ -149,8 +187,9 @@
 /// The tasks of a step that may start now, in groups, and whether a group is suspected.
 ///
 /// Of a job with a suspect that one comes first, and by itself: tasks of one job are alike,
-/// and each of them would cost a worker. The others wait until it has outlived its start; those
-/// of other steps, which may find room where it does not, no longer than [`PATIENCE`].
+/// and each of them would cost a worker. The others wait until it has outlived its start, or
+/// another task is found to be the cause; those of other steps, which may find room where it
+/// does not, no longer than [`PATIENCE`].
 pub(crate) fn one_by_one(
     id: &str,
     entry: &Entry,
@@ -161,23 +200,42 @@
     if !entry.progress.suspected() {
         return vec![(tasks, false)];
     }
+    let slot = |index: u32| entry.key((occurrence, step, index));
+    let open = |slot: &Key| !entry.explained.contains(slot);
     let under_way = |(key, placed): (&Key, &Placed)| {
-        Fresh::of(id, entry, *key, placed, now) == Some(Fresh::Suspect)
+        open(&entry.key(*key)) && Fresh::of(id, entry, *key, placed, now) == Some(Fresh::Suspect)
     };
     if entry.unrecorded || entry.runs.iter().any(under_way) {
         return Vec::new();
     }
-    let runs = |slot: &Key| entry.runs.keys().any(|key| entry.key(*key) == *slot);
-    let mut untried = entry.progress.suspects().filter(|slot| !runs(slot));
-    let here = |index: &u32| entry.crashes(id, (occurrence, step, *index)) > 0;
-    let (suspects, others): (Vec<u32>, Vec<u32>) = tasks.into_iter().partition(here);
+    let crashed = |index: &u32| entry.crashes(id, slot(*index)) > 0;
+    let (suspects, others): (Vec<u32>, Vec<u32>) = tasks.into_iter().partition(crashed);
     let gang = entry.job.steps.get(step as usize).is_some_and(|step| step.gang);
-    let first = if gang { suspects } else { suspects.into_iter().take(1).collect() };
+    let mut groups = match gang && !suspects.is_empty() {
+        true => vec![(suspects, true)],
+        false => apart(suspects, |index| open(&slot(index))),
+    };
+    if !others.is_empty() && !waits_for_suspect(entry, (occurrence, step), now) {
+        groups.push((others, false));
+    }
+    groups
+}
+
+/// Suspects that may be tried at once, each by itself: the first, and all that another task
+/// seems to have been the cause for.
+fn apart(suspects: Vec<u32>, open: impl Fn(u32) -> bool) -> Vec<(Vec<u32>, bool)> {
+    let first = suspects.iter().copied().find(|index| open(*index));
+    let tried = suspects.into_iter().filter(|index| first == Some(*index) || !open(*index));
+    tried.map(|index| (vec![index], true)).collect()
+}
+
+/// True if tasks of the step wait for a suspect of their job that has not been tried again.
+fn waits_for_suspect(entry: &Entry, step: (u32, u32), now: u64) -> bool {
+    let runs = |slot: &Key| entry.runs.keys().any(|key| entry.key(*key) == *slot);
+    let untried = |slot: &Key| !entry.explained.contains(slot) && !runs(slot);
     let patient = entry.idle.is_none_or(|since| now < since + PATIENCE);
-    let waits = |slot: Key| (slot.0, slot.1) == (occurrence, step) || patient;
-    let others = if untried.any(waits) { Vec::new() } else { others };
-    let groups = [(first, true), (others, false)];
-    groups.into_iter().filter(|(tasks, _)| !tasks.is_empty()).collect()
+    let holds = |slot: Key| patient || (slot.0, slot.1) == step;
+    entry.progress.suspects().filter(untried).any(holds)
 }
 
 /// Other steps of a job of which nothing runs wait no longer than this for a place for a
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -418,3 +418,71 @@
     crash suspected a: a.0.0.0 run 1 at w0, one of 1 just started there: 1 of 3
     ");
 }
+
+// Symptom: a sound job of many tasks stands still for seconds beside a bad one. Sequence: seven of
+// its tasks start in one round with the bad task, at one worker, and are lost with it; each is tried
+// by itself, and its other tasks wait. Cause: that the bad task had been found meanwhile, alone at
+// another worker, cleared nobody.
+#[test]
+fn those_that_were_lost_beside_a_bad_task_are_cleared_when_it_is_found() {
+    let mut pool = Pool::open(1, 8);
+    pool.bad = vec!["bad"];
+    pool.submit("bad", job(1, vec![step(1, 1)]), 150);
+    pool.submit("a", job(1, vec![step(20, 1)]), 151);
+    let begin = pool.bed.now;
+    let mut all = 0;
+    while all == 0 && pool.bed.now < begin + 30_000 {
+        pool.pass(10);
+        let runs = pool.running.iter().flatten().filter(|run| run.task.job == "a").count();
+        all = if runs == 20 { pool.bed.now - begin } else { 0 };
+    }
+    // Twice what tells that a worker is gone, and the time between two starts at one worker.
+    assert!((1..=1000).contains(&all), "all run after {all} ms");
+}
+
+// A task that has outlived a start crashes no workers, whatever happens beside it later.
+#[test]
+fn a_task_that_has_outlived_a_start_is_never_suspected() {
+    let mut pool = Pool::open(1, 2);
+    pool.submit("a", job(1, vec![step(1, 8)]), 150);
+    pool.pass(4000);
+    let number = pool.running.iter().position(|runs| !runs.is_empty()).unwrap_or(0);
+    pool.crash(number as u64, Vec::new());
+    pool.pass(500);
+    pool.bed.events = vec!["crash suspected"];
+    let number = pool.running.iter().position(|runs| !runs.is_empty()).unwrap_or(0) as u64;
+    let run = pool.running[number as usize][0].clone();
+    let worker = pool.worker(number).id;
+    let starts = vec![(run.task, run.number)];
+    pool.bed.notice(number, Notice::Broke { worker, starts });
+    let worker = Some(Worker { id: "other".into(), ..bed::worker(number) });
+    let (stamp, running, ended) = (pool.bed.now, Vec::new(), Vec::new());
+    let status = Notice::Status { stamp, worker, fenced: false, running, ended };
+    pool.bed.notice(number, status);
+    assert_snapshot!(pool.bed.logged(), @"nothing");
+}
+
+// Several bad tasks may be lost together: that one of them is found must not clear the others.
+#[test]
+fn bad_tasks_that_are_lost_together_cost_three_workers_each_at_most() {
+    let mut seen = Vec::new();
+    for workers in [1, 3, 8] {
+        let mut pool = Pool::open(1, workers);
+        pool.bad = vec!["b", "d", "e", "g", "h"];
+        let jobs = ["a", "b", "c", "d", "e", "f", "g", "h"];
+        for (name, version) in jobs.into_iter().zip(150..) {
+            pool.submit(name, job(1, vec![step(1, 1)]), version);
+        }
+        pool.pass(90_000);
+        let starts = |job: &str| pool.starts.iter().filter(|start| start.starts_with(job)).count();
+        let most = pool.bad.iter().map(|job| starts(job)).max();
+        let ended: Vec<&str> =
+            jobs.into_iter().filter(|job| pool.bed.owner.has_ended(job)).collect();
+        seen.push(format!("{workers}: {most:?} {}", ended.join(" ")));
+    }
+    assert_snapshot!(seen.join("\n"), @r"
+    1: Some(3) b d e g h
+    3: Some(3) b d e g h
+    8: Some(3) b d e g h
+    ");
+}
