--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -65,10 +65,16 @@
         *known = fresh.max(*known);
     }
 
-    /// Places at which something runs.
-    pub fn busy(&self) -> Vec<usize> {
-        let places = self.spots.iter().enumerate();
-        places.filter(|(_, spot)| spot.free != spot.capacity).map(|(place, _)| place).collect()
+    /// All places, those first at which the least runs.
+    pub fn least_used(&self) -> Vec<usize> {
+        let used = |place: &usize| {
+            let (spot, free) = (&self.spots[*place], self.spots[*place].free);
+            let accelerators = spot.capacity.accelerators - free.accelerators;
+            (accelerators, spot.capacity.cpu - free.cpu)
+        };
+        let mut places: Vec<usize> = (0..self.spots.len()).collect();
+        places.sort_by_key(used);
+        places
     }
 
     /// What bars a step from each place; empty if nothing does anywhere.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -175,11 +175,7 @@
         };
         let places = barred.places();
         if candidate.suspect {
-            // Where nothing runs a crash costs least.
-            let mut busy = [places.clone(), board.busy()].concat();
-            busy.sort_unstable();
-            busy.dedup();
-            self.place_on_rest(candidate, (&step, &pool), (board, &busy), (now, wall));
+            self.try_suspect(candidate, (&step, &pool), (board, &places), (now, wall));
             if self.unplaced(candidate) == 0 {
                 return;
             }
@@ -199,7 +195,7 @@
     }
 
     /// Starts what it can of one candidate on the workers at other places than these.
-    fn place_on_rest(
+    pub(crate) fn place_on_rest(
         &mut self,
         candidate: &Candidate,
         (step, pool): (&Step, &str),
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -1,6 +1,8 @@
 //! Tasks that may crash the workers that start them: counted, kept apart, cleared, given up.
 
-use quincewheel_job::{Run, State, Task};
+use std::collections::BTreeSet;
+
+use quincewheel_job::{Run, State, Step, Task};
 use quincewheel_policy::{APART, CRASHES};
 use quincewheel_wire::list_starts;
 
@@ -155,6 +157,30 @@
         self.touch(&task.job, false);
     }
 
+    /// Starts a suspect where the least is lost with the worker that it may crash: at as few
+    /// of the least used workers as hold it.
+    pub(crate) fn try_suspect(
+        &mut self,
+        candidate: &Candidate,
+        (step, pool): (&Step, &str),
+        (board, barred): (&mut Board, &[usize]),
+        time: (u64, u64),
+    ) {
+        let mut order = board.least_used();
+        order.retain(|place| !barred.contains(place));
+        let mut most = 1;
+        loop {
+            let open: BTreeSet<usize> = order.iter().take(most).copied().collect();
+            let closed: Vec<usize> =
+                (0..board.spots.len()).filter(|place| !open.contains(place)).collect();
+            self.place_on_rest(candidate, (step, pool), (board, &closed), time);
+            if self.unplaced(candidate) == 0 || most >= order.len() {
+                return;
+            }
+            most *= 2;
+        }
+    }
+
     /// The places at which a candidate must not start now, lest a crash there be blamed on
     /// it or on what has just started there: for a suspect all at which anything has, for
     /// others those at which a suspect has.
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -24,6 +24,8 @@
     back: Vec<(u64, u64)>,
     /// Starts, by task, in the order in which they came.
     starts: Vec<String>,
+    /// And where they were.
+    places: Vec<u64>,
     /// Lives that crashed.
     crashes: usize,
     /// When statuses come next: agents look each second.
@@ -52,6 +54,7 @@
             bad: Vec::new(),
             back: Vec::new(),
             starts: Vec::new(),
+            places: Vec::new(),
             crashes: 0,
             look: 0,
             writes: true,
@@ -151,6 +154,7 @@
                 Output::Send { link, order } => {
                     if let Order::Start { task, run, .. } = order {
                         self.starts.push(task.to_string());
+                        self.places.push(link);
                         fresh.push((link, task, run));
                     }
                 }
@@ -486,3 +490,25 @@
     8: Some(3) b d e g h
     ");
 }
+
+// Symptom: each crash of a bad task costs a full worker. Sequence: no worker is idle; the suspect is
+// put where it leaves the least room over, as any task. Cause: nothing weighed what is lost with the
+// worker that it may crash.
+#[test]
+fn a_suspect_starts_where_the_least_runs() {
+    let mut pool = Pool::open(1, 4);
+    pool.bad = vec!["bad"];
+    for (name, version, count) in [("a", 150, 6), ("b", 151, 3), ("c", 152, 5), ("d", 153, 4)] {
+        let mut busy = job(1, vec![step(1, count)]);
+        // Apart from one another.
+        busy.steps[0].need.cpu = 40_000;
+        pool.submit(name, busy, version);
+    }
+    pool.pass(3000);
+    pool.submit("bad", job(1, vec![step(1, 1)]), 160);
+    pool.pass(3000);
+    let starts = pool.starts.iter().zip(&pool.places);
+    let places: Vec<u64> =
+        starts.filter(|(task, _)| *task == "bad.0.0.0").map(|(_, place)| *place).collect();
+    assert_snapshot!(format!("{places:?}"), @"[0, 1, 3]");
+}
