--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use futures_util::future::try_join_all;
+use futures_util::stream::{self, StreamExt, TryStreamExt};
 use quincewheel_dispatch::{Mirror, News, Owner, rows};
 use quincewheel_platform::{self as platform, Skipped, Space, Table};
-use quincewheel_store::{Change, Changes, Error, Read};
+use quincewheel_store::{Change, Changes, Error, Read, scan};
 
 use super::own;
 use super::state::{Shared, Site};
@@ -24,8 +24,12 @@
 /// Pause between two polls of the system's own rows, so that changes that come
 /// close together cost one call.
 const GATHER: Duration = Duration::from_millis(40);
-/// Rows in one page; the most that the table gives.
-const PAGE: usize = 500;
+/// A page of all rows is given up after this time: most of what an owner may be silent, which
+/// is not judged while nothing is heard of the table.
+const READ: Duration = Duration::from_millis(1500);
+/// Parts that are read at the same time. All nine shared a thin link so that none was through
+/// within its time.
+const AT_ONCE: usize = 3;
 
 /// Follows the configuration for ever.
 pub(crate) async fn configuration(shared: Shared) {
@@ -195,46 +199,26 @@
 
 /// Reads all rows, as changes from nothing.
 ///
-/// Parts are read at the same time, since a new owner decides nothing before it has them
-/// all; each is as of a moment of its own. The earliest counts: what changed since then
+/// Some parts are read at the same time, since a new owner decides nothing before it has
+/// them all; each is as of a moment of its own. The earliest counts: what changed since then
 /// comes again.
 pub(crate) async fn read_all(table: &Table, space: Space) -> Result<Changes, Error> {
     let parts: Vec<&str> = match space {
         Space::Own => rows::parts().collect(),
         Space::Operator => vec![""],
     };
-    let read = parts.into_iter().map(|part| read_part(table, space, part));
+    let read = parts
+        .into_iter()
+        .map(|part| scan(async move |read: &Read| table.read(space, part, read, READ).await));
     let mut all = Changes { rows: Vec::new(), version: u64::MAX };
-    for part in try_join_all(read).await? {
+    let mut parts = stream::iter(read).buffered(AT_ONCE);
+    while let Some(part) = parts.try_next().await? {
         all.version = all.version.min(part.version);
         all.rows.extend(part.rows);
     }
     Ok(all)
 }
 
-/// Reads all rows of a part.
-async fn read_part(table: &Table, space: Space, part: &str) -> Result<Changes, Error> {
-    let mut all = Changes::default();
-    let mut read = Read { prefix: String::new(), after: String::new(), limit: PAGE };
-    loop {
-        let (page, version) = table.read(space, part, &read, TIMEOUT).await?;
-        if all.version == 0 {
-            // Later pages may be newer; what changed meanwhile comes again.
-            all.version = version;
-        }
-        read.after = page.rows.last().map(|row| row.key.clone()).unwrap_or_default();
-        let rows = page.rows.into_iter();
-        all.rows.extend(rows.map(|row| Change {
-            key: row.key,
-            version: row.version,
-            value: Some(row.value),
-        }));
-        if !page.more || read.after.is_empty() {
-            return Ok(all);
-        }
-    }
-}
-
 fn failed(shared: &Site, error: &Error, version: &mut Option<u64>) {
     if *error == Error::Compacted {
         *version = None;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,11 +8,13 @@
 mod error;
 mod objects;
 mod op;
+mod scan;
 mod service;
 mod table;
 
 pub use error::Error;
 pub use objects::Objects;
 pub use op::{Change, Changes, Commit, Expect, Op, Page, Put, Read, Reply, Row};
+pub use scan::scan;
 pub use service::Service;
 pub use table::Table;
