--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -512,3 +512,23 @@
         starts.filter(|(task, _)| *task == "bad.0.0.0").map(|(_, place)| *place).collect();
     assert_snapshot!(format!("{places:?}"), @"[0, 1, 3]");
 }
+
+// Symptom: a sound task is lost with a bad one, and suspected. Sequence: a suspect starts; before its
+// worker has crashed, a job arrives and starts beside it. For 300 ms nothing else starts there.
+#[test]
+fn nothing_starts_beside_a_suspect_that_has_just_started() {
+    let mut pool = Pool::open(1, 1);
+    pool.submit("a", job(1, vec![step(1, 1)]), 150);
+    pool.pass(10);
+    let run = pool.running[0][0].clone();
+    pool.crash(0, vec![(run.task, run.number)]);
+    while pool.running[0].is_empty() {
+        pool.pass(10);
+    }
+    let tried = pool.bed.now;
+    pool.submit("b", job(1, vec![step(1, 1)]), 151);
+    while pool.running[0].len() < 2 {
+        pool.pass(10);
+    }
+    assert_snapshot!(format!("{} ms later", pool.bed.now - tried), @"300 ms later");
+}
--- a/crates/runner/tests/lives.rs
+++ b/crates/runner/tests/lives.rs
@@ -59,3 +59,26 @@
     let sent = runner.outputs().into_iter().filter(|out| matches!(out, Output::Send { .. }));
     assert_eq!(sent.count(), 0);
 }
+
+// A report that a cut held up is known for what it is: a look at the worker, which is charged as a
+// health check, would be made for each otherwise.
+#[test]
+fn a_late_report_of_a_life_that_is_over_costs_no_look() {
+    let mut runner = Runner::open(Settings::default());
+    runner.beat(&worker("i1"), "10.0.0.1:80", 50_000, 1000);
+    runner.order(1, Order::Claim { epoch: 1 }, 1000);
+    runner.leave("i1", 1200);
+    runner.beat(&worker("i2"), "10.0.0.1:80", 100, 1500);
+    for output in runner.outputs() {
+        if let Output::Call { id, call } = output
+            && call.worker == "i2"
+        {
+            let held = Reply::Held { clock: 110, running: Vec::new(), ended: Vec::new() };
+            runner.answer(id, Ok(held), 1510);
+        }
+    }
+    runner.outputs();
+    runner.beat(&worker("i1"), "10.0.0.1:80", 50_900, 1600);
+    let calls = runner.outputs().into_iter().filter(|out| matches!(out, Output::Call { .. }));
+    assert_eq!(calls.count(), 0);
+}
