--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -113,6 +113,17 @@
         news
     }
 
+    /// Takes in the changes up to a version, and tells what they mean. Two calls may be under
+    /// way to the table: those that are in already change nothing, or the row of an agent
+    /// that was dropped and written again would be dropped once more.
+    pub fn follow(&mut self, changes: &[Change], version: u64) -> Vec<News> {
+        let known = self.version;
+        let new = changes.iter().filter(|change| change.version > known);
+        let news = new.filter_map(|change| self.apply(change)).collect();
+        self.version = known.max(version);
+        news
+    }
+
     /// Takes a change in and tells what it means.
     pub fn apply(&mut self, change: &Change) -> Option<News> {
         if change.key == OWNER {
--- a/crates/dispatch/tests/mirror.rs
+++ b/crates/dispatch/tests/mirror.rs
@@ -161,3 +161,24 @@
     let known: Vec<&String> = mirror.jobs.keys().collect();
     assert_snapshot!(format!("{known:?}"), @r#"["j5", "j9"]"#);
 }
+
+// Symptom: a sound agent gets no work until it announces itself again, 2 to 4 s later. Sequence: its
+// row is dropped and written anew; a new owner has the feed tell both; a call to the feed that was
+// made before is answered after that, and tells only the first. Cause: what came late was taken for
+// what came last.
+#[test]
+fn an_answer_of_the_feed_that_is_overtaken_changes_nothing() {
+    let mut mirror = Mirror::default();
+    let node = |version: u64| {
+        let node = Node { address: "10.0.0.1:7000".into(), ..Node::default() };
+        put(rows::node("agent-1"), version, &node)
+    };
+    let gone = Change { key: rows::node("agent-1"), version: 10, value: None };
+    let changes = [node(8), gone.clone(), node(12)];
+    let first = mirror.follow(&changes, 12).len();
+    let late = mirror.follow(&[gone], 10);
+    assert_snapshot!(
+        format!("{first} {late:?} {} {}", mirror.nodes.len(), mirror.version),
+        @"3 [] 1 12"
+    );
+}
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -27,6 +27,9 @@
 /// A page of all rows is given up after this time: most of what an owner may be silent, which
 /// is not judged while nothing is heard of the table.
 const READ: Duration = Duration::from_millis(1500);
+/// A feed that has not told of a claim by then has nothing to tell, in milliseconds: while the
+/// table drops its history it tells nothing for a second.
+const CATCH_UP: u64 = 300;
 /// Parts that are read at the same time. All nine shared a thin link so that none was through
 /// within its time.
 const AT_ONCE: usize = 3;
@@ -125,15 +128,39 @@
     }
 }
 
+/// Takes in what the table has done up to a version, if it tells within [`CATCH_UP`], and
+/// tells up to where that is; none if all rows must be read instead.
+///
+/// A new owner knows nearly all from the feed. Reading all rows took a call for each page of
+/// each part, which a slow table answers after 180 ms, or a thin link after seconds.
+pub(crate) async fn catch_up(shared: &Site, version: u64) -> Option<u64> {
+    let began = quincewheel_clock::boot();
+    loop {
+        let after = shared.mirror.borrow().version;
+        if after >= version {
+            return Some(after);
+        }
+        if after == 0 || quincewheel_clock::boot() > began + CATCH_UP {
+            return None;
+        }
+        match shared.table.follow(Space::Own, after, Duration::ZERO, TIMEOUT).await {
+            Ok(changes) => take(shared, &changes, false),
+            Err(error) => {
+                log::info!(event = "takeover"; "{error}");
+                return None;
+            }
+        }
+    }
+}
+
 /// Takes changes in, or all rows.
 fn take(shared: &Site, changes: &Changes, whole: bool) {
     let now = quincewheel_clock::boot();
     let mut mirror = shared.mirror.borrow_mut();
-    let mut news: Vec<News> = match whole {
+    let mut news = match whole {
         true => mirror.reload(&changes.rows, changes.version),
-        false => changes.rows.iter().filter_map(|change| mirror.apply(change)).collect(),
+        false => mirror.follow(&changes.rows, changes.version),
     };
-    mirror.version = changes.version;
     shared.heard.set(now);
     let mut election = shared.election.borrow_mut();
     match &mirror.owner {
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -11,7 +11,7 @@
 use quincewheel_store::{Commit, Expect, Put};
 use quincewheel_wire::Sent;
 
-use super::follow::read_all;
+use super::follow::{catch_up, read_all};
 use super::links::dial;
 use super::record::{RENEW, record};
 use super::state::{Shared, Site};
@@ -98,17 +98,12 @@
             return tokio::time::sleep(PAUSE).await;
         }
     };
-    let all = loop {
-        match read_all(&shared.table, Space::Own).await {
-            Ok(all) => break all,
-            Err(error) => log::warn!(event = "takeover"; "{error}"),
-        }
-        if quincewheel_clock::boot() > sent + RENEW * 2 {
-            // Others may have taken over by now.
-            return;
-        }
-        tokio::time::sleep(PAUSE).await;
+    let known = match catch_up(shared, claimed).await {
+        Some(version) => Some(version),
+        None => read_rows(shared, sent + RENEW * 2).await,
     };
+    // Else others may have taken over by now.
+    let Some(known) = known else { return };
     let now = quincewheel_clock::boot();
     let mut owner = Owner::open(settings(shared), mine.epoch, claimed, now);
     if ended {
@@ -117,10 +112,7 @@
     if let Some(config) = shared.config.borrow().as_ref() {
         owner.configure(config);
     }
-    let mut mirror = shared.mirror.borrow_mut();
-    for change in &all.rows {
-        mirror.apply(change);
-    }
+    let mirror = shared.mirror.borrow();
     for (name, _) in mirror.nodes.iter().filter(|(_, node)| !node.entry) {
         owner.agent(name, now);
     }
@@ -134,13 +126,38 @@
             }
         }
     }
-    owner.loaded(all.version);
-    log::info!(event = "owner", epoch = mine.epoch, jobs = owner.active(); "took over");
+    owner.loaded(known);
+    let ms = now - sent;
+    log::info!(event = "owner", epoch = mine.epoch, jobs = owner.active(), ms = ms; "took over");
     *shared.held.borrow_mut() = Some((mine, claimed));
     *shared.owner.borrow_mut() = Some(owner);
+    drop(mirror);
+    // The rows may have told of a later claim before this one was carried out.
+    check_deposed(shared);
     shared.unrecorded.notify_one();
 }
 
+/// Reads all rows, and tells as of which version; none if they have not come by `until`.
+/// What the feed has told before stays: a read may be seconds behind it.
+async fn read_rows(shared: &Site, until: u64) -> Option<u64> {
+    loop {
+        match read_all(&shared.table, Space::Own).await {
+            Ok(all) => {
+                let mut mirror = shared.mirror.borrow_mut();
+                for change in &all.rows {
+                    mirror.apply(change);
+                }
+                return Some(all.version);
+            }
+            Err(error) => log::warn!(event = "takeover"; "{error}"),
+        }
+        if quincewheel_clock::boot() > until {
+            return None;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
 fn settings(shared: &Site) -> Settings {
     let bounds = shared.bounds.get();
     Settings {
