--- a/crates/stand-in/tests/soak/cut_off.rs
+++ b/crates/stand-in/tests/soak/cut_off.rs
@@ -12,7 +12,7 @@
 
 use crate::client::Client;
 use crate::proxy::Mode;
-use crate::world::World;
+use crate::world::{Kind, World};
 
 /// Until then the owner has connected to the other entries: it dials within 0.4 s of
 /// reading where they are.
@@ -27,7 +27,7 @@
 pub fn play() -> Vec<String> {
     let folder = std::env::temp_dir().join(format!("soak-{}-cut-off", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let world = World::open(&folder, None);
+    let world = World::open(&folder, Kind::Faults, None);
     let entries = world.entries();
     world.check_answers(&entries);
     thread::sleep(LINKED);
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -5,8 +5,9 @@
 //! paused, killed and restarted by signals; connections pass loopback proxies
 //! that delay, reset, silence or cut them one way; the table is down, slow,
 //! loses answers or its history; workers die and come back; keys are taken
-//! away. Faults overlap. What clients and workers see is judged all the while,
-//! and after the faults every accepted job must end.
+//! away. Where workers are what goes wrong, tasks crash those that start them, and
+//! the platform lists machines. Faults overlap. What clients and workers see is
+//! judged all the while, and after the faults every accepted job must end.
 //!
 //! Run without arguments it plays the seeds that once failed and a few others,
 //! for a short while each. By hand:
@@ -22,9 +23,11 @@
 mod fault;
 mod hall;
 mod judge;
+mod machines;
 mod net;
 mod process;
 mod proxy;
+mod setup;
 mod table;
 mod worker;
 mod world;
--- a/crates/stand-in/tests/soak/net.rs
+++ b/crates/stand-in/tests/soak/net.rs
@@ -24,6 +24,7 @@
 pub const REPORTS: u16 = 7403;
 pub const WORKER: u16 = 7404;
 pub const TABLE: u16 = 7405;
+pub const MACHINES: u16 = 7406;
 
 impl Net {
     /// The next block. Another process may have it: ids that are a multiple of 625
--- a/crates/stand-in/tests/soak/worker.rs
+++ b/crates/stand-in/tests/soak/worker.rs
@@ -76,7 +76,8 @@
     Some((id(at, worker.life), body))
 }
 
-fn id(at: usize, life: u64) -> String {
+/// Names one life of a worker.
+pub fn id(at: usize, life: u64) -> String {
     format!("i{at}-{life}")
 }
 
--- a/crates/stand-in/tests/soak/world.rs
+++ b/crates/stand-in/tests/soak/world.rs
@@ -1,7 +1,7 @@
 //! One run: the processes, what surrounds them, and the faults.
 
 use std::io::ErrorKind;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -16,24 +16,26 @@
 use crate::fault::{self, Fault};
 use crate::hall::Hall;
 use crate::judge::ATTEMPTS;
+use crate::machines;
 use crate::net::{self, Net};
 use crate::process::{Process, Signal};
 use crate::proxy::{Mode, Proxy};
+use crate::setup::{name, program, settings};
 use crate::table::{self, Table, Trouble};
 use crate::worker;
 
-const ENTRIES: usize = 3;
+pub const ENTRIES: usize = 3;
 const WORKERS: usize = 6;
 const CLIENTS: u64 = 4;
 /// The table's address is that of this host.
 const TABLE_HOST: u8 = 250;
 /// Seconds from SIGTERM to SIGKILL, in the settings of all processes.
-const GRACE: u64 = 3;
+pub const GRACE: u64 = 3;
 /// A process that was told to end may take so much longer: the machine is busy,
 /// and the programs are not optimized.
 const LATE: Duration = Duration::from_millis(700);
 /// A key that was taken away must not work after this time.
-const REVOKE: Duration = Duration::from_millis(5000);
+pub const REVOKE: Duration = Duration::from_millis(5000);
 /// Pause of a client between two jobs. Four clients then ask for some three
 /// quarters of what the workers can do.
 const THINK: Duration = Duration::from_millis(1000);
@@ -98,7 +100,7 @@
         if let Some(logs) = &logs {
             fs::create_dir_all(logs).unwrap();
         }
-        let mut world = World::open(&folder, logs.as_deref());
+        let mut world = World::open(&folder, kind, logs.as_deref());
         let paths = world.run(seed, seconds, kind);
         let accepted = paths.len();
         world.settle(&paths, seed);
@@ -113,10 +115,13 @@
         Outcome { violations, line }
     }
 
-    pub fn open(folder: &Path, logs: Option<&Path>) -> World {
+    pub fn open(folder: &Path, kind: Kind, logs: Option<&Path>) -> World {
         let hall = Arc::new(Mutex::new(Hall::open(WORKERS)));
         let (net, table, server) = World::claim();
         let (address, mut servers) = (net.own(TABLE_HOST, net::TABLE), vec![server]);
+        let list = net.own(TABLE_HOST, net::MACHINES);
+        servers.push(machines::spawn(&list, Arc::clone(&hall)).unwrap());
+        let list = (kind == Kind::Workers).then_some(list);
         let mut world = World {
             net,
             processes: Vec::new(),
@@ -137,7 +142,9 @@
                 let server = worker::spawn(net, host, at, Arc::clone(&world.hall));
                 servers.push(server.unwrap());
             }
-            world.add(net, index, host, folder, logs, &address);
+            let file = folder.join(format!("{}.toml", name(index)));
+            fs::write(&file, settings(net, index, host, list.as_deref())).unwrap();
+            world.add(net, index, host, &file, logs, &address);
         }
         world._servers = servers;
         world
@@ -162,20 +169,16 @@
         net: Net,
         index: usize,
         host: u8,
-        folder: &Path,
+        settings: &Path,
         logs: Option<&Path>,
         table: &str,
     ) {
         self.to_table.push(Proxy::bind(&net.to_table(host), table).unwrap());
         let peers = net.own(host, net::PEERS);
         self.to_peers.push(Proxy::bind(&net.before(host), &peers).unwrap());
-        let entry = index < ENTRIES;
-        let name =
-            if entry { format!("entry-{index}") } else { format!("agent-{}", index - ENTRIES) };
-        let settings = folder.join(format!("{name}.toml"));
-        fs::write(&settings, settings_text(net, &name, host, entry)).unwrap();
-        let program = program(if entry { "quincewheel-entry" } else { "quincewheel-agent" });
-        self.processes.push(Process::spawn(&name, &program, &settings, logs));
+        let program =
+            program(if index < ENTRIES { "quincewheel-entry" } else { "quincewheel-agent" });
+        self.processes.push(Process::spawn(&name(index), &program, settings, logs));
     }
 
     /// Lets clients work while faults come, and returns what was accepted.
@@ -471,35 +474,3 @@
         }
     }
 }
-
-fn program(name: &str) -> PathBuf {
-    let mut folder = std::env::current_exe().unwrap();
-    folder.pop();
-    if folder.ends_with("deps") {
-        folder.pop();
-    }
-    folder.join(name)
-}
-
-fn settings_text(net: Net, name: &str, host: u8, entry: bool) -> String {
-    let listen = match entry {
-        true => format!(
-            "front = \"{}\"\nready = \"{}\"",
-            net.own(host, net::CLIENTS),
-            net.own(host, net::READY)
-        ),
-        false => format!("control = \"{}\"", net.own(host, net::REPORTS)),
-    };
-    format!(
-        "node = \"{name}\"\nip = \"{}\"\nzone = \"z\"\nportRange = [{}, {}]\n\
-         [listen]\n{listen}\n\
-         [bounds]\ngraceS = {GRACE}\nrevokeMs = {}\nmaxHoldMs = 6000\nstopTimeoutMs = 50\n\
-         reclaimMs = 2700\nstatus_s = 120\n\
-         [platform]\naddress = \"{}\"\n",
-        net.ip(host),
-        net::PEERS,
-        net::PEERS,
-        REVOKE.as_millis(),
-        net.to_table(host),
-    )
-}
