--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -85,7 +85,9 @@
         if entry.progress.state.ended() {
             return;
         }
-        if entry.sound.contains(&entry.key(key(task))) {
+        // One that has outlived a start is not the cause; but a list that was held up on its
+        // way may have shown it alive, so alone it counts.
+        if among > 1 && entry.sound.contains(&entry.key(key(task))) {
             return;
         }
         let known = entry.progress.crashes(&entry.job, task);
