--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -59,12 +59,6 @@
         }
     }
 
-    /// Takes note of a start at a place.
-    pub fn note_start(&mut self, place: usize, fresh: Fresh) {
-        let known = self.fresh.entry(place).or_insert(fresh);
-        *known = fresh.max(*known);
-    }
-
     /// All places, those first at which the least runs.
     pub fn least_used(&self) -> Vec<usize> {
         let used = |place: &usize| {
@@ -133,8 +127,7 @@
                 let need = step.charge();
                 spots[place].free.take(&need);
                 if let Some(started) = Fresh::of(id, entry, *key, placed, now) {
-                    let known = fresh.entry(place).or_insert(started);
-                    *known = started.max(*known);
+                    started.note(&mut fresh, place);
                 }
                 let borrows = borrowed.contains(&placed.unit);
                 let yields = entry.job.queue.priority > 0 || borrows;
--- a/crates/dispatch/src/candidate.rs
+++ b/crates/dispatch/src/candidate.rs
@@ -21,6 +21,18 @@
 }
 
 impl Candidate {
+    /// Tasks of a step, each of which is so much `work`, and whether they are suspected.
+    pub fn open(
+        id: &Id,
+        (occurrence, step): (u32, u32),
+        (tasks, suspect): (Vec<u32>, bool),
+        rank: Rank,
+        work: u64,
+    ) -> Candidate {
+        let work = work * tasks.len() as u64;
+        Candidate { id: id.clone(), occurrence, step, tasks, work, suspect, rank }
+    }
+
     /// The team's guarantee covers them: room is made for them if need be.
     pub fn guaranteed(&self) -> bool {
         !self.rank.borrowed
--- a/crates/dispatch/src/dismissal.rs
+++ b/crates/dispatch/src/dismissal.rs
@@ -67,7 +67,7 @@
 
     /// An agent's row is gone: it must announce itself before work goes there.
     pub(crate) fn dismiss(&mut self, name: &str) {
-        self.convict(name);
+        self.blame_crash(name);
         let Some(agent) = self.agents.remove(name) else { return };
         self.log("agent dismissed", name, "no connection or worker".to_owned());
         let former = Former { lapse: agent.lapse, silent: agent.silent };
--- a/crates/dispatch/src/lives.rs
+++ b/crates/dispatch/src/lives.rs
@@ -101,7 +101,7 @@
             .collect();
         for (name, life) in over {
             self.log("worker gone", &name, format!("{life} is not listed any more"));
-            self.convict(&name);
+            self.blame_crash(&name);
             self.over(&name, &life, "is gone");
             self.replan = true;
         }
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -120,7 +120,7 @@
         }
         self.lapse_dismissed(now);
         for name in lost {
-            self.convict(&name);
+            self.blame_crash(&name);
             // What began since is not covered by the silence.
             let old = |placed: &Placed| placed.agent == name && now >= placed.began + bound;
             for (id, key) in self.runs_where(old) {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -65,29 +65,19 @@
                     if tasks.is_empty() {
                         continue;
                     }
-                    for (tasks, suspect) in one_by_one(id, entry, (occurrence, number), tasks, now)
-                    {
-                        let need = step.need.accelerators * tasks.len() as u64;
-                        let guaranteed = entry.job.queue.priority == 0
+                    for group in one_by_one(id, entry, (occurrence, number), tasks, now) {
+                        let need = step.need.accelerators * group.0.len() as u64;
+                        let covered = entry.job.queue.priority == 0
                             && guarantees.cover(&entry.job.team, need);
                         let rank = Rank {
-                            borrowed: !guaranteed,
+                            borrowed: !covered,
                             priority: entry.job.queue.priority,
                             hope: goal.hope(wall),
                             latest: goal.latest(),
                             version: entry.version,
                         };
-                        found.push(Candidate {
-                            id: id.clone(),
-                            occurrence,
-                            step: number,
-                            work: weight(step)
-                                * guide.expect(entry, number, step)
-                                * tasks.len() as u64,
-                            tasks,
-                            suspect,
-                            rank,
-                        });
+                        let work = weight(step) * guide.expect(entry, number, step);
+                        found.push(Candidate::open(id, (occurrence, number), group, rank, work));
                     }
                 }
             }
@@ -174,13 +164,10 @@
             apart: self.kept_apart(candidate, board),
         };
         let places = barred.places();
-        if candidate.suspect {
-            self.try_suspect(candidate, (&step, &pool), (board, &places), (now, wall));
-            if self.unplaced(candidate) == 0 {
-                return;
-            }
-        }
-        let spared = self.place_on_rest(candidate, (&step, &pool), (board, &places), (now, wall));
+        let spared = match candidate.suspect {
+            true => self.try_suspect(candidate, (&step, &pool), (board, &places), (now, wall)),
+            false => self.place_on_rest(candidate, (&step, &pool), (board, &places), (now, wall)),
+        };
         if self.unplaced(candidate) == 0 {
             return;
         }
@@ -317,7 +304,8 @@
             spot.free.take(&need);
             board.actual[place].take(&need);
             let name = spot.name.clone();
-            board.note_start(place, if candidate.suspect { Fresh::Suspect } else { Fresh::Any });
+            let fresh = if candidate.suspect { Fresh::Suspect } else { Fresh::Any };
+            fresh.note(&mut board.fresh, place);
             let Some(worker) = self.agents.get(&name).and_then(|agent| agent.worker.as_ref())
             else {
                 continue;
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -17,8 +17,8 @@
         (running, ended): (&[Run], &[End]),
         (stamp, now): (u64, u64),
     ) {
-        if worker.as_ref().is_some_and(|worker| self.is_suspected_of(name, &worker.id)) {
-            self.convict(name);
+        if worker.as_ref().is_some_and(|worker| self.follows_crash(name, &worker.id)) {
+            self.blame_crash(name);
         }
         let Some(agent) = self.agents.get_mut(name) else { return };
         let Some(worker) = worker else {
@@ -88,7 +88,7 @@
     /// A worker said that it ends.
     pub(crate) fn left(&mut self, name: &str, id: &str) {
         if let Some(agent) = self.agents.get_mut(name) {
-            agent.suspects = None;
+            agent.crash = None;
         }
         self.over(name, id, "left");
     }
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -1,6 +1,6 @@
 //! Tasks that may crash the workers that start them: counted, kept apart, cleared, given up.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Run, State, Step, Task};
 use quincewheel_policy::{APART, CRASHES};
@@ -16,9 +16,9 @@
 /// that is tried by itself is found out within a second; in that time few workers crash.
 const SHARED: usize = 32;
 
-/// Starts that may have crashed a worker.
+/// A worker that broke its connections, and the starts that may have crashed it.
 #[derive(Clone, Debug)]
-pub(crate) struct Suspects {
+pub(crate) struct Crash {
     /// Which life of the worker.
     pub life: String,
     /// The tasks and their runs.
@@ -35,23 +35,23 @@
         if there.is_some_and(|worker| worker.draining) || agent.doomed {
             return;
         }
-        agent.suspects = Some(Suspects { life: id.to_owned(), starts });
+        agent.crash = Some(Crash { life: id.to_owned(), starts });
         if agent.worker.as_ref().is_some_and(|worker| worker.id != id) {
-            self.convict(name);
+            self.blame_crash(name);
         }
     }
 
-    /// True if a life before this one may have been crashed.
-    pub(crate) fn is_suspected_of(&self, name: &str, life: &str) -> bool {
-        let suspects = self.agents.get(name).and_then(|agent| agent.suspects.as_ref());
-        suspects.is_some_and(|suspects| suspects.life != life)
+    /// True if a worker's life before this one may have been crashed.
+    pub(crate) fn follows_crash(&self, name: &str, life: &str) -> bool {
+        let crash = self.agents.get(name).and_then(|agent| agent.crash.as_ref());
+        crash.is_some_and(|crash| crash.life != life)
     }
 
     /// The life of an agent's worker is over. Counts it against what had just started there,
     /// and gives up a task that has crashed too many workers in a row.
-    pub(crate) fn convict(&mut self, name: &str) {
+    pub(crate) fn blame_crash(&mut self, name: &str) {
         let Some(agent) = self.agents.get_mut(name) else { return };
-        let Some(Suspects { starts, .. }) = agent.suspects.take() else { return };
+        let Some(Crash { starts, .. }) = agent.crash.take() else { return };
         let among = starts.len();
         for (task, run) in &starts {
             self.count_crash(name, task, *run, among);
@@ -121,7 +121,7 @@
     /// it has listed for a while has outlived its start.
     pub(crate) fn clear_suspects(&mut self, name: &str, id: &str, running: &[Run], stamp: u64) {
         if let Some(agent) = self.agents.get_mut(name) {
-            agent.suspects = None;
+            agent.crash = None;
         }
         for run in running {
             let Some(entry) = self.jobs.get_mut(&run.task.job) else { continue };
@@ -158,14 +158,14 @@
     }
 
     /// Starts a suspect where the least is lost with the worker that it may crash: at as few
-    /// of the least used workers as hold it.
+    /// of the least used workers as hold it. Returns the places that it leaves to others.
     pub(crate) fn try_suspect(
         &mut self,
         candidate: &Candidate,
         (step, pool): (&Step, &str),
         (board, barred): (&mut Board, &[usize]),
         time: (u64, u64),
-    ) {
+    ) -> Vec<usize> {
         let mut order = board.least_used();
         order.retain(|place| !barred.contains(place));
         let mut most = 1;
@@ -173,9 +173,9 @@
             let open: BTreeSet<usize> = order.iter().take(most).copied().collect();
             let closed: Vec<usize> =
                 (0..board.spots.len()).filter(|place| !open.contains(place)).collect();
-            self.place_on_rest(candidate, (step, pool), (board, &closed), time);
+            let spared = self.place_on_rest(candidate, (step, pool), (board, &closed), time);
             if self.unplaced(candidate) == 0 || most >= order.len() {
-                return;
+                return spared;
             }
             most *= 2;
         }
@@ -201,6 +201,12 @@
 }
 
 impl Fresh {
+    /// Takes note of a start at a place.
+    pub fn note(self, fresh: &mut BTreeMap<usize, Fresh>, place: usize) {
+        let known = fresh.entry(place).or_insert(self);
+        *known = self.max(*known);
+    }
+
     /// Which it is, if the run has just started.
     pub fn of(id: &str, entry: &Entry, key: Key, placed: &Placed, now: u64) -> Option<Fresh> {
         if placed.outlived || now >= placed.confirmed.unwrap_or(now) + APART {
