--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -82,7 +82,8 @@
 
     fn count_crash(&mut self, name: &str, task: &Task, run: u64, among: usize) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        if entry.progress.state.ended() {
+        // What is done never starts again: it could not be cleared, and others would wait for it.
+        if entry.progress.state.ended() || entry.progress.done(task) {
             return;
         }
         // One that has outlived a start is not the cause; but a list that was held up on its
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -543,3 +543,29 @@
         @"crash suspected a: a.0.0.1 run 1 at w1, one of 1 just started there: 1 of 3"
     );
 }
+
+// Symptom: a job has a task left, the pool has room, and nothing starts until the end. Sequence: a
+// worker crashes just after tasks start there; they start elsewhere and are done; a new owner is told
+// of the crash, late, and counts it against them. Cause: a task that is done never starts again, so
+// it was never cleared, and the other tasks of its step waited for it without end.
+#[test]
+fn a_crash_under_a_task_that_is_done_holds_nothing_up() {
+    let mut bed = Bed::open(1, 2).idle(2);
+    bed.owner.job("a", job(1, vec![step(2, 8)]), 150, None);
+    bed.step();
+    let first = bed::task("a", 0, 0);
+    bed.status(0, &[], &[bed::end(1, first.clone(), 1, quincewheel_job::How::Done)]);
+    let record = bed.record();
+    let (_, progress) = record.jobs.first().cloned().expect("the end is recorded");
+    let mut bed = Bed::open(2, 2);
+    bed.owner.job("a", job(1, vec![step(2, 8)]), 50, Some(progress));
+    bed.link(0);
+    let starts = vec![(first, 1)];
+    bed.notice(0, Notice::Broke { worker: "i0-before".into(), starts });
+    bed.status(0, &[], &[]);
+    bed.link(1);
+    bed.status(1, &[], &[]);
+    bed.record();
+    bed.live(12_000, 2);
+    assert_snapshot!(bed.told(), @"w0 start a.0.0.1 run 1001");
+}
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -84,6 +84,7 @@
         } else if let Err(place) = tasks.binary_search(&task.index) {
             tasks.insert(place, task.index);
         }
+        self.clear(job, task);
         if (0..job.occurrences()).all(|occurrence| self.occurrence_done(job, occurrence)) {
             self.state = State::Succeeded;
         }
