--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -359,3 +359,25 @@
     bed.live(12_000, 2);
     assert_snapshot!(bed.told(), @"w0 start a.0.0.1 run 1001");
 }
+
+// The other way round: a suspect waits where something else has just started, or a crash there would
+// be blamed on both.
+#[test]
+fn a_suspect_does_not_start_beside_what_has_just_started() {
+    let mut pool = Pool::open(1, 1);
+    pool.submit("a", job(1, vec![step(1, 1)]), 150);
+    pool.pass(10);
+    let run = pool.running[0][0].clone();
+    pool.crash(0, vec![(run.task, run.number)]);
+    // It comes first, as its priority says.
+    pool.submit("b", job(0, vec![step(1, 1)]), 151);
+    while pool.running[0].is_empty() {
+        pool.pass(10);
+    }
+    let first = pool.bed.now;
+    while pool.running[0].len() < 2 {
+        pool.pass(10);
+    }
+    let later = pool.bed.now - first;
+    assert!((300..400).contains(&later), "{later} ms later");
+}
