--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -174,6 +174,9 @@
     pool.bed.events = vec!["crash suspected"];
     pool.bed.notice(number, Notice::Broke { worker: worker.clone(), starts });
     pool.bed.notice(number, Notice::Left { worker });
+    let worker = Some(Worker { id: "next".into(), ..bed::worker(number) });
+    let (stamp, running, ended) = (pool.bed.now, Vec::new(), Vec::new());
+    pool.bed.notice(number, Notice::Status { stamp, worker, fenced: false, running, ended });
     assert_snapshot!(pool.bed.logged(), @"nothing");
 }
 
