Start nothing in an availability zone that operators evacuate

Change, from the row to the worker: - platform decodes the rows; a row's presence counts, whatever it holds, and all rows read anew end what has no row any more. An entry that has not read them does not claim the ownership. - The owner closes the zone's workers (cause 'zone evacuated' where work waits for them), tells agents (Order::Evacuate), and orders no start again that was not confirmed there. - The agent refuses starts that are on their way, and tries none again: an unclear one is stopped, and the rest of its gang called back. - What runs there runs on; room, guaranteed or not, is made in the zones that are left. - An owner that has not heard of operators for evacuateMs less 1.3 s (three tries of an agent) starts nothing anywhere. Only where the settings file names evacuateMs. A poll after a failed one does not wait, so that one lost answer leaves 1.2 s to spare. - Told: zone evacuated, zone empty (once all that may run there is known), evacuation over, operators not heard; gauges evacuated_zones and evacuated_runs.

Ruled out: stopping what runs there (throws work away that nobody asked to stop); agents that read the table themselves (77 more readers for news that their owner has anyway).

Tests: rows as operators and others write them; decisions and lines of the owner; 735 courses of an owner, agents and workers with changes of owner, outages, lost answers, restarts of agents and workers around an evacuation. The tests' worker now does nothing for a lower fencing token, as workers do: without that it carried out a former owner's late starts.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -48,6 +48,8 @@
     pub dropping: bool,
     /// Its machine goes down next: nothing new starts there.
     pub cordoned: bool,
+    /// Operators evacuate its worker's availability zone: nothing new starts there.
+    pub evacuated: bool,
     /// The platform was asked to take its machine down: all that runs there is
     /// as good as gone.
     pub doomed: bool,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod dismissal;
 mod election;
 mod entry;
+mod evacuation;
 mod guide;
 mod lack;
 mod listing;
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -43,6 +43,7 @@
             }
             self.links.insert(link, agent.to_owned());
             self.send(link, Order::Claim { epoch });
+            self.tell_evacuation(link);
         }
     }
 
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -8,6 +8,7 @@
 use crate::detail::list;
 use crate::dismissal::Dismissal;
 use crate::entry::{Entry, Key, Phase, Placed};
+use crate::evacuation::Evacuated;
 use crate::guide::Guide;
 use crate::listing::Listing;
 use crate::output::Output;
@@ -79,6 +80,8 @@
     pub(crate) shared: Vec<Vec<Task>>,
     /// Waves of maintenance.
     pub(crate) upkeep: Upkeep,
+    /// Availability zones in which nothing starts.
+    pub(crate) evacuated: Evacuated,
     pub(crate) next_unit: u64,
     /// The next time of day at which time alone changes what may start.
     pub(crate) next_due: Option<u64>,
@@ -129,6 +132,7 @@
             listing: Listing::default(),
             shared: Vec::new(),
             upkeep: Upkeep::default(),
+            evacuated: Evacuated::default(),
             next_unit: 1,
             next_due: None,
             outputs: Vec::new(),
@@ -306,7 +310,7 @@
         if due || self.ask_again.take_if(|at| *at <= now).is_some() {
             self.replan = true;
         }
-        if self.replan {
+        if self.replan && !self.is_deaf(now) {
             self.replan = false;
             self.plan(now, wall);
         }
@@ -321,6 +325,7 @@
         self.close_silent(now);
         self.lapse(now);
         self.stop_unlisted(now);
+        self.look_at_evacuated(now);
     }
 
     /// True if the owner knows that the job has ended, recorded or not.
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -46,6 +46,7 @@
             agent.silent = 0;
         }
         let changed = agent.worker.as_ref().is_some_and(|known| known.fits_others(&worker));
+        agent.evacuated = self.evacuated.covers(&worker.zone);
         let first = fenced && !agent.fenced;
         agent.unknown = None;
         agent.left = false;
@@ -123,9 +124,17 @@
     /// After a new connection, orders that may have been lost with the former
     /// one are given again. Both are idempotent.
     fn resume(&mut self, name: &str, from: &Incarnation, now: u64) {
+        let evacuated = self.agents.get(name).is_some_and(|agent| agent.evacuated);
         for (job, key) in self.runs_where(|placed| placed.agent == name && placed.worker == *from) {
             let Some(entry) = self.jobs.get(&job) else { continue };
             let Some(placed) = entry.runs.get(&key) else { continue };
+            if placed.phase == Phase::Starting && evacuated {
+                // The worker has answered and does not list it: what may be on its way yet
+                // must not begin any more.
+                self.stop(&job, key, now);
+                self.stop_mates(&job, key, now);
+                continue;
+            }
             let (worker, run) = (from.clone(), placed.run);
             let order = match placed.phase {
                 Phase::Running => continue,
@@ -416,9 +425,6 @@
         {
             clearance.refuse(&worker);
         }
-        let gang = entry.step(key).is_some_and(|step| step.gang);
-        let range = (key.0, key.1, 0)..=(key.0, key.1, u32::MAX);
-        let others: Vec<Key> = entry.runs.range(range).map(|(key, _)| *key).collect();
         self.replan = true;
         self.log("start refused", &task.job, format!("{task} run {run} {why:?} at {name}"));
         let sound = matches!(
@@ -428,11 +434,20 @@
         if !sound {
             self.refused(name, now);
         }
-        if gang {
-            // The others would wait in vain and hold their places meanwhile.
-            for other in others {
-                self.stop(&task.job, other, now);
-            }
+        self.stop_mates(&task.job, key, now);
+    }
+
+    /// Stops the other members of a gang of which one does not start: they would wait in vain
+    /// and hold their places meanwhile.
+    fn stop_mates(&mut self, id: &str, key: Key, now: u64) {
+        let Some(entry) = self.jobs.get(id) else { return };
+        if !entry.step(key).is_some_and(|step| step.gang) {
+            return;
+        }
+        let range = (key.0, key.1, 0)..=(key.0, key.1, u32::MAX);
+        let members: Vec<Key> = entry.runs.range(range).map(|(key, _)| *key).collect();
+        for member in members {
+            self.stop(id, member, now);
         }
     }
 
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -38,6 +38,9 @@
     /// Runs that end by themselves within this time beyond a stop are waited for
     /// instead of stopped.
     pub ending: u64,
+    /// Nothing starts in an evacuated zone later than this after operators were told that they
+    /// evacuate it; none on a deployment where no zone is evacuated.
+    pub evacuation: Option<u64>,
     /// Guaranteed room is given within this time after a job was accepted.
     pub reclaim: u64,
     /// An agent that is not connected, or knows no worker, for so long beyond its
@@ -72,6 +75,7 @@
             reservation: 3000,
             stop: 900,
             ending: 0,
+            evacuation: None,
             reclaim: 2700,
             absence: 2000,
             keep: 1500,
--- a/crates/dispatch/tests/bed/mod.rs
+++ b/crates/dispatch/tests/bed/mod.rs
@@ -152,6 +152,9 @@
         Order::Pace { task, percent, .. } => format!("w{link} pace {task} {percent}"),
         Order::Stop { task, run, .. } => format!("w{link} stop {task} run {run}"),
         Order::Seen { number, .. } => format!("w{link} seen {number}"),
+        Order::Evacuate { zones } => {
+            format!("w{link} evacuate {:?}", zones.zones().collect::<Vec<_>>())
+        }
         order => format!("w{link} {order:?}"),
     }
 }
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -14,6 +14,11 @@
     "table back",
     "agent lost",
     "drain",
+    "operators not heard",
+    "operators heard",
+    "zone evacuated",
+    "evacuation over",
+    "zone empty",
 ];
 
 struct Told {
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -7,6 +7,7 @@
 mod asks;
 mod calls;
 mod dials;
+mod evacuation;
 mod follow;
 mod gate;
 mod handover;
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -7,6 +7,7 @@
 use quincewheel_platform::{self as platform, Skipped, Space, Table};
 use quincewheel_store::{Change, Changes, Error, Read, scan};
 
+use super::evacuation;
 use super::own;
 use super::state::{Shared, Site};
 
@@ -34,23 +35,26 @@
 /// within its time.
 const AT_ONCE: usize = 3;
 
-/// Follows the configuration for ever.
+/// Follows what operators write for ever: the configuration, waves and evacuations.
 pub(crate) async fn configuration(shared: Shared) {
     let mut version = None;
+    let mut calm = true;
     loop {
         let sent = quincewheel_clock::boot();
         let result = match version {
             None => read_all(&shared.feed, Space::Operator).await,
             Some(after) => {
-                shared
-                    .feed
-                    .follow(Space::Operator, after, wait(&shared, CONFIG_WAIT), TIMEOUT)
-                    .await
+                // A call that waits and is lost is missed only after its wait.
+                let wait = if calm { wait(&shared, CONFIG_WAIT) } else { Duration::ZERO };
+                shared.feed.follow(Space::Operator, after, wait, TIMEOUT).await
             }
         };
+        calm = result.is_ok();
         match result {
             Ok(changes) => {
+                let whole = version.is_none();
                 version = Some(changes.version);
+                evacuation::take(&shared, &changes.rows, whole);
                 for change in &changes.rows {
                     configure(&shared, change);
                 }
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -20,6 +20,8 @@
     decisions: Family<Decision, Counter>,
     waits: Family<Wait, Gauge>,
     unlisted: Gauge,
+    evacuated_zones: Gauge,
+    evacuated_runs: Gauge,
     skipped: Family<List, Counter>,
     /// The epoch under which this entry owns; 0 if it does not.
     pub epoch: Gauge,
@@ -68,6 +70,8 @@
             decisions: Family::default(),
             waits: Family::default(),
             unlisted: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            evacuated_runs: Gauge::default(),
             skipped: Family::default(),
             epoch: Gauge::default(),
             jobs: Gauge::default(),
@@ -99,6 +103,16 @@
                 "Runs believed at workers that answer and do not list them, at the owner",
                 &self.unlisted,
             ),
+            (
+                "evacuated_zones",
+                "Availability zones that operators evacuate, at the owner",
+                &self.evacuated_zones,
+            ),
+            (
+                "evacuated_runs",
+                "Runs that go on in evacuated availability zones, at the owner; 0 when they are empty",
+                &self.evacuated_runs,
+            ),
             ("config_version", "Version of the configuration in force", &self.config),
             (
                 "config_age_ms",
@@ -143,6 +157,12 @@
         self.unlisted.set(count as i64);
     }
 
+    /// Shows how many availability zones are evacuated, and how many runs go on there.
+    pub fn evacuated(&self, (zones, runs): (usize, usize)) {
+        self.evacuated_zones.set(zones as i64);
+        self.evacuated_runs.set(runs as i64);
+    }
+
     /// The page, in the OpenMetrics text format.
     pub fn page(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -61,7 +61,9 @@
 fn due(shared: &Site, now: u64) -> bool {
     let heard = shared.heard.get();
     let free = shared.owner.borrow().is_none() && !shared.gate.closing();
-    if !free || heard == 0 {
+    // One that has not read what operators evacuate would start work there.
+    let read = shared.evacuation.borrow().is_some();
+    if !free || heard == 0 || !read {
         return false;
     }
     let draining = shared.gate.draining();
@@ -112,6 +114,9 @@
     if let Some(config) = shared.config.borrow().as_ref() {
         owner.configure(config);
     }
+    if let Some(zones) = shared.evacuation.borrow().as_ref() {
+        owner.evacuate(zones, shared.proved.get());
+    }
     let mirror = shared.mirror.borrow();
     for (name, _) in mirror.nodes.iter().filter(|(_, node)| !node.entry) {
         owner.agent(name, now);
@@ -163,6 +168,7 @@
     Settings {
         lease: bounds.lease,
         stop: bounds.stop,
+        evacuation: bounds.evacuation,
         reclaim: bounds.reclaim,
         turn: bounds.turn,
         maintenance: bounds.maintenance,
@@ -207,6 +213,9 @@
     if let Some(config) = shared.config.borrow().as_ref() {
         current.configure(config);
     }
+    if let Some(zones) = shared.evacuation.borrow().as_ref() {
+        current.evacuate(zones, shared.proved.get());
+    }
     add_waves(shared, current);
     current.tick(quincewheel_clock::boot(), quincewheel_clock::wall());
     if current.urgent() {
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -5,7 +5,7 @@
 
 use quincewheel_dispatch::rows::Ownership;
 use quincewheel_dispatch::{Election, Mirror, Owner, Question, Unproven, Unsettled};
-use quincewheel_job::{Config, Wave};
+use quincewheel_job::{Config, Evacuation, Wave};
 use quincewheel_peer::Hub;
 use quincewheel_platform::{self as platform, Bounds, Skip, Table};
 use quincewheel_store::Error;
@@ -78,6 +78,8 @@
     pub failures: Cell<u32>,
     /// Since when the table has not answered; none while it does.
     pub table_lost: Cell<Option<u64>>,
+    /// Availability zones that operators evacuate; none before the table has told.
+    pub evacuation: RefCell<Option<Evacuation>>,
     /// Waves of maintenance that operators asked for.
     pub waves: RefCell<BTreeMap<u64, Wave>>,
     /// What the owner wants of the machines.
@@ -131,6 +133,7 @@
             unsettled: RefCell::default(),
             failures: Cell::new(0),
             table_lost: Cell::new(None),
+            evacuation: RefCell::default(),
             waves: RefCell::default(),
             wishes: RefCell::default(),
             wished: Notify::new(),
@@ -197,5 +200,6 @@
         self.metrics.jobs.set(owner.as_ref().map_or(0, |owner| owner.active() as i64));
         self.metrics.waiting(&owner.as_ref().map(Owner::waiting).unwrap_or_default());
         self.metrics.unlisted(owner.as_ref().map_or(0, Owner::unlisted_runs));
+        self.metrics.evacuated(owner.as_ref().map(Owner::evacuated).unwrap_or_default());
     }
 }
--- /dev/null
+++ b/crates/job/src/evacuation.rs
@@ -0,0 +1,43 @@
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+/// The availability zones that operators evacuate: nothing new starts on their workers, and what
+/// runs there runs on.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct Evacuation {
+    zones: BTreeSet<String>,
+}
+
+impl Evacuation {
+    /// True if the availability zone is evacuated.
+    pub fn covers(&self, zone: &str) -> bool {
+        self.zones.contains(zone)
+    }
+
+    /// True if no availability zone is evacuated.
+    pub fn is_empty(&self) -> bool {
+        self.zones.is_empty()
+    }
+
+    /// All availability zones that are evacuated, in the order of their names.
+    pub fn zones(&self) -> impl Iterator<Item = &str> {
+        self.zones.iter().map(String::as_str)
+    }
+
+    /// Those that are evacuated here and not in `other`.
+    pub fn beyond<'a>(&'a self, other: &'a Evacuation) -> impl Iterator<Item = &'a str> {
+        self.zones.difference(&other.zones).map(String::as_str)
+    }
+
+    /// The availability zone is evacuated from now on.
+    pub fn begin(&mut self, zone: &str) {
+        self.zones.insert(zone.to_owned());
+    }
+
+    /// The availability zone is taken back.
+    pub fn end(&mut self, zone: &str) {
+        self.zones.remove(zone);
+    }
+}
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -42,10 +42,11 @@
         if session.orders.values().any(|pending| pending.starts(&task, run)) {
             return;
         }
-        // A worker that leaves takes nothing new with it, whatever the owner
-        // knew when it gave the order; nor does one without a lease. But the
+        // A worker that leaves, or whose zone is evacuated, takes nothing new, whatever the
+        // owner knew when it gave the order; nor does one without a lease. But the
         // order may be a repeated one, and the first may have taken effect.
-        let refused = session.worker.draining || until.is_none();
+        let evacuated = self.evacuation.covers(&session.worker.zone);
+        let refused = session.worker.draining || evacuated || until.is_none();
         *lease = until.unwrap_or(0);
         let mut pending = Pending { doubtful: again, ..Pending::open(action) };
         if refused {
@@ -161,9 +162,10 @@
     /// refuses a start that comes after its stop, so that the task can then safely
     /// start elsewhere.
     fn retry(&mut self, id: u64, now: u64) {
-        let tries = self.settings.tries;
         let pause = self.settings.pause;
         let Some(session) = &mut self.session else { return };
+        let evacuated = self.evacuation.covers(&session.worker.zone);
+        let tries = if evacuated { 1 } else { self.settings.tries };
         let Some(pending) = session.orders.get_mut(&id) else { return };
         pending.tries += 1;
         let start = pending.is_start();
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use quincewheel_job::{Incarnation, Worker};
+use quincewheel_job::{Evacuation, Incarnation, Worker};
 use quincewheel_wire::{LinkId, Notice, Order};
 
 use crate::call::{Action, Call, Fault, Reply};
@@ -58,6 +58,8 @@
     /// Reports of the worker that were taken.
     pub(crate) reports: u64,
     pub(crate) lease: Lease,
+    /// Availability zones in which nothing starts any more.
+    pub(crate) evacuation: Evacuation,
     pub(crate) next_call: u64,
     pub(crate) pinged: u64,
     /// When an owner last said anything.
@@ -81,6 +83,7 @@
             incarnations: 0,
             reports: 0,
             lease: Lease::default(),
+            evacuation: Evacuation::default(),
             next_call: 1,
             pinged: 0,
             spoken: 0,
@@ -233,6 +236,7 @@
         }
         if epoch > self.epoch {
             self.epoch = epoch;
+            self.evacuation = Evacuation::default();
             if let Some(session) = &mut self.session {
                 // The look under way carries the former epoch; its answer
                 // would not prove that the worker is fenced.
@@ -255,6 +259,7 @@
         match order {
             Order::Claim { .. } => {}
             Order::Grant { stamp } => self.lease.grant(stamp + self.settings.lease),
+            Order::Evacuate { zones } => self.evacuation = zones,
             Order::Start { worker, task, run, spec, saved, ticket, again } => {
                 let action = Action::Start { task, run, spec, saved, ticket, until: 0 };
                 self.start(&worker, action, again, now);
--- a/crates/runner/tests/world/mod.rs
+++ b/crates/runner/tests/world/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use quincewheel_dispatch::{Output as Decision, Owner, Settings as Bounds};
-use quincewheel_job::{End, How, Job, Need, Progress, Queue, Run, Step, Task, Worker};
+use quincewheel_job::{End, Evacuation, How, Job, Need, Progress, Queue, Run, Step, Task, Worker};
 use quincewheel_runner::{Action, Beat, Call, Fault, Output, Reply, Runner, Settings};
 use quincewheel_wire::{Order, Refused};
 
@@ -44,6 +44,8 @@
     lives: usize,
     /// When its process started; 0 where each start has an id of its own.
     born: u64,
+    /// The highest fencing token that it has seen.
+    fence: u64,
     /// Its clock is so much behind that of its first start.
     behind: u64,
     runner: Runner,
@@ -65,6 +67,10 @@
     stopped: Vec<(Task, u64)>,
     /// When each of its runs began.
     begun: Vec<(Task, u64, u64)>,
+    /// The same of all its incarnations, but for starts that it carried out late.
+    pub on_time: Vec<(Task, u64, u64)>,
+    /// Its availability zone.
+    pub zone: String,
     /// Ends as done that it was told are recorded.
     noted: Vec<Task>,
 }
@@ -78,6 +84,10 @@
     pub confirmed: bool,
     /// The table takes what the owner records.
     pub records: bool,
+    /// What operators have written of evacuations.
+    pub operators: Evacuation,
+    /// The entry that owns reads what operators have written.
+    pub reads: bool,
     /// Runs end as done after so many milliseconds; never if none.
     pub work: Option<u64>,
     /// Jobs that were submitted, and their progress as it was recorded.
@@ -91,7 +101,7 @@
     /// An owner under `epoch` that has just claimed and knows the agents of so many
     /// workers, to which it is not connected yet.
     pub fn open(epoch: u64, workers: usize) -> World {
-        let mut owner = Owner::open(Bounds::default(), epoch, CLAIM, BEGIN);
+        let mut owner = Owner::open(self::bounds(), epoch, CLAIM, BEGIN);
         for number in 0..workers {
             owner.agent(&format!("w{number}"), BEGIN);
         }
@@ -99,6 +109,7 @@
             mood: Mood::Sound,
             lives: 0,
             born: 0,
+            fence: 0,
             behind: 0,
             runner: Runner::open(Settings::default()),
             running: Vec::new(),
@@ -111,6 +122,8 @@
             late: Vec::new(),
             stopped: Vec::new(),
             begun: Vec::new(),
+            on_time: Vec::new(),
+            zone: String::new(),
             noted: Vec::new(),
         };
         let sides = (0..workers).map(side).collect();
@@ -120,6 +133,8 @@
             now: BEGIN,
             confirmed: true,
             records: false,
+            operators: Evacuation::default(),
+            reads: true,
             work: None,
             jobs: Vec::new(),
             recorded: BTreeMap::new(),
@@ -136,8 +151,10 @@
     /// Another entry owns from now on, and knows what was recorded.
     pub fn take_over(&mut self, epoch: u64) {
         let now = self.now;
-        self.owner = Owner::open(Bounds::default(), epoch, CLAIM * 10 * epoch, now);
+        self.owner = Owner::open(self::bounds(), epoch, CLAIM * 10 * epoch, now);
         self.owner.former_ended();
+        // It has read all rows.
+        self.owner.evacuate(&self.operators, now);
         for number in 0..self.sides.len() {
             self.owner.agent(&format!("w{number}"), now);
         }
@@ -159,7 +176,8 @@
     pub fn report(&mut self, number: usize) {
         let now = self.now;
         let side = &mut self.sides[number];
-        let worker = Worker { born: side.born, ..worker(number, side.lives) };
+        let zone = side.zone.clone();
+        let worker = Worker { born: side.born, zone, ..worker(number, side.lives) };
         side.runner.beat(&beat(&worker, "10.0.0.1:80", side.clock(now)), now);
         side.report = Some(now + REPORTS);
     }
@@ -171,6 +189,7 @@
         let now = self.now;
         let side = &mut self.sides[number];
         side.born = now;
+        side.fence = 0;
         side.behind = clock(now);
         side.ends = 0;
         side.running.clear();
@@ -215,6 +234,7 @@
     /// A worker has crashed, and reports itself under a new name.
     pub fn reborn(&mut self, number: usize) {
         self.sides[number].lives += 1;
+        self.sides[number].fence = 0;
         self.sides[number].running.clear();
         self.report(number);
     }
@@ -262,6 +282,9 @@
             if self.confirmed {
                 self.owner.confirm(self.now);
             }
+            if self.reads {
+                self.owner.evacuate(&self.operators, self.now);
+            }
             self.owner.tick(self.now, self.now);
             if self.records
                 && let Some(batch) = self.owner.record()
@@ -406,7 +429,9 @@
         for (_, call) in ready {
             let Action::Start { task, run, until, .. } = &call.action else { continue };
             if *until > self.clock(now) && !self.refuses(task, *run) {
+                let on_time = self.on_time.len();
                 _ = self.carry_out(&call, now);
+                self.on_time.truncate(on_time);
             }
         }
     }
@@ -449,6 +474,10 @@
 
     fn carry_out(&mut self, call: &Call, now: u64) -> Result<Reply, Fault> {
         let clock = self.clock(now);
+        if call.fence < self.fence {
+            return Ok(Reply::Refused(Refused::Fence));
+        }
+        self.fence = call.fence;
         match &call.action {
             Action::Start { task, run, .. } => {
                 if self.has(task, *run) {
@@ -459,6 +488,7 @@
                 }
                 let saved = String::new();
                 self.begun.push((task.clone(), *run, now));
+                self.on_time.push((task.clone(), *run, now));
                 let run = Run { task: task.clone(), number: *run, saved, percent: 10, gauge: 0 };
                 self.running.push(run);
             }
@@ -483,6 +513,11 @@
     }
 }
 
+/// The owner's bounds, where availability zones are evacuated.
+fn bounds() -> Bounds {
+    Bounds { evacuation: Some(5000), ..Bounds::default() }
+}
+
 fn clock(now: u64) -> u64 {
     50_000 + now
 }
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -1,4 +1,4 @@
-use quincewheel_job::{Incarnation, Task};
+use quincewheel_job::{Evacuation, Incarnation, Task};
 use serde::{Deserialize, Serialize};
 
 /// What the owner tells an agent about its worker's runs.
@@ -16,6 +16,12 @@
         /// because a grant that a cut held up must not start a lease anew.
         stamp: u64,
     },
+    /// Nothing starts any more in these availability zones, and no longer in others. Told when
+    /// it changes, and after [`Order::Claim`]; a claim under another epoch ends what was told.
+    Evacuate {
+        /// All of them.
+        zones: Evacuation,
+    },
     /// Start a run.
     Start {
         /// The incarnation of the worker that is meant.
