--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -23,7 +23,8 @@
 const LOOK: u64 = 250;
 
 /// How much sooner than an evacuation must be in force an owner that has not heard of the operators
-/// stops ordering, in milliseconds: an agent tries a start three times, 400 apart.
+/// stops ordering, in milliseconds: an agent tries a start three times, 400 apart. A third of the
+/// bound at the most.
 const AHEAD: u64 = 1300;
 
 /// What the owner knows of evacuations, and what it has told of them.
@@ -83,7 +84,7 @@
     pub(crate) fn is_deaf(&mut self, now: u64) -> bool {
         let Some(bound) = self.settings.evacuation else { return false };
         let silent = now.saturating_sub(self.evacuated.heard);
-        let deaf = silent + AHEAD > bound;
+        let deaf = silent + AHEAD.min(bound / 3) > bound;
         if deaf != self.evacuated.deaf {
             self.evacuated.deaf = deaf;
             match deaf {
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -45,7 +45,7 @@
             None => read_all(&shared.feed, Space::Operator).await,
             Some(after) => {
                 // A call that waits and is lost is missed only after its wait.
-                let wait = if calm { wait(&shared, CONFIG_WAIT) } else { Duration::ZERO };
+                let wait = if calm { wait(&shared, config_wait(&shared)) } else { Duration::ZERO };
                 shared.feed.follow(Space::Operator, after, wait, TIMEOUT).await
             }
         };
@@ -71,6 +71,13 @@
     }
 }
 
+/// How long a calm poll for what operators write waits: no longer than a third of what an
+/// evacuation may take to be in force.
+fn config_wait(shared: &Site) -> Duration {
+    let third = shared.bounds.get().evacuation.map(|bound| Duration::from_millis(bound / 3));
+    third.map_or(CONFIG_WAIT, |third| third.min(CONFIG_WAIT))
+}
+
 /// How long to wait for a change: not at all while the table is lost, so that
 /// its return is noticed at once.
 fn wait(shared: &Site, calm: Duration) -> Duration {
--- a/crates/stand-in/tests/soak/fault.rs
+++ b/crates/stand-in/tests/soak/fault.rs
@@ -33,6 +33,8 @@
     Key,
     /// Starts at a worker get no answer for so many milliseconds, and are carried out later.
     Late { worker: usize, ms: u64 },
+    /// Operators evacuate an availability zone for so many milliseconds.
+    Evacuate { zone: usize, ms: u64 },
     /// A worker loses so many accelerators for so many milliseconds.
     Shrink { worker: usize, lost: u64, ms: u64 },
 }
@@ -49,6 +51,17 @@
     times.map(|at| (at, shrink(&mut random))).collect()
 }
 
+/// Times at which operators evacuate availability zones; drawn apart from the other faults.
+pub fn draw_evacuations(seed: u64, seconds: u64, zones: usize) -> Vec<(u64, Fault)> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(16) ^ !seed);
+    let mut one = |_| {
+        let at = random.random_range(0..seconds * 1000);
+        let ms = random.random_range(2000..9000);
+        (at, Fault::Evacuate { zone: random.random_range(0..zones), ms })
+    };
+    (0..seconds / 2).map(&mut one).collect()
+}
+
 /// Times at which workers start again, most of them at once, or carry starts out late; drawn
 /// apart from the other faults.
 pub fn draw_restarts(seed: u64, seconds: u64, workers: usize) -> Vec<(u64, Fault)> {
--- a/crates/stand-in/tests/soak/hall.rs
+++ b/crates/stand-in/tests/soak/hall.rs
@@ -20,6 +20,10 @@
 /// A room that has shrunk counts so much later, in milliseconds: what the platform's pages
 /// allow, and the time between two reports.
 const SHRINKS: u64 = 3000 + 300;
+/// Workers of one rack, and of one availability zone.
+const RACK: usize = 3;
+/// Nothing starts in an evacuated availability zone after this time, in milliseconds.
+pub const EVACUATE: u64 = 5000;
 /// Longest lease, in milliseconds.
 pub const LEASE: u64 = 6000;
 
@@ -82,6 +86,8 @@
     /// What stands before each worker, where something does.
     pub doors: Vec<Proxy>,
     kind: Kind,
+    /// Availability zones that are evacuated, and since when.
+    evacuated: BTreeMap<usize, u64>,
 }
 
 impl Hall {
@@ -89,7 +95,7 @@
         let worker = |_| Worker { life: 1, ..Worker::default() };
         let workers = (0..workers).map(worker).collect();
         let (opened, judge) = (Instant::now(), Judge::default());
-        Hall { opened, workers, judge, doors: Vec::new(), kind }
+        Hall { opened, workers, judge, doors: Vec::new(), kind, evacuated: BTreeMap::new() }
     }
 
     /// Milliseconds since the run began.
@@ -138,9 +144,28 @@
         worker.lost = lost;
     }
 
-    /// A worker begins a run.
-    pub fn begin(&mut self, at: usize, task: Task, number: u64, spec: &str) {
+    /// The availability zone that a worker is in.
+    pub fn zone(at: usize) -> usize {
+        at / RACK
+    }
+
+    /// Operators were told that they evacuate an availability zone, or have taken it back.
+    pub fn evacuate(&mut self, zone: usize, begins: bool) {
+        match begins {
+            true => {
+                _ = self.evacuated.entry(zone).or_insert(self.opened.elapsed().as_millis() as u64)
+            }
+            false => _ = self.evacuated.remove(&zone),
+        }
+    }
+
+    /// A worker begins a run, by an order that it carries out `on_time`.
+    pub fn begin(&mut self, at: usize, task: Task, number: u64, spec: &str, on_time: bool) {
         let (now, life) = (self.now(), self.workers[at].life);
+        let since = self.evacuated.get(&Hall::zone(at)).filter(|_| on_time);
+        if let Some(ms) = since.map(|since| now - since).filter(|ms| *ms > EVACUATE) {
+            self.judge.report(format!("EVAC {task:?}: {ms} ms after its zone was evacuated"));
+        }
         let need = self.need(&task);
         let worker = &self.workers[at];
         let late = now >= worker.shrunk + SHRINKS;
--- a/crates/stand-in/tests/soak/kind.rs
+++ b/crates/stand-in/tests/soak/kind.rs
@@ -12,9 +12,21 @@
     /// starts are carried out late without an answer, and at the end everything loses power at
     /// the same moment. What a worker has not carried out when it starts again it never does.
     Restarts,
+    /// Besides, operators evacuate availability zones.
+    Evacuations,
 }
 
 impl Kind {
+    /// Its word on the command line and in names of runs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Faults => "faults",
+            Kind::Workers => "workers",
+            Kind::Restarts => "restarts",
+            Kind::Evacuations => "evacuations",
+        }
+    }
+
     /// True if workers go wrong as [`Kind::Workers`] tells.
     pub fn harms_workers(self) -> bool {
         self != Kind::Faults
@@ -22,6 +34,11 @@
 
     /// True if workers keep their ids.
     pub fn keeps_ids(self) -> bool {
-        self == Kind::Restarts
+        matches!(self, Kind::Restarts | Kind::Evacuations)
+    }
+
+    /// True if operators evacuate availability zones.
+    pub fn evacuates(self) -> bool {
+        self == Kind::Evacuations
     }
 }
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -56,13 +56,19 @@
 /// - 3: a crash was not counted where the worker's next life was known only later.
 /// - 83187: members of a gang that waited for another cleared it of all crashes.
 const CRASHES: [u64; 2] = [3, 83_187];
-/// Seeds with workers that keep their ids, for CI, both of which failed.
+/// Seeds with workers that keep their ids, for CI, all of which failed.
 ///
 /// - 659637, at ten seconds: a worker carried out a start that its former incarnation had not, as
 ///   the first thing that it did. No worker does: it knows nothing of before.
 /// - 356530, at ten seconds on a busy machine: a task was started thrice after its fifth crash, as
 ///   agents learned of two crashes too late to name the start, and one ended with its agent.
-const RESTARTS: [u64; 2] = [356_530, 659_637];
+/// - 455598, at eight seconds: a task that crashes its workers was started thrice after its fifth
+///   crash, of which two named no start, and one ended with its agent.
+const RESTARTS: [u64; 3] = [356_530, 455_598, 659_637];
+/// A seed with zones that are evacuated, for CI.
+const EVACUATIONS: [u64; 1] = [35];
+/// Names the run in which one entry alone is cut off from the table.
+const CUT_OFF: &str = "soak_cut_off";
 /// Seconds of faults in CI.
 const SHORT: u64 = 8;
 
@@ -70,19 +76,20 @@
     let mut options = Options::new();
     options.optopt("", "seed", "play this seed only", "N");
     options.optopt("", "fresh", "play so many fresh seeds", "COUNT");
-    options.optopt("", "kind", "what goes wrong: faults, workers or restarts (the default)", "K");
+    options.optopt(
+        "",
+        "kind",
+        "what goes wrong: faults, workers, restarts (the default) or evacuations",
+        "K",
+    );
     options.optopt("", "seconds", "how long faults come", "S");
     options.optopt("", "logs", "keep the processes' logs in this folder", "DIR");
-    options.optmulti("", "skip", "accepted, as other test programs do", "NAME");
+    options.optmulti("", "skip", "leave out those whose names contain this", "NAME");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let Ok(given) = options.parse(&args) else {
         eprintln!("{}", options.usage("soak [options]"));
         return ExitCode::FAILURE;
     };
-    // Names of tests choose among other programs' tests; here none has a name.
-    if !given.free.is_empty() {
-        return ExitCode::SUCCESS;
-    }
     let number = |name: &str| given.opt_str(name).and_then(|text| text.parse().ok());
     let seconds = number("seconds").unwrap_or(SHORT);
     let logs: Option<PathBuf> = given.opt_str("logs").map(PathBuf::from);
@@ -90,8 +97,9 @@
         Some("faults") => Kind::Faults,
         Some("workers") => Kind::Workers,
         Some("restarts") | None => Kind::Restarts,
+        Some("evacuations") => Kind::Evacuations,
         Some(other) => {
-            eprintln!("kind must be faults, workers or restarts, not {other}");
+            eprintln!("kind must be faults, workers, restarts or evacuations, not {other}");
             return ExitCode::FAILURE;
         }
     };
@@ -102,23 +110,39 @@
             let plain = SEEDS.iter().map(|seed| (*seed, Kind::Faults));
             let crashes = CRASHES.iter().map(|seed| (*seed, Kind::Workers));
             let restarts = RESTARTS.iter().map(|seed| (*seed, Kind::Restarts));
-            plain.chain(crashes).chain(restarts).collect()
+            let zones = EVACUATIONS.iter().map(|seed| (*seed, Kind::Evacuations));
+            plain.chain(crashes).chain(restarts).chain(zones).collect()
         }
     };
-    let mut failed = Vec::new();
     let scripted = number("seed").is_none() && number("fresh").is_none();
-    let wrong = if scripted { cut_off::play() } else { Vec::new() };
-    wrong.iter().for_each(|violation| println!("  {violation}"));
+    // As other test programs do: all names that contain one of those given, but for the skipped.
+    let skipped = given.opt_strs("skip");
+    let chosen = |name: &str| {
+        let named = given.free.is_empty() || given.free.iter().any(|part| name.contains(part));
+        named && !skipped.iter().any(|part| name.contains(part))
+    };
+    let mut failed = Vec::new();
+    if scripted && chosen(CUT_OFF) {
+        report(CUT_OFF, &cut_off::play(), &mut failed);
+    }
     for (seed, kind) in seeds {
-        let Outcome { violations, line } = World::play(seed, seconds, kind, logs.as_deref());
-        println!("seed {seed}: {line}");
-        for violation in &violations {
-            println!("  {violation}");
-        }
-        if !violations.is_empty() {
-            failed.push(seed);
+        let name = format!("soak_{}_seed_{seed}", kind.name());
+        if chosen(&name) {
+            let Outcome { violations, line } = World::play(seed, seconds, kind, logs.as_deref());
+            println!("seed {seed}: {line}");
+            report(&name, &violations, &mut failed);
         }
     }
     println!("{} failed: {failed:?}", failed.len());
-    if failed.is_empty() && wrong.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Tells how one run ended, in the words of other test programs.
+fn report(name: &str, violations: &[String], failed: &mut Vec<String>) {
+    let verdict = if violations.is_empty() { "ok" } else { "FAILED" };
+    println!("test {name} ... {verdict}");
+    violations.iter().for_each(|violation| println!("  {violation}"));
+    if !violations.is_empty() {
+        failed.push(name.to_owned());
+    }
 }
--- a/crates/stand-in/tests/soak/setup.rs
+++ b/crates/stand-in/tests/soak/setup.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 
+use crate::hall::EVACUATE;
+use crate::kind::Kind;
 use crate::net::{self, Net};
 use crate::world::{ENTRIES, GRACE, REVOKE};
 
@@ -24,9 +26,13 @@
 }
 
 /// The platform's settings file of a process; `list` is where machines are listed, if they are.
-pub fn settings(net: Net, index: usize, host: u8, list: Option<&str>) -> String {
+pub fn settings(net: Net, index: usize, host: u8, list: Option<&str>, kind: Kind) -> String {
     let name = name(index);
     let cloud = list.map(|list| format!("[cloud]\naddress = \"{list}\"\n")).unwrap_or_default();
+    let evacuate = match kind.evacuates() {
+        true => format!("evacuateMs = {EVACUATE}\n"),
+        false => String::new(),
+    };
     let listen = match index < ENTRIES {
         true => format!(
             "front = \"{}\"\nready = \"{}\"",
@@ -39,7 +45,7 @@
         "node = \"{name}\"\nip = \"{}\"\nzone = \"z\"\nportRange = [{}, {}]\n\
          [listen]\n{listen}\n\
          [bounds]\ngraceS = {GRACE}\nrevokeMs = {}\nmaxHoldMs = 6000\nstopTimeoutMs = 50\n\
-         reclaimMs = 2700\nstatus_s = 120\n\
+         reclaimMs = 2700\nstatus_s = 120\n{evacuate}\
          [platform]\naddress = \"{}\"\n{cloud}",
         net.ip(host),
         net::PEERS,
--- a/crates/stand-in/tests/soak/table.rs
+++ b/crates/stand-in/tests/soak/table.rs
@@ -97,6 +97,12 @@
         self.set((table, "", key), Some(STANDARD.encode(value)));
     }
 
+    /// Drops a row as an operator.
+    pub fn remove(&mut self, table: &str, key: &str) {
+        self.version += 1;
+        self.set((table, "", key), None);
+    }
+
     /// Forgets which rows changed when.
     pub fn compact(&mut self) {
         self.changes.clear();
--- a/crates/stand-in/tests/soak/worker.rs
+++ b/crates/stand-in/tests/soak/worker.rs
@@ -78,7 +78,7 @@
         false => net.to_worker(host),
     };
     let mut body = json!({
-        "service": "pool", "address": address, "zone": "z", "version": "v1",
+        "service": "pool", "address": address, "zone": format!("z{}", Hall::zone(at)), "version": "v1",
         "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": number, "clockMs": hall.clock(at),
         "capacity": { "cpu": 64_000, "memMb": 262_144, "gpu": worker.room() },
         "labels": ["a", rack],
@@ -131,7 +131,7 @@
             return told(421, &json!({}));
         }
     }
-    let (status, body) = carry_out(&mut hall.lock().unwrap(), at, (&path, &meant), &call);
+    let (status, body) = carry_out(&mut hall.lock().unwrap(), at, (&path, &meant), &call, !late);
     if path != "/v1/hold" || status != 200 {
         return told(status, &body);
     }
@@ -146,7 +146,13 @@
 }
 
 /// Does what the call asks for, if it means this worker and nothing fences it off.
-fn carry_out(hall: &mut Hall, at: usize, (path, meant): (&str, &str), call: &Call) -> (u16, Value) {
+fn carry_out(
+    hall: &mut Hall,
+    at: usize,
+    (path, meant): (&str, &str),
+    call: &Call,
+    on_time: bool,
+) -> (u16, Value) {
     if meant != id(hall, at) || hall.now() < hall.workers[at].dark {
         return (421, json!({}));
     }
@@ -155,14 +161,14 @@
     worker.fence = worker.fence.max(call.fence);
     match path {
         _ if fenced => refused(hall, at, "fence"),
-        "/v1/run-start" => start(hall, at, call),
+        "/v1/run-start" => start(hall, at, call, on_time),
         "/v1/run-stop" => stop(hall, at, call),
         "/v1/hold" => hold(hall, at, call),
         _ => (404, json!({})),
     }
 }
 
-fn start(hall: &mut Hall, at: usize, call: &Call) -> (u16, Value) {
+fn start(hall: &mut Hall, at: usize, call: &Call, on_time: bool) -> (u16, Value) {
     let now = hall.clock(at);
     extend(hall, at, call.until);
     let Some(task) = task(&call.task) else { return (400, json!({})) };
@@ -180,7 +186,7 @@
     if hall.checks(at) && hall.used(at) + hall.need(&task) > hall.workers[at].room() {
         return refused(hall, at, "room");
     }
-    hall.begin(at, task, call.run, &call.spec);
+    hall.begin(at, task, call.run, &call.spec, on_time);
     (200, json!({ "clockMs": now }))
 }
 
--- a/crates/stand-in/tests/soak/world.rs
+++ b/crates/stand-in/tests/soak/world.rs
@@ -27,6 +27,8 @@
 
 pub const ENTRIES: usize = 3;
 const WORKERS: usize = 6;
+/// Their availability zones.
+const ZONES: usize = 2;
 const CLIENTS: u64 = 4;
 /// The table's address is that of this host.
 const TABLE_HOST: u8 = 250;
@@ -85,6 +87,7 @@
     Peers(usize),
     Trouble,
     Room(usize),
+    Zone(usize),
 }
 
 impl World {
@@ -141,7 +144,7 @@
                 servers.push(server.unwrap());
             }
             let file = folder.join(format!("{}.toml", name(index)));
-            fs::write(&file, settings(net, index, host, list.as_deref())).unwrap();
+            fs::write(&file, settings(net, index, host, list.as_deref(), kind)).unwrap();
             world.add(net, index, host, &file, logs, &address);
         }
         world._servers = servers;
@@ -199,6 +202,9 @@
         if kind.keeps_ids() {
             faults.extend(fault::draw_restarts(seed, seconds, WORKERS));
         }
+        if kind.evacuates() {
+            faults.extend(fault::draw_evacuations(seed, seconds, ZONES));
+        }
         faults.sort_by_key(|(at, _)| *at);
         for (at, fault) in faults {
             while begin.elapsed() < Duration::from_millis(at) {
@@ -350,6 +356,11 @@
             Fault::Worker { worker, dark } => self.hall.lock().unwrap().rebirth(worker, dark),
             Fault::Late { worker, ms } => self.hall.lock().unwrap().answer_late(worker, ms),
             Fault::Key => self.change_keys(),
+            Fault::Evacuate { zone, .. } if self.is_evacuated(zone) => {}
+            Fault::Evacuate { zone, ms } => {
+                self.evacuate(zone, true);
+                self.heals.push((after(ms), Heal::Zone(zone)));
+            }
             Fault::Shrink { worker, lost, ms } => {
                 self.hall.lock().unwrap().resize(worker, lost);
                 self.heals.push((after(ms), Heal::Room(worker)));
@@ -357,6 +368,21 @@
         }
     }
 
+    /// Operators evacuate an availability zone, or take it back.
+    fn evacuate(&mut self, zone: usize, begins: bool) {
+        let key = format!("evacuate/z{zone}");
+        let mut table = self.table.lock().unwrap();
+        match begins {
+            true => table.put("op", &key, "{}"),
+            false => table.remove("op", &key),
+        }
+        self.hall.lock().unwrap().evacuate(zone, begins);
+    }
+
+    fn is_evacuated(&self, zone: usize) -> bool {
+        self.heals.iter().any(|(_, heal)| matches!(heal, Heal::Zone(other) if *other == zone))
+    }
+
     /// Everything loses power at the same moment, workers too, right after work was accepted.
     fn lose_power(&mut self) {
         let accepted = |world: &World| world.hall.lock().unwrap().judge.accepted();
@@ -379,7 +405,9 @@
             Heal::Start(other) | Heal::Continue(other) | Heal::Restarted(other) => {
                 *other == process
             }
-            Heal::Table(_) | Heal::Peers(_) | Heal::Trouble | Heal::Room(_) => false,
+            Heal::Table(_) | Heal::Peers(_) | Heal::Trouble | Heal::Room(_) | Heal::Zone(_) => {
+                false
+            }
         })
     }
 
@@ -423,6 +451,7 @@
             Heal::Table(process) => self.to_table[process].set(Mode::Pass),
             Heal::Peers(process) => self.to_peers[process].set(Mode::Pass),
             Heal::Room(worker) => self.hall.lock().unwrap().resize(worker, 0),
+            Heal::Zone(zone) => self.evacuate(zone, false),
             Heal::Trouble => self.table.lock().unwrap().trouble = Trouble::None,
         }
     }
