Name starts that crash a worker which has just broken another connection

What was seen: soak started a bad task thrice after its fifth crash; two crashes had named no start. Cause, by reading: a connection is reset (or a fault of the soak resets it) and the agent notes that the worker broke, after no start; until the worker answers a look nothing more was learned of it, while its owner goes on ordering starts there. A start that then crashes the worker was never named.

Ruled out: a wider window; the start is milliseconds old when the worker goes.

Before: 'no start'. After: the start is named, told again only where there is one more.

--- a/crates/runner/src/crashes.rs
+++ b/crates/runner/src/crashes.rs
@@ -11,17 +11,24 @@
 const CRASHED: u64 = 10_000;
 
 impl Runner {
-    /// The worker broke the connection of a call, or takes none. Told once: until it answers
-    /// a look nothing more can be learned of which start was the last. True the first time, if
-    /// it closed an open one.
+    /// The worker broke the connection of a call, or takes none. Told again only where starts
+    /// have come since that may be why: a connection may be reset, and the worker crash a moment
+    /// later, by what it was told to start in between. True the first time, if it closed an open one.
     pub(crate) fn broke(&mut self, id: u64, closed: bool, now: u64) -> bool {
         let fresh = self.settings.fresh;
         // The answer to a call of a former incarnation says nothing of this one.
-        let made = |session: &&mut Session| session.made(id) && session.broke.is_none();
+        let made = |session: &&mut Session| session.made(id);
         let Some(session) = self.session.as_mut().filter(made) else { return false };
-        session.broke = Some(session.suspects(closed, fresh, now));
-        self.tell_broke();
-        closed
+        let mut starts = session.suspects(closed, fresh, now);
+        let first = session.broke.is_none();
+        let known = session.broke.take().unwrap_or_default();
+        starts.retain(|start| !known.contains(start));
+        let more = !starts.is_empty();
+        session.broke = Some([known, starts].concat());
+        if first || more {
+            self.tell_broke();
+        }
+        first && closed
     }
 
     pub(crate) fn tell_broke(&mut self) {
--- a/crates/runner/tests/broke.rs
+++ b/crates/runner/tests/broke.rs
@@ -268,6 +268,27 @@
     assert_eq!((second > first, bed.look == second), (true, true));
 }
 
+// Symptom: a task that crashes its workers is started more often than it may. Sequence: a connection
+// to a sound worker is reset; a start is ordered before the worker has answered a look, and crashes
+// it. Cause: until it answers a look nothing more was learned of a worker that had broken one.
+#[test]
+fn a_start_that_crashes_a_worker_which_has_just_broken_another_connection_is_named() {
+    let mut bed = Bed::open();
+    bed.order(0);
+    bed.started();
+    bed.pass(300);
+    bed.looked(&[0]);
+    bed.answer(bed.look, closed());
+    bed.order(1);
+    bed.started();
+    bed.pass(10);
+    bed.answer(bed.look, closed());
+    assert_snapshot!(bed.told.join("\n"), @r"
+    i1 broke: no start
+    i1 broke: j.0.0.1 run 1
+    ");
+}
+
 /// A report, numbered by the worker's clock.
 fn beat<'a>(worker: &'a Worker, address: &'a str, clock: u64) -> Beat<'a> {
     Beat { worker, address, clock, number: clock }
