Let guaranteed work that has begun give way once to a guarantee nothing else keeps

So only what has not begun can break its promise; one that has begun gives way, but only (1) when a stop and 350 ms are left, (2) where nothing of lower standing makes the room, (3) once: of all that would begin and never end nobody has anything. place::Hold names what work gives way to.

A test then showed that what gave way took its room back at once, as it ranks first; it comes after what has not begun now.

--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Id, Need};
-use quincewheel_place::{Holder, Spot};
+use quincewheel_place::{Hold, Holder, Spot};
 use quincewheel_policy::{Guarantees, loss};
 
 use crate::agent::Agent;
@@ -129,8 +129,14 @@
                 if let Some(started) = Fresh::of(id, entry, *key, placed, now) {
                     started.note(&mut fresh, place);
                 }
-                let borrows = borrowed.contains(&placed.unit);
-                let yields = entry.job.queue.priority > 0 || borrows;
+                let hold = match entry.job.queue.priority {
+                    0 if !borrowed.contains(&placed.unit) => Hold::Guaranteed,
+                    0 => Hold::Borrowed,
+                    _ => Hold::Lower,
+                };
+                // One that gave its guaranteed room up once does not again: all would begin, and
+                // none end.
+                let yields = hold != Hold::Guaranteed || (entry.begun && !entry.gave_way);
                 let ending = !step.perpetual && entry.unit_ends(placed, &self.settings, now);
                 if ending {
                     spots[place].ending.give(&need);
@@ -140,7 +146,7 @@
                 } else if yields && self.may_yield(id, *key, &mut taken) {
                     let loss = loss(step, now.saturating_sub(placed.began));
                     let unit = placed.unit;
-                    spots[place].holders.push(Holder { unit, need, borrows, loss, ending });
+                    spots[place].holders.push(Holder { unit, need, hold, loss, ending });
                 }
             }
         }
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -38,6 +38,10 @@
     pub avoided: BTreeMap<Key, BTreeMap<Incarnation, u64>>,
     /// Where steps are cleared to run, on queues that need it.
     pub clearances: BTreeMap<(u32, u32), Clearance>,
+    /// All tasks of its first step have begun: what a guarantee promises in time is kept.
+    pub begun: bool,
+    /// Room that was guaranteed to it was taken for a guarantee that nothing else could keep.
+    pub gave_way: bool,
     /// Room that is being made for a step.
     pub reserved: BTreeMap<(u32, u32), Reservation>,
     /// Tasks, or gangs under index 0, that have outlived a start.
@@ -196,6 +200,17 @@
         outlived.count() == step.count as usize
     }
 
+    /// Takes note of whether all tasks of its first step have begun.
+    pub fn note_begun(&mut self, id: &str) {
+        let Some(step) = self.job.steps.first().filter(|_| !self.begun) else { return };
+        let begun = |index: u32| {
+            let key = (0, 0, index);
+            let confirmed = self.runs.get(&key).is_some_and(|placed| placed.confirmed.is_some());
+            confirmed || self.progress.done(&task(id, key))
+        };
+        self.begun = (0..step.count).all(begun);
+    }
+
     /// True if a run of the step may exist.
     pub fn placed(&self, occurrence: u32, step: u32) -> bool {
         let all = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -206,6 +206,8 @@
             took: BTreeMap::new(),
             avoided: BTreeMap::new(),
             clearances: BTreeMap::new(),
+            begun: false,
+            gave_way: false,
             reserved: BTreeMap::new(),
             sound: BTreeSet::new(),
             explained: BTreeSet::new(),
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use quincewheel_job::{Id, Incarnation, Need, Step};
-use quincewheel_place::{Ask, Spot, pack};
+use quincewheel_place::{Ask, Hold, Spot, pack};
 use quincewheel_policy::{APART, Guarantees, Rank, is_half_free, spare, unspare, weight};
 use quincewheel_wire::Order;
 
@@ -17,7 +17,10 @@
 impl Owner {
     /// Decides what starts now.
     pub(crate) fn plan(&mut self, now: u64, wall: u64) {
-        for entry in self.jobs.values_mut() {
+        for (id, entry) in &mut self.jobs {
+            if entry.job.queue.priority == 0 {
+                entry.note_begun(id);
+            }
             entry.idle = entry.runs.is_empty().then(|| entry.idle.unwrap_or(now));
         }
         let mut candidates = self.candidates(wall);
@@ -67,7 +70,10 @@
                     }
                     for group in one_by_one(id, entry, (occurrence, number), tasks, now) {
                         let need = step.need.accelerators * group.0.len() as u64;
+                        // One that has begun and gave way comes after those that have not: it
+                        // would take the room back that was made for them.
                         let covered = entry.job.queue.priority == 0
+                            && !entry.gave_way
                             && guarantees.cover(&entry.job.team, need);
                         let rank = Rank {
                             borrowed: !covered,
@@ -230,7 +236,7 @@
         let count = candidate.tasks.len() as u32;
         let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
         let patient = wall < begin + PATIENCE;
-        let ask = Ask { step, pool, count, patient, owed: false, sure: false, held: &held };
+        let ask = Ask { step, pool, count, patient, over: Hold::Lower, sure: false, held: &held };
         let waits_until =
             self.waits_until(candidate, is_half_free(&board.spots, pool), (now, wall));
         let spared = waits_until.map(|_| spare(&mut board.spots, pool)).unwrap_or_default();
--- a/crates/dispatch/src/room.rs
+++ b/crates/dispatch/src/room.rs
@@ -1,8 +1,10 @@
 //! Room that is made by stopping work, and kept until it is free.
 
+use std::collections::BTreeSet;
+
 use quincewheel_job::Step;
-use quincewheel_place::{Ask, reclaim};
-use quincewheel_policy::{pays, promised};
+use quincewheel_place::{Ask, Hold, reclaim};
+use quincewheel_policy::{last_call, pays, promised};
 
 use crate::board::Board;
 use crate::candidate::Candidate;
@@ -99,12 +101,20 @@
         let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
         let promised = promised(begin, self.settings.reclaim, self.settings.stop);
         let guaranteed = candidate.guaranteed();
-        let owed = guaranteed && wall >= promised;
+        let due = guaranteed && wall >= promised;
         let count = rest.len() as u32;
-        let ask = Ask { step, pool, count, patient: true, owed, sure: guaranteed, held: &held };
-        let Some(claim) = reclaim(&board.spots, &ask) else {
-            if guaranteed && !owed {
-                self.look_again(promised);
+        let over = if due { Hold::Borrowed } else { Hold::Lower };
+        let ask = Ask { step, pool, count, patient: true, over, sure: guaranteed, held: &held };
+        let last = last_call(begin, self.settings.reclaim, self.settings.stop);
+        let claim = reclaim(&board.spots, &ask).or_else(|| {
+            let others = Ask { over: Hold::Guaranteed, sure: false, ..ask };
+            let pressing = due && wall >= last && !entry.begun;
+            pressing.then(|| reclaim(&board.spots, &others)).flatten()
+        });
+        let Some(claim) = claim else {
+            if guaranteed {
+                let next = [promised, last].into_iter().find(|at| *at > wall);
+                next.into_iter().for_each(|at| self.look_again(at));
             }
             return;
         };
@@ -112,6 +122,10 @@
             return;
         }
         let need = step.charge();
+        let firm: BTreeSet<u64> = (board.spots.iter().flat_map(|spot| &spot.holders))
+            .filter(|holder| holder.hold == Hold::Guaranteed)
+            .map(|holder| holder.unit)
+            .collect();
         for spot in &mut board.spots {
             for holder in spot.holders.iter().filter(|holder| claim.units.contains(&holder.unit)) {
                 spot.stopping.give(&holder.need);
@@ -134,8 +148,9 @@
         for unit in claim.units {
             for (id, key) in board.units.get(&unit).cloned().unwrap_or_default() {
                 self.stop(&id, key, now);
-                let entry = self.jobs.get_mut(&id);
-                if let Some(placed) = entry.and_then(|entry| entry.runs.get_mut(&key)) {
+                let Some(entry) = self.jobs.get_mut(&id) else { continue };
+                entry.gave_way |= firm.contains(&unit);
+                if let Some(placed) = entry.runs.get_mut(&key) {
                     placed.yields_to = Some(candidate.id.clone());
                 }
             }
--- a/crates/dispatch/src/sight.rs
+++ b/crates/dispatch/src/sight.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Id, Step, Worker};
-use quincewheel_place::{Ask, Spot};
+use quincewheel_place::{Ask, Hold, Spot};
 
 use crate::board::Board;
 use crate::candidate::Candidate;
@@ -75,7 +75,7 @@
             false => &[],
         };
         let count = tasks as u32;
-        let ask = Ask { step, pool, count, patient: true, owed: false, sure: false, held };
+        let ask = Ask { step, pool, count, patient: true, over: Hold::Lower, sure: false, held };
         let tally = Tally::open(spots, bars, &ask);
         let unconfigured = entry.job.queue.priority == 0 && self.config.version == 0;
         let cause = match tally.cause() {
--- a/crates/dispatch/tests/room.rs
+++ b/crates/dispatch/tests/room.rs
@@ -256,3 +256,43 @@
     }
     assert!(told.contains("start waits.0.0.0"), "{told}");
 }
+
+// Load: guaranteed jobs of two teams come in turn into a pool that holds one of them. Symptom: all begin
+// and none ends. Cause: room was taken again and again from the same work; now once.
+#[test]
+fn guaranteed_work_gives_its_room_up_to_another_guarantee_once_only() {
+    let mut bed = Bed::open(1, 1).idle(1);
+    let team = |name: &str| (name.to_owned(), Team { name: name.into(), guaranteed: 8 });
+    let teams = [team("a"), team("b"), team("c")].into();
+    bed.owner.configure(&Config { version: 1, teams, ..Config::default() });
+    let mut number = 0;
+    let mut told = String::new();
+    for (name, at) in [("a", 150), ("b", 151), ("c", 152)] {
+        let job = Job { team: name.into(), ..urgent(vec![step(1, 8)], bed.now) };
+        bed.owner.job(name, job, at, None);
+        for _ in 0..27 {
+            bed.live(100, 1);
+            let lines = bed.told();
+            for line in lines.lines().filter(|line| *line != "nothing") {
+                let words: Vec<&str> = line.split(' ').collect();
+                let run_number: u64 = words[4].parse().unwrap();
+                let task = task(&words[2][..1], 0, 0);
+                match words[1] {
+                    "start" => bed.status(0, &[run(task, run_number)], &[]),
+                    _ => {
+                        number += 1;
+                        bed.status(0, &[], &[end(number, task, run_number, How::Stopped)]);
+                    }
+                }
+                told += &format!("{line}\n");
+            }
+        }
+    }
+    assert_snapshot!(told.replace(" \n", "\n"), @r"
+    w0 start a.0.0.0 run 1
+    w0 stop a.0.0.0 run 1
+    w0 start b.0.0.0 run 1
+    w0 stop b.0.0.0 run 1
+    w0 start c.0.0.0 run 1
+    ");
+}
--- a/crates/place/src/ask.rs
+++ b/crates/place/src/ask.rs
@@ -1,5 +1,6 @@
 use quincewheel_job::Step;
 
+use crate::hold::Hold;
 use crate::spot::{Holder, Spot};
 
 /// Tasks of one step that want places.
@@ -13,9 +14,8 @@
     pub count: u32,
     /// They may wait for a rack of their own.
     pub patient: bool,
-    /// A guarantee covers them, and it is time to give what it promised: work
-    /// that borrows at the same priority gives way, too.
-    pub owed: bool,
+    /// The firmest hold that gives way to them.
+    pub over: Hold,
     /// They must have their room in time, whatever becomes of other work.
     pub sure: bool,
     /// How many tasks of the step each worker already has, in the order of the
@@ -32,7 +32,7 @@
 
     /// True if the work gives way to these tasks.
     pub fn displaces(&self, holder: &Holder) -> bool {
-        (self.owed || !holder.borrows) && (self.sure || !holder.ending)
+        holder.hold <= self.over && (self.sure || !holder.ending)
     }
 
     /// How many tasks fit on the worker with this much room.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,11 +7,13 @@
 //! side by side.
 
 mod ask;
+mod hold;
 mod pack;
 mod reclaim;
 mod spot;
 
 pub use ask::Ask;
+pub use hold::Hold;
 pub use pack::{Choice, pack};
 pub use reclaim::{Claim, reclaim};
 pub use spot::{Holder, Spot};
--- a/crates/place/src/spot.rs
+++ b/crates/place/src/spot.rs
@@ -1,5 +1,7 @@
 use quincewheel_job::{Incarnation, Need};
 
+use crate::hold::Hold;
+
 /// A worker as the decisions see it.
 #[derive(Clone, Debug, Default)]
 pub struct Spot {
@@ -59,9 +61,8 @@
     pub unit: u64,
     /// What it takes here.
     pub need: Need,
-    /// It borrows what is guaranteed to others, at the same priority as theirs:
-    /// it gives way to a guarantee only.
-    pub borrows: bool,
+    /// What it gives way to.
+    pub hold: Hold,
     /// What stopping the whole unit loses, in core-milliseconds.
     pub loss: u64,
     /// It is counted in [`Spot::ending`], too.
--- a/crates/place/tests/packing.rs
+++ b/crates/place/tests/packing.rs
@@ -2,7 +2,7 @@
 
 use insta::assert_snapshot;
 use quincewheel_job::{Need, Step};
-use quincewheel_place::{Ask, Holder, Spot, pack, reclaim};
+use quincewheel_place::{Ask, Hold, Holder, Spot, pack, reclaim};
 
 /// Workers with so many accelerators free each.
 fn pool(free: [u64; 6]) -> Vec<Spot> {
@@ -36,7 +36,7 @@
         pool: "p",
         count: step.count,
         patient: true,
-        owed: true,
+        over: Hold::Borrowed,
         sure: true,
         held: &[],
     };
@@ -76,8 +76,15 @@
     let (half, less) = ([7, 3, 7, 3, 7, 3], [4, 3, 4, 3, 4, 3]);
     let told = [(half, true), (half, false), (less, false)].map(|(free, patient)| {
         let spots = pool(free);
-        let ask =
-            Ask { step: &step, pool: "p", count: 3, patient, owed: false, sure: false, held: &[] };
+        let ask = Ask {
+            step: &step,
+            pool: "p",
+            count: 3,
+            patient,
+            over: Hold::Lower,
+            sure: false,
+            held: &[],
+        };
         format!("{:?}", pack(&spots, &ask))
     });
     assert_snapshot!(told.join("\n"), @r"
@@ -117,7 +124,7 @@
     let holder = |unit, accelerators, loss| Holder {
         unit,
         need: need(accelerators),
-        borrows: false,
+        hold: Hold::Lower,
         loss,
         ending: false,
     };
@@ -130,7 +137,7 @@
             pool: "p",
             count: step.count,
             patient: true,
-            owed: true,
+            over: Hold::Borrowed,
             sure: true,
             held: &[],
         };
@@ -159,8 +166,15 @@
     spots[2].ending = need(8);
     let step = step(1, 8);
     let told = [false, true].map(|sure| {
-        let ask =
-            Ask { step: &step, pool: "p", count: 1, patient: true, owed: true, sure, held: &[] };
+        let ask = Ask {
+            step: &step,
+            pool: "p",
+            count: 1,
+            patient: true,
+            over: Hold::Borrowed,
+            sure,
+            held: &[],
+        };
         let claim = reclaim(&spots, &ask).unwrap_or_default();
         format!("sure {sure}: at {:?}, stopping {:?}", claim.choices, claim.units)
     });
@@ -176,7 +190,37 @@
     spots[3].stopping = need(8);
     spots[3].reserve(&need(8));
     let step = step(1, 8);
-    let ask =
-        Ask { step: &step, pool: "p", count: 1, patient: true, owed: true, sure: true, held: &[] };
+    let ask = Ask {
+        step: &step,
+        pool: "p",
+        count: 1,
+        patient: true,
+        over: Hold::Borrowed,
+        sure: true,
+        held: &[],
+    };
     assert_snapshot!(format!("{:?}", reclaim(&spots, &ask)), @"None");
 }
+
+// Pattern: what is left of a pool holds less than its teams are guaranteed. Each kind of work gives way
+// only to what is entitled to its room.
+#[test]
+fn work_gives_way_by_how_firmly_it_holds_its_room() {
+    let mut spots = pool([0, 0, 0, 0, 0, 0]);
+    let holds = [Hold::Guaranteed, Hold::Borrowed, Hold::Lower];
+    for ((place, hold), loss) in holds.into_iter().enumerate().zip([1, 50, 900]) {
+        let holder = Holder { unit: place as u64, need: need(8), hold, loss, ending: false };
+        spots[place].holders.push(holder);
+    }
+    let step = step(1, 8);
+    let told = [Hold::Lower, Hold::Borrowed, Hold::Guaranteed].map(|over| {
+        let ask =
+            Ask { step: &step, pool: "p", count: 1, patient: true, over, sure: true, held: &[] };
+        format!("{over:?}: stops {:?}", reclaim(&spots, &ask).unwrap_or_default().units)
+    });
+    assert_snapshot!(told.join("\n"), @r"
+    Lower: stops {2}
+    Borrowed: stops {1}
+    Guaranteed: stops {0}
+    ");
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,5 +18,5 @@
 pub use goal::{Goal, waves};
 pub use pace::{share, stands_still};
 pub use rank::{Hope, Rank};
-pub use room::{Guarantees, loss, pays, promised, weight};
+pub use room::{Guarantees, last_call, loss, pays, promised, weight};
 pub use spare::{is_half_free, spare, unspare};
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -16,6 +16,10 @@
 /// and a good part of that again.
 const AHEAD: u64 = 700;
 
+/// Guaranteed work that has begun gives way so many milliseconds earlier than a stop takes: the
+/// orders and the ends. Later than other work, as it may yet end by itself.
+const LAST: u64 = 350;
+
 /// Upper bound of what it takes to resume from a checkpoint, in milliseconds.
 const RESUME: u64 = 600;
 
@@ -34,6 +38,12 @@
     begin + reclaim.saturating_sub(stop + AHEAD)
 }
 
+/// When the last room for a guaranteed step that began to wait at `begin` is made: that of
+/// guaranteed work of others, which has begun. In milliseconds.
+pub fn last_call(begin: u64, reclaim: u64, stop: u64) -> u64 {
+    begin + reclaim.saturating_sub(stop + LAST)
+}
+
 /// True if so much loss is worth so much work that then ends in time. What is
 /// guaranteed is given whatever it costs.
 pub fn pays(loss: u64, work: u64, guaranteed: bool) -> bool {
