Miss an owner that falls silent after 0.7 s

Cause: no connection breaks where nobody is there to close it, and only the row that stood still for 1.7 s showed it.

Change: the owner tells the other entries five times a second that it lives. One that has heard nothing for 0.7 s, and has seen the row stand still for as long, claims as after a broken connection. Either alone does not do: a table that is slow or loses answers holds the row still, and a busy machine its words. Ruled out: a shorter patience by the row alone (a slow table writes it every 700 ms).

Tests: both signs are needed; over 1,600 courses of what a candidate notices none claims within 700 ms of the last write that it has seen.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -24,6 +24,8 @@
     /// Since when the owner's connection has been gone; none while it is there
     /// or was never made.
     lost: Option<u64>,
+    /// When the owner last said that it lives; none before, and without its connection.
+    word: Option<u64>,
     /// How long this candidate waits beyond the one that should own.
     stagger: u64,
 }
@@ -57,7 +59,7 @@
 /// An owner whose connection broke is replaced after so many milliseconds,
 /// if it neither connects again nor writes its row. An owner that lives dials
 /// again within 400 ms.
-const LOST: u64 = 700;
+pub(crate) const SOONEST: u64 = 700;
 
 impl Election {
     /// A candidate.
@@ -71,6 +73,7 @@
             seen: None,
             heard: 0,
             lost: None,
+            word: None,
             stagger: 0,
         }
     }
@@ -98,11 +101,18 @@
     /// The owner connected to this process.
     pub fn found(&mut self) {
         self.lost = None;
+        self.word = None;
+    }
+
+    /// The owner said that it lives.
+    pub fn alive(&mut self, now: u64) {
+        self.word = Some(now);
     }
 
     /// The owner's connection to this process broke.
     pub fn lost(&mut self, now: u64) {
         self.lost = Some(now);
+        self.word = None;
     }
 
     /// Takes note of the row as the table has it now.
@@ -111,6 +121,7 @@
             self.seen = Some((version, now));
             // Whoever wrote it lives; another owner connects anew.
             self.lost = None;
+            self.word = self.word.map(|_| now);
         } else if now > self.heard + GAP {
             self.seen = Some((version, now));
         }
@@ -144,11 +155,15 @@
         let still = held.is_some_and(|(_, since)| current >= since + patience);
         // An owner whose connection breaks is dead, or else it connects again
         // or writes its row within this time.
-        let gone = self.lost.is_some_and(|since| now >= since + LOST + self.stagger);
+        let gone = self.lost.is_some_and(|since| now >= since + SOONEST + self.stagger);
+        // One that lost its power or is cut off breaks no connection: it says nothing, and its
+        // row stands still.
+        let silent = self.word.is_some_and(|at| now >= at + SOONEST + self.stagger)
+            && held.is_some_and(|(_, since)| current >= since + SOONEST + self.stagger);
         // The former incarnation of this very process cannot act any more.
         let waited = held.is_some_and(|(_, since)| now >= since + self.stagger);
         let mine_next = self.stagger == 0 || waited || self.called == Some(*version);
         let vacant = owner.holder.is_empty() && mine_next;
-        mine || gone || vacant || (still && now < current + patience)
+        mine || gone || silent || vacant || (still && now < current + patience)
     }
 }
--- a/crates/dispatch/tests/election.rs
+++ b/crates/dispatch/tests/election.rs
@@ -175,3 +175,61 @@
     told.push(election.due(row.as_ref(), 1000, 1001, false));
     assert_snapshot!(format!("{told:?}"), @"[false, true, false]");
 }
+
+// Symptom: nothing starts for two seconds after the owner's machine lost its power. Sequence: no
+// connection breaks, as nobody is there to close it. Cause: only the row that stood still showed it.
+#[test]
+fn an_owner_that_says_nothing_and_whose_row_stands_still_is_replaced_soon() {
+    let row = owner("b", 1);
+    let due = |word: u64, row_at: u64| {
+        let mut election = Election::open("a", 1, 1700);
+        election.found();
+        election.observe(69, 1000);
+        election.alive(1000);
+        election.observe(70, row_at);
+        election.alive(word);
+        let due = |now: u64| election.due(row.as_ref(), now, now, false);
+        (1000..4000).step_by(50).find(|now| due(*now))
+    };
+    let told = [
+        ("both stop", due(1300, 1250)),
+        ("it goes on saying so", due(1900, 1250)),
+        ("its row moves later", due(1300, 1800)),
+    ];
+    assert_snapshot!(format!("{told:?}"), @r#"
+    [("both stop", Some(2000)), ("it goes on saying so", Some(2600)), ("its row moves later", Some(2500))]
+    "#);
+}
+
+// Symptom: a task starts twice. An owner reckons with no other until 500 ms after its last write; a
+// candidate must never claim over a row that it has seen for less than 700, whatever else it notices.
+#[test]
+fn no_candidate_claims_within_700_ms_of_the_last_write_that_it_has_seen() {
+    let row = owner("b", 1);
+    let seen = 2000;
+    let mut soonest = u64::MAX;
+    for lost in (0..4000).step_by(100) {
+        for word in (0..4000).step_by(100) {
+            let mut election = Election::open("a", 1, 1700);
+            let mut events = [(0, 0), (seen, 1), (lost, 2), (word, 3)];
+            events.sort_unstable();
+            let mut events = events.into_iter().peekable();
+            for now in (0..6000).step_by(50) {
+                while let Some((_, event)) = events.next_if(|(at, _)| *at <= now) {
+                    match event {
+                        0 => election.found(),
+                        2 => election.lost(now),
+                        3 => election.alive(now),
+                        _ => {}
+                    }
+                }
+                election.observe(if now < seen { 69 } else { 70 }, now);
+                if now >= seen && election.due(row.as_ref(), now, now, false) {
+                    soonest = soonest.min(now - seen);
+                    break;
+                }
+            }
+        }
+    }
+    assert_eq!(soonest, 700);
+}
--- a/crates/entry/src/site/links.rs
+++ b/crates/entry/src/site/links.rs
@@ -85,6 +85,12 @@
 /// Takes in what another entry tells.
 fn hear_entry(shared: &Shared, link: LinkId, peer: Peer) {
     match peer {
+        Peer::Alive => {
+            let owner = shared.from_owner.borrow().as_ref().map(|(known, _)| *known);
+            if owner == Some(link) {
+                shared.election.borrow_mut().alive(quincewheel_clock::boot());
+            }
+        }
         Peer::Accepted { id, version, job } => news::hear_accepted(shared, &id, job, version),
         Peer::Cancelled { id } => news::hear_cancelled(shared, &id),
         Peer::Look { number, id } => {
--- a/crates/entry/src/site/own.rs
+++ b/crates/entry/src/site/own.rs
@@ -9,7 +9,7 @@
 use quincewheel_peer::Command;
 use quincewheel_platform::{self as platform, Space};
 use quincewheel_store::{Commit, Expect, Put};
-use quincewheel_wire::Sent;
+use quincewheel_wire::{Peer, Sent};
 
 use super::follow::{catch_up, read_all};
 use super::links::dial;
@@ -24,6 +24,9 @@
 /// Time between two looks at who is not connected, in milliseconds: each goes through all
 /// members, and the loop wakes up with each event. A dial takes some 3 ms.
 const DIAL: u64 = 50;
+/// The owner tells the other entries so often that it lives, in milliseconds. They miss it after
+/// 700 without a word.
+const ALIVE: u64 = 200;
 /// A write without an answer is repeated after this time.
 const TIMEOUT: Duration = Duration::from_millis(1200);
 /// Time between two looks at the settings file.
@@ -35,6 +38,7 @@
 pub(crate) async fn run(shared: Shared) {
     actix_rt::spawn(record(Rc::clone(&shared)));
     let mut dialled = 0;
+    let mut spoken = 0;
     loop {
         let now = quincewheel_clock::boot();
         if due(&shared, now) {
@@ -47,10 +51,21 @@
             dialled = now;
             dial(&shared, now);
         }
+        if now >= spoken + ALIVE {
+            spoken = now;
+            tell_alive(&shared);
+        }
         let _ = tokio::time::timeout(pause(&shared), shared.wake.notified()).await;
     }
 }
 
+/// Tells the other entries that the owner lives, where this entry is it.
+fn tell_alive(shared: &Site) {
+    for &link in shared.entries.borrow().values() {
+        shared.hub.ask(Command::Send { link, frame: Peer::Alive.into() });
+    }
+}
+
 /// How long to wait for the next look at what is due.
 fn pause(shared: &Site) -> Duration {
     let mirror = shared.mirror.borrow();
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -19,6 +19,8 @@
 /// What entries tell one another about jobs.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Peer {
+    /// From the owner, again and again: it lives.
+    Alive,
     /// To the owner: the sender has stored this job.
     Accepted {
         /// The job.
