Order nothing at a worker that has just broken a connection until it answers

What was seen: workers go down and up by turns; one whose connections had broken at 13.55 s got members of four urgent gangs until 15.2 s, and each gang waited 1 to 4 s for what might run there and began anew elsewhere. Cause: a worker counted as silent after 3 s only, and as the last choice after 1.5 s. Ruled out: shorter bounds of silence (a look waits 1 s at a sound worker).

Change: from the agent's word that a connection broke until the worker answers a look, which it makes at once, nothing new starts there (cause 'broke its connections'). A connection that was only reset costs the milliseconds of that look.

--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -55,7 +55,9 @@
         agent.heard |= fenced;
         agent.listed = running.iter().map(|run| (run.task.clone(), run.number)).collect();
         self.replan |= !std::mem::take(&mut agent.strays).is_empty();
-        if reborn || first || changed {
+        // A worker that broke its connections takes work again once it answers.
+        let broke = fenced && agent.crash.is_some();
+        if reborn || first || changed || broke {
             self.replan = true;
         }
         if other {
