Take workers that owe an answer to a start, or say they are slow, for the last choice

What was seen: gangs that begin anew behind a worker that leaves starts unanswered: nothing spoke against it until a start was given up, 1.2 s later, and each urgent gang of that time had a member there. Change: a worker with a start that has not been confirmed for 100 ms is the last choice of other work; a confirmation takes some 7 ms. And a worker that reports itself cold (slow after its start) is, for as long as it says; a zone may come back with all of its workers cold.

Ruled out: closing such workers: work that fits nowhere else would stand still beside them.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -67,6 +67,8 @@
     pub seen: u64,
     /// The worker is the last choice until then.
     pub doubted: u64,
+    /// The worker is slow until then, as it has just started, and the last choice.
+    pub warm: u64,
     /// Runs that failed there in a row.
     pub failures: u32,
 }
--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -111,7 +111,8 @@
                 free: self.left_by_strays(agent, worker.capacity),
                 stopping: Need::default(),
                 ending: Need::default(),
-                doubtful: agent.doubted > now || agent.silent > self.settings.mute / 2,
+                doubtful: agent.doubted.max(agent.warm) > now
+                    || agent.silent > self.settings.mute / 2,
                 holders: Vec::new(),
             });
         }
@@ -126,6 +127,7 @@
                 let Some(&place) = places.get(placed.agent.as_str()) else { continue };
                 let need = step.charge();
                 spots[place].free.take(&need);
+                spots[place].doubtful |= placed.is_unanswered(now);
                 if let Some(started) = Fresh::of(id, entry, *key, placed, now) {
                     started.note(&mut fresh, place);
                 }
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -47,6 +47,10 @@
         }
         let changed = agent.worker.as_ref().is_some_and(|known| known.fits_others(&worker));
         agent.evacuated = self.evacuated.covers(&worker.zone);
+        // What the worker said of it is older with each further status.
+        if agent.worker.as_ref().is_none_or(|known| known.cold != worker.cold) || other {
+            agent.warm = now + worker.cold;
+        }
         let first = fenced && !agent.fenced;
         agent.unknown = None;
         agent.left = false;
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -26,6 +26,9 @@
     pub draining: bool,
     /// Milliseconds that it stays at least, while it drains.
     pub remaining: u64,
+    /// Milliseconds for which it is slow yet after its start.
+    #[serde(default)]
+    pub cold: u64,
 }
 
 impl Worker {
--- a/crates/runner/src/incarnations.rs
+++ b/crates/runner/src/incarnations.rs
@@ -35,7 +35,8 @@
                 session.number = number;
                 // An idle worker is not looked at, so nothing else would tell its owner.
                 let drains = session.worker.draining != worker.draining;
-                let changed = drains || session.worker.fits_others(worker);
+                let cooled = session.worker.cold == 0 && worker.cold > 0;
+                let changed = drains || cooled || session.worker.fits_others(worker);
                 session.worker = worker.clone();
                 session.reported = now;
                 address.clone_into(&mut session.address);
