Decide at once over jobs that another entry tells while no other can own

Cause: only such a write proved that nobody else had claimed. A write whose earlier try had taken effect does not count. A job that the former owner starts in that time is older than any claim, so that a successor waits for all agents before it starts it, as ever.

Ruled out: deciding without proof (tasks started twice once).

--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -7,6 +7,7 @@
 use crate::awaited::Awaited;
 use crate::detail::list;
 use crate::dismissal::Dismissal;
+use crate::election::SOONEST;
 use crate::entry::{Entry, Key, Phase, Placed};
 use crate::evacuation::Evacuated;
 use crate::guide::Guide;
@@ -33,6 +34,8 @@
     /// The table's version at which the ownership was claimed.
     pub(crate) claim_version: u64,
     pub(crate) confirmed: u64,
+    /// When the last write of the owner's row was sent that took effect then.
+    renewed: u64,
     pub(crate) config: Config,
     pub(crate) jobs: BTreeMap<Id, Entry>,
     /// Jobs that ended under this owner and whose rows are still there.
@@ -93,6 +96,10 @@
 /// they find is due after 50 ms at the soonest.
 const LOOK: u64 = 20;
 
+/// An owner cannot have been replaced within this time after it sent a write of its row that
+/// took effect, in milliseconds; a margin is left for clocks that run apart.
+const SURE: u64 = SOONEST - 200;
+
 impl Owner {
     /// An owner under `epoch`, claimed when the table was at `version`.
     pub fn open(settings: Settings, epoch: u64, version: u64, now: u64) -> Owner {
@@ -105,6 +112,7 @@
             sought: now,
             claim_version: version,
             confirmed: now,
+            renewed: 0,
             config: Config::default(),
             jobs: BTreeMap::new(),
             over: BTreeSet::new(),
@@ -258,6 +266,17 @@
         self.confirmed = self.confirmed.max(sent);
     }
 
+    /// True if no other entry can own yet: each waits for longer than this after the last write
+    /// of the owner's row that it has seen, and claims only over that very row.
+    pub fn surely_owns(&self, now: u64) -> bool {
+        now < self.renewed + SURE
+    }
+
+    /// A write of the owner's row that was sent at `sent` took effect, and not an earlier try of it.
+    pub fn renew(&mut self, sent: u64) {
+        self.renewed = self.renewed.max(sent);
+    }
+
     /// An agent told something.
     pub fn notice(&mut self, link: LinkId, notice: Notice, now: u64) {
         let Some(name) = self.links.get(&link).cloned() else { return };
--- a/crates/dispatch/tests/unproven.rs
+++ b/crates/dispatch/tests/unproven.rs
@@ -43,3 +43,20 @@
     bed.step();
     assert_snapshot!(bed.told());
 }
+
+// Load: urgent jobs have a quarter of a second to spare, and the table takes 200 ms for a write. Symptom:
+// each of them waits for a write of the owner that is later than its row. Cause: that no other entry
+// owns was shown by such a write only; it is also sure for a while after each.
+#[test]
+fn an_owner_is_sure_of_itself_for_a_while_after_a_write() {
+    let mut bed = Bed::open(1, 1);
+    let claimed = bed.owner.surely_owns(bed.now);
+    bed.owner.renew(bed.now);
+    let told: Vec<bool> =
+        [0, 400, 499, 500, 5000].map(|ms| bed.owner.surely_owns(bed.now + ms)).to_vec();
+    bed.owner.renew(bed.now - 300);
+    let earlier = bed.owner.surely_owns(bed.now + 300);
+    assert_snapshot!(format!("{claimed} {told:?} {earlier}"), @r"
+    false [true, true, true, false, false] true
+    ");
+}
--- a/crates/entry/src/site/news.rs
+++ b/crates/entry/src/site/news.rs
@@ -34,7 +34,14 @@
         return;
     }
     keep(shared, id, &job, version);
-    if shared.owner.borrow().is_some() {
+    let now = quincewheel_clock::boot();
+    let mut owner = shared.owner.borrow_mut();
+    let Some(owner) = owner.as_mut() else { return };
+    if owner.surely_owns(now) {
+        let mirror = shared.mirror.borrow();
+        tell_job(owner, &mirror, id, now);
+        shared.wake.notify_one();
+    } else {
         shared.unproven.borrow_mut().add(id, version);
         shared.unrecorded.notify_one();
     }
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -96,6 +96,11 @@
         match result {
             Ok(written) => {
                 version = written;
+                let mut owner = shared.owner.borrow_mut();
+                if let Some(owner) = owner.as_mut().filter(|owner| owner.epoch() == mine.epoch) {
+                    owner.renew(sent);
+                }
+                drop(owner);
                 finish(shared, batch, &mine, version, sent);
                 return drop_rows(shared, &expired);
             }
