--- a/crates/entry/src/day.rs
+++ b/crates/entry/src/day.rs
@@ -4,6 +4,7 @@
 mod phase;
 mod table;
 mod waste;
+mod zones;
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
@@ -11,10 +12,12 @@
 use self::account::Account;
 use self::table::Table;
 use self::waste::Waste;
+use self::zones::Zones;
 use crate::line::Line;
 
 /// Reads the log lines of all processes, in any order, and writes a table of queues, one of
-/// the jobs that were late, failed or did not end, and one of the work that was thrown away.
+/// the jobs that were late, failed or did not end, one of the work that was thrown away, and
+/// one of the availability zones that were evacuated.
 /// Times count from `zero`, in seconds since 1970, or from the first job. Returns how many
 /// jobs there are.
 pub fn sum_up(
@@ -29,18 +32,22 @@
     }
     lines.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut jobs: BTreeMap<String, Account> = BTreeMap::new();
+    let mut zones = Zones::default();
     for (time, line) in &lines {
         match line.text("event") {
             // A new owner knows all that was accepted before.
             "owner" => jobs.values_mut().for_each(|job| job.owned(*time)),
+            "zone evacuated" | "zone empty" | "evacuation over" => zones.take(*time, line),
             _ if line.text("job").is_empty() => {}
             _ => jobs.entry(line.text("job").to_owned()).or_default().take(*time, line),
         }
     }
     jobs.retain(|_, job| job.asked.is_some());
     let first = jobs.values().filter_map(|job| job.asked).min_by(f64::total_cmp);
-    Table::open(zero.or(first).unwrap_or_default(), &jobs).write(&mut out)?;
+    let zero = zero.or(first).unwrap_or_default();
+    Table::open(zero, &jobs).write(&mut out)?;
     writeln!(out)?;
     Waste::open(&jobs).write(&mut out)?;
+    zones.write(zero, &mut out)?;
     Ok(jobs.len())
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -74,12 +74,27 @@
         Err(errors) => PROGRAM.refuse(&errors),
         Ok(_) if command == "check" => {
             print!("{}", values.show(DEFINITIONS));
-            ExitCode::SUCCESS
+            check_platform()
         }
         Ok(settings) => PROGRAM.end(serve(settings)),
     }
 }
 
+/// Prints the times that the platform's settings file sets, if there is one.
+fn check_platform() -> ExitCode {
+    let Some(path) = quincewheel_platform::path() else { return ExitCode::SUCCESS };
+    match quincewheel_platform::read(&path) {
+        Ok(site) => {
+            println!("platform: {:?}", site.bounds);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Sums up the logs of a time that began `ZERO` seconds after 1970.
 fn day(args: &[String]) -> ExitCode {
     let zero = match args {
--- a/crates/entry/tests/day.rs
+++ b/crates/entry/tests/day.rs
@@ -41,3 +41,25 @@
 fn logs_without_jobs_have_none() {
     assert_eq!(sum_up(None, "x\n{}\n".as_bytes(), Vec::new()).unwrap(), 0);
 }
+
+// Symptom: nobody knows when a zone was empty. A new owner tells an evacuation anew; it is one.
+#[test]
+fn evacuations_are_told_with_when_the_zone_was_empty() {
+    let logs = r#"
+{"t":100.000,"process":"e1","event":"accepted","job":"aa","queue":"q","msg":"version 7 1x1"}
+{"t":101.000,"process":"e1","event":"zone evacuated","job":"z1","msg":"20 workers take nothing new, 3 runs go on"}
+{"t":102.000,"process":"e2","event":"zone evacuated","job":"z1","msg":"0 workers take nothing new, 0 runs go on, as far as is known yet"}
+{"t":104.500,"process":"e2","event":"zone empty","job":"z1","msg":"nothing runs there"}
+{"t":109.000,"process":"e2","event":"evacuation over","job":"z1","msg":"its workers take work again"}
+{"t":110.000,"process":"e2","event":"zone evacuated","job":"z0","msg":"19 workers take nothing new, 1 runs go on"}
+"#;
+    let mut told = Vec::new();
+    sum_up(Some(100.0), logs.as_bytes(), &mut told).unwrap();
+    let told = String::from_utf8(told).unwrap();
+    let zones = told.split_once("zones evacuated").unwrap().1;
+    assert_snapshot!(zones, @r"
+    : at, empty, taken back
+    z0: 10.000, -, -
+    z1: 1.000, 4.500, 9.000
+    ");
+}
