--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -23,6 +23,7 @@
 mod fault;
 mod hall;
 mod judge;
+mod keys;
 mod kind;
 mod machines;
 mod net;
--- a/crates/stand-in/tests/soak/world.rs
+++ b/crates/stand-in/tests/soak/world.rs
@@ -7,15 +7,11 @@
 use std::time::{Duration, Instant};
 use std::{fs, thread};
 
-use futures_util::future::join_all;
-use quincewheel_http::Server;
-use serde_json::json;
-
 use crate::answers;
 use crate::client::Client;
 use crate::fault::{self, Fault};
 use crate::hall::Hall;
-use crate::judge::ATTEMPTS;
+use crate::keys::Keys;
 use crate::kind::Kind;
 use crate::machines;
 use crate::net::{self, Net};
@@ -24,6 +20,8 @@
 use crate::setup::{name, program, settings};
 use crate::table::{self, Table, Trouble};
 use crate::worker;
+use futures_util::future::join_all;
+use quincewheel_http::Server;
 
 pub const ENTRIES: usize = 3;
 const WORKERS: usize = 6;
@@ -70,14 +68,6 @@
     _servers: Vec<Server>,
 }
 
-/// The keys that the configuration has, and those that it had.
-#[derive(Default)]
-struct Keys {
-    version: u64,
-    current: String,
-    gone: Vec<(String, Instant)>,
-}
-
 #[derive(Clone, Copy, Debug)]
 enum Heal {
     Start(usize),
@@ -459,23 +449,8 @@
     /// Takes the current key away and gives another.
     fn change_keys(&mut self) {
         let mut keys = self.keys.lock().unwrap();
-        keys.version += 1;
-        let current = format!("key-{}", keys.version);
-        let former = std::mem::replace(&mut keys.current, current);
-        let route = |name: &str, priority: u32| {
-            json!({
-                "name": name, "host": "soak.example", "pathPrefix": format!("/{name}/"),
-                "service": "pool", "priority": priority, "attempts": ATTEMPTS, "stretch": 2.0,
-                "sloMs": 1000,
-            })
-        };
-        let config = json!({
-            "version": keys.version,
-            "routes": [route("urgent", 0), route("calm", 1)],
-            "services": [{ "name": "pool" }],
-            "tenants": [{ "name": "team", "apiKeys": [keys.current], "guaranteed": { "gpu": 16 } }],
-        });
-        self.table.lock().unwrap().put("op", "config", &config.to_string());
+        let (config, former) = keys.change();
+        self.table.lock().unwrap().put("op", "config", &config);
         keys.gone.push((former, Instant::now()));
     }
 
