--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -127,7 +127,6 @@
                 let Some(&place) = places.get(placed.agent.as_str()) else { continue };
                 let need = step.charge();
                 spots[place].free.take(&need);
-                spots[place].doubtful |= placed.is_unanswered(now);
                 if let Some(started) = Fresh::of(id, entry, *key, placed, now) {
                     started.note(&mut fresh, place);
                 }
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -99,12 +99,6 @@
         format!(", started after {start} ms, ran {ran} ms{to}")
     }
 
-    /// True if its start should have been answered by now: its worker may be silent, and
-    /// other work does better elsewhere.
-    pub fn is_unanswered(&self, now: u64) -> bool {
-        self.phase == Phase::Starting && now >= self.since + ANSWERED
-    }
-
     /// True if, going by its progress, it ends by itself about as soon as a
     /// stop would take: stopping it then only throws its work away.
     pub fn ends_within(&self, settings: &Settings, now: u64) -> bool {
@@ -117,9 +111,6 @@
     }
 }
 
-/// A start is confirmed within some 10 ms, and on a busy machine within this time, in milliseconds.
-const ANSWERED: u64 = 100;
-
 /// Progress from which on the rest of a run can be reckoned, in percent.
 const EVEN: u32 = 70;
 
