Count evacuated zones that may not be empty, not runs there

The gauge of runs in evacuated zones was 0 for a new owner that had not heard its workers yet, and for a moment after each evacuation: an operator who goes by it would switch a zone off in which work runs. Now the owner shows how many evacuated zones it has not told to be empty. Found by reading the diff; its test now looks at both.

--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -38,11 +38,9 @@
     deaf: bool,
     /// There was one under this owner: agents may have been told.
     ever: bool,
-    /// Those in which work ran when it was last looked for, and how many runs.
-    busy: BTreeMap<String, usize>,
     /// Those of which it was told that they are empty.
     empty: BTreeSet<String>,
-    /// When that was.
+    /// When work was last looked for there.
     looked: u64,
 }
 
@@ -70,7 +68,6 @@
             self.tell_begun(zone);
         }
         for zone in former.beyond(zones) {
-            self.evacuated.busy.remove(zone);
             self.evacuated.empty.remove(zone);
             self.log("evacuation over", zone, "its workers take work again".to_owned());
         }
@@ -95,9 +92,10 @@
         deaf
     }
 
-    /// How many availability zones are evacuated, and how many runs go on there.
+    /// How many availability zones are evacuated, and how many of them may not be empty yet.
     pub fn evacuated(&self) -> (usize, usize) {
-        (self.evacuated.zones.zones().count(), self.evacuated.busy.values().sum())
+        let zones = self.evacuated.zones.zones().count();
+        (zones, zones - self.evacuated.empty.len())
     }
 
     /// Tells an agent of evacuations, unless there never was one: then it knows of none.
@@ -114,14 +112,14 @@
             return;
         }
         self.evacuated.looked = now;
-        self.evacuated.busy = self.evacuated_runs();
         // What a former owner started there is not known before.
         if !self.settled {
             return;
         }
+        let busy = self.evacuated_runs();
         let zones: Vec<String> = self.evacuated.zones.zones().map(str::to_owned).collect();
         for zone in zones {
-            if self.evacuated.busy.contains_key(&zone) {
+            if busy.contains_key(&zone) {
                 self.evacuated.empty.remove(&zone);
             } else if self.evacuated.empty.insert(zone.clone()) {
                 self.log("zone empty", &zone, "nothing runs there".to_owned());
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -47,7 +47,7 @@
         }
         let changed = agent.worker.as_ref().is_some_and(|known| known.fits_others(&worker));
         agent.evacuated = self.evacuated.covers(&worker.zone);
-        // What the worker said of it is older with each further status.
+        // A status may repeat what the worker reported once; it counts from the first.
         if agent.worker.as_ref().is_none_or(|known| known.cold != worker.cold) || other {
             agent.warm = now + worker.cold;
         }
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -46,7 +46,7 @@
     bed.owner.job("old", job(0, vec![step(1, 8)]), 50, None);
     bed.owner.evacuate(&zones(&["a"]), bed.now);
     bed.pass(300);
-    let unheard = bed.logged();
+    let unheard = format!("{}\n{:?}", bed.logged(), bed.owner.evacuated());
     for number in 0..2 {
         bed.link(number);
         report(&mut bed, number, &[run(task("old", 0, 0), 1)][number as usize..]);
@@ -58,12 +58,15 @@
     report(&mut bed, 0, &[]);
     bed.notice(0, Notice::Stopped { task: task("old", 0, 0), run: 1 });
     bed.live(1000, 2);
-    assert_snapshot!(format!("{unheard}\n--\n{busy}\n--\n{}", bed.logged()), @r#"
+    let empty = format!("{}\n{:?}", bed.logged(), bed.owner.evacuated());
+    assert_snapshot!(format!("{unheard}\n--\n{busy}\n--\n{empty}"), @r#"
     zone evacuated a: 0 workers take nothing new, 0 runs go on, as far as is known yet
+    (1, 1)
     --
     nothing
     --
     zone empty a: nothing runs there
+    (1, 0)
     "#);
 }
 
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -21,7 +21,7 @@
     waits: Family<Wait, Gauge>,
     unlisted: Gauge,
     evacuated_zones: Gauge,
-    evacuated_runs: Gauge,
+    evacuated_busy: Gauge,
     skipped: Family<List, Counter>,
     /// The epoch under which this entry owns; 0 if it does not.
     pub epoch: Gauge,
@@ -71,7 +71,7 @@
             waits: Family::default(),
             unlisted: Gauge::default(),
             evacuated_zones: Gauge::default(),
-            evacuated_runs: Gauge::default(),
+            evacuated_busy: Gauge::default(),
             skipped: Family::default(),
             epoch: Gauge::default(),
             jobs: Gauge::default(),
@@ -109,9 +109,9 @@
                 &self.evacuated_zones,
             ),
             (
-                "evacuated_runs",
-                "Runs that go on in evacuated availability zones, at the owner; 0 when they are empty",
-                &self.evacuated_runs,
+                "evacuated_busy",
+                "Evacuated availability zones that may not be empty yet, at the owner",
+                &self.evacuated_busy,
             ),
             ("config_version", "Version of the configuration in force", &self.config),
             (
@@ -157,10 +157,10 @@
         self.unlisted.set(count as i64);
     }
 
-    /// Shows how many availability zones are evacuated, and how many runs go on there.
-    pub fn evacuated(&self, (zones, runs): (usize, usize)) {
+    /// Shows how many availability zones are evacuated, and how many may not be empty yet.
+    pub fn evacuated(&self, (zones, busy): (usize, usize)) {
         self.evacuated_zones.set(zones as i64);
-        self.evacuated_runs.set(runs as i64);
+        self.evacuated_busy.set(busy as i64);
     }
 
     /// The page, in the OpenMetrics text format.
