--- a/crates/runner/tests/starts.rs
+++ b/crates/runner/tests/starts.rs
@@ -1,7 +1,7 @@
 //! Starts that get no answer, come twice or come too late.
 
 use insta::assert_snapshot;
-use quincewheel_job::{End, How, Need, Run, Task, Worker};
+use quincewheel_job::{End, Evacuation, How, Need, Run, Task, Worker};
 use quincewheel_runner::{Action, Beat, Call, Fault, Output, Reply, Runner, Settings};
 use quincewheel_wire::{Notice, Order, Refused};
 
@@ -260,3 +260,22 @@
 fn beat<'a>(worker: &'a Worker, address: &'a str, clock: u64) -> Beat<'a> {
     Beat { worker, address, clock, number: clock }
 }
+
+// Symptom: a task starts in a zone that operators evacuate, by an order that was on its way. Sequence: the
+// owner orders a start, hears of the evacuation, and tells the agent; a cut delivers both, late.
+#[test]
+fn a_start_that_comes_after_the_word_of_an_evacuation_is_refused() {
+    let mut bed = Bed::open();
+    let mut zones = Evacuation::default();
+    zones.begin("");
+    bed.order(Order::Evacuate { zones });
+    bed.start(4);
+    let evacuated = bed.told();
+    bed.order(Order::Evacuate { zones: Evacuation::default() });
+    bed.start(5);
+    assert_snapshot!(format!("{evacuated}\n-- taken back\n{}", bed.told()), @r"
+    > stop j.0.0.0 run 4
+    -- taken back
+    > start j.0.0.0 run 5 until 56880
+    ");
+}
