Show that guaranteed work gives its room up once only

The mutant without 'once' was noticed by no test: what had given way was not running when the next guarantee came. Now it begins again, and a fourth team's guarantee leaves it alone.

--- a/crates/dispatch/tests/room.rs
+++ b/crates/dispatch/tests/room.rs
@@ -263,11 +263,16 @@
 fn guaranteed_work_gives_its_room_up_to_another_guarantee_once_only() {
     let mut bed = Bed::open(1, 1).idle(1);
     let team = |name: &str| (name.to_owned(), Team { name: name.into(), guaranteed: 8 });
-    let teams = [team("a"), team("b"), team("c")].into();
+    let teams = [team("a"), team("b"), team("c"), team("d")].into();
     bed.owner.configure(&Config { version: 1, teams, ..Config::default() });
     let mut number = 0;
     let mut told = String::new();
-    for (name, at) in [("a", 150), ("b", 151), ("c", 152)] {
+    for (name, at) in [("a", 150), ("b", 151), ("c", 152), ("d", 153)] {
+        if name == "d" {
+            // What gave way begins again, and gives way no more.
+            bed.owner.cancel("c", bed.now);
+            bed.status(0, &[], &[end(9, task("c", 0, 0), 1, How::Stopped)]);
+        }
         let job = Job { team: name.into(), ..urgent(vec![step(1, 8)], bed.now) };
         bed.owner.job(name, job, at, None);
         for _ in 0..27 {
@@ -294,6 +299,8 @@
     w0 start b.0.0.0 run 1
     w0 stop b.0.0.0 run 1
     w0 start c.0.0.0 run 1
+    w0 stop c.0.0.0 run 1
+    w0 start a.0.0.0 run 2
     ");
 }
 
