Show that a silent owner is not replaced by an entry that does not hear the table

The mutant that lets a candidate claim by the owner's silence alone was noticed by no test, as each write of the row that it sees counts as a word. What the condition is for is a candidate that has not heard the table: now a test of its own.

--- a/crates/dispatch/tests/election.rs
+++ b/crates/dispatch/tests/election.rs
@@ -233,3 +233,17 @@
     }
     assert_eq!(soonest, 700);
 }
+
+// Symptom: every entry takes over the moment a table comes back. A candidate that does not hear the table
+// cannot tell whether the owner's row stands still.
+#[test]
+fn an_owner_that_says_nothing_is_not_replaced_by_an_entry_that_does_not_hear_the_table() {
+    let row = owner("b", 1);
+    let mut election = Election::open("a", 1, 1700);
+    election.found();
+    election.observe(70, 1000);
+    election.alive(1000);
+    let told = [(1000, 5000), (1699, 5000), (1700, 5000)]
+        .map(|(heard, now)| election.due(row.as_ref(), heard, now, false));
+    assert_snapshot!(format!("{told:?}"), @"[false, false, true]");
+}
