--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -23,7 +23,7 @@
 use quincewheel_ring as ring;
 use quincewheel_runner::{Announcement, Heartbeat, Output, Runner, Settings};
 use quincewheel_store::Error;
-use quincewheel_wire::{Hello, Key, Notice, Order, Role, list_starts};
+use quincewheel_wire::{Hello, Key, Notice, Order, Role, list_causes};
 use tokio::sync::Notify;
 
 use self::health_log::HealthLog;
@@ -238,9 +238,9 @@
     for output in outputs {
         match output {
             Output::Send { link, notice } => {
-                if let Notice::Broke { worker, starts } = &notice {
-                    let (worker, starts) = (worker.id.as_str(), list_starts(starts));
-                    log::info!(event = "worker broke", worker = worker; "just after {starts}");
+                if let Notice::Broke { worker, starts, possible } = &notice {
+                    let (worker, causes) = (worker.id.as_str(), list_causes(starts, possible));
+                    log::info!(event = "worker broke", worker = worker; "just after {causes}");
                 }
                 if !agent.hub.ask(Command::Send { link, frame: notice }) {
                     log::warn!(event = "hub full", link = link; "connection closed");
--- a/crates/agent/src/site/health_log.rs
+++ b/crates/agent/src/site/health_log.rs
@@ -56,7 +56,7 @@
 fn problem_event(action: &Action, reply: &Result<Reply, Fault>) -> Option<&'static str> {
     match (action, reply) {
         (_, Err(_)) => Some("worker silent"),
-        (Action::Hold { .. }, Ok(Reply::Refused(_))) => Some("worker refuses"),
+        (Action::Hold { .. } | Action::List, Ok(Reply::Refused(_))) => Some("worker refuses"),
         _ => None,
     }
 }
--- a/crates/agent/src/site/metrics.rs
+++ b/crates/agent/src/site/metrics.rs
@@ -62,6 +62,7 @@
             Action::Stop { .. } => ("stop", true),
             Action::Pace { .. } => ("pace", false),
             Action::Hold { .. } => ("hold", false),
+            Action::List => ("list", false),
         };
         let outcome = match reply {
             Ok(Reply::Refused(_)) => "refused",
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -3,9 +3,9 @@
 use quincewheel_wire::LinkId;
 
 use crate::close_reason::CloseReason;
+use crate::crashes::SuspectedCrash;
 use crate::refusals::Refusals;
 use crate::settings::Settings;
-use crate::suspects::SuspectedCrash;
 
 /// The owner's state of one agent and its worker.
 #[derive(Clone, Debug, Default)]
--- /dev/null
+++ b/crates/dispatch/src/crashes.rs
@@ -0,0 +1,126 @@
+//! Crashes of workers, and the runs that may have caused them.
+//!
+//! An agent reports which starts its worker had not survived when its connections broke. Whether
+//! the worker has crashed is known only once another incarnation of it reports, or the platform no
+//! longer lists it, which may take seconds.
+
+use quincewheel_job::{Incarnation, State, Task};
+use quincewheel_policy::is_given_up;
+use quincewheel_wire::list_causes;
+
+use crate::owner::Owner;
+use crate::reports::task_key;
+
+/// Most crashes with several suspects that are remembered. A task that is retried alone crashes
+/// its worker within a second, and few workers crash in that time.
+const MAX_SUSPECT_GROUPS: usize = 32;
+
+/// A worker that broke its connections, and the starts that may have crashed it.
+#[derive(Clone, Debug)]
+pub(crate) struct SuspectedCrash {
+    /// The incarnation of the worker.
+    pub worker: Incarnation,
+    /// The starts just before, one of which is the probable cause: tasks and numbers of their runs.
+    pub likely: Vec<(Task, u64)>,
+    /// Other starts that may be the cause.
+    pub possible: Vec<(Task, u64)>,
+}
+
+impl Owner {
+    /// Handles a worker that broke its connections just after starts. Workers that shut down or
+    /// whose machine is taken down break them, too, and are ignored here.
+    pub(crate) fn on_connections_broken(&mut self, name: &str, crash: SuspectedCrash) {
+        let causes = list_causes(&crash.likely, &crash.possible);
+        self.log("worker broke", name, format!("{} just after {causes}", crash.worker));
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        let current = agent.worker.as_ref().filter(|known| known.is_incarnation(&crash.worker));
+        if current.is_some_and(|worker| worker.draining) || agent.shutdown_requested {
+            return;
+        }
+        let restarted = current.is_none() && agent.worker.is_some();
+        if restarted {
+            return self.count_crashes(name, crash);
+        }
+        agent.suspected_crash = Some(crash);
+    }
+
+    /// Returns whether the previous incarnation of the agent's worker may have been crashed by a
+    /// task.
+    pub(crate) fn follows_crash(&self, name: &str, worker: &Incarnation) -> bool {
+        let crash = self.agents.get(name).and_then(|agent| agent.suspected_crash.as_ref());
+        crash.is_some_and(|crash| crash.worker != *worker)
+    }
+
+    /// Counts the crash of an agent's worker against the tasks that may have caused it.
+    pub(crate) fn attribute_crash(&mut self, name: &str) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        if let Some(crash) = agent.suspected_crash.take() {
+            self.count_crashes(name, crash);
+        }
+    }
+
+    /// Counts a crash against the tasks that may have caused it. The job of a task that has crashed
+    /// too many workers in a row fails.
+    fn count_crashes(&mut self, name: &str, crash: SuspectedCrash) {
+        let SuspectedCrash { likely, possible, .. } = crash;
+        let among = likely.len() + possible.len();
+        for (task, run) in &likely {
+            self.count_crash(name, (task, *run), among, true);
+        }
+        for (task, run) in &possible {
+            self.count_crash(name, (task, *run), among, false);
+        }
+        let mut tasks = likely.into_iter().chain(possible).map(|(task, _)| task);
+        match among {
+            0 => {}
+            1 => tasks.by_ref().for_each(|culprit| self.exonerate_others(&culprit)),
+            _ => {
+                self.suspect_groups.push(tasks.collect());
+                if self.suspect_groups.len() > MAX_SUSPECT_GROUPS {
+                    self.suspect_groups.remove(0);
+                }
+            }
+        }
+    }
+
+    /// Lets other suspects of earlier crashes start again after `culprit` crashed a worker alone:
+    /// they were hardly the cause. They keep their counts, since one crash may have hit several
+    /// faulty tasks.
+    fn exonerate_others(&mut self, culprit: &Task) {
+        let with_culprit = |tasks: &mut Vec<Task>| tasks.contains(culprit);
+        let others: Vec<Vec<Task>> = self.suspect_groups.extract_if(.., with_culprit).collect();
+        for task in others.iter().flatten().filter(|task| *task != culprit) {
+            let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
+            entry.exonerated.insert(entry.slot(task_key(task)));
+            self.replan = true;
+        }
+    }
+
+    /// Counts a crash against one of the `among` runs that may have caused it.
+    fn count_crash(&mut self, name: &str, (task, run): (&Task, u64), among: usize, likely: bool) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        if !entry.may_have_crashed(task, among)
+            || !entry.progress.record_crash(&entry.job, task, run, likely)
+        {
+            return;
+        }
+        entry.exonerated.remove(&entry.slot(task_key(task)));
+        entry.crash_unrecorded = true;
+        entry.reservations.remove(&(task.occurrence, task.step));
+        let crashes = entry.progress.crash_count(&entry.job, task);
+        let kind = if likely { "likely" } else { "possible" };
+        let detail = format!("{task} run {run} at {name}, {kind} cause, one of {among}: {crashes}");
+        self.log("crash suspected", &task.job, detail);
+        self.mark_dirty(&task.job, true);
+        if is_given_up(crashes.likely, crashes.total) {
+            self.end_job(&task.job, State::Failed, self.now);
+        }
+    }
+
+    /// Handles a worker that answers after it broke its connections, or shuts down, so that it has
+    /// not crashed.
+    pub(crate) fn dismiss_crash(&mut self, name: &str) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        agent.suspected_crash = None;
+    }
+}
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -1,10 +1,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Id, Incarnation, Job, Progress, Step};
+use quincewheel_job::{Id, Incarnation, Job, Progress, Step, Task};
 
 use crate::checkpoints::Checkpoints;
 use crate::clearance::Clearance;
 use crate::owner::task;
+use crate::reports::task_key;
 use crate::settings::Settings;
 
 /// Identifies a task of a job: the occurrence, the step, and the task's index in the step.
@@ -47,14 +48,14 @@
     pub guarantee_preempted: bool,
     /// Capacity that is being freed for steps, by occurrence and step.
     pub reservations: BTreeMap<(u32, u32), Reservation>,
-    /// Tasks whose worker kept running after it had started them, so that they are not
-    /// suspected of crashing it. A gang is listed at index 0.
-    pub survived_start: BTreeSet<Key>,
+    /// The last run of each task whose worker kept running after it had started it. Neither this
+    /// run nor an earlier one is suspected of crashing workers. A gang is listed at index 0.
+    pub survived_start: BTreeMap<Key, u64>,
     /// Suspected tasks that were lost in a crash together with a task that has since crashed
     /// a worker on its own. A gang is listed at index 0.
     pub exonerated: BTreeSet<Key>,
-    /// Whether a crash attributed to one of the tasks is not recorded yet. Until then none of
-    /// the job's tasks starts: a new owner would not learn of the crash, and could start the
+    /// Whether a crash that one of the tasks may have caused is not recorded yet. Until then none
+    /// of the job's tasks starts: a new owner would not learn of the crash, and could start the
     /// task again and again.
     pub crash_unrecorded: bool,
 }
@@ -195,10 +196,23 @@
                 .all(|other| other.ends_soon(settings, now))
     }
 
-    /// Returns how many workers in a row crashed just after they had started the task.
+    /// Returns whether one of `among` runs may have crashed its worker.
+    pub fn may_have_crashed(&self, task: &Task, among: usize) -> bool {
+        // A finished task never starts again, so it could never be cleared, and others would
+        // wait for it forever.
+        if self.progress.state.is_final() || self.progress.is_done(task) {
+            return false;
+        }
+        // A task that has survived a start is not the cause. But a delayed list may have shown
+        // it alive after the crash, so it still counts if it was the only one.
+        let survived = self.survived_start.get(&self.slot(task_key(task)));
+        survived.is_none_or(|_| among == 1)
+    }
+
+    /// Returns how many workers in a row may have crashed because they had started the task.
     pub fn consecutive_crashes(&self, id: &str, key: Key) -> u32 {
         if self.progress.has_suspects() {
-            self.progress.crash_count(&self.job, &task(id, key))
+            self.progress.crash_count(&self.job, &task(id, key)).total
         } else {
             0
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod checkpoints;
 mod clearance;
 mod close_reason;
+mod crashes;
 mod diagnosis;
 mod dismissal;
 mod election;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -5,6 +5,7 @@
 
 use crate::agent::Agent;
 use crate::checkpoints::Checkpoints;
+use crate::crashes::SuspectedCrash;
 use crate::dismissal::Dismissal;
 use crate::election::OWNER_TIMEOUT_MS;
 use crate::entry::{Entry, Key, Phase, Placement};
@@ -233,7 +234,7 @@
             has_begun: false,
             guarantee_preempted: false,
             reservations: BTreeMap::new(),
-            survived_start: BTreeSet::new(),
+            survived_start: BTreeMap::new(),
             exonerated: BTreeSet::new(),
             crash_unrecorded: false,
         };
@@ -308,11 +309,15 @@
                 self.grant_lease(&name, link, stamp, silent, now);
             }
             Notice::Left { worker } => self.on_left(&name, &worker),
-            Notice::Broke { worker, starts } => self.on_connections_broken(&name, worker, starts),
+            Notice::Broke { worker, starts: likely, possible } => {
+                let crash = SuspectedCrash { worker, likely, possible };
+                self.on_connections_broken(&name, crash)
+            }
             Notice::Status { stamp, worker, fenced, running, ended } => {
                 self.grant_lease(&name, link, stamp, 0, now);
                 self.on_status(&name, worker, fenced, (&running, &ended), (stamp, now));
             }
+            Notice::Survived { task, run } => self.on_survived(&task, run),
             Notice::Started { task, run } => self.on_started(&task, run, now),
             Notice::Unstarted { task, run, why } => {
                 self.on_start_refused(&name, &task, run, why, now)
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -409,9 +409,10 @@
             entry.runs.insert(key, placed);
             let task = task(&candidate.id, key);
             self.log("start", &candidate.id, format!("{task} run {run} at {name}"));
+            let (again, suspect) = (false, candidate.suspect);
             self.send_to_agent(
                 &name,
-                Order::Start { worker, task, run, spec, saved, ticket, again: false },
+                Order::Start { worker, task, run, spec, saved, ticket, again, suspect },
             );
         }
     }
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -111,9 +111,7 @@
 
     /// Handles a worker's notice that it is shutting down.
     pub(crate) fn on_left(&mut self, name: &str, from: &Incarnation) {
-        if let Some(agent) = self.agents.get_mut(name) {
-            agent.suspected_crash = None;
-        }
+        self.dismiss_crash(name);
         self.end_incarnation(name, from, "left");
     }
 
@@ -153,8 +151,9 @@
                     let saved =
                         entry.checkpoints.get(&entry.slot(key)).cloned().unwrap_or_default();
                     let ticket = entry.ticket(key, from, now).unwrap_or_default().to_owned();
+                    let suspect = entry.consecutive_crashes(&job, key) > 0;
                     let task = task(&job, key);
-                    Order::Start { worker, task, run, spec, saved, ticket, again: true }
+                    Order::Start { worker, task, run, spec, saved, ticket, again: true, suspect }
                 }
             };
             self.send_to_agent(name, order);
@@ -298,7 +297,7 @@
             format!("{} run {} {:?} at {name}{timing}", end.task, end.run, end.how),
         );
         if matches!(end.how, How::Done | How::Failed) {
-            self.on_start_survived(&end.task);
+            self.on_start_survived(&end.task, end.run);
         }
         match end.how {
             How::Done => {
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -1,13 +1,12 @@
 //! Tasks suspected of crashing the workers that start them.
 //!
 //! A task that was just started at a worker when it crashed is a suspect. Suspects are retried in
-//! isolation, cleared once they outlive a start, and their job fails after [`CRASH_LIMIT`] crashes.
+//! isolation, cleared once they survive a start, and their job fails after a few crashes in a row.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Incarnation, Run, State, Step, Task};
-use quincewheel_policy::{CRASH_LIMIT, START_ISOLATION_MS};
-use quincewheel_wire::list_starts;
+use quincewheel_job::{Incarnation, Run, Step, Task};
+use quincewheel_policy::START_ISOLATION_MS;
 
 use crate::candidate::Candidate;
 use crate::entry::{Entry, Key, Placement};
@@ -15,113 +14,7 @@
 use crate::reports::task_key;
 use crate::snapshot::Snapshot;
 
-/// Most crashes with several suspects that are remembered. A task that is retried alone crashes
-/// its worker within a second, and few workers crash in that time.
-const MAX_SUSPECT_GROUPS: usize = 32;
-
-/// A worker that broke its connections, and the starts that may have crashed it.
-#[derive(Clone, Debug)]
-pub(crate) struct SuspectedCrash {
-    /// The incarnation of the worker.
-    pub worker: Incarnation,
-    /// The tasks that had just been started, with their run numbers.
-    pub starts: Vec<(Task, u64)>,
-}
-
 impl Owner {
-    /// Handles a worker that broke its connections just after these starts. Workers that shut
-    /// down or whose machine is taken down break them, too, and are ignored here.
-    pub(crate) fn on_connections_broken(
-        &mut self,
-        name: &str,
-        worker: Incarnation,
-        starts: Vec<(Task, u64)>,
-    ) {
-        self.log("worker broke", name, format!("{worker} just after {}", list_starts(&starts)));
-        let Some(agent) = self.agents.get_mut(name) else { return };
-        let current = agent.worker.as_ref().filter(|known| known.is_incarnation(&worker));
-        if current.is_some_and(|worker| worker.draining) || agent.shutdown_requested {
-            return;
-        }
-        let restarted = current.is_none() && agent.worker.is_some();
-        agent.suspected_crash = Some(SuspectedCrash { worker, starts });
-        if restarted {
-            self.attribute_crash(name);
-        }
-    }
-
-    /// Returns whether the previous incarnation of the agent's worker may have been crashed by a
-    /// task.
-    pub(crate) fn follows_crash(&self, name: &str, worker: &Incarnation) -> bool {
-        let crash = self.agents.get(name).and_then(|agent| agent.suspected_crash.as_ref());
-        crash.is_some_and(|crash| crash.worker != *worker)
-    }
-
-    /// Counts the crash of an agent's worker against the tasks that had just started there. The job
-    /// of a task that has crashed too many workers in a row fails.
-    pub(crate) fn attribute_crash(&mut self, name: &str) {
-        let Some(agent) = self.agents.get_mut(name) else { return };
-        let Some(SuspectedCrash { starts, .. }) = agent.suspected_crash.take() else { return };
-        let among = starts.len();
-        for (task, run) in &starts {
-            self.count_crash(name, task, *run, among);
-        }
-        match &starts[..] {
-            [] => {}
-            [(culprit, _)] => self.exonerate_others(culprit),
-            _ => {
-                self.suspect_groups.push(starts.into_iter().map(|(task, _)| task).collect());
-                if self.suspect_groups.len() > MAX_SUSPECT_GROUPS {
-                    self.suspect_groups.remove(0);
-                }
-            }
-        }
-    }
-
-    /// Lets other suspects of earlier crashes start again after `culprit` crashed a worker alone:
-    /// they were hardly the cause. They keep their counts, since one crash may have hit several
-    /// faulty tasks.
-    fn exonerate_others(&mut self, culprit: &Task) {
-        let with_culprit = |tasks: &mut Vec<Task>| tasks.contains(culprit);
-        let others: Vec<Vec<Task>> = self.suspect_groups.extract_if(.., with_culprit).collect();
-        for task in others.iter().flatten().filter(|task| *task != culprit) {
-            let Some(entry) = self.jobs.get_mut(&task.job) else { continue };
-            entry.exonerated.insert(entry.slot(task_key(task)));
-            self.replan = true;
-        }
-    }
-
-    /// Counts a crash against one of the `among` tasks that had just started at the worker.
-    fn count_crash(&mut self, name: &str, task: &Task, run: u64, among: usize) {
-        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        // A finished task never starts again, so it could never be cleared, and others would
-        // wait for it forever.
-        if entry.progress.state.is_final() || entry.progress.is_done(task) {
-            return;
-        }
-        // A task that has outlived a start is not the cause. But a delayed list may have shown
-        // it alive after the crash, so it still counts if it was the only one.
-        if among > 1 && entry.survived_start.contains(&entry.slot(task_key(task))) {
-            return;
-        }
-        let before = entry.progress.crash_count(&entry.job, task);
-        let crashes = entry.progress.record_crash(&entry.job, task, run);
-        if crashes == before {
-            return;
-        }
-        entry.exonerated.remove(&entry.slot(task_key(task)));
-        entry.crash_unrecorded = true;
-        entry.reservations.remove(&(task.occurrence, task.step));
-        let detail = format!(
-            "{task} run {run} at {name}, one of {among} just started there: {crashes} of {CRASH_LIMIT}"
-        );
-        self.log("crash suspected", &task.job, detail);
-        self.mark_dirty(&task.job, true);
-        if crashes >= CRASH_LIMIT {
-            self.end_job(&task.job, State::Failed, self.now);
-        }
-    }
-
     /// Lets a job's tasks start again once its crashes are recorded: a new owner will then read
     /// them.
     pub(crate) fn on_progress_recorded(&mut self, id: &str) {
@@ -143,9 +36,7 @@
         running: &[Run],
         stamp: u64,
     ) {
-        if let Some(agent) = self.agents.get_mut(name) {
-            agent.suspected_crash = None;
-        }
+        self.dismiss_crash(name);
         for run in running {
             let Some(entry) = self.jobs.get_mut(&run.task.job) else { continue };
             let Some(placed) = entry.runs.get_mut(&task_key(&run.task)) else { continue };
@@ -157,16 +48,31 @@
             placed.first_listed_at = Some(first);
             placed.survived_start = stamp >= first + START_ISOLATION_MS;
             if placed.survived_start && entry.gang_survived_start(task_key(&run.task)) {
-                self.on_start_survived(&run.task);
+                self.on_start_survived(&run.task, run.number);
             }
         }
     }
 
-    /// Clears a task that outlived its start together with its gang. A task that crashes workers
-    /// crashes each one it starts at.
-    pub(crate) fn on_start_survived(&mut self, task: &Task) {
+    /// Handles the report that a suspect's run has survived its start.
+    pub(crate) fn on_survived(&mut self, task: &Task, run: u64) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let key = task_key(task);
+        let Some(placed) = entry.runs.get_mut(&key).filter(|placed| placed.run == run) else {
+            return;
+        };
+        placed.survived_start = true;
+        if entry.gang_survived_start(key) {
+            self.on_start_survived(task, run);
+        }
+    }
+
+    /// Clears a task whose run has survived its start together with its gang. A task that crashes
+    /// workers crashes each one it starts at.
+    pub(crate) fn on_start_survived(&mut self, task: &Task, run: u64) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        entry.survived_start.insert(entry.slot(task_key(task)));
+        let slot = entry.slot(task_key(task));
+        let survived = entry.survived_start.entry(slot).or_default();
+        *survived = run.max(*survived);
         self.clear_suspect(task, "it outlived its start");
     }
 
@@ -310,7 +216,7 @@
     let waiting = |slot: &Key| !entry.exonerated.contains(slot) && !is_running(slot);
     let within_delay = entry.idle_since.is_none_or(|since| now < since + OTHER_STEPS_DELAY_MS);
     let blocks = |slot: Key| within_delay || (slot.0, slot.1) == step;
-    entry.progress.suspected_tasks().filter(waiting).any(blocks)
+    entry.progress.suspected_tasks().into_iter().filter(waiting).any(blocks)
 }
 
 /// Longest time that other steps of an idle job wait until a suspect finds a worker. Without a
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -188,7 +188,8 @@
     let run = pool.running[number as usize][0].clone();
     let starts = vec![(run.task, run.number)];
     pool.harness.logged_events = vec!["crash suspected"];
-    pool.harness.deliver(number, Notice::Broke { worker: worker.clone(), starts });
+    pool.harness
+        .deliver(number, Notice::Broke { worker: worker.clone(), starts, possible: Vec::new() });
     pool.harness.deliver(number, Notice::Left { worker });
     let worker = Some(Worker { id: "next".into(), ..harness::worker(number) });
     let (stamp, running, ended) = (pool.harness.now, Vec::new(), Vec::new());
@@ -207,7 +208,7 @@
     harness.tick();
     harness.logged_events = vec!["crash suspected"];
     let starts = vec![(harness::task("a", 0, 0), 1)];
-    harness.deliver(0, Notice::Broke { worker: "i0".into(), starts });
+    harness.deliver(0, Notice::Broke { worker: "i0".into(), starts, possible: Vec::new() });
     let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
     harness.deliver(0, Notice::Status { stamp, worker: None, fenced: false, running, ended });
     let worker = Some(Worker { id: "i0-2".into(), ..harness::worker(0) });
@@ -215,7 +216,7 @@
     harness.deliver(0, Notice::Status { stamp, worker, fenced: false, running, ended });
     assert_snapshot!(
         harness.take_logs(),
-        @"crash suspected a: a.0.0.0 run 1 at w0, one of 1 just started there: 1 of 3"
+        @"crash suspected a: a.0.0.0 run 1 at w0, likely cause, one of 1: 1 likely, 1 in all"
     );
 }
 
@@ -229,10 +230,11 @@
     let starts = vec![(harness::task("a", 0, 0), 1)];
     for _ in 0..2 {
         let starts = starts.clone();
-        harness.deliver(0, Notice::Broke { worker: "i0-before".into(), starts });
+        harness
+            .deliver(0, Notice::Broke { worker: "i0-before".into(), starts, possible: Vec::new() });
     }
     assert_snapshot!(harness.take_logs(), @r"
-    crash suspected a: a.0.0.0 run 1 at w0, one of 1 just started there: 1 of 3
+    crash suspected a: a.0.0.0 run 1 at w0, likely cause, one of 1: 1 likely, 1 in all
     ");
 }
 
@@ -276,7 +278,7 @@
     }
     assert_snapshot!(
         pool.suspected_crashes.join("\n"),
-        @"a.0.0.0 run 2 at w1, one of 1 just started there: 1 of 3"
+        @"a.0.0.0 run 2 at w1, likely cause, one of 1: 1 likely, 1 in all"
     );
 }
 
@@ -344,13 +346,13 @@
         harness.report_status(1, &[harness::run(harness::task("a", 0, 1), 1)], &[]);
     }
     let starts = vec![(harness::task("a", 0, 1), 1)];
-    harness.deliver(1, Notice::Broke { worker: "i1".into(), starts });
+    harness.deliver(1, Notice::Broke { worker: "i1".into(), starts, possible: Vec::new() });
     let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
     let other = Some(Worker { id: "i1-2".into(), ..harness::worker(1) });
     harness.deliver(1, Notice::Status { stamp, worker: other, fenced: false, running, ended });
     assert_snapshot!(
         harness.take_logs(),
-        @"crash suspected a: a.0.0.1 run 1 at w1, one of 1 just started there: 1 of 3"
+        @"crash suspected a: a.0.0.1 run 1 at w1, likely cause, one of 1: 1 likely, 1 in all"
     );
 }
 
@@ -371,7 +373,7 @@
     harness.owner.add_job("a", job(1, vec![step(2, 8)]), 50, Some(progress));
     harness.connect(0);
     let starts = vec![(first, 1)];
-    harness.deliver(0, Notice::Broke { worker: "i0-before".into(), starts });
+    harness.deliver(0, Notice::Broke { worker: "i0-before".into(), starts, possible: Vec::new() });
     harness.report_status(0, &[], &[]);
     harness.connect(1);
     harness.report_status(1, &[], &[]);
@@ -401,3 +403,72 @@
     let delay = pool.harness.now - other_started_at;
     assert!((300..400).contains(&delay), "{delay} ms later");
 }
+
+/// Reports that worker 0 broke its connections after a run of the first task of job `a`, and then
+/// that another incarnation is there.
+fn crash(harness: &mut Harness, run: u64, likely: bool) {
+    let start = vec![(harness::task("a", 0, 0), run)];
+    let (starts, possible) = if likely { (start, Vec::new()) } else { (Vec::new(), start) };
+    let worker = format!("crashed-{run}").as_str().into();
+    harness.deliver(0, Notice::Broke { worker, starts, possible });
+}
+
+// A sound task was given up as its worker restarted three times for other reasons. A crash that was
+// noticed late after a start shows less than one just after it.
+#[test]
+fn possible_crashes_fail_a_job_later_than_likely_ones() {
+    let mut failed_after = Vec::new();
+    for likely in [[true; 5], [false; 5], [true, true, false, false, false]] {
+        let mut harness = Harness::new(1, 1).with_idle_workers(1);
+        harness.owner.add_job("a", job(1, vec![step(1, 16)]), 150, None);
+        let crashes = likely.into_iter().zip(1..).position(|(likely, run)| {
+            crash(&mut harness, run, likely);
+            harness.owner.has_ended("a")
+        });
+        failed_after.push(crashes.map(|position| position + 1));
+    }
+    assert_snapshot!(format!("{failed_after:?}"), @"[Some(3), Some(4), Some(4)]");
+}
+
+// A suspect's worker restarted for another reason a second after the start, and the crash before it
+// still counted. The agent says when the start was survived.
+#[test]
+fn suspect_is_cleared_when_its_agent_says_that_it_survived() {
+    let mut harness = Harness::new(1, 1).with_idle_workers(1);
+    harness.owner.add_job("a", job(1, vec![step(1, 8)]), 150, None);
+    harness.logged_events = vec!["crash suspected", "crash cleared"];
+    crash(&mut harness, 0, true);
+    harness.record();
+    harness.tick();
+    let (task, run) = (harness::task("a", 0, 0), 1);
+    harness.deliver(0, Notice::Survived { task: task.clone(), run: 7 });
+    harness.deliver(0, Notice::Survived { task, run });
+    assert_snapshot!(harness.take_logs(), @r"
+    crash suspected a: a.0.0.0 run 0 at w0, likely cause, one of 1: 1 likely, 1 in all
+    crash cleared a: a.0.0.0: it outlived its start
+    ");
+}
+
+// All members of a gang must have survived: one that waits for another shows nothing.
+#[test]
+fn gang_is_cleared_when_all_members_survived() {
+    let mut harness = Harness::new(1, 2).with_idle_workers(2);
+    let mut gang = job(1, vec![step(2, 8)]);
+    gang.steps[0].gang = true;
+    harness.owner.add_job("a", gang, 150, None);
+    harness.logged_events = vec!["crash suspected", "crash cleared"];
+    crash(&mut harness, 0, true);
+    harness.record();
+    harness.tick();
+    harness.take_logs();
+    let mut logs = Vec::new();
+    for index in 0..2 {
+        let task = harness::task("a", 0, index);
+        harness.deliver(0, Notice::Survived { task, run: 1 });
+        logs.push(harness.take_logs());
+    }
+    assert_snapshot!(logs.join("\n"), @r"
+    nothing
+    crash cleared a: a.0.0.1: it outlived its start
+    ");
+}
--- a/crates/dispatch/tests/crashing_pool/mod.rs
+++ b/crates/dispatch/tests/crashing_pool/mod.rs
@@ -203,7 +203,7 @@
         self.crashes += 1;
         self.restarts.push((self.harness.now + RESTART_DELAY_MS, number));
         let worker = self.worker(number);
-        let notice = Notice::Broke { worker: worker.incarnation(), starts };
+        let notice = Notice::Broke { worker: worker.incarnation(), starts, possible: Vec::new() };
         self.harness.owner.on_notice(number, notice, self.harness.now);
         let (stamp, running) =
             (self.harness.now, std::mem::take(&mut self.running[number as usize]));
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -96,7 +96,7 @@
         harness.deliver(0, status);
     }
     let starts = vec![(task("a", 0, 0), 1), (task("other", 0, 0), 1)];
-    harness.deliver(0, Notice::Broke { worker: "i0".into(), starts });
+    harness.deliver(0, Notice::Broke { worker: "i0".into(), starts, possible: Vec::new() });
     report_incarnation(&mut harness, 2, &[], &[]);
     assert_snapshot!(harness.take_logs(), @"nothing");
 }
--- a/crates/dispatch/tests/unready_workers.rs
+++ b/crates/dispatch/tests/unready_workers.rs
@@ -14,7 +14,7 @@
 fn worker_that_broke_its_connections_gets_nothing_until_it_answers() {
     let mut harness = Harness::new(1, 3).with_idle_workers(3);
     let worker = harness::worker(0).incarnation();
-    harness.deliver(0, Notice::Broke { worker, starts: Vec::new() });
+    harness.deliver(0, Notice::Broke { worker, starts: Vec::new(), possible: Vec::new() });
     let gang = |count| Step { gang: true, ..step(count, 8) };
     harness.owner.add_job("two", job(0, vec![gang(2)]), 150, None);
     harness.owner.add_job("one", job(0, vec![gang(1)]), 151, None);
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -33,7 +33,7 @@
 pub use incarnation::Incarnation;
 pub use job::Job;
 pub use machine::{Condition, Machine};
-pub use progress::{Progress, State};
+pub use progress::{CrashCount, Progress, State};
 pub use queue::Queue;
 pub use resources::Resources;
 pub use route::Route;
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -41,10 +42,28 @@
     done: BTreeMap<u32, BTreeMap<u32, Vec<u32>>>,
     /// The runs of each unfinished task that failed, or of the gang under index 0.
     failed: Runs,
-    /// The runs of each unfinished task, or gang, just after whose start a worker crashed, until the
-    /// task is cleared.
+    /// The runs of each unfinished task, or gang, that probably crashed a worker, until the task is
+    /// cleared.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     crashed: Runs,
+    /// Further runs that may have crashed a worker.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    possibly_crashed: Runs,
+}
+
+/// How many runs of a task in a row may have crashed the workers that started them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CrashCount {
+    /// Runs that are the probable cause.
+    pub likely: u32,
+    /// All runs that may be the cause.
+    pub total: u32,
+}
+
+impl fmt::Display for CrashCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} likely, {} in all", self.likely, self.total)
+    }
 }
 
 impl Progress {
@@ -99,48 +118,56 @@
         count_run(&mut self.failed, &counted_task(job, task), run)
     }
 
-    /// Records that a worker crashed just after the start of a run, and returns the number of such
-    /// runs of its task or gang since one of them survived its start.
-    pub fn record_crash(&mut self, job: &Job, task: &Task, run: u64) -> u32 {
-        count_run(&mut self.crashed, &counted_task(job, task), run)
+    /// Records that a run may have crashed its worker; `likely` if it is the probable cause.
+    /// Returns whether that was not known.
+    pub fn record_crash(&mut self, job: &Job, task: &Task, run: u64, likely: bool) -> bool {
+        let slot = counted_task(job, task);
+        let known = contains(&self.crashed, &slot, run)
+            || (!likely && contains(&self.possibly_crashed, &slot, run));
+        if known {
+            return false;
+        }
+        remove_run(&mut self.possibly_crashed, &slot, run);
+        let runs = if likely { &mut self.crashed } else { &mut self.possibly_crashed };
+        count_run(runs, &slot, run);
+        true
     }
 
-    /// The number of workers in a row that crashed just after a start of the task or its gang.
-    pub fn crash_count(&self, job: &Job, task: &Task) -> u32 {
-        if self.crashed.is_empty() {
-            return 0;
+    /// The number of runs in a row of the task or its gang that may have crashed their workers.
+    pub fn crash_count(&self, job: &Job, task: &Task) -> CrashCount {
+        if !self.has_suspects() {
+            return CrashCount::default();
         }
         let slot = counted_task(job, task);
-        let steps = self.crashed.get(&slot.occurrence).and_then(|steps| steps.get(&slot.step));
-        steps.and_then(|tasks| tasks.get(&slot.index)).map_or(0, |runs| runs.len() as u32)
+        let count = |runs: &Runs| runs_of(runs, &slot).map_or(0, |runs| runs.len() as u32);
+        let likely = count(&self.crashed);
+        let total = likely + count(&self.possibly_crashed);
+        CrashCount { likely, total }
     }
 
     /// Occurrence, step and index of the tasks, or of the first members of gangs, that are
     /// suspected of crashing workers.
-    pub fn suspected_tasks(&self) -> impl Iterator<Item = (u32, u32, u32)> {
-        self.crashed.iter().flat_map(|(&occurrence, steps)| {
-            let tasks = |(&step, tasks): (&u32, &BTreeMap<u32, BTreeSet<u64>>)| {
-                tasks.keys().map(move |&index| (occurrence, step, index)).collect::<Vec<_>>()
-            };
-            steps.iter().flat_map(tasks).collect::<Vec<_>>()
-        })
+    pub fn suspected_tasks(&self) -> BTreeSet<(u32, u32, u32)> {
+        let mut suspects = BTreeSet::new();
+        let all = self.crashed.iter().chain(&self.possibly_crashed);
+        for (&occurrence, steps) in all {
+            for (&step, tasks) in steps {
+                suspects.extend(tasks.keys().map(|&index| (occurrence, step, index)));
+            }
+        }
+        suspects
     }
 
     /// True if any task of the job is suspected of crashing workers.
     pub fn has_suspects(&self) -> bool {
-        !self.crashed.is_empty()
+        !self.crashed.is_empty() || !self.possibly_crashed.is_empty()
     }
 
     /// Clears a task or gang of suspicion after one of its runs survived its start.
     pub fn clear_crashes(&mut self, job: &Job, task: &Task) {
         let slot = counted_task(job, task);
-        if let Some(steps) = self.crashed.get_mut(&slot.occurrence) {
-            if let Some(tasks) = steps.get_mut(&slot.step) {
-                tasks.remove(&slot.index);
-            }
-            steps.retain(|_, tasks| !tasks.is_empty());
-        }
-        self.crashed.retain(|_, steps| !steps.is_empty());
+        remove_task(&mut self.crashed, &slot);
+        remove_task(&mut self.possibly_crashed, &slot);
     }
 }
 
@@ -156,3 +183,30 @@
     runs.insert(run);
     runs.len() as u32
 }
+
+fn runs_of<'a>(runs: &'a Runs, slot: &Task) -> Option<&'a BTreeSet<u64>> {
+    runs.get(&slot.occurrence)?.get(&slot.step)?.get(&slot.index)
+}
+
+fn contains(runs: &Runs, slot: &Task, run: u64) -> bool {
+    runs_of(runs, slot).is_some_and(|runs| runs.contains(&run))
+}
+
+fn remove_run(runs: &mut Runs, slot: &Task, run: u64) {
+    let steps = runs.get_mut(&slot.occurrence).and_then(|steps| steps.get_mut(&slot.step));
+    let Some(known) = steps.and_then(|tasks| tasks.get_mut(&slot.index)) else { return };
+    known.remove(&run);
+    if known.is_empty() {
+        remove_task(runs, slot);
+    }
+}
+
+fn remove_task(runs: &mut Runs, slot: &Task) {
+    if let Some(steps) = runs.get_mut(&slot.occurrence) {
+        if let Some(tasks) = steps.get_mut(&slot.step) {
+            tasks.remove(&slot.index);
+        }
+        steps.retain(|_, tasks| !tasks.is_empty());
+    }
+    runs.retain(|_, steps| !steps.is_empty());
+}
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -11,11 +11,23 @@
 //! one. A suspected task is therefore started in isolation: nothing else starts on its worker at
 //! about the same time. An innocent task is cleared by its first start that the worker survives.
 
-/// Consecutive workers that crash just after a task starts before the task is given up. The first
-/// crash may be due to another task that started at the same time. Coincidence is rare: where
-/// eleven workers crash fifty times in 100 s, one of them does so in one of 90 spans of 250 ms.
-pub const CRASH_LIMIT: u32 = 3;
+//!
+//! A worker may also end for another reason just after a start. A crash is therefore counted as
+//! likely only if the start was the last thing that the worker is known to have done; if the crash
+//! was noticed late, or nobody saw when it happened, it is merely possible, and more of those are
+//! needed.
+
+/// Consecutive likely crashes after which a task is given up.
+const LIKELY_CRASH_LIMIT: u32 = 3;
+/// Consecutive crashes, likely or possible, after which a task is given up. A task may start twice
+/// after its third crash, and one crash may be lost before it is recorded.
+const CRASH_LIMIT: u32 = 4;
 /// Minimum time between two starts on one worker if one of them is of a suspected task, in
-/// milliseconds. A task that has been listed for this long has survived its start. Longer than
-/// the span in which an agent attributes a crash to a start, as its report takes time to arrive.
+/// milliseconds. A task that has been listed for this long has survived its start.
 pub const START_ISOLATION_MS: u64 = 300;
+
+/// Returns whether a task is given up after this many consecutive starts that probably crashed
+/// their workers, and this many in all that may have.
+pub fn is_given_up(likely: u32, total: u32) -> bool {
+    likely >= LIKELY_CRASH_LIMIT || total >= CRASH_LIMIT
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,7 +13,7 @@
 mod rank;
 mod reserve;
 
-pub use crash::{CRASH_LIMIT, START_ISOLATION_MS};
+pub use crash::{START_ISOLATION_MS, is_given_up};
 pub use objective::{Objective, rounds};
 pub use pace::{is_stalled, next_pace};
 pub use preemption::{
--- a/crates/runner/src/call.rs
+++ b/crates/runner/src/call.rs
@@ -50,6 +50,8 @@
         /// Share of its full speed, 0 to 100.
         percent: u32,
     },
+    /// List the worker's runs, with no other effect.
+    List,
     /// Poll the worker for its runs and ends, acknowledge ends, and renew the lease.
     Hold {
         /// Ends up to this number are recorded, and the worker may forget them; 0 for none.
@@ -69,7 +71,7 @@
         /// The worker's clock, in milliseconds.
         clock: u64,
     },
-    /// The reply to [`Action::Hold`].
+    /// The reply to [`Action::Hold`] or [`Action::List`].
     Held {
         /// When the worker's process started, as in [`quincewheel_job::Worker::born`].
         born: u64,
--- a/crates/runner/src/crash.rs
+++ b/crates/runner/src/crash.rs
@@ -1,12 +1,46 @@
 use quincewheel_job::{Incarnation, Task};
 
-/// A presumed crash: an incarnation of the worker that broke its connections just after starts
-/// and did not come back.
+/// A presumed crash: an incarnation of the worker that ended without notice while it had not
+/// survived its last starts.
 #[derive(Clone, Debug)]
 pub(crate) struct Crash {
     pub worker: Incarnation,
-    /// Starts that may have caused it: tasks and numbers of their runs.
-    pub starts: Vec<(Task, u64)>,
+    pub causes: Causes,
     /// When the end of the incarnation was detected.
     pub at: u64,
 }
+
+/// Starts that may have crashed the worker: tasks and numbers of their runs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Causes {
+    /// The last starts before the crash; one of them is the probable cause.
+    pub likely: Vec<(Task, u64)>,
+    /// Earlier starts that the worker is not known to have survived.
+    pub possible: Vec<(Task, u64)>,
+}
+
+impl Causes {
+    pub fn is_empty(&self) -> bool {
+        self.likely.is_empty() && self.possible.is_empty()
+    }
+
+    /// Adds the causes that are not known yet. Returns whether there were any.
+    pub fn add(&mut self, other: Causes) -> bool {
+        let before = self.likely.len() + self.possible.len();
+        for start in other.likely {
+            if !self.contains(&start) {
+                self.likely.push(start);
+            }
+        }
+        for start in other.possible {
+            if !self.contains(&start) {
+                self.possible.push(start);
+            }
+        }
+        self.likely.len() + self.possible.len() > before
+    }
+
+    fn contains(&self, start: &(Task, u64)) -> bool {
+        self.likely.contains(start) || self.possible.contains(start)
+    }
+}
--- a/crates/runner/src/crashes.rs
+++ b/crates/runner/src/crashes.rs
@@ -1,8 +1,9 @@
-//! Detection and reports of workers that broke their connections just after starts.
+//! Detection and reports of workers that broke their connections, or ended, just after starts.
 
+use quincewheel_job::Incarnation;
 use quincewheel_wire::Notice;
 
-use crate::crash::Crash;
+use crate::crash::{Causes, Crash};
 use crate::runner::Runner;
 use crate::session::Session;
 
@@ -17,16 +18,12 @@
     /// may be reset, and the worker crash a moment later because of a start in between. Returns
     /// true for the first break, if it closed an open connection.
     pub(crate) fn on_connection_broken(&mut self, id: u64, closed: bool, now: u64) -> bool {
-        let window = self.settings.crash_window;
         // A failed call to a former incarnation shows nothing about this one.
         let awaits = |session: &&mut Session| session.awaits_reply(id);
         let Some(session) = self.session.as_mut().filter(awaits) else { return false };
-        let mut starts = session.crash_suspects(closed, window, now);
+        let causes = session.crash_causes(closed, now);
         let first = session.broken.is_none();
-        let known = session.broken.take().unwrap_or_default();
-        starts.retain(|start| !known.contains(start));
-        let more = !starts.is_empty();
-        session.broken = Some([known, starts].concat());
+        let more = session.broken.get_or_insert_default().add(causes);
         if first || more {
             self.send_broke();
         }
@@ -36,9 +33,28 @@
     /// Reports broken connections to the owner, if the worker has not replied since.
     pub(crate) fn send_broke(&mut self) {
         let Some(session) = &self.session else { return };
-        if let Some(starts) = session.broken.clone() {
+        if let Some(causes) = session.broken.clone() {
             let worker = session.worker.incarnation();
-            self.notify_owner(Notice::Broke { worker, starts });
+            self.report_causes(worker, causes);
+        }
+    }
+
+    /// Records the end of the current incarnation without notice as a crash, if it had not survived
+    /// its last starts. Its connections may have broken without a call that showed it.
+    pub(crate) fn record_crash(&mut self, now: u64) {
+        let Some(session) = self.session.as_mut().filter(|session| !session.worker.draining) else {
+            return;
+        };
+        let unseen = session.crash_causes(false, now);
+        let mut causes = session.broken.take().unwrap_or_default();
+        let more = causes.add(unseen);
+        if causes.is_empty() {
+            return;
+        }
+        let worker = session.worker.incarnation();
+        self.crashes.push(Crash { worker: worker.clone(), causes: causes.clone(), at: now });
+        if more {
+            self.report_causes(worker, causes);
         }
     }
 
@@ -47,8 +63,13 @@
     /// reported.
     pub(crate) fn send_crashes(&mut self, now: u64) {
         self.crashes.retain(|crash| now <= crash.at + CRASH_RETENTION_MS);
-        for Crash { worker, starts, .. } in self.crashes.clone() {
-            self.notify_owner(Notice::Broke { worker, starts });
+        for Crash { worker, causes, .. } in self.crashes.clone() {
+            self.report_causes(worker, causes);
         }
     }
+
+    fn report_causes(&mut self, worker: Incarnation, causes: Causes) {
+        let Causes { likely: starts, possible } = causes;
+        self.notify_owner(Notice::Broke { worker, starts, possible });
+    }
 }
--- a/crates/runner/src/incarnations.rs
+++ b/crates/runner/src/incarnations.rs
@@ -1,12 +1,11 @@
 //! Which incarnation of the worker is current, by its heartbeats, its replies, and its notice of
 //! leaving.
 
-use quincewheel_job::{Incarnation, Worker};
+use quincewheel_job::{Incarnation, Run, Worker};
 use quincewheel_wire::Notice;
 
 use crate::call::Action;
 use crate::candidate::Candidate;
-use crate::crash::Crash;
 use crate::heartbeat::Heartbeat;
 use crate::pending::Pending;
 use crate::runner::Runner;
@@ -90,6 +89,7 @@
     /// Ends the current incarnation, whose process has ended, and replaces it by the candidate if
     /// there is one.
     pub(crate) fn switch_session(&mut self, now: u64) {
+        self.record_crash(now);
         self.end_session(now);
         if let Some(Candidate { worker, address, number }) = self.candidate.take() {
             self.open_session(&worker, &address, number, now);
@@ -111,8 +111,6 @@
             self.mark_ended(candidate.worker.incarnation());
         }
         if let Some(session) = self.session.as_mut().filter(|session| ends(&session.worker)) {
-            // A planned end also closes the connections, so this is no crash.
-            session.broken = None;
             let worker = session.worker.incarnation();
             self.end_session(now);
             self.departed = Some(worker.clone());
@@ -122,8 +120,8 @@
     }
 
     /// Handles a reply to a poll by a process that has the known id, but was started at another
-    /// time.
-    pub(crate) fn on_other_incarnation(&mut self, born: u64, now: u64) {
+    /// time. Starts that it lists have reached it instead of the known one.
+    pub(crate) fn on_other_incarnation(&mut self, born: u64, running: &[Run], now: u64) {
         let Some(session) = &mut self.session else { return };
         // A reply that does not name its incarnation comes from another program.
         if born == 0 {
@@ -131,23 +129,20 @@
             session.next_poll = now + self.settings.retry_delay;
             return;
         }
+        for run in running {
+            session.forget_start(&(run.task.clone(), run.number));
+        }
         let replied = Incarnation { id: session.worker.id.clone(), born };
         self.candidate.take_if(|candidate| !candidate.worker.is_incarnation(&replied));
         self.switch_session(now);
     }
 
-    /// Closes the session of the current incarnation, and keeps its unanswered starts and its
-    /// crash.
+    /// Closes the session of the current incarnation, and keeps its unanswered starts.
     fn end_session(&mut self, now: u64) {
         let Some(session) = self.session.take() else { return };
         for (task, run) in session.unanswered() {
             self.unanswered.insert(&session.worker.id, task, run, now);
         }
-        let starts = session.broken.filter(|starts| !starts.is_empty() && !session.worker.draining);
-        if let Some(starts) = starts {
-            let worker = session.worker.incarnation();
-            self.crashes.push(Crash { worker, starts, at: now });
-        }
         self.mark_ended(session.worker.incarnation());
     }
 
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -17,6 +17,8 @@
 mod orders;
 mod pending;
 mod polls;
+mod probes;
+mod recent_start;
 mod runner;
 mod session;
 mod settings;
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -23,12 +23,13 @@
         self.next_call += 1;
     }
 
-    /// Queues a start for the worker. `again` says that the owner has sent the order before.
+    /// Queues a start for the worker. `again` says that the owner has sent the order before,
+    /// `suspect` that it suspects the task of crashing workers.
     pub(crate) fn on_start(
         &mut self,
         worker: &Incarnation,
         mut action: Action,
-        again: bool,
+        (again, suspect): (bool, bool),
         now: u64,
     ) {
         let Action::Start { task, run, lease_end, .. } = &mut action else { return };
@@ -50,7 +51,7 @@
         let evacuated = self.evacuation.contains(&session.worker.zone);
         let refused = session.worker.draining || evacuated || until.is_none();
         *lease_end = until.unwrap_or(0);
-        let mut pending = Pending { may_take_effect: again, ..Pending::new(action) };
+        let mut pending = Pending { may_take_effect: again, suspect, ..Pending::new(action) };
         if refused {
             pending.replace_with_stop(now);
         }
@@ -99,8 +100,8 @@
                 session.changed = true;
                 session.next_poll = now;
                 if start {
-                    let (task, run) = pending.run();
-                    session.record_start(task, run, self.settings.crash_window, now);
+                    let run = pending.run();
+                    session.confirm_start(&run, clock, now);
                 }
                 self.lease.set_worker_clock(clock, now);
                 self.finish_order(id, None);
@@ -143,6 +144,9 @@
         };
         let (task, run) = pending.run();
         let start = pending.is_start();
+        if let Some(session) = self.session.as_mut().filter(|_| start && refused.is_some()) {
+            session.forget_start(&pending.run());
+        }
         match refused {
             None if start => self.notify_owner(Notice::Started { task, run }),
             Some(why) if start => self.notify_owner(Notice::Unstarted { task, run, why }),
--- a/crates/runner/src/pending.rs
+++ b/crates/runner/src/pending.rs
@@ -11,6 +11,8 @@
     pub may_take_effect: bool,
     /// The stop replaced a start whose outcome is unknown.
     pub replaces_start: bool,
+    /// The task of the start is suspected of crashing workers.
+    pub suspect: bool,
     /// When the next attempt is due; none while a call is in flight.
     pub retry_at: Option<u64>,
 }
@@ -23,6 +25,7 @@
             attempts: 0,
             may_take_effect: false,
             replaces_start: false,
+            suspect: false,
             retry_at: Some(0),
         }
     }
@@ -52,7 +55,7 @@
     pub fn run(&self) -> (Task, u64) {
         match &self.action {
             Action::Start { task, run, .. } | Action::Stop { task, run } => (task.clone(), *run),
-            Action::Hold { .. } | Action::Pace { .. } => {
+            Action::Hold { .. } | Action::List | Action::Pace { .. } => {
                 unreachable!("only starts and stops are stored as pending orders")
             }
         }
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -18,8 +18,8 @@
         let Some(session) = &mut self.session else { return };
         session.poll = None;
         match reply {
-            Ok(Reply::Held { born, .. }) if born != session.worker.born => {
-                self.on_other_incarnation(born, now)
+            Ok(Reply::Held { born, running, .. }) if born != session.worker.born => {
+                self.on_other_incarnation(born, &running, now)
             }
             Ok(Reply::Held { clock, running, ended, .. }) => {
                 session.no_failed_calls = true;
@@ -34,6 +34,7 @@
                 session.last_seen = now;
                 session.verified = true;
                 session.broken = None;
+                let running = session.running.clone();
                 let reports = std::mem::take(&mut session.stop_reports);
                 let (due, held_back) = reports
                     .into_iter()
@@ -44,6 +45,7 @@
                 }
                 self.lease.set_worker_clock(clock, now);
                 self.send_status(now);
+                self.weigh_starts(&running, clock, now);
                 let due: Vec<StopReport> = due;
                 for stop in due {
                     self.notify_owner(stop.notice);
--- /dev/null
+++ b/crates/runner/src/recent_start.rs
@@ -0,0 +1,98 @@
+use quincewheel_job::{Run, Task};
+
+/// A task that crashes its worker does so about 10 ms after its start. A crash that is noticed at
+/// most this long after the start was sent probably has this cause, in milliseconds.
+const CRASH_DELAY_MS: u64 = 50;
+/// A run that its worker lists this long after the start, by the worker's clock, did not crash it,
+/// in milliseconds.
+const SURVIVAL_MS: u64 = 100;
+/// The same for a suspect, whose earlier crashes are then forgotten: on a busy machine a crash
+/// may come late.
+const SUSPECT_SURVIVAL_MS: u64 = 300;
+/// Time by which the worker's clock may lag within [`SUSPECT_SURVIVAL_MS`], in milliseconds.
+const CLOCK_LAG_MS: u64 = 10;
+
+/// A start that was sent to the worker and may still crash it.
+///
+/// The agent may notice a crash long after it, so the time of the notice alone says neither that a
+/// start was its cause nor that it was not. What the worker itself has listed does: a run that it
+/// still lists some time after the start did not crash it.
+pub(crate) struct RecentStart {
+    pub task: Task,
+    pub run: u64,
+    /// The task is suspected, and the owner waits for the report that it has survived this start.
+    suspect: bool,
+    /// When it was first sent.
+    sent_at: u64,
+    /// When the worker first confirmed or listed the run, by the agent's clock and the worker's.
+    confirmed: Option<(u64, u64)>,
+    /// The run did not crash the worker. Only suspects are kept from then on.
+    survived: bool,
+}
+
+/// What a list of the worker's runs shows about a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Evidence {
+    /// It may still crash the worker.
+    Open,
+    /// It did not crash the worker: its run is over, or is no suspect.
+    Harmless,
+    /// It is a suspect and did not crash the worker.
+    Survived,
+}
+
+impl RecentStart {
+    pub fn new(task: Task, run: u64, suspect: bool, now: u64) -> RecentStart {
+        RecentStart { task, run, suspect, sent_at: now, confirmed: None, survived: false }
+    }
+
+    pub fn is(&self, task: &Task, run: u64) -> bool {
+        self.task == *task && self.run == run
+    }
+
+    /// Records that the run exists, as of `clock` on the worker's clock.
+    pub fn confirm(&mut self, clock: u64, now: u64) {
+        self.confirmed.get_or_insert((now, clock));
+    }
+
+    /// Weighs a list of the worker's runs as of `clock` on the worker's clock. `pending` says that
+    /// an order about the run has no reply yet, so that it may still appear.
+    pub fn weigh(&mut self, running: &[Run], pending: bool, clock: u64, now: u64) -> Evidence {
+        let listed = running.iter().any(|run| self.is(&run.task, run.number));
+        match self.confirmed {
+            None if listed => self.confirm(clock, now),
+            None if pending => {}
+            None => return Evidence::Harmless,
+            // The list is older than the start.
+            Some((_, since)) if clock < since => {}
+            Some(_) if !listed => return Evidence::Harmless,
+            Some((_, since)) => {
+                self.survived |= clock >= since + SURVIVAL_MS;
+                if self.suspect && clock >= since + SUSPECT_SURVIVAL_MS {
+                    return Evidence::Survived;
+                }
+                if self.survived && !self.suspect {
+                    return Evidence::Harmless;
+                }
+            }
+        }
+        Evidence::Open
+    }
+
+    /// Returns whether it may be the cause of a crash.
+    pub fn may_crash(&self) -> bool {
+        !self.survived
+    }
+
+    /// Returns whether it is the probable cause of a crash that is noticed now.
+    pub fn is_likely_cause(&self, now: u64) -> bool {
+        now <= self.sent_at + CRASH_DELAY_MS
+    }
+
+    /// When another list of the worker's runs will show more; none before the run is confirmed.
+    pub fn next_probe(&self) -> Option<u64> {
+        let (confirmed_at, _) = self.confirmed?;
+        let delay = if self.survived { SUSPECT_SURVIVAL_MS } else { SURVIVAL_MS };
+        Some(confirmed_at + delay + CLOCK_LAG_MS)
+    }
+}
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -164,10 +164,12 @@
             Err(Fault::Unsent { .. }) => self.on_connection_broken(id, false, now),
             _ => false,
         };
-        let poll =
-            self.session.as_ref().and_then(|session| session.poll).filter(|poll| poll.0 == id);
+        let session = self.session.as_ref();
+        let poll = session.and_then(|session| session.poll).filter(|poll| poll.0 == id);
         if let Some((_, epoch)) = poll {
             self.on_poll_reply(id, epoch, reply, now);
+        } else if session.is_some_and(|session| session.probe == Some(id)) {
+            self.on_probe_reply(reply, now);
         } else {
             self.on_order_reply(id, reply, now);
         }
@@ -216,7 +218,7 @@
         }
         if let Some(session) = &self.session {
             let retries = session.orders.values().filter_map(|pending| pending.retry_at);
-            next = retries.fold(next, u64::min);
+            next = retries.chain(session.next_probe()).fold(next, u64::min);
             if session.poll.is_none() && session.needs_poll(self.epoch) {
                 next = next.min(session.next_poll);
             }
@@ -248,6 +250,7 @@
                 // The poll in flight carries the former epoch, so its reply would not prove that
                 // the worker is fenced.
                 session.poll = None;
+                session.probe = None;
                 session.next_poll = now;
                 session.orders.clear();
             }
@@ -268,9 +271,9 @@
             Order::Claim { .. } => {}
             Order::Grant { stamp } => self.lease.grant(stamp + self.settings.lease),
             Order::Evacuate { zones } => self.evacuation = zones,
-            Order::Start { worker, task, run, spec, saved, ticket, again } => {
+            Order::Start { worker, task, run, spec, saved, ticket, again, suspect } => {
                 let action = Action::Start { task, run, spec, saved, ticket, lease_end: 0 };
-                self.on_start(&worker, action, again, now);
+                self.on_start(&worker, action, (again, suspect), now);
             }
             Order::Pace { worker, task, run, percent } => self.on_pace(&worker, task, run, percent),
             Order::Stop { worker, task, run } => self.on_stop(&worker, task, run),
@@ -304,6 +307,9 @@
             // taken for the reply to this one.
             let Some(mut pending) = session.orders.remove(&id) else { continue };
             pending.retry_at = None;
+            if pending.is_start() {
+                session.record_start(pending.run(), pending.suspect, now);
+            }
             if let (Action::Start { lease_end: end, .. }, Some(renewed)) =
                 (&mut pending.action, lease_end)
             {
@@ -330,6 +336,7 @@
             session.changed = false;
             self.outputs.push(Output::Call { id, call });
         }
+        self.send_due_probe(now);
     }
 
     /// Reports the state of the worker to the owner.
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -3,7 +3,9 @@
 use quincewheel_job::{End, Run, Task, Worker};
 
 use crate::call::{Action, Call};
+use crate::crash::Causes;
 use crate::pending::Pending;
+use crate::recent_start::{Evidence, RecentStart};
 use crate::stop_report::StopReport;
 
 /// The state of one incarnation of the worker, as far as the agent knows it.
@@ -44,11 +46,15 @@
     pub stop_reports: Vec<StopReport>,
     /// Unconfirmed orders by the id of their latest call.
     pub orders: BTreeMap<u64, Pending>,
-    /// Recently confirmed starts: task, number of the run, and time of the confirmation.
-    pub recent_starts: Vec<(Task, u64, u64)>,
-    /// The starts just before the worker broke its connections; none if it has replied to a poll
-    /// since, or has not broken any.
-    pub broken: Option<Vec<(Task, u64)>>,
+    /// Starts that may still crash the worker.
+    pub recent_starts: Vec<RecentStart>,
+    /// The call id of the probe in flight.
+    pub probe: Option<u64>,
+    /// No probe is sent before this time.
+    pub probe_not_before: u64,
+    /// The starts that may be why the worker broke its connections; none if it has replied to a
+    /// poll since, or has not broken any.
+    pub broken: Option<Causes>,
 }
 
 impl Session {
@@ -73,6 +79,8 @@
             stop_reports: Vec::new(),
             orders: BTreeMap::new(),
             recent_starts: Vec::new(),
+            probe: None,
+            probe_not_before: 0,
             broken: None,
         }
     }
@@ -114,27 +122,76 @@
         self.orders.values().filter(sent).map(Pending::run).collect()
     }
 
-    /// Records a confirmed start, and drops those older than `window`.
-    pub fn record_start(&mut self, task: Task, run: u64, window: u64, now: u64) {
-        self.recent_starts.retain(|(_, _, at)| now <= at + window);
-        self.recent_starts.push((task, run, now));
+    /// Records that a start is sent; `suspect` if the owner suspects its task.
+    pub fn record_start(&mut self, (task, run): (Task, u64), suspect: bool, now: u64) {
+        if !self.recent_starts.iter().any(|start| start.is(&task, run)) {
+            self.recent_starts.push(RecentStart::new(task, run, suspect, now));
+        }
+    }
+
+    /// Records that the worker confirmed a start, as of `clock` on its clock.
+    pub fn confirm_start(&mut self, (task, run): &(Task, u64), clock: u64, now: u64) {
+        if let Some(start) = self.recent_starts.iter_mut().find(|start| start.is(task, *run)) {
+            start.confirm(clock, now);
+        }
+    }
+
+    /// Forgets a start that has not taken effect and no longer can.
+    pub fn forget_start(&mut self, (task, run): &(Task, u64)) {
+        self.recent_starts.retain(|start| !start.is(task, *run));
+    }
+
+    /// Weighs what a list of the worker's runs shows about recent starts. Returns the suspects that
+    /// have survived theirs.
+    pub fn weigh_starts(&mut self, running: &[Run], clock: u64, now: u64) -> Vec<(Task, u64)> {
+        let pending: Vec<(Task, u64)> = self.orders.values().map(Pending::run).collect();
+        let mut survived = Vec::new();
+        self.recent_starts.retain_mut(|start| {
+            let pending = pending.iter().any(|(task, run)| start.is(task, *run));
+            let evidence = start.weigh(running, pending, clock, now);
+            if evidence == Evidence::Survived {
+                survived.push((start.task.clone(), start.run));
+            }
+            evidence == Evidence::Open
+        });
+        survived
+    }
+
+    /// Returns the starts that may be why the worker has broken its connections: it either closed
+    /// an open one (`closed`) or accepted no new one. In the latter case it has not received starts
+    /// whose first attempt is in flight.
+    pub fn crash_causes(&self, closed: bool, now: u64) -> Causes {
+        let received = |start: &&RecentStart| closed || !self.is_first_attempt(start);
+        let starts = self.recent_starts.iter().filter(|start| start.may_crash()).filter(received);
+        let (likely, possible): (Vec<&RecentStart>, Vec<&RecentStart>) =
+            starts.partition(|start| start.is_likely_cause(now));
+        let runs = |starts: Vec<&RecentStart>| {
+            starts.into_iter().map(|start| (start.task.clone(), start.run)).collect()
+        };
+        Causes { likely: runs(likely), possible: runs(possible) }
     }
 
-    /// Returns the starts that may be why the worker has just broken its connections: it either
-    /// closed an open one (`closed`) or accepted no new one. In the latter case it has not
-    /// received starts whose first attempt is in flight.
-    pub fn crash_suspects(&self, closed: bool, window: u64, now: u64) -> Vec<(Task, u64)> {
-        let confirmed = self.recent_starts.iter().filter(|(_, _, at)| now <= at + window);
-        let confirmed = confirmed.map(|(task, run, _)| (task.clone(), *run));
-        let starts = self.orders.values().filter(|pending| pending.is_start());
-        let sent = starts
-            .filter(|pending| pending.may_take_effect || closed && pending.retry_at.is_none());
-        confirmed.chain(sent.map(Pending::run)).collect()
+    /// True if only one attempt of the start has been sent, and it has no reply yet.
+    fn is_first_attempt(&self, start: &RecentStart) -> bool {
+        let mut orders = self.orders.values();
+        orders.any(|order| order.is_start_of(&start.task, start.run) && !order.may_take_effect)
+    }
+
+    /// When the next probe is due; none if it would show nothing, or one is in flight.
+    pub fn next_probe(&self) -> Option<u64> {
+        if self.probe.is_some() || self.broken.is_some() {
+            return None;
+        }
+        let due = self.recent_starts.iter().filter_map(RecentStart::next_probe).min()?;
+        Some(due.max(self.probe_not_before))
     }
 
-    /// True if the call is a poll of this incarnation or an order to it, and has no reply yet.
+    /// True if the call is a poll or probe of this incarnation or an order to it, and has no reply
+    /// yet.
     pub fn awaits_reply(&self, id: u64) -> bool {
-        self.poll.is_some_and(|poll| poll.0 == id) || self.orders.contains_key(&id)
+        self.poll.is_some_and(|poll| poll.0 == id)
+            || self.probe == Some(id)
+            || self.orders.contains_key(&id)
     }
 
     /// True if the worker has to be polled: it is not fenced under this epoch, has runs, has ends
--- a/crates/runner/src/settings.rs
+++ b/crates/runner/src/settings.rs
@@ -20,11 +20,6 @@
     /// replies. It covers two heartbeats, which come every 1,500 ms, and the time until one is
     /// acknowledged.
     pub heartbeat_timeout: u64,
-    /// A start is a suspect if it was confirmed no longer than this before the worker broke its
-    /// connections. A task that crashes its worker does so within about 10 ms, but the agent of a
-    /// busy machine detects it later. Must be shorter than the time after which owners take a
-    /// listed task for innocent.
-    pub crash_window: u64,
     /// Delay before the next poll while ends wait to be recorded, and after a failed call.
     pub retry_delay: u64,
 }
@@ -38,7 +33,6 @@
             call_timeout: 400,
             max_start_attempts: 3,
             heartbeat_timeout: 3500,
-            crash_window: 250,
             retry_delay: 300,
         }
     }
--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -3,15 +3,18 @@
 use insta::assert_snapshot;
 use quincewheel_job::{Run, Task, Worker};
 use quincewheel_runner::{Action, Fault, Heartbeat, Output, Reply, Runner, Settings};
-use quincewheel_wire::{Notice, Order, Refused, list_starts};
+use quincewheel_wire::{Notice, Order, Refused, list_causes};
 
 /// An agent whose worker is fenced and idle.
 struct Harness {
     runner: Runner,
     now: u64,
-    /// Call ids of the last poll and the last start.
+    /// Call ids of the last poll, the last start and the last probe.
     poll: u64,
     start: u64,
+    probe: u64,
+    /// Suspects that were reported to have survived their starts.
+    survivors: Vec<String>,
     /// Reports of broken connections.
     breaks: Vec<String>,
     /// The last status reported the worker as fenced.
@@ -21,8 +24,16 @@
 impl Harness {
     fn new() -> Harness {
         let runner = Runner::new(Settings::default());
-        let mut harness =
-            Harness { runner, now: 1000, poll: 0, start: 0, breaks: Vec::new(), fenced: false };
+        let mut harness = Harness {
+            runner,
+            now: 1000,
+            poll: 0,
+            start: 0,
+            probe: 0,
+            survivors: Vec::new(),
+            breaks: Vec::new(),
+            fenced: false,
+        };
         harness.send_heartbeat("i1");
         harness.runner.on_order(1, Order::Claim { epoch: 1 }, harness.now);
         harness.runner.on_order(1, Order::Grant { stamp: harness.now }, harness.now);
@@ -39,9 +50,14 @@
     }
 
     fn order_start(&mut self, index: u32) {
+        self.order_start_of(index, false);
+    }
+
+    fn order_start_of(&mut self, index: u32, suspect: bool) {
         let (spec, saved, ticket) = (String::new(), String::new(), String::new());
         let (worker, task) = ("i1".into(), task(index));
-        let start = Order::Start { worker, task, run: 1, spec, saved, ticket, again: false };
+        let again = false;
+        let start = Order::Start { worker, task, run: 1, spec, saved, ticket, again, suspect };
         self.runner.on_order(1, start, self.now);
         self.collect_outputs();
     }
@@ -53,16 +69,14 @@
 
     /// Replies to the last poll.
     fn reply_to_poll(&mut self, running: &[u32]) {
-        let run = |&index: &u32| Run {
-            task: task(index),
-            number: 1,
-            saved: String::new(),
-            percent: 1,
-            gauge: 0,
-        };
-        let running = running.iter().map(run).collect();
+        self.list(self.poll, running);
+    }
+
+    /// Replies to a poll or probe.
+    fn list(&mut self, id: u64, running: &[u32]) {
+        let running = running.iter().copied().map(listed).collect();
         let held = Reply::Held { born: 0, clock: 50_000 + self.now, running, ended: Vec::new() };
-        self.reply(self.poll, Ok(held));
+        self.reply(id, Ok(held));
     }
 
     fn reply(&mut self, id: u64, reply: Result<Reply, Fault>) {
@@ -82,10 +96,15 @@
                 Output::Call { id, call } => match call.action {
                     Action::Hold { .. } => self.poll = id,
                     Action::Start { .. } => self.start = id,
+                    Action::List => self.probe = id,
                     _ => {}
                 },
-                Output::Send { notice: Notice::Broke { worker, starts }, .. } => {
-                    self.breaks.push(format!("{worker} broke: {}", list_starts(&starts)));
+                Output::Send { notice: Notice::Broke { worker, starts, possible }, .. } => {
+                    let causes = list_causes(&starts, &possible);
+                    self.breaks.push(format!("{worker} broke: {causes}"));
+                }
+                Output::Send { notice: Notice::Survived { task, run }, .. } => {
+                    self.survivors.push(format!("{task} run {run}"));
                 }
                 Output::Send { notice: Notice::Status { fenced, .. }, .. } => self.fenced = fenced,
                 Output::Send { .. } | Output::Close { .. } => {}
@@ -98,6 +117,10 @@
     Task { job: "j".into(), occurrence: 0, step: 0, index }
 }
 
+fn listed(index: u32) -> Run {
+    Run { task: task(index), number: 1, saved: String::new(), percent: 1, gauge: 0 }
+}
+
 fn closed() -> Result<Reply, Fault> {
     Err(Fault::Unclear { closed: true, detail: "closed".into() })
 }
@@ -124,17 +147,23 @@
     assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.1 run 1");
 }
 
-// A task crashes its worker 10 ms after its start, and the agent on a busy machine detects it 240
-// ms later. With a window of 150 ms the start was no suspect, and the task was started five times
-// after three crashes.
+// A task that crashed its worker just after its start was not named, as its agent on a busy machine
+// learned of the crash some hundred milliseconds later.
 #[test]
 fn a_start_is_a_suspect_although_the_crash_is_detected_late() {
-    let mut harness = Harness::new();
-    harness.order_start(0);
-    harness.confirm_start();
-    harness.advance(240);
-    harness.reply(harness.poll, closed());
-    assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1");
+    let mut breaks = Vec::new();
+    for delay in [240, 5000] {
+        let mut harness = Harness::new();
+        harness.order_start(0);
+        harness.confirm_start();
+        harness.advance(delay);
+        harness.reply(harness.poll, closed());
+        breaks.append(&mut harness.breaks);
+    }
+    assert_snapshot!(breaks.join("\n"), @r"
+    i1 broke: j.0.0.0 run 1, perhaps
+    i1 broke: j.0.0.0 run 1, perhaps
+    ");
 }
 
 // A worker that crashes without a recent start was not crashed by a task.
@@ -291,6 +320,100 @@
     ");
 }
 
+// A worker restarted for another reason some time after a start, and the start was blamed. Soon
+// after it the worker is asked for its runs, and lists it.
+#[test]
+fn a_start_that_the_worker_lists_soon_after_is_no_suspect() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.confirm_start();
+    harness.advance(110);
+    harness.list(harness.probe, &[0]);
+    harness.advance(10);
+    harness.reply(harness.poll, closed());
+    assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: no start");
+}
+
+// A list shows that a start was survived only if it is of a later time by the worker's clock: the
+// reply may have waited in the agent.
+#[test]
+fn a_list_of_the_moment_of_the_start_clears_nothing() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.confirm_start();
+    let (poll, clock) = (harness.poll, 50_000 + harness.now);
+    harness.advance(400);
+    let running = vec![listed(0)];
+    harness.reply(poll, Ok(Reply::Held { born: 0, clock, running, ended: Vec::new() }));
+    harness.reply(harness.poll, closed());
+    assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1, perhaps");
+}
+
+// A task crashed its worker while the owner changed, and its start was forgotten with the orders of
+// the former owner.
+#[test]
+fn a_start_in_flight_at_a_change_of_owner_is_a_suspect() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
+    harness.collect_outputs();
+    harness.reply(harness.poll, closed());
+    assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1");
+}
+
+// The next incarnation of a crashed worker was known before the connection of a call broke, and the
+// start was named by nobody.
+#[test]
+fn a_start_is_a_suspect_if_the_next_incarnation_shows_the_crash() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.confirm_start();
+    harness.advance(60);
+    harness.reply(harness.poll, Ok(Reply::Refused(Refused::Leaving)));
+    assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1, perhaps");
+}
+
+// Workers keep their ids, and one restarts unnoticed before a start reaches it. The start did not
+// crash the incarnation that it was ordered for.
+#[test]
+fn a_start_that_reached_the_next_incarnation_is_no_suspect() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.confirm_start();
+    let running = vec![listed(0)];
+    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new() };
+    harness.reply(harness.poll, Ok(held));
+    assert_snapshot!(harness.breaks.join("\n"), @"");
+}
+
+// A suspect ran for a second, its worker restarted, and the owner had not learned that it had
+// survived its start, as the poll in flight waited for an end.
+#[test]
+fn a_suspect_that_has_survived_its_start_is_reported() {
+    let mut harness = Harness::new();
+    harness.order_start_of(0, true);
+    harness.confirm_start();
+    harness.advance(110);
+    harness.list(harness.probe, &[0]);
+    let early = harness.survivors.len();
+    harness.advance(200);
+    harness.list(harness.probe, &[0]);
+    assert_snapshot!(format!("{early} {}", harness.survivors.join(", ")), @"0 j.0.0.0 run 1");
+}
+
+// A worker without running starts is not asked for its runs again and again.
+#[test]
+fn probes_end_once_the_start_is_survived() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.confirm_start();
+    harness.advance(110);
+    let first = harness.probe;
+    harness.list(first, &[0]);
+    harness.advance(1000);
+    assert_eq!(harness.probe, first);
+}
+
 /// A heartbeat whose sequence number is the worker's clock.
 fn heartbeat<'a>(worker: &'a Worker, address: &'a str, clock: u64) -> Heartbeat<'a> {
     Heartbeat { worker, address, clock, number: clock }
--- a/crates/runner/tests/restarts.rs
+++ b/crates/runner/tests/restarts.rs
@@ -381,7 +381,16 @@
         let task = Task { job: "j".into(), occurrence: 0, step: 0, index: 0 };
         let (spec, saved, ticket) = (String::new(), String::new(), String::new());
         let worker = Incarnation { id: "i".into(), born: self.born() };
-        let start = Order::Start { worker, task, run: 1, spec, saved, ticket, again: false };
+        let start = Order::Start {
+            worker,
+            task,
+            run: 1,
+            spec,
+            saved,
+            ticket,
+            again: false,
+            suspect: false,
+        };
         self.runner.on_order(1, start, self.now);
         self.collect_outputs();
     }
@@ -447,7 +456,9 @@
             Some(format!("worker {}{state}", worker.incarnation()))
         }
         Notice::Left { worker } => Some(format!("left {worker}")),
-        Notice::Broke { worker, starts } => Some(format!("broke {worker} after {}", starts.len())),
+        Notice::Broke { worker, starts, possible } => {
+            Some(format!("broke {worker} after {}", starts.len() + possible.len()))
+        }
         _ => None,
     }
 }
--- a/crates/runner/tests/simulation/mod.rs
+++ b/crates/runner/tests/simulation/mod.rs
@@ -7,7 +7,9 @@
 use std::collections::BTreeMap;
 
 use quincewheel_dispatch::{Output as OwnerOutput, Owner, Settings as OwnerSettings};
-use quincewheel_job::{Evacuation, How, Job, Progress, Queue, Resources, Run, Step, Task, Worker};
+use quincewheel_job::{
+    Evacuation, How, Job, Progress, Queue, Resources, Run, State, Step, Task, Worker,
+};
 use quincewheel_runner::{Call, Fault, Heartbeat, Output, Runner, Settings};
 use quincewheel_wire::Order;
 
@@ -18,7 +20,7 @@
 const HEARTBEAT_INTERVAL_MS: u64 = 1500;
 /// Most rounds of orders and replies within one step of the clock; more mean an endless loop.
 const MAX_ROUNDS: usize = 50;
-/// Step of the simulated clock.
+/// Step of the simulated clock, unless a test sets another.
 const STEP_MS: u64 = 100;
 /// The table's version at which the owner claimed; jobs that were accepted before have lower
 /// ones.
@@ -31,6 +33,8 @@
     pub owner: Owner,
     pub nodes: Vec<Node>,
     pub now: u64,
+    /// Step of the clock, in milliseconds.
+    pub step: u64,
     /// The table confirms the owner's ownership.
     pub ownership_confirmed: bool,
     /// The table accepts the owner's records.
@@ -62,6 +66,7 @@
             owner,
             nodes,
             now: START_MS,
+            step: STEP_MS,
             ownership_confirmed: true,
             accepts_records: false,
             evacuation: Evacuation::default(),
@@ -118,6 +123,7 @@
         let now = self.now;
         let node = &mut self.nodes[number];
         node.born = now;
+        node.notice_delay = 0;
         node.fencing_token = 0;
         node.clock_lag = first_clock(now);
         node.last_end = 0;
@@ -204,10 +210,15 @@
         nodes.flat_map(|(number, node)| node.running.iter().map(move |r| line(number, r))).collect()
     }
 
+    /// The recorded state of a job; queued if there is none.
+    pub fn state(&self, name: &str) -> State {
+        self.recorded.get(name).map_or(State::Queued, |progress| progress.state)
+    }
+
     /// Advances the clock, and lets the owner, the agents and the workers do what is due.
     pub fn advance(&mut self, ms: u64) {
-        for _ in 0..ms / STEP_MS {
-            self.now += STEP_MS;
+        for _ in 0..ms / self.step {
+            self.now += self.step;
             for number in 0..self.nodes.len() {
                 self.step_node(number);
             }
--- a/crates/runner/tests/simulation/node.rs
+++ b/crates/runner/tests/simulation/node.rs
@@ -32,7 +32,7 @@
     /// How far its clock is behind that of its first incarnation, in milliseconds.
     pub(super) clock_lag: u64,
     pub(super) runner: Runner,
-    pub(super) running: Vec<Run>,
+    pub running: Vec<Run>,
     /// Number of the last end of this incarnation.
     pub(super) last_end: u64,
     /// Ends that have not been acknowledged.
@@ -43,6 +43,8 @@
     pub(super) next_heartbeat: Option<u64>,
     /// The agent closed its connection to the owner, which has to dial again.
     pub(super) needs_dial: bool,
+    /// How long after a failed connection its agent learns of it, in milliseconds.
+    pub notice_delay: u64,
     /// Calls in flight: when their reply is due, and their ids.
     pub(super) calls: Vec<(u64, u64, Call)>,
     /// Starts without a reply, and when they take effect.
@@ -75,6 +77,7 @@
             poll_due: false,
             next_heartbeat: None,
             needs_dial: false,
+            notice_delay: 0,
             calls: Vec::new(),
             delayed_starts: Vec::new(),
             stopped: Vec::new(),
@@ -95,6 +98,7 @@
                 Behavior::Healthy | Behavior::RefusesStarts | Behavior::DelaysStarts(_),
             ) => now + wait,
             (Action::Start { .. }, Behavior::DelaysStarts(_)) => now + call.timeout,
+            (_, Behavior::Down) => now + self.notice_delay,
             _ => now,
         }
     }
@@ -103,7 +107,7 @@
         if !call.worker.ends_with(&format!("-{}", self.renames)) {
             return Ok(Reply::Refused(Refused::Leaving));
         }
-        let is_poll = matches!(call.action, Action::Hold { .. });
+        let is_poll = matches!(call.action, Action::Hold { .. } | Action::List);
         match self.behavior {
             Behavior::Healthy => {}
             Behavior::RefusesStarts if is_poll => {}
@@ -213,12 +217,17 @@
                 for run in &mut self.running {
                     run.percent = (run.percent + 1).min(99);
                 }
-                let (running, ended) = (self.running.clone(), self.unacknowledged.clone());
-                return Ok(Reply::Held { born: self.born, clock, running, ended });
+                return Ok(self.list(clock));
             }
+            Action::List => return Ok(self.list(clock)),
         }
         Ok(Reply::Done { clock })
     }
+
+    fn list(&self, clock: u64) -> Reply {
+        let (running, ended) = (self.running.clone(), self.unacknowledged.clone());
+        Reply::Held { born: self.born, clock, running, ended }
+    }
 }
 
 /// The clock of a worker's first incarnation.
--- a/crates/runner/tests/starts.rs
+++ b/crates/runner/tests/starts.rs
@@ -37,12 +37,23 @@
         let (spec, saved) = (String::new(), String::new());
         let (worker, ticket) = ("i1".into(), String::new());
         let again = false;
-        self.order(Order::Start { worker, task: task(), run, spec, saved, ticket, again });
+        self.order(Order::Start {
+            worker,
+            task: task(),
+            run,
+            spec,
+            saved,
+            ticket,
+            again,
+            suspect: false,
+        });
     }
 
     fn collect_outputs(&mut self) {
         for output in self.runner.take_outputs() {
             match output {
+                // These tests have their own for what the worker lists after a start.
+                Output::Call { call, .. } if call.action == Action::List => {}
                 Output::Call { id, call } => {
                     self.lines.push(call_line(&call));
                     self.calls.push((id, call));
@@ -113,6 +124,7 @@
         Action::Hold { acknowledged, wait, .. } => {
             format!("> poll acknowledging {acknowledged} wait {wait}")
         }
+        Action::List => "> list".to_owned(),
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -32,7 +32,7 @@
 pub use hello::{Hello, Role};
 pub use job::Job;
 pub use link::{Link, MAX_FRAME, accept, dial};
-pub use notice::{Notice, Refused, list_starts};
+pub use notice::{Notice, Refused, list_causes};
 pub use order::Order;
 pub use outcome::Outcome;
 pub use peer::{Peer, Verdict};
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -29,8 +29,11 @@
     Broke {
         /// The incarnation of the worker.
         worker: Incarnation,
-        /// Starts that it had confirmed shortly before or not replied to yet.
+        /// Starts that it was sent just before, one of which is the probable cause.
         starts: Vec<(Task, u64)>,
+        /// Earlier starts that it is not known to have survived.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        possible: Vec<(Task, u64)>,
     },
     /// The state of the worker and its runs.
     Status {
@@ -53,6 +56,13 @@
         /// Number of this run of the task.
         run: u64,
     },
+    /// A run that was started as a suspect has survived its start, so that its task is none.
+    Survived {
+        /// The task.
+        task: Task,
+        /// Number of this run of the task.
+        run: u64,
+    },
     /// A start did not take effect and cannot take effect later.
     Unstarted {
         /// The task.
@@ -99,9 +109,11 @@
     Silent,
 }
 
-/// Formats starts of tasks for a log line.
-pub fn list_starts(starts: &[(Task, u64)]) -> String {
-    let starts: Vec<String> =
-        starts.iter().map(|(task, run)| format!("{task} run {run}")).collect();
-    if starts.is_empty() { "no start".to_owned() } else { starts.join(", ") }
+/// Formats starts of tasks that may have crashed a worker for a log line.
+pub fn list_causes(starts: &[(Task, u64)], possible: &[(Task, u64)]) -> String {
+    let start = |(task, run): &(Task, u64)| format!("{task} run {run}");
+    let likely = starts.iter().map(start);
+    let possible = possible.iter().map(|cause| format!("{}, perhaps", start(cause)));
+    let causes: Vec<String> = likely.chain(possible).collect();
+    if causes.is_empty() { "no start".to_owned() } else { causes.join(", ") }
 }
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -43,6 +43,10 @@
         /// an agent or a connection that has since been lost.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         again: bool,
+        /// Whether the task is suspected of crashing workers. The agent then reports whether it
+        /// has survived its start.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        suspect: bool,
     },
     /// Stop a run, or prevent it from starting.
     Stop {
