Record a reported crash before it is certain

An agent reports at once which starts its worker had not survived; that the worker has crashed is known only when its next incarnation reports, 1.5 to 3.7 s later there. Until then the report lay in the memory of the owner and of the agent, and nothing was recorded. Ruled out: the time window (the reports named the right start, within 60 ms).

The report is recorded with the job's progress as soon as it arrives, as unsettled. When the worker turns out to have ended it becomes a likely or possible crash; when the worker answers or shuts down in order it is withdrawn; if neither becomes known, as its owner ends, it counts as a possible one. Before a round of decisions a new owner gives up suspects that run nowhere and whose counts are full.

Tried and reverted: recording each start of a suspect before it is ordered.

Not covered: a report that arrives while the table takes no writes is lost if everything that knows it ends before the table is back. A job starts nothing meanwhile, so it is one crash per outage, and the limit leaves room for one.

Before and after: `crash_counts_although_all_that_learned_of_it_end_soon_after` 11 starts, not given up, before; 4 starts now.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -2,13 +2,15 @@
 //!
 //! An agent reports which starts its worker had not survived when its connections broke. Whether
 //! the worker has crashed is known only once another incarnation of it reports, or the platform no
-//! longer lists it, which may take seconds.
+//! longer lists it, which may take seconds. The agent and this owner may both end before that, so
+//! the report is recorded at once, as unsettled.
 
-use quincewheel_job::{Incarnation, State, Task};
+use quincewheel_job::{Id, Incarnation, State, Task};
 use quincewheel_policy::is_given_up;
 use quincewheel_wire::list_causes;
 
-use crate::owner::Owner;
+use crate::entry::Key;
+use crate::owner::{Owner, task};
 use crate::reports::task_key;
 
 /// Most crashes with several suspects that are remembered. A task that is retried alone crashes
@@ -41,7 +43,11 @@
         if restarted {
             return self.count_crashes(name, crash);
         }
-        agent.suspected_crash = Some(crash);
+        agent.suspected_crash = Some(crash.clone());
+        let among = crash.likely.len() + crash.possible.len();
+        for (task, run) in crash.likely.iter().chain(&crash.possible) {
+            self.record_unsettled(task, *run, among);
+        }
     }
 
     /// Returns whether the previous incarnation of the agent's worker may have been crashed by a
@@ -117,10 +123,56 @@
         }
     }
 
+    /// Records that one of `among` runs may be crashing its worker.
+    fn record_unsettled(&mut self, task: &Task, run: u64, among: usize) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        if entry.may_have_crashed(task, among)
+            && entry.progress.mark_unsettled(&entry.job, task, run)
+        {
+            entry.crash_unrecorded = true;
+            self.mark_dirty(&task.job, true);
+        }
+    }
+
     /// Handles a worker that answers after it broke its connections, or shuts down, so that it has
     /// not crashed.
     pub(crate) fn dismiss_crash(&mut self, name: &str) {
         let Some(agent) = self.agents.get_mut(name) else { return };
-        agent.suspected_crash = None;
+        let Some(crash) = agent.suspected_crash.take() else { return };
+        for (task, run) in crash.likely.iter().chain(&crash.possible) {
+            self.withdraw(task, *run);
+        }
+    }
+
+    /// Ends the jobs of tasks that may have crashed too many workers and run nowhere any more.
+    ///
+    /// A former owner may have recorded that a run may be crashing its worker and ended before it
+    /// knew. If nobody has seen the worker survive since, this counts as a crash.
+    pub(crate) fn give_up_suspects(&mut self) {
+        let suspected = self.jobs.iter().filter(|(_, entry)| entry.progress.has_suspects());
+        let given_up = suspected.filter(|(id, entry)| {
+            let waits = |key: &Key| entry.runs.keys().all(|known| entry.slot(*known) != *key);
+            let mut suspects = entry.progress.suspected_tasks().into_iter().filter(waits);
+            self.is_accounted_for(entry)
+                && suspects.any(|key| {
+                    let crashes = entry.progress.crash_count(&entry.job, &task(id, key));
+                    is_given_up(crashes.likely, crashes.total)
+                })
+        });
+        let given_up: Vec<Id> = given_up.map(|(id, _)| id.clone()).collect();
+        for id in given_up {
+            self.end_job(&id, State::Failed, self.now);
+        }
+    }
+
+    /// Withdraws the record that a run may be crashing its worker.
+    fn withdraw(&mut self, task: &Task, run: u64) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        if !entry.progress.withdraw(&entry.job, task, run) {
+            return;
+        }
+        entry.crash_unrecorded &= entry.progress.has_suspects();
+        self.replan = true;
+        self.mark_dirty(&task.job, false);
     }
 }
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -27,6 +27,7 @@
             }
             entry.idle_since = entry.runs.is_empty().then(|| entry.idle_since.unwrap_or(now));
         }
+        self.give_up_suspects();
         let mut candidates = self.candidates(wall);
         // Guaranteed work whose capacity is being freed comes first. Otherwise work that ranks
         // before it would take that capacity, and both would be late in turn.
@@ -48,7 +49,7 @@
     /// Returns the tasks that could start now, grouped by step, and sets `replan_at` to when the
     /// next scheduled occurrence is due.
     fn candidates(&mut self, wall: u64) -> Vec<Candidate> {
-        let (settled, now) = (self.settled, self.now);
+        let now = self.now;
         let mut guarantees = self.guaranteed_usage();
         let mut next_due: Option<u64> = None;
         let mut found = Vec::new();
@@ -57,10 +58,7 @@
         let mut jobs: Vec<(&Id, &Entry)> = self.jobs.iter().collect();
         jobs.sort_by_key(|(_, entry)| entry.version);
         for (id, entry) in jobs {
-            // Tasks of older jobs may run already, started by a previous owner. That is known only
-            // once all agents have reported.
-            if entry.progress.state.is_final() || (!settled && entry.version <= self.claim_version)
-            {
+            if entry.progress.state.is_final() || !self.is_accounted_for(entry) {
                 continue;
             }
             for occurrence in 0..entry.job.occurrences() {
@@ -102,6 +100,12 @@
         found
     }
 
+    /// Returns whether all runs of a job are known. Tasks of older jobs may run already, started by a
+    /// previous owner, which is known only once all agents have reported.
+    pub(crate) fn is_accounted_for(&self, entry: &Entry) -> bool {
+        self.settled || entry.version > self.claim_version
+    }
+
     /// Returns whether capacity is reserved for the candidate under its team's guarantee.
     fn has_reserved_guarantee(&self, candidate: &Candidate) -> bool {
         let occurrence_step = (candidate.occurrence, candidate.step);
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -404,6 +404,32 @@
     assert!((300..400).contains(&delay), "{delay} ms later");
 }
 
+// A task started a third time after five crashes. The owner and the agent that had learned of a
+// crash both ended before the worker's next incarnation showed that it was one, seconds later.
+#[test]
+fn crash_counts_although_all_that_learned_of_it_end_soon_after() {
+    let mut pool = CrashingPool::new(1, 4);
+    pool.harness.owner.update_settings(Settings::default());
+    pool.keeps_worker_ids = true;
+    pool.crashing_jobs = vec!["bad"];
+    let bad = job(1, vec![step(1, 4)]);
+    pool.submit("bad", bad.clone(), 150);
+    for epoch in 2..12 {
+        let crashes = pool.crashes;
+        while pool.crashes == crashes && pool.harness.now < 60_000 {
+            pool.advance(10);
+        }
+        pool.advance(200);
+        pool.take_over(epoch, vec![("bad", bad.clone())]);
+        pool.harness.owner.update_settings(Settings::default());
+    }
+    pool.advance(10_000);
+    assert_snapshot!(pool.summaries(&["bad"]), @r"
+    bad: 4 starts, ended
+    4 crashes
+    ");
+}
+
 /// Reports that worker 0 broke its connections after a run of the first task of job `a`, and then
 /// that another incarnation is there.
 fn crash(harness: &mut Harness, run: u64, likely: bool) {
@@ -430,6 +456,25 @@
     assert_snapshot!(format!("{failed_after:?}"), @"[Some(3), Some(4), Some(4)]");
 }
 
+// A connection was reset and the worker lives. The report is recorded before that is known, and the
+// record must not count later.
+#[test]
+fn broken_connection_of_a_worker_that_answers_is_withdrawn() {
+    let mut harness = Harness::new(1, 1).with_idle_workers(1);
+    harness.owner.add_job("a", job(1, vec![step(1, 8)]), 150, None);
+    harness.tick();
+    let run = harness::run(harness::task("a", 0, 0), 1);
+    let starts = vec![(run.task.clone(), 1)];
+    harness.deliver(0, Notice::Broke { worker: "i0".into(), starts, possible: Vec::new() });
+    let suspected = |batch: &quincewheel_dispatch::Batch| {
+        batch.jobs.iter().map(|(_, progress)| progress.has_suspects()).collect::<Vec<_>>()
+    };
+    let before = suspected(&harness.record());
+    harness.report_status(0, &[run], &[]);
+    let after = suspected(&harness.record());
+    assert_snapshot!(format!("{before:?} {after:?}"), @"[true] [false]");
+}
+
 // A suspect's worker restarted for another reason a second after the start, and the crash before it
 // still counted. The agent says when the start was survived.
 #[test]
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -49,6 +49,10 @@
     /// Further runs that may have crashed a worker.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     possibly_crashed: Runs,
+    /// Runs that may be crashing a worker now. Recorded before that is known, as whoever learns of
+    /// it may end before the crash is recorded.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    unsettled: Runs,
 }
 
 /// How many runs of a task in a row may have crashed the workers that started them.
@@ -127,12 +131,40 @@
         if known {
             return false;
         }
+        remove_run(&mut self.unsettled, &slot, run);
         remove_run(&mut self.possibly_crashed, &slot, run);
         let runs = if likely { &mut self.crashed } else { &mut self.possibly_crashed };
         count_run(runs, &slot, run);
         true
     }
 
+    /// Records that a run may be crashing its worker, until [`Progress::record_crash`] or
+    /// [`Progress::withdraw`]. An earlier run of which neither became known counts as a possible
+    /// crash. Returns whether anything changed.
+    pub fn mark_unsettled(&mut self, job: &Job, task: &Task, run: u64) -> bool {
+        let slot = counted_task(job, task);
+        if [&self.crashed, &self.possibly_crashed, &self.unsettled]
+            .iter()
+            .any(|runs| contains(runs, &slot, run))
+        {
+            return false;
+        }
+        let earlier = runs_of(&self.unsettled, &slot).cloned().unwrap_or_default();
+        for run in earlier {
+            self.record_crash(job, task, run, false);
+        }
+        count_run(&mut self.unsettled, &slot, run);
+        true
+    }
+
+    /// Withdraws the mark of a run that has not crashed its worker. Returns whether there was one.
+    pub fn withdraw(&mut self, job: &Job, task: &Task, run: u64) -> bool {
+        let slot = counted_task(job, task);
+        let marked = contains(&self.unsettled, &slot, run);
+        remove_run(&mut self.unsettled, &slot, run);
+        marked
+    }
+
     /// The number of runs in a row of the task or its gang that may have crashed their workers.
     pub fn crash_count(&self, job: &Job, task: &Task) -> CrashCount {
         if !self.has_suspects() {
@@ -141,7 +173,7 @@
         let slot = counted_task(job, task);
         let count = |runs: &Runs| runs_of(runs, &slot).map_or(0, |runs| runs.len() as u32);
         let likely = count(&self.crashed);
-        let total = likely + count(&self.possibly_crashed);
+        let total = likely + count(&self.possibly_crashed) + count(&self.unsettled);
         CrashCount { likely, total }
     }
 
@@ -149,7 +181,7 @@
     /// suspected of crashing workers.
     pub fn suspected_tasks(&self) -> BTreeSet<(u32, u32, u32)> {
         let mut suspects = BTreeSet::new();
-        let all = self.crashed.iter().chain(&self.possibly_crashed);
+        let all = self.crashed.iter().chain(&self.possibly_crashed).chain(&self.unsettled);
         for (&occurrence, steps) in all {
             for (&step, tasks) in steps {
                 suspects.extend(tasks.keys().map(|&index| (occurrence, step, index)));
@@ -160,7 +192,7 @@
 
     /// True if any task of the job is suspected of crashing workers.
     pub fn has_suspects(&self) -> bool {
-        !self.crashed.is_empty() || !self.possibly_crashed.is_empty()
+        !(self.crashed.is_empty() && self.possibly_crashed.is_empty() && self.unsettled.is_empty())
     }
 
     /// Clears a task or gang of suspicion after one of its runs survived its start.
@@ -168,6 +200,7 @@
         let slot = counted_task(job, task);
         remove_task(&mut self.crashed, &slot);
         remove_task(&mut self.possibly_crashed, &slot);
+        remove_task(&mut self.unsettled, &slot);
     }
 }
 
--- a/crates/runner/tests/crash_courses.rs
+++ b/crates/runner/tests/crash_courses.rs
@@ -234,6 +234,19 @@
     assert_eq!(play(0..50, trouble), Vec::<String>::new());
 }
 
+// Crashes were forgotten with the owner and the agent that knew of them.
+#[test]
+fn crashes_count_although_owners_and_agents_end() {
+    let trouble = Trouble {
+        agents: Some(5000),
+        owners: Some(5000),
+        witnesses: Some(500),
+        notice_delay: 100,
+        ..Trouble::default()
+    };
+    assert_eq!(play(0..30, trouble), Vec::<String>::new());
+}
+
 // The same while the table takes no writes for seconds.
 #[test]
 fn crashes_count_although_the_table_takes_no_writes() {
