Count crashes that an agent reports together, and none that a later run has survived

What callers would see: a task that crashes its workers starts once more than it may (BUDGET), or a sound one is suspected again under each new owner.

A new owner hears of all recent crashes of an agent's worker when it connects. If the agent has no worker then, the second report replaced the first, which was never counted. And a report of a run that crashed is repeated to each new owner for 10 s, also after a later run of the task has survived its start and cleared it; it then counted anew.

Change: an earlier report that is replaced by one of another incarnation is counted, as a worker has one incarnation at a time; a crash counts only if its run is not before one that has survived.

Before and after: `two_crashes_reported_at_once_both_count` found one crash and `crash_of_a_run_before_one_that_survived_does_not_count` one too many on the code before.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -43,11 +43,15 @@
         if restarted {
             return self.count_crashes(name, crash);
         }
-        agent.suspected_crash = Some(crash.clone());
+        let earlier = agent.suspected_crash.replace(crash.clone());
         let among = crash.likely.len() + crash.possible.len();
         for (task, run) in crash.likely.iter().chain(&crash.possible) {
             self.record_unsettled(task, *run, among);
         }
+        // A worker has one incarnation at a time, and its agent reports them in order.
+        if let Some(earlier) = earlier.filter(|earlier| earlier.worker != crash.worker) {
+            self.count_crashes(name, earlier);
+        }
     }
 
     /// Returns whether the previous incarnation of the agent's worker may have been crashed by a
@@ -105,7 +109,7 @@
     /// Counts a crash against one of the `among` runs that may have caused it.
     fn count_crash(&mut self, name: &str, (task, run): (&Task, u64), among: usize, likely: bool) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        if !entry.may_have_crashed(task, among)
+        if !entry.may_have_crashed(task, run, among)
             || !entry.progress.record_crash(&entry.job, task, run, likely)
         {
             return;
@@ -126,7 +130,7 @@
     /// Records that one of `among` runs may be crashing its worker.
     fn record_unsettled(&mut self, task: &Task, run: u64, among: usize) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        if entry.may_have_crashed(task, among)
+        if entry.may_have_crashed(task, run, among)
             && entry.progress.mark_unsettled(&entry.job, task, run)
         {
             entry.crash_unrecorded = true;
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -197,7 +197,7 @@
     }
 
     /// Returns whether one of `among` runs may have crashed its worker.
-    pub fn may_have_crashed(&self, task: &Task, among: usize) -> bool {
+    pub fn may_have_crashed(&self, task: &Task, run: u64, among: usize) -> bool {
         // A finished task never starts again, so it could never be cleared, and others would
         // wait for it forever.
         if self.progress.state.is_final() || self.progress.is_done(task) {
@@ -206,7 +206,7 @@
         // A task that has survived a start is not the cause. But a delayed list may have shown
         // it alive after the crash, so it still counts if it was the only one.
         let survived = self.survived_start.get(&self.slot(task_key(task)));
-        survived.is_none_or(|_| among == 1)
+        survived.is_none_or(|survived| among == 1 && run >= *survived)
     }
 
     /// Returns how many workers in a row may have crashed because they had started the task.
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -475,6 +475,38 @@
     assert_snapshot!(format!("{before:?} {after:?}"), @"[true] [false]");
 }
 
+// An agent reports a crash again to each new owner. A later run has survived its start since.
+#[test]
+fn crash_of_a_run_before_one_that_survived_does_not_count() {
+    let mut harness = Harness::new(1, 1).with_idle_workers(1);
+    harness.owner.add_job("a", job(1, vec![step(1, 8)]), 150, None);
+    harness.tick();
+    harness.logged_events = vec!["crash suspected", "crash cleared"];
+    let run = harness::run(harness::task("a", 0, 0), 1);
+    harness.report_status(0, std::slice::from_ref(&run), &[]);
+    harness.advance(400);
+    harness.report_status(0, &[run], &[]);
+    crash(&mut harness, 0, true);
+    assert_snapshot!(harness.take_logs(), @"nothing");
+}
+
+// A new owner learned of two crashes at an agent without a worker, and the second report replaced
+// the first.
+#[test]
+fn two_crashes_reported_at_once_both_count() {
+    let mut harness = Harness::new(1, 1);
+    harness.owner.add_job("a", job(1, vec![step(1, 8)]), 150, None);
+    harness.connect(0);
+    harness.logged_events = vec!["crash suspected"];
+    crash(&mut harness, 1, true);
+    crash(&mut harness, 2, true);
+    harness.report_status(0, &[], &[]);
+    assert_snapshot!(harness.take_logs(), @r"
+    crash suspected a: a.0.0.0 run 1 at w0, likely cause, one of 1: 1 likely, 2 in all
+    crash suspected a: a.0.0.0 run 2 at w0, likely cause, one of 1: 2 likely, 2 in all
+    ");
+}
+
 // A suspect's worker restarted for another reason a second after the start, and the crash before it
 // still counted. The agent says when the start was survived.
 #[test]
