Give suspects up in one place

The limit on crashes was applied where a crash is counted, and again before each round of decisions for counts that a former owner left. The round that follows a crash applies it as well, so the first place was a copy: no test failed without it, and a mutant of either survived. Now the round alone decides.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -69,8 +69,7 @@
         }
     }
 
-    /// Counts a crash against the tasks that may have caused it. The job of a task that has crashed
-    /// too many workers in a row fails.
+    /// Counts a crash against the tasks that may have caused it.
     fn count_crashes(&mut self, name: &str, crash: SuspectedCrash) {
         let SuspectedCrash { likely, possible, .. } = crash;
         let among = likely.len() + possible.len();
@@ -80,12 +79,12 @@
         for (task, run) in &possible {
             self.count_crash(name, (task, *run), among, false);
         }
-        let mut tasks = likely.into_iter().chain(possible).map(|(task, _)| task);
-        match among {
-            0 => {}
-            1 => tasks.by_ref().for_each(|culprit| self.exonerate_others(&culprit)),
+        let tasks: Vec<Task> = likely.into_iter().chain(possible).map(|(task, _)| task).collect();
+        match &tasks[..] {
+            [] => {}
+            [culprit] => self.exonerate_others(culprit),
             _ => {
-                self.suspect_groups.push(tasks.collect());
+                self.suspect_groups.push(tasks);
                 if self.suspect_groups.len() > MAX_SUSPECT_GROUPS {
                     self.suspect_groups.remove(0);
                 }
@@ -122,9 +121,7 @@
         let detail = format!("{task} run {run} at {name}, {kind} cause, one of {among}: {crashes}");
         self.log("crash suspected", &task.job, detail);
         self.mark_dirty(&task.job, true);
-        if is_given_up(crashes.likely, crashes.total) {
-            self.end_job(&task.job, State::Failed, self.now);
-        }
+        self.replan = true;
     }
 
     /// Records that one of `among` runs may be crashing its worker.
