--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -59,20 +59,20 @@
 ///   later.
 /// - 83187: members of a gang that waited for another member cleared its crashes.
 const CRASH_SEEDS: [u64; 2] = [3, 83_187];
-/// Seeds of [`Kind::Restarts`] that CI runs; all once failed.
+/// Seeds of [`Kind::Restarts`] that CI runs, with the seconds at which they failed.
 ///
 /// - 659637, at ten seconds: the simulated worker carried out a start that its previous
 ///   incarnation had received. Real workers keep nothing across a restart.
-/// - 356530, at ten seconds on a busy machine: a task started three times after its fifth crash,
-///   because agents learned of two crashes too late to attribute them to a start, and one crash
-///   was lost with its agent.
+/// - 356530 and 256399, at ten seconds on a busy machine: a task started three times after its
+///   fifth crash, because agents learned of crashes too late to attribute them to a start, and
+///   others were forgotten with the owner and the agent before they were certain.
 /// - 455598, at eight seconds: a task that crashes its workers started three times after its fifth
 ///   crash; two crashes were attributed to no start, and one was lost with its agent.
-const RESTART_SEEDS: [u64; 3] = [356_530, 455_598, 659_637];
+const RESTART_SEEDS: [(u64, u64); 4] = [(356_530, 10), (455_598, 8), (659_637, 10), (256_399, 10)];
 /// Seeds of [`Kind::Evacuations`] that CI runs.
 ///
 /// - 594141 once failed, at eight seconds: a gang was given up because workers restarted, for
-///   other reasons, three times in a row within 250 ms of its start.
+///   other reasons, three times in a row soon after its start.
 const EVACUATION_SEEDS: [u64; 2] = [35, 594_141];
 /// Name of the run in which one entry at a time is cut off from the table.
 const CUT_OFF_TEST: &str = "soak_cut_off";
@@ -98,7 +98,7 @@
         return ExitCode::FAILURE;
     };
     let number = |name: &str| matches.opt_str(name).and_then(|text| text.parse().ok());
-    let seconds = number("seconds").unwrap_or(DEFAULT_SECONDS);
+    let seconds = number("seconds");
     let logs: Option<PathBuf> = matches.opt_str("logs").map(PathBuf::from);
     let kind = match matches.opt_str("kind").as_deref() {
         Some("faults") => Kind::Faults,
@@ -110,14 +110,18 @@
             return ExitCode::FAILURE;
         }
     };
-    let seeds: Vec<(u64, Kind)> = match (number("seed"), number("fresh")) {
-        (Some(seed), _) => vec![(seed, kind)],
-        (None, Some(count)) => (0..count).map(|_| (random::<u64>() % 1_000_000, kind)).collect(),
+    let usual = |seed: u64, kind: Kind| (seed, kind, DEFAULT_SECONDS);
+    let seeds: Vec<(u64, Kind, u64)> = match (number("seed"), number("fresh")) {
+        (Some(seed), _) => vec![usual(seed, kind)],
+        (None, Some(count)) => {
+            (0..count).map(|_| usual(random::<u64>() % 1_000_000, kind)).collect()
+        }
         (None, None) => {
-            let faults = FAULT_SEEDS.iter().map(|seed| (*seed, Kind::Faults));
-            let crashes = CRASH_SEEDS.iter().map(|seed| (*seed, Kind::Workers));
-            let restarts = RESTART_SEEDS.iter().map(|seed| (*seed, Kind::Restarts));
-            let zones = EVACUATION_SEEDS.iter().map(|seed| (*seed, Kind::Evacuations));
+            let faults = FAULT_SEEDS.iter().map(|seed| usual(*seed, Kind::Faults));
+            let crashes = CRASH_SEEDS.iter().map(|seed| usual(*seed, Kind::Workers));
+            let restarts =
+                RESTART_SEEDS.iter().map(|(seed, seconds)| (*seed, Kind::Restarts, *seconds));
+            let zones = EVACUATION_SEEDS.iter().map(|seed| usual(*seed, Kind::Evacuations));
             faults.chain(crashes).chain(restarts).chain(zones).collect()
         }
     };
@@ -132,11 +136,11 @@
     if runs_ci_seeds && chosen(CUT_OFF_TEST) {
         report(CUT_OFF_TEST, &cut_off::run(), &mut failed);
     }
-    for (seed, kind) in seeds {
+    for (seed, kind, usual_seconds) in seeds {
         let name = format!("soak_{}_seed_{seed}", kind.name());
         if chosen(&name) {
             let Outcome { violations, line } =
-                Deployment::run_seed(seed, seconds, kind, logs.as_deref());
+                Deployment::run_seed(seed, seconds.unwrap_or(usual_seconds), kind, logs.as_deref());
             println!("seed {seed}: {line}");
             report(&name, &violations, &mut failed);
         }
