List a start that is blamed although its worker was gone before

The final code still names such a start as the likely cause, which the new test shows: expected "perhaps", found likely.

No product code changes.

--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -401,6 +401,24 @@
     assert_snapshot!(format!("{early} {}", harness.survivors.join(", ")), @"0 j.0.0.0 run 1");
 }
 
+// A worker had already broken its connections and answered nothing since when a start was sent to
+// it. The start was blamed as the likely cause, and a sound task was given up.
+#[test]
+fn a_start_sent_to_a_worker_that_is_gone_is_no_likely_cause() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.confirm_start();
+    harness.advance(110);
+    harness.list(harness.probe, &[0]);
+    harness.reply(harness.poll, closed());
+    harness.order_start(1);
+    harness.reply(harness.start, closed());
+    assert_snapshot!(harness.breaks.join("\n"), @r"
+    i1 broke: no start
+    i1 broke: j.0.0.1 run 1, perhaps
+    ");
+}
+
 // A worker without running starts is not asked for its runs again and again.
 #[test]
 fn probes_end_once_the_start_is_survived() {
