--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -1,8 +1,8 @@
 use quincewheel_job::{Id, Incarnation, Progress};
 
 use crate::checkpoints::Checkpoints;
+use crate::learned::Learned;
 use crate::rows;
-use crate::times::Times;
 
 /// State that the owner records in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -17,8 +17,8 @@
     pub departed: Vec<String>,
     /// Checkpoints of jobs whose tasks have newer ones than recorded.
     pub checkpoints: Vec<(Id, Checkpoints)>,
-    /// Learned run times, if they changed since the last batch.
-    pub times: Option<Times>,
+    /// What was learned from runs since the last batch.
+    pub learned: Learned,
 }
 
 /// The ends of one incarnation of a worker up to a number.
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -4,11 +4,13 @@
 
 use quincewheel_job::{Id, Job, Progress, State};
 use quincewheel_store::Change;
-use serde::de::IgnoredAny;
+use serde::de::{DeserializeOwned, IgnoredAny};
 
 use crate::checkpoints::Checkpoints;
-use crate::rows::{Node, OWNER_KEY, Ownership, TIMES_KEY, WaveRecord};
-use crate::times::Times;
+use crate::learned::Learned;
+use crate::rows::{
+    Node, OWNER_KEY, Ownership, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY, WaveRecord,
+};
 
 /// A process's in-memory replica of the system's rows.
 #[derive(Debug, Default)]
@@ -21,8 +23,8 @@
     pub owner: Option<(Ownership, u64)>,
     /// The entry that owned last, also after it handed over.
     last_owner: Option<String>,
-    /// Run times learned by owners.
-    pub times: Times,
+    /// What owners have learned from runs.
+    pub learned: Learned,
     /// What owners recorded of waves of maintenance, by number.
     pub waves: BTreeMap<u64, WaveRecord>,
     /// All changes up to this version of the table are applied.
@@ -131,8 +133,13 @@
         if change.key == OWNER_KEY {
             return self.apply_owner(change);
         }
-        if change.key == TIMES_KEY {
-            return self.apply_times(change);
+        let learned = &mut self.learned;
+        match change.key.as_str() {
+            TIMES_KEY => return apply_learned(change, &mut learned.times),
+            TRUST_KEY => return apply_learned(change, &mut learned.trust),
+            SPEED_KEY => return apply_learned(change, &mut learned.speed),
+            USAGE_KEY => return apply_learned(change, &mut learned.usage),
+            _ => {}
         }
         let (kind, name) = change.key.split_once('/')?;
         let Some(value) = &change.value else {
@@ -261,16 +268,6 @@
         }
     }
 
-    fn apply_times(&mut self, change: &Change) -> Option<RowEvent> {
-        match serde_json::from_str(change.value.as_ref()?) {
-            Ok(times) => {
-                self.times = times;
-                None
-            }
-            Err(error) => Some(malformed(change, error.to_string())),
-        }
-    }
-
     fn remove_row(&mut self, kind: &str, name: &str) {
         match kind {
             "job" => {
@@ -284,6 +281,17 @@
     }
 }
 
+/// Replaces a part of what owners have learned. An invalid row leaves it as it was.
+fn apply_learned<T: DeserializeOwned>(change: &Change, part: &mut Option<T>) -> Option<RowEvent> {
+    match serde_json::from_str(change.value.as_ref()?) {
+        Ok(value) => {
+            *part = Some(value);
+            None
+        }
+        Err(error) => Some(malformed(change, error.to_string())),
+    }
+}
+
 fn malformed(change: &Change, detail: String) -> RowEvent {
     RowEvent::Malformed { key: change.key.clone(), detail }
 }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -1,6 +1,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Config, Id, Job, Progress, State, Task};
+use quincewheel_share::Usage;
+use quincewheel_speed::Speed;
+use quincewheel_trust::Trust;
 use quincewheel_wire::{LinkId, Notice, Order};
 
 use crate::agent::Agent;
@@ -14,6 +17,7 @@
 use crate::listing::Listing;
 use crate::maintenance::Maintenance;
 use crate::output::Output;
+use crate::persisted::Persisted;
 use crate::review::Review;
 use crate::settings::Settings;
 use crate::settlement::SettlementLog;
@@ -60,9 +64,13 @@
     /// Whether the dirty jobs include a change of state that clients wait for.
     pub(crate) dirty_urgent: bool,
     /// Run times of completed steps, used for estimates.
-    pub(crate) times: Times,
-    /// Whether `times` has changed since it was last recorded.
-    pub(crate) times_changed: bool,
+    pub(crate) times: Persisted<Times>,
+    /// Trust in workers.
+    pub(crate) trust: Persisted<Trust>,
+    /// Speed of machines.
+    pub(crate) speed: Persisted<Speed>,
+    /// Usage of teams.
+    pub(crate) usage: Persisted<Usage>,
     /// Whether a request to the service that clears steps for workers is in flight.
     pub(crate) clearance_pending: bool,
     /// When the next task may return to a worker at which it failed.
@@ -103,6 +111,14 @@
     pub(crate) outputs: Vec<Output>,
 }
 
+/// Shortest time between two records of the trust in workers. A new owner that misses the last
+/// second of failures sees them again with the next run that fails.
+const TRUST_RECORD_INTERVAL_MS: u64 = 1000;
+/// Shortest time between two records of the speed of machines, which changes slowly.
+const SPEED_RECORD_INTERVAL_MS: u64 = 2000;
+/// Shortest time between two records of the usage of teams, which decays over several seconds.
+const USAGE_RECORD_INTERVAL_MS: u64 = 2000;
+
 /// Time between two checks of all agents. The owner ticks with each report, and 160 agents
 /// cause 600 ticks a second, while each check goes through all agents and runs. The shortest
 /// timeout that is checked is 50 ms.
@@ -135,8 +151,10 @@
             stray_stops: BTreeMap::new(),
             dirty: BTreeSet::new(),
             dirty_urgent: false,
-            times: Times::default(),
-            times_changed: false,
+            times: Persisted::new(0),
+            trust: Persisted::new(TRUST_RECORD_INTERVAL_MS),
+            speed: Persisted::new(SPEED_RECORD_INTERVAL_MS),
+            usage: Persisted::new(USAGE_RECORD_INTERVAL_MS),
             clearance_pending: false,
             avoidance_ends_at: None,
             reservation_ends_at: None,
@@ -200,11 +218,6 @@
         self.settled
     }
 
-    /// Loads the run times that a previous owner recorded.
-    pub fn restore_times(&mut self, times: &Times) {
-        self.times = times.clone();
-    }
-
     /// Adds a job whose row was read: it was just accepted, or was found at a takeover.
     ///
     /// The same row may be passed in again with outdated progress: all rows are read again when
@@ -407,7 +420,7 @@
     pub(crate) fn log_job_end(&mut self, id: &str, state: State) {
         let Some(entry) = self.jobs.get(id) else { return };
         let pools = self.pools();
-        let estimator = Estimator { times: &self.times, pools: &pools };
+        let estimator = Estimator { times: self.times.get(), pools: &pools };
         let detail = match entry.job.schedule {
             Some(_) => format!("{state:?}, scheduled"),
             None => {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -54,7 +54,7 @@
         let mut next_due: Option<u64> = None;
         let mut found = Vec::new();
         let pools = self.pools();
-        let estimator = Estimator { times: &self.times, pools: &pools };
+        let estimator = Estimator { times: self.times.get(), pools: &pools };
         let mut jobs: Vec<(&Id, &Entry)> = self.jobs.iter().collect();
         jobs.sort_by_key(|(_, entry)| entry.version);
         for (id, entry) in jobs {
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -1,7 +1,7 @@
 //! Batches of state that the owner records in the table.
 //!
 //! Workers may forget the ends of their runs only after the progress of the jobs is recorded.
-//! Batches also hold checkpoints, learned run times, waves of maintenance and departed agents.
+//! Batches also hold checkpoints, learned state, waves of maintenance and departed agents.
 
 use std::collections::BTreeSet;
 
@@ -30,9 +30,7 @@
             return None;
         }
         let ids: Vec<Id> = self.dirty.iter().take(MAX_BATCH_JOBS).cloned().collect();
-        let mut batch =
-            Batch { times: self.times_changed.then(|| self.times.clone()), ..Batch::default() };
-        self.times_changed = false;
+        let mut batch = Batch { learned: self.due_learned(), ..Batch::default() };
         for id in ids {
             self.dirty.remove(&id);
             if let Some(entry) = self.jobs.get(&id) {
@@ -121,7 +119,7 @@
                 self.dirty.insert(id.clone());
             }
             self.dirty_urgent = true;
-            self.times_changed |= batch.times.is_some();
+            self.retry_learned(&batch.learned);
             for (number, _) in &batch.waves {
                 self.mark_unrecorded(*number);
             }
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -338,8 +338,7 @@
         if known.is_some() {
             return;
         }
-        self.times.record(&entry.job.queue.name, estimate, took);
-        self.times_changed = true;
+        self.times.update().record(&entry.job.queue.name, estimate, took);
     }
 
     /// Marks a task as done, and with it its whole gang.
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -1,8 +1,8 @@
 //! The system's rows in the table: their keys and content.
 //!
 //! An entry writes `job/ID` when it accepts a job and `stop/ID` when a client cancels it. The
-//! owner writes `run/ID`, a job's progress; `save/ID`, its checkpoints; `times`, the learned run
-//! times; and `wave/N`, when it first saw a wave of maintenance. Every process writes
+//! owner writes `run/ID`, a job's progress; `save/ID`, its checkpoints; `times`, `trust`, `speed`
+//! and `usage`, what it learned from runs; and `wave/N`, when it first saw a wave of maintenance. Every process writes
 //! `node/NAME`. The owner and the entry that replaces it write `owner`.
 
 use quincewheel_store::{Commit, Put};
@@ -14,6 +14,15 @@
 /// Key of the row that holds the learned run times.
 pub const TIMES_KEY: &str = "times";
 
+/// Key of the row that holds the trust in workers.
+pub const TRUST_KEY: &str = "trust";
+
+/// Key of the row that holds the speed of machines.
+pub const SPEED_KEY: &str = "speed";
+
+/// Key of the row that holds the usage of teams.
+pub const USAGE_KEY: &str = "usage";
+
 /// Parts of the table over which job and cancellation rows are distributed.
 ///
 /// A part processes its transactions one at a time. A slow table takes 180 ms for each, so a
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -58,6 +58,14 @@
     /// Time after which a confirmed run that its worker does not list counts as ended. Longer than
     /// two polls.
     pub missing_timeout: u64,
+    /// How long a gang waits before it may claim capacity; 0 for no claims.
+    pub claim_after: u64,
+    /// How long the failures of a worker count against it; 0 if they never do.
+    pub doubt: u64,
+    /// Percent by which the speed of a machine differs before it counts; 0 if it never does.
+    pub uneven_percent: u64,
+    /// Time in which the recorded usage of a team halves; 0 for no shares.
+    pub share_half_life: u64,
 }
 
 impl Default for Settings {
@@ -83,6 +91,10 @@
             maintenance_duration: 2000,
             lists_machines: false,
             missing_timeout: 5000,
+            claim_after: 0,
+            doubt: 0,
+            uneven_percent: 0,
+            share_half_life: 0,
         }
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod routes;
 mod run;
+mod scheduling;
 mod settings;
 mod site;
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -21,6 +21,7 @@
 use crate::explain::explain;
 use crate::metrics::Metrics;
 use crate::routes::Routes;
+use crate::scheduling::Scheduling;
 use crate::settings::{DEFINITIONS, PROGRAM, Settings};
 use crate::site;
 
@@ -65,9 +66,14 @@
         };
     }
     if let Some(path) = quincewheel_platform::settings_path().filter(|_| command == "serve") {
-        return match LocalSettings::resolve(&values) {
-            Err(errors) => PROGRAM.report_errors(&errors),
-            Ok(own) => PROGRAM.report_result(site::serve(&path, &own)),
+        return match (LocalSettings::resolve(&values), Scheduling::resolve(&values)) {
+            (Ok(own), Ok(scheduling)) => {
+                PROGRAM.report_result(site::serve(&path, &own, scheduling))
+            }
+            (own, scheduling) => {
+                let errors = [own.err(), scheduling.err()].into_iter().flatten().flatten();
+                PROGRAM.report_errors(&errors.collect::<Vec<_>>())
+            }
         };
     }
     match Settings::resolve(&values) {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,8 @@
 use quincewheel_conf::{Program, Resolver, Values};
 use quincewheel_pool::Limits;
 
+use crate::scheduling::{CLAIM_AFTER, DOUBT, SHARE_HALF_LIFE, Scheduling, UNEVEN};
+
 const NAME: Definition =
     Definition::required("name", "NAME", "Name of this instance, unique among the entries");
 const RPC: Definition =
@@ -98,6 +100,10 @@
     LOG_LEVEL,
     METRICS_PORT,
     EVENTS,
+    CLAIM_AFTER,
+    DOUBT,
+    UNEVEN,
+    SHARE_HALF_LIFE,
     OPERATOR_KEY,
 ];
 
@@ -171,7 +177,13 @@
             log_level: r.level(&LOG_LEVEL),
             events: r.switch(&EVENTS),
         };
-        r.finish(settings)
+        let settings = r.finish(settings);
+        match (settings, Scheduling::resolve(values)) {
+            (Ok(settings), Ok(_)) => Ok(settings),
+            (settings, scheduling) => {
+                Err([settings.err(), scheduling.err()].into_iter().flatten().flatten().collect())
+            }
+        }
     }
 
     /// Returns what the burn report needs: the entry's address and the operators' key.
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -40,6 +40,8 @@
 use quincewheel_wire::{Hello, Key, Notice, Role, Sent};
 use tokio::sync::oneshot;
 
+use crate::scheduling::Scheduling;
+
 use self::client_call::{ClientCall, Protocol};
 use self::gate::Gate;
 use self::metrics::Metrics;
@@ -53,7 +55,11 @@
 const MAX_BODY_BYTES: usize = 1 << 20;
 
 /// Serves until the process receives a signal to terminate.
-pub(crate) fn serve(settings: &Path, own: &LocalSettings) -> io::Result<()> {
+pub(crate) fn serve(
+    settings: &Path,
+    own: &LocalSettings,
+    scheduling: Scheduling,
+) -> io::Result<()> {
     let site = platform::read_settings(settings).map_err(io::Error::other)?;
     let Some(entry) = site.entry.clone() else {
         return Err(io::Error::other(
@@ -81,7 +87,8 @@
     let path = settings.to_owned();
     let runtime = actix_rt::Runtime::new()?;
     runtime.block_on(async move {
-        let shared: Shared = Rc::new(Site::new(site, incarnation, hub, gate, metrics));
+        let shared: Shared =
+            Rc::new(Site::new((site, scheduling), incarnation, hub, gate, metrics));
         actix_rt::spawn(links::announce(Rc::clone(&shared)));
         actix_rt::spawn(follow::follow_operator_rows(Rc::clone(&shared)));
         actix_rt::spawn(follow::follow_own_rows(Rc::clone(&shared)));
--- a/crates/entry/src/site/ownership.rs
+++ b/crates/entry/src/site/ownership.rs
@@ -143,7 +143,7 @@
     for (name, _) in mirror.nodes.iter().filter(|(_, node)| !node.entry) {
         owner.add_agent(name, now);
     }
-    owner.restore_times(&mirror.times);
+    owner.restore_learned(&mirror.learned);
     for (id, view) in &mirror.jobs {
         if let Some((job, version)) = &view.job {
             owner.add_job(id, job.clone(), *version, view.progress.clone());
@@ -194,6 +194,10 @@
         reclaim_deadline: bounds.reclaim,
         fencing_interval: bounds.turn,
         maintenance_duration: bounds.maintenance,
+        claim_after: shared.scheduling.claim_after,
+        doubt: shared.scheduling.doubt,
+        uneven_percent: shared.scheduling.uneven_percent,
+        share_half_life: shared.scheduling.share_half_life,
         lists_machines: shared.settings.machines_address.is_some(),
         ..Settings::default()
     }
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -3,7 +3,9 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use quincewheel_dispatch::rows::{self, OWNER_KEY, Ownership, TIMES_KEY};
+use quincewheel_dispatch::rows::{
+    self, OWNER_KEY, Ownership, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY,
+};
 use quincewheel_dispatch::{Batch, Owner};
 use quincewheel_job::Id;
 use quincewheel_platform::Space;
@@ -84,7 +86,11 @@
     let expired =
         shared.mirror.borrow_mut().expired_jobs(now, retention_ms(shared), MAX_EXPIRED_JOBS);
     commit.delete.extend(expired.iter().flat_map(|id| rows::job_keys(id)));
-    commit.put.extend(batch.times.as_ref().map(|times| put(TIMES_KEY.to_owned(), times)));
+    let learned = &batch.learned;
+    commit.put.extend(learned.times.iter().map(|times| put(TIMES_KEY.to_owned(), times)));
+    commit.put.extend(learned.trust.iter().map(|trust| put(TRUST_KEY.to_owned(), trust)));
+    commit.put.extend(learned.speed.iter().map(|speed| put(SPEED_KEY.to_owned(), speed)));
+    commit.put.extend(learned.usage.iter().map(|usage| put(USAGE_KEY.to_owned(), usage)));
     commit
         .put
         .extend(batch.checkpoints.iter().map(|(id, saved)| put(rows::checkpoints_key(id), saved)));
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -14,6 +14,8 @@
 use quincewheel_wire::{LinkId, Sent};
 use tokio::sync::Notify;
 
+use crate::scheduling::Scheduling;
+
 use super::backoff::Backoff;
 use super::gate::Gate;
 use super::machines::MachineCall;
@@ -40,6 +42,8 @@
 /// State of an entry.
 pub(crate) struct Site {
     pub settings: platform::Settings,
+    /// Settings of scheduling, from the flags of this process.
+    pub scheduling: Scheduling,
     /// Time limits that the platform sets, as last loaded.
     pub bounds: Cell<Bounds>,
     pub incarnation: u64,
@@ -104,7 +108,7 @@
 
 impl Site {
     pub fn new(
-        settings: platform::Settings,
+        (settings, scheduling): (platform::Settings, Scheduling),
         incarnation: u64,
         hub: Hub<Sent>,
         gate: Arc<Gate>,
@@ -112,6 +116,7 @@
     ) -> Site {
         let on_skipped = skipped::handler(Arc::clone(&metrics));
         Site {
+            scheduling,
             table: Table::new(&settings.table_address, Rc::clone(&on_skipped)),
             feed: Table::new(&settings.table_address, Rc::clone(&on_skipped)),
             on_skipped,
