--- a/crates/stand-in/tests/soak/fault.rs
+++ b/crates/stand-in/tests/soak/fault.rs
@@ -35,6 +35,10 @@
     DelayStarts { worker: usize, ms: u64 },
     /// Operators evacuate an availability zone for `ms` milliseconds.
     Evacuate { zone: usize, ms: u64 },
+    /// A worker fails all that it starts for `ms` milliseconds, and reports itself healthy.
+    FailStarts { worker: usize, ms: u64 },
+    /// The entry that owns the deployment is killed, and started again after `down` milliseconds.
+    KillOwner { down: u64 },
     /// A worker loses `lost` accelerators for `ms` milliseconds.
     Shrink { worker: usize, lost: u64, ms: u64 },
 }
@@ -62,6 +66,20 @@
     (0..seconds / 2).map(&mut draw_one).collect()
 }
 
+/// Draws failing workers and deaths of the owner, independently of the other faults.
+pub fn draw_overload(seed: u64, seconds: u64, workers: usize) -> Vec<(u64, Fault)> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(48) ^ !seed);
+    let draw_one = |random: &mut StdRng| match random.random_range(0..3) {
+        0 => Fault::KillOwner { down: random.random_range(100..1000) },
+        _ => Fault::FailStarts {
+            worker: random.random_range(0..workers),
+            ms: random.random_range(1000..4000),
+        },
+    };
+    let times = (1000..seconds * 1000).step_by(1200);
+    times.map(|at| (at, draw_one(&mut random))).collect()
+}
+
 /// Draws restarts of workers, most with a short downtime, and delayed starts, independently of
 /// the other faults.
 pub fn draw_restarts(seed: u64, seconds: u64, workers: usize) -> Vec<(u64, Fault)> {
--- a/crates/stand-in/tests/soak/table.rs
+++ b/crates/stand-in/tests/soak/table.rs
@@ -103,6 +103,12 @@
         self.set((table, "", key), None);
     }
 
+    /// Returns the value of a row in the main part of a table.
+    pub fn value(&self, table: &str, key: &str) -> Option<String> {
+        let (_, value) = self.rows.get(&(table.to_owned(), String::new(), key.to_owned()))?;
+        String::from_utf8(STANDARD.decode(value).ok()?).ok()
+    }
+
     /// Drops the history of changes.
     pub fn compact(&mut self) {
         self.changes.clear();
