--- a/crates/runner/src/crash.rs
+++ b/crates/runner/src/crash.rs
@@ -15,7 +15,7 @@
 pub(crate) struct Causes {
     /// The last starts before the crash; one of them is the probable cause.
     pub likely: Vec<(Task, u64)>,
-    /// Earlier starts that the worker is not known to have survived.
+    /// Other starts that the worker is not known to have survived.
     pub possible: Vec<(Task, u64)>,
 }
 
@@ -24,11 +24,13 @@
         self.likely.is_empty() && self.possible.is_empty()
     }
 
-    /// Adds the causes that are not known yet. Returns whether there were any.
+    /// Adds the causes that are not known yet, or are known as possible and now likely. Returns
+    /// whether there were any.
     pub fn add(&mut self, other: Causes) -> bool {
-        let before = self.likely.len() + self.possible.len();
+        let before = (self.likely.len(), self.possible.len());
         for start in other.likely {
-            if !self.contains(&start) {
+            if !self.likely.contains(&start) {
+                self.possible.retain(|known| *known != start);
                 self.likely.push(start);
             }
         }
@@ -37,7 +39,7 @@
                 self.possible.push(start);
             }
         }
-        self.likely.len() + self.possible.len() > before
+        (self.likely.len(), self.possible.len()) != before
     }
 
     fn contains(&self, start: &(Task, u64)) -> bool {
--- a/crates/runner/src/crashes.rs
+++ b/crates/runner/src/crashes.rs
@@ -22,6 +22,7 @@
         let awaits = |session: &&mut Session| session.awaits_reply(id);
         let Some(session) = self.session.as_mut().filter(awaits) else { return false };
         let causes = session.crash_causes(closed, now);
+        session.first_call_after_break = Some(self.next_call);
         let first = session.broken.is_none();
         let more = session.broken.get_or_insert_default().add(causes);
         if first || more {
--- a/crates/runner/src/recent_start.rs
+++ b/crates/runner/src/recent_start.rs
@@ -24,6 +24,8 @@
     suspect: bool,
     /// When it was first sent.
     sent_at: u64,
+    /// The worker had broken its connections before, and had not replied to a call sent since.
+    sent_after_break: bool,
     /// When the worker first confirmed or listed the run, by the agent's clock and the worker's.
     confirmed: Option<(u64, u64)>,
     /// The run did not crash the worker. Only suspects are kept from then on.
@@ -42,8 +44,16 @@
 }
 
 impl RecentStart {
-    pub fn new(task: Task, run: u64, suspect: bool, now: u64) -> RecentStart {
-        RecentStart { task, run, suspect, sent_at: now, confirmed: None, survived: false }
+    pub fn new((task, run): (Task, u64), suspect: bool, after_break: bool, now: u64) -> Self {
+        RecentStart {
+            task,
+            run,
+            suspect,
+            sent_at: now,
+            sent_after_break: after_break,
+            confirmed: None,
+            survived: false,
+        }
     }
 
     pub fn is(&self, task: &Task, run: u64) -> bool {
@@ -84,9 +94,11 @@
         !self.survived
     }
 
-    /// Returns whether it is the probable cause of a crash that is noticed now.
+    /// Returns whether it is the probable cause of a crash that is noticed now. A start that was
+    /// sent after a break and never confirmed is not: the worker was probably gone before.
     pub fn is_likely_cause(&self, now: u64) -> bool {
-        now <= self.sent_at + CRASH_DELAY_MS
+        let reached = self.confirmed.is_some() || !self.sent_after_break;
+        reached && now <= self.sent_at + CRASH_DELAY_MS
     }
 
     /// When another list of the worker's runs will show more; none before the run is confirmed.
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -157,7 +157,7 @@
         if let Some(session) =
             self.session.as_mut().filter(|session| proves && session.awaits_reply(id))
         {
-            session.last_reply = now;
+            session.record_reply(id, now);
         }
         let broke = match reply {
             Err(Fault::Unclear { closed: true, .. }) => self.on_connection_broken(id, true, now),
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -55,6 +55,9 @@
     /// The starts that may be why the worker broke its connections; none if it has replied to a
     /// poll since, or has not broken any.
     pub broken: Option<Causes>,
+    /// The id of the first call sent after the worker last broke its connections; none once it has
+    /// replied to such a call. A reply to an earlier call may have been sent before the break.
+    pub first_call_after_break: Option<u64>,
 }
 
 impl Session {
@@ -82,6 +85,7 @@
             probe: None,
             probe_not_before: 0,
             broken: None,
+            first_call_after_break: None,
         }
     }
 
@@ -125,10 +129,17 @@
     /// Records that a start is sent; `suspect` if the owner suspects its task.
     pub fn record_start(&mut self, (task, run): (Task, u64), suspect: bool, now: u64) {
         if !self.recent_starts.iter().any(|start| start.is(&task, run)) {
-            self.recent_starts.push(RecentStart::new(task, run, suspect, now));
+            let after_break = self.first_call_after_break.is_some();
+            self.recent_starts.push(RecentStart::new((task, run), suspect, after_break, now));
         }
     }
 
+    /// Records that the worker carried out a call and replied.
+    pub fn record_reply(&mut self, id: u64, now: u64) {
+        self.last_reply = now;
+        self.first_call_after_break.take_if(|first| id >= *first);
+    }
+
     /// Records that the worker confirmed a start, as of `clock` on its clock.
     pub fn confirm_start(&mut self, (task, run): &(Task, u64), clock: u64, now: u64) {
         if let Some(start) = self.recent_starts.iter_mut().find(|start| start.is(task, *run)) {
--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -419,6 +419,49 @@
     ");
 }
 
+// A reset connection must not excuse later starts: a worker that has replied since is there, and a
+// start that it then crashes on before it confirms it is the likely cause.
+#[test]
+fn a_start_sent_after_a_reply_since_the_break_is_a_likely_cause() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.confirm_start();
+    harness.advance(110);
+    harness.list(harness.probe, &[0]);
+    harness.reply(harness.poll, closed());
+    harness.order_start(1);
+    harness.confirm_start();
+    harness.advance(60);
+    harness.order_start(2);
+    harness.reply(harness.start, closed());
+    assert_snapshot!(harness.breaks.join("\n"), @r"
+    i1 broke: no start
+    i1 broke: j.0.0.2 run 1, j.0.0.1 run 1, perhaps
+    ");
+}
+
+// A start sent after a break is named as a possible cause when the next connection breaks, and its
+// confirmation arrives only then. If the report were not corrected, tasks that crash their workers
+// would be started once more.
+#[test]
+fn a_possible_cause_that_is_confirmed_later_becomes_a_likely_one() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.confirm_start();
+    harness.advance(110);
+    harness.list(harness.probe, &[0]);
+    harness.reply(harness.poll, closed());
+    harness.order_start(1);
+    harness.reply(harness.poll, closed());
+    harness.confirm_start();
+    harness.reply(harness.poll, refused());
+    assert_snapshot!(harness.breaks.join("\n"), @r"
+    i1 broke: no start
+    i1 broke: j.0.0.1 run 1, perhaps
+    i1 broke: j.0.0.1 run 1
+    ");
+}
+
 // A worker without running starts is not asked for its runs again and again.
 #[test]
 fn probes_end_once_the_start_is_survived() {
