--- a/crates/runner/src/crashes.rs
+++ b/crates/runner/src/crashes.rs
@@ -19,8 +19,8 @@
     /// true for the first break, if it closed an open connection.
     pub(crate) fn on_connection_broken(&mut self, id: u64, closed: bool, now: u64) -> bool {
         // A failed call to a former incarnation shows nothing about this one.
-        let awaits = |session: &&mut Session| session.awaits_reply(id);
-        let Some(session) = self.session.as_mut().filter(awaits) else { return false };
+        let shows_break = |session: &&mut Session| session.shows_break(id);
+        let Some(session) = self.session.as_mut().filter(shows_break) else { return false };
         let causes = session.crash_causes(closed, now);
         session.first_call_after_break = Some(self.next_call);
         let first = session.broken.is_none();
--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -144,9 +144,6 @@
         };
         let (task, run) = pending.run();
         let start = pending.is_start();
-        if let Some(session) = self.session.as_mut().filter(|_| start && refused.is_some()) {
-            session.forget_start(&pending.run());
-        }
         match refused {
             None if start => self.notify_owner(Notice::Started { task, run }),
             Some(why) if start => self.notify_owner(Notice::Unstarted { task, run, why }),
--- a/crates/runner/src/recent_start.rs
+++ b/crates/runner/src/recent_start.rs
@@ -26,6 +26,9 @@
     sent_at: u64,
     /// The worker had broken its connections before, and had not replied to a call sent since.
     sent_after_break: bool,
+    /// The id of the call in flight, if the worker cannot have received an earlier one. Orders do
+    /// not show this for long: those of a former owner are dropped.
+    first_call: Option<u64>,
     /// When the worker first confirmed or listed the run, by the agent's clock and the worker's.
     confirmed: Option<(u64, u64)>,
     /// The run did not crash the worker. Only suspects are kept from then on.
@@ -51,6 +54,7 @@
             suspect,
             sent_at: now,
             sent_after_break: after_break,
+            first_call: None,
             confirmed: None,
             survived: false,
         }
@@ -60,6 +64,27 @@
         self.task == *task && self.run == run
     }
 
+    /// Records that the start is sent with the call `id`; `again` if the worker may have received
+    /// it before.
+    pub fn record_call(&mut self, id: u64, again: bool) {
+        self.first_call = (!again).then_some(id);
+    }
+
+    /// Returns whether the call is the only one with which the worker may receive the start.
+    pub fn awaits_first_call(&self, id: u64) -> bool {
+        self.first_call == Some(id)
+    }
+
+    /// Records that the worker may have received the start.
+    pub fn record_delivery(&mut self) {
+        self.first_call = None;
+    }
+
+    /// Returns whether the worker may have received the start if it accepts no connections now.
+    pub fn may_be_delivered(&self) -> bool {
+        self.first_call.is_none()
+    }
+
     /// Records that the run exists, as of `clock` on the worker's clock.
     pub fn confirm(&mut self, clock: u64, now: u64) {
         self.confirmed.get_or_insert((now, clock));
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -164,6 +164,9 @@
             Err(Fault::Unsent { .. }) => self.on_connection_broken(id, false, now),
             _ => false,
         };
+        if let Some(session) = &mut self.session {
+            session.settle_first_call(id, &reply, now);
+        }
         let session = self.session.as_ref();
         let poll = session.and_then(|session| session.poll).filter(|poll| poll.0 == id);
         if let Some((_, epoch)) = poll {
@@ -307,9 +310,6 @@
             // taken for the reply to this one.
             let Some(mut pending) = session.orders.remove(&id) else { continue };
             pending.retry_at = None;
-            if pending.is_start() {
-                session.record_start(pending.run(), pending.suspect, now);
-            }
             if let (Action::Start { lease_end: end, .. }, Some(renewed)) =
                 (&mut pending.action, lease_end)
             {
@@ -318,6 +318,9 @@
             let call = session.call(self.epoch, pending.action.clone(), settings.call_timeout);
             let id = self.next_call;
             self.next_call += 1;
+            if pending.is_start() {
+                session.record_start(id, &pending, now);
+            }
             session.orders.insert(id, pending);
             self.outputs.push(Output::Call { id, call });
         }
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -1,8 +1,9 @@
 use std::collections::BTreeMap;
 
 use quincewheel_job::{End, Run, Task, Worker};
+use quincewheel_wire::Refused;
 
-use crate::call::{Action, Call};
+use crate::call::{Action, Call, Fault, Reply};
 use crate::crash::Causes;
 use crate::pending::Pending;
 use crate::recent_start::{Evidence, RecentStart};
@@ -126,11 +127,37 @@
         self.orders.values().filter(sent).map(Pending::run).collect()
     }
 
-    /// Records that a start is sent; `suspect` if the owner suspects its task.
-    pub fn record_start(&mut self, (task, run): (Task, u64), suspect: bool, now: u64) {
-        if !self.recent_starts.iter().any(|start| start.is(&task, run)) {
-            let after_break = self.first_call_after_break.is_some();
-            self.recent_starts.push(RecentStart::new((task, run), suspect, after_break, now));
+    /// Records that a start is sent with the call `id`.
+    pub fn record_start(&mut self, id: u64, pending: &Pending, now: u64) {
+        let (task, run) = pending.run();
+        let again = pending.may_take_effect;
+        if let Some(start) = self.recent_starts.iter_mut().find(|start| start.is(&task, run)) {
+            return start.record_call(id, again);
+        }
+        let after_break = self.first_call_after_break.is_some();
+        let mut start = RecentStart::new((task, run), pending.suspect, after_break, now);
+        start.record_call(id, again);
+        self.recent_starts.push(start);
+    }
+
+    /// Records what the reply to the first call of a start shows about the start. Its order may
+    /// have been dropped with the owner that gave it.
+    pub fn settle_first_call(&mut self, id: u64, reply: &Result<Reply, Fault>, now: u64) {
+        let awaits = |start: &RecentStart| start.awaits_first_call(id);
+        let Some(index) = self.recent_starts.iter().position(awaits) else { return };
+        let start = &mut self.recent_starts[index];
+        match reply {
+            Ok(Reply::Done { clock } | Reply::Held { clock, .. }) => {
+                start.record_delivery();
+                start.confirm(*clock, now);
+            }
+            // A run that is refused as old may have run.
+            Ok(Reply::Refused(Refused::Old)) | Err(Fault::Unclear { .. }) => {
+                start.record_delivery()
+            }
+            Ok(Reply::Refused(_)) | Err(Fault::Unsent { .. }) => {
+                self.recent_starts.remove(index);
+            }
         }
     }
 
@@ -170,9 +197,9 @@
 
     /// Returns the starts that may be why the worker has broken its connections: it either closed
     /// an open one (`closed`) or accepted no new one. In the latter case it has not received starts
-    /// whose first attempt is in flight.
+    /// whose first call is in flight.
     pub fn crash_causes(&self, closed: bool, now: u64) -> Causes {
-        let received = |start: &&RecentStart| closed || !self.is_first_attempt(start);
+        let received = |start: &&RecentStart| closed || start.may_be_delivered();
         let starts = self.recent_starts.iter().filter(|start| start.may_crash()).filter(received);
         let (likely, possible): (Vec<&RecentStart>, Vec<&RecentStart>) =
             starts.partition(|start| start.is_likely_cause(now));
@@ -182,12 +209,6 @@
         Causes { likely: runs(likely), possible: runs(possible) }
     }
 
-    /// True if only one attempt of the start has been sent, and it has no reply yet.
-    fn is_first_attempt(&self, start: &RecentStart) -> bool {
-        let mut orders = self.orders.values();
-        orders.any(|order| order.is_start_of(&start.task, start.run) && !order.may_take_effect)
-    }
-
     /// When the next probe is due; none if it would show nothing, or one is in flight.
     pub fn next_probe(&self) -> Option<u64> {
         if self.probe.is_some() || self.broken.is_some() {
@@ -205,6 +226,12 @@
             || self.orders.contains_key(&id)
     }
 
+    /// True if the failure of the call shows that this incarnation broke its connections: it awaits
+    /// a reply, or is the first call of a start that a former owner ordered.
+    pub fn shows_break(&self, id: u64) -> bool {
+        self.awaits_reply(id) || self.recent_starts.iter().any(|start| start.awaits_first_call(id))
+    }
+
     /// True if the worker has to be polled: it is not fenced under this epoch, has runs, has ends
     /// that are not acknowledged, or may have changed since the last poll.
     pub fn needs_poll(&self, epoch: u64) -> bool {
--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -361,6 +361,45 @@
     assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1");
 }
 
+// A former owner's start was sent to a worker that accepted no connections, and the order was
+// dropped when the owner changed. The start was blamed, since the agent no longer knew that the
+// worker cannot have received it.
+#[test]
+fn an_unsent_start_of_a_former_owner_is_no_suspect() {
+    let mut breaks = Vec::new();
+    for start_first in [true, false] {
+        let mut harness = Harness::new();
+        harness.order_start(0);
+        harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
+        harness.collect_outputs();
+        if start_first {
+            harness.reply(harness.start, refused());
+        }
+        harness.reply(harness.poll, refused());
+        breaks.append(&mut harness.breaks);
+    }
+    assert_snapshot!(breaks.join("\n"), @r"
+    i1 broke: no start
+    i1 broke: no start
+    ");
+}
+
+// The worker crashes just after a former owner's start, and its port is found closed before the
+// connection of that start breaks. The start must be named then, although its order was dropped.
+#[test]
+fn a_start_of_a_former_owner_whose_connection_breaks_late_is_a_suspect() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
+    harness.collect_outputs();
+    harness.reply(harness.poll, refused());
+    harness.reply(harness.start, closed());
+    assert_snapshot!(harness.breaks.join("\n"), @r"
+    i1 broke: no start
+    i1 broke: j.0.0.0 run 1
+    ");
+}
+
 // The next incarnation of a crashed worker was known before the connection of a call broke, and the
 // start was named by nobody.
 #[test]
