--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -28,6 +28,16 @@
     pub possible: Vec<(Task, u64)>,
 }
 
+impl SuspectedCrash {
+    fn starts(&self) -> impl Iterator<Item = &(Task, u64)> {
+        self.likely.iter().chain(&self.possible)
+    }
+
+    fn names(&self, start: &(Task, u64)) -> bool {
+        self.likely.contains(start) || self.possible.contains(start)
+    }
+}
+
 impl Owner {
     /// Handles a worker that broke its connections just after starts. Workers that shut down or
     /// whose machine is taken down break them, too, and are ignored here.
@@ -45,12 +55,19 @@
         }
         let earlier = agent.suspected_crash.replace(crash.clone());
         let among = crash.likely.len() + crash.possible.len();
-        for (task, run) in crash.likely.iter().chain(&crash.possible) {
+        for (task, run) in crash.starts() {
             self.record_unsettled(task, *run, among);
         }
-        // A worker has one incarnation at a time, and its agent reports them in order.
-        if let Some(earlier) = earlier.filter(|earlier| earlier.worker != crash.worker) {
-            self.count_crashes(name, earlier);
+        match earlier {
+            // The agent has learned since that the worker did not receive some of the starts.
+            Some(earlier) if earlier.worker == crash.worker => {
+                for (task, run) in earlier.starts().filter(|start| !crash.names(start)) {
+                    self.withdraw(task, *run);
+                }
+            }
+            // A worker has one incarnation at a time, and its agent reports them in order.
+            Some(earlier) => self.count_crashes(name, earlier),
+            None => {}
         }
     }
 
@@ -140,7 +157,7 @@
     pub(crate) fn dismiss_crash(&mut self, name: &str) {
         let Some(agent) = self.agents.get_mut(name) else { return };
         let Some(crash) = agent.suspected_crash.take() else { return };
-        for (task, run) in crash.likely.iter().chain(&crash.possible) {
+        for (task, run) in crash.starts() {
             self.withdraw(task, *run);
         }
     }
--- a/crates/dispatch/tests/crash_reports.rs
+++ b/crates/dispatch/tests/crash_reports.rs
@@ -5,6 +5,7 @@
 use harness::{Harness, job, step};
 use insta::assert_snapshot;
 use quincewheel_dispatch::Batch;
+use quincewheel_job::Worker;
 use quincewheel_wire::Notice;
 
 /// Reports that worker 0 broke its connections after a run of the first task of job `a`, and then
@@ -52,6 +53,32 @@
     assert_snapshot!(format!("{before:?} {after:?}"), @"[true] [false]");
 }
 
+// A start was named as in flight when a connection broke, and the agent learned afterwards that the
+// worker had not received it. The record of the first report was left behind and counted.
+#[test]
+fn start_that_a_later_report_of_the_break_leaves_out_is_withdrawn() {
+    let mut harness = Harness::new(1, 1).with_idle_workers(1);
+    harness.owner.add_job("a", job(1, vec![step(2, 8)]), 150, None);
+    harness.tick();
+    harness.logged_events = vec!["crash suspected"];
+    let starts: Vec<_> = (0..2).map(|index| (harness::task("a", 0, index), 1)).collect();
+    let (mut recorded, mut suspected) = (0, Vec::new());
+    for count in [2, 1] {
+        let (starts, possible) = (starts[..count].to_vec(), Vec::new());
+        harness.deliver(0, Notice::Broke { worker: "i0".into(), starts, possible });
+        let jobs = harness.record().jobs;
+        recorded = jobs.last().map_or(recorded, |(_, progress)| progress.suspected_tasks().len());
+        suspected.push(recorded);
+    }
+    let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
+    let worker = Some(Worker { id: "i0-2".into(), ..harness::worker(0) });
+    harness.deliver(0, Notice::Status { stamp, worker, fenced: false, running, ended });
+    assert_snapshot!(format!("{suspected:?}\n{}", harness.take_logs()), @r"
+    [2, 1]
+    crash suspected a: a.0.0.0 run 1 at w0, likely cause, one of 1: 1 likely, 1 in all
+    ");
+}
+
 // An agent reports a crash again to each new owner. A later run has survived its start since.
 #[test]
 fn crash_of_a_run_before_one_that_survived_does_not_count() {
