--- a/crates/runner/src/crash.rs
+++ b/crates/runner/src/crash.rs
@@ -42,6 +42,14 @@
         (self.likely.len(), self.possible.len()) != before
     }
 
+    /// Removes a start that turned out not to have reached the worker. Returns whether it was known.
+    pub fn remove(&mut self, start: &(Task, u64)) -> bool {
+        let known = self.contains(start);
+        self.likely.retain(|known| known != start);
+        self.possible.retain(|known| known != start);
+        known
+    }
+
     fn contains(&self, start: &(Task, u64)) -> bool {
         self.likely.contains(start) || self.possible.contains(start)
     }
--- a/crates/runner/src/incarnations.rs
+++ b/crates/runner/src/incarnations.rs
@@ -129,10 +129,14 @@
             session.next_poll = now + self.settings.retry_delay;
             return;
         }
+        let replied = Incarnation { id: session.worker.id.clone(), born };
+        let mut corrected = false;
         for run in running {
-            session.forget_start(&(run.task.clone(), run.number));
+            corrected |= session.forget_start_at_next(&(run.task.clone(), run.number));
+        }
+        if corrected {
+            self.send_broke();
         }
-        let replied = Incarnation { id: session.worker.id.clone(), born };
         self.candidate.take_if(|candidate| !candidate.worker.is_incarnation(&replied));
         self.switch_session(now);
     }
--- a/crates/runner/src/recent_start.rs
+++ b/crates/runner/src/recent_start.rs
@@ -29,6 +29,8 @@
     /// The id of the call in flight, if the worker cannot have received an earlier one. Orders do
     /// not show this for long: those of a former owner are dropped.
     first_call: Option<u64>,
+    /// It was sent again after a call that the worker may have received.
+    sent_again: bool,
     /// When the worker first confirmed or listed the run, by the agent's clock and the worker's.
     confirmed: Option<(u64, u64)>,
     /// The run did not crash the worker. Only suspects are kept from then on.
@@ -55,6 +57,7 @@
             sent_at: now,
             sent_after_break: after_break,
             first_call: None,
+            sent_again: false,
             confirmed: None,
             survived: false,
         }
@@ -68,6 +71,12 @@
     /// it before.
     pub fn record_call(&mut self, id: u64, again: bool) {
         self.first_call = (!again).then_some(id);
+        self.sent_again |= again;
+    }
+
+    /// Returns whether no more than one incarnation of the worker can have received it.
+    pub fn was_sent_once(&self) -> bool {
+        !self.sent_again
     }
 
     /// Returns whether the call is the only one with which the worker may receive the start.
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -164,8 +164,10 @@
             Err(Fault::Unsent { .. }) => self.on_connection_broken(id, false, now),
             _ => false,
         };
-        if let Some(session) = &mut self.session {
-            session.settle_first_call(id, &reply, now);
+        let corrected =
+            self.session.as_mut().is_some_and(|session| session.settle_first_call(id, &reply, now));
+        if corrected {
+            self.send_broke();
         }
         let session = self.session.as_ref();
         let poll = session.and_then(|session| session.poll).filter(|poll| poll.0 == id);
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -141,11 +141,11 @@
     }
 
     /// Records what the reply to the first call of a start shows about the start. Its order may
-    /// have been dropped with the owner that gave it.
-    pub fn settle_first_call(&mut self, id: u64, reply: &Result<Reply, Fault>, now: u64) {
-        let awaits = |start: &RecentStart| start.awaits_first_call(id);
-        let Some(index) = self.recent_starts.iter().position(awaits) else { return };
-        let start = &mut self.recent_starts[index];
+    /// have been dropped with the owner that gave it. Returns whether the report of a broken
+    /// connection has to be corrected.
+    pub fn settle_first_call(&mut self, id: u64, reply: &Result<Reply, Fault>, now: u64) -> bool {
+        let mut starts = self.recent_starts.iter_mut();
+        let Some(start) = starts.find(|start| start.awaits_first_call(id)) else { return false };
         match reply {
             Ok(Reply::Done { clock } | Reply::Held { clock, .. }) => {
                 start.record_delivery();
@@ -156,9 +156,11 @@
                 start.record_delivery()
             }
             Ok(Reply::Refused(_)) | Err(Fault::Unsent { .. }) => {
-                self.recent_starts.remove(index);
+                let run = (start.task.clone(), start.run);
+                return self.forget_start(&run);
             }
         }
+        false
     }
 
     /// Records that the worker carried out a call and replied.
@@ -174,9 +176,23 @@
         }
     }
 
-    /// Forgets a start that has not taken effect and no longer can.
-    pub fn forget_start(&mut self, (task, run): &(Task, u64)) {
-        self.recent_starts.retain(|start| !start.is(task, *run));
+    /// Forgets a start that has not taken effect here and no longer can. Returns whether it was
+    /// named as a cause of a broken connection, so that the report has to be corrected.
+    pub fn forget_start(&mut self, run: &(Task, u64)) -> bool {
+        self.recent_starts.retain(|start| !start.is(&run.0, run.1));
+        self.broken.as_mut().is_some_and(|causes| causes.remove(run))
+    }
+
+    /// Forgets a start that the next incarnation of the worker lists. One that was sent again may
+    /// have reached this incarnation as well, so it stays named. Returns whether the report of a
+    /// broken connection has to be corrected.
+    pub fn forget_start_at_next(&mut self, run: &(Task, u64)) -> bool {
+        let mut starts = self.recent_starts.iter();
+        if starts.any(|start| start.is(&run.0, run.1) && start.was_sent_once()) {
+            return self.forget_start(run);
+        }
+        self.recent_starts.retain(|start| !start.is(&run.0, run.1));
+        false
     }
 
     /// Weighs what a list of the worker's runs shows about recent starts. Returns the suspects that
--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -197,6 +197,30 @@
     assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: no start");
 }
 
+// A start is in flight when another connection breaks, and is named. Then its own call is refused,
+// so the worker has not received it. The report was not corrected, and the start was blamed.
+#[test]
+fn a_suspect_whose_call_was_refused_later_is_withdrawn() {
+    let mut breaks = Vec::new();
+    for reply in [refused(), Ok(Reply::Refused(Refused::Leaving))] {
+        let mut harness = Harness::new();
+        harness.order_start(0);
+        harness.confirm_start();
+        harness.advance(110);
+        harness.list(harness.probe, &[0]);
+        harness.order_start(1);
+        harness.reply(harness.poll, closed());
+        harness.reply(harness.start, reply);
+        breaks.append(&mut harness.breaks);
+    }
+    assert_snapshot!(breaks.join("\n"), @r"
+    i1 broke: j.0.0.1 run 1
+    i1 broke: no start
+    i1 broke: j.0.0.1 run 1
+    i1 broke: no start
+    ");
+}
+
 // A timeout shows neither whether the worker's process has ended nor when.
 #[test]
 fn a_timeout_is_no_broken_connection() {
@@ -425,6 +449,44 @@
     assert_snapshot!(harness.breaks.join("\n"), @"");
 }
 
+// The same, but the start was named before the next incarnation listed it. The report was not
+// corrected, so the start counted as the cause once the next incarnation was known.
+#[test]
+fn a_suspect_that_reached_the_next_incarnation_is_withdrawn() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.confirm_start();
+    harness.reply(harness.poll, closed());
+    let running = vec![listed(0)];
+    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new() };
+    harness.reply(harness.poll, Ok(held));
+    harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
+    harness.collect_outputs();
+    assert_snapshot!(harness.breaks.join("\n"), @r"
+    i1 broke: j.0.0.0 run 1
+    i1 broke: no start
+    ");
+}
+
+// A start may crash its worker, and its repetition reach the next incarnation. It is still the
+// likely cause, or a task that crashes its workers would be started once more.
+#[test]
+fn a_suspect_whose_repetition_reached_the_next_incarnation_stays_named() {
+    let mut harness = Harness::new();
+    harness.order_start(0);
+    harness.reply(harness.start, closed());
+    harness.confirm_start();
+    let running = vec![listed(0)];
+    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new() };
+    harness.reply(harness.poll, Ok(held));
+    harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
+    harness.collect_outputs();
+    assert_snapshot!(harness.breaks.join("\n"), @r"
+    i1 broke: j.0.0.0 run 1
+    i1 broke: j.0.0.0 run 1
+    ");
+}
+
 // A suspect ran for a second, its worker restarted, and the owner had not learned that it had
 // survived its start, as the poll in flight waited for an end.
 #[test]
