--- a/crates/runner/src/crashes.rs
+++ b/crates/runner/src/crashes.rs
@@ -22,7 +22,7 @@
         let shows_break = |session: &&mut Session| session.shows_break(id);
         let Some(session) = self.session.as_mut().filter(shows_break) else { return false };
         let causes = session.crash_causes(closed, now);
-        session.first_call_after_break = Some(self.next_call);
+        session.presumed_gone_since = Some(self.next_call);
         let first = session.broken.is_none();
         let more = session.broken.get_or_insert_default().add(causes);
         if first || more {
--- a/crates/runner/src/incarnations.rs
+++ b/crates/runner/src/incarnations.rs
@@ -59,6 +59,7 @@
                 session.poll = None;
                 session.changed = true;
                 session.next_poll = now;
+                session.presumed_gone_since = Some(self.next_call);
                 let (worker, address) = (worker.clone(), address.to_owned());
                 self.candidate = Some(Candidate { worker, address, number });
             }
--- a/crates/runner/src/recent_start.rs
+++ b/crates/runner/src/recent_start.rs
@@ -24,8 +24,8 @@
     suspect: bool,
     /// When it was first sent.
     sent_at: u64,
-    /// The worker had broken its connections before, and had not replied to a call sent since.
-    sent_after_break: bool,
+    /// The worker had shown a sign that it had ended, and had not replied to a call sent since.
+    worker_presumed_gone: bool,
     /// The id of the call in flight, if the worker cannot have received an earlier one. Orders do
     /// not show this for long: those of a former owner are dropped.
     first_call: Option<u64>,
@@ -49,13 +49,13 @@
 }
 
 impl RecentStart {
-    pub fn new((task, run): (Task, u64), suspect: bool, after_break: bool, now: u64) -> Self {
+    pub fn new((task, run): (Task, u64), suspect: bool, presumed_gone: bool, now: u64) -> Self {
         RecentStart {
             task,
             run,
             suspect,
             sent_at: now,
-            sent_after_break: after_break,
+            worker_presumed_gone: presumed_gone,
             first_call: None,
             sent_again: false,
             confirmed: None,
@@ -129,9 +129,9 @@
     }
 
     /// Returns whether it is the probable cause of a crash that is noticed now. A start that was
-    /// sent after a break and never confirmed is not: the worker was probably gone before.
+    /// sent when the worker was presumed gone, and never confirmed, is not.
     pub fn is_likely_cause(&self, now: u64) -> bool {
-        let reached = self.confirmed.is_some() || !self.sent_after_break;
+        let reached = self.confirmed.is_some() || !self.worker_presumed_gone;
         reached && now <= self.sent_at + CRASH_DELAY_MS
     }
 
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 use quincewheel_job::{Evacuation, Incarnation, Worker};
-use quincewheel_wire::{LinkId, Notice, Order};
+use quincewheel_wire::{LinkId, Notice, Order, Refused};
 
 use crate::call::{Action, Call, Fault, Reply};
 use crate::candidate::Candidate;
@@ -162,6 +162,12 @@
         let broke = match reply {
             Err(Fault::Unclear { closed: true, .. }) => self.on_connection_broken(id, true, now),
             Err(Fault::Unsent { .. }) => self.on_connection_broken(id, false, now),
+            Ok(Reply::Refused(Refused::Leaving)) => {
+                if let Some(session) = self.session.as_mut().filter(|s| s.awaits_reply(id)) {
+                    session.presumed_gone_since = Some(self.next_call);
+                }
+                false
+            }
             _ => false,
         };
         let corrected =
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -56,9 +56,10 @@
     /// The starts that may be why the worker broke its connections; none if it has replied to a
     /// poll since, or has not broken any.
     pub broken: Option<Causes>,
-    /// The id of the first call sent after the worker last broke its connections; none once it has
-    /// replied to such a call. A reply to an earlier call may have been sent before the break.
-    pub first_call_after_break: Option<u64>,
+    /// The id of the first call sent after the worker last showed a sign that it had ended: it broke
+    /// its connections or refused a call as leaving, or another incarnation sent a heartbeat. None
+    /// once it has replied to such a call; a reply to an earlier one may be older than the sign.
+    pub presumed_gone_since: Option<u64>,
 }
 
 impl Session {
@@ -86,7 +87,7 @@
             probe: None,
             probe_not_before: 0,
             broken: None,
-            first_call_after_break: None,
+            presumed_gone_since: None,
         }
     }
 
@@ -134,8 +135,8 @@
         if let Some(start) = self.recent_starts.iter_mut().find(|start| start.is(&task, run)) {
             return start.record_call(id, again);
         }
-        let after_break = self.first_call_after_break.is_some();
-        let mut start = RecentStart::new((task, run), pending.suspect, after_break, now);
+        let presumed_gone = self.presumed_gone_since.is_some();
+        let mut start = RecentStart::new((task, run), pending.suspect, presumed_gone, now);
         start.record_call(id, again);
         self.recent_starts.push(start);
     }
@@ -166,7 +167,7 @@
     /// Records that the worker carried out a call and replied.
     pub fn record_reply(&mut self, id: u64, now: u64) {
         self.last_reply = now;
-        self.first_call_after_break.take_if(|first| id >= *first);
+        self.presumed_gone_since.take_if(|first| id >= *first);
     }
 
     /// Records that the worker confirmed a start, as of `clock` on its clock.
--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -520,6 +520,45 @@
     ");
 }
 
+// Another incarnation had sent a heartbeat, or a call had been refused because the worker is leaving,
+// when a start was sent. The worker was probably gone, and the start was blamed all the same.
+#[test]
+fn a_start_sent_after_other_signs_that_the_worker_is_gone_is_no_likely_cause() {
+    let mut breaks = Vec::new();
+    for refusal in [false, true] {
+        let mut harness = Harness::new();
+        harness.order_start(0);
+        harness.confirm_start();
+        harness.advance(110);
+        harness.list(harness.probe, &[0]);
+        if refusal {
+            harness.order_start(1);
+            harness.reply(harness.start, Ok(Reply::Refused(Refused::Leaving)));
+        } else {
+            harness.send_heartbeat("i2");
+        }
+        harness.order_start(2);
+        harness.reply(harness.start, closed());
+        breaks.append(&mut harness.breaks);
+    }
+    assert_snapshot!(breaks.join("\n"), @r"
+    i1 broke: j.0.0.2 run 1, perhaps
+    i1 broke: j.0.0.2 run 1, perhaps
+    ");
+}
+
+// A heartbeat of another incarnation may be a delayed one. Once the worker has replied, a start that
+// it then crashes on is the likely cause.
+#[test]
+fn a_start_sent_after_a_reply_since_a_delayed_heartbeat_is_a_likely_cause() {
+    let mut harness = Harness::new();
+    harness.send_heartbeat("i0");
+    harness.reply_to_poll(&[]);
+    harness.order_start(0);
+    harness.reply(harness.start, closed());
+    assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1");
+}
+
 // A reset connection must not excuse later starts: a worker that has replied since is there, and a
 // start that it then crashes on before it confirms it is the likely cause.
 #[test]
