--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -45,7 +45,7 @@
                 }
                 self.lease.set_worker_clock(clock, now);
                 self.send_status(now);
-                self.weigh_starts(&running, clock, now);
+                self.weigh_starts((&running, true), clock, now);
                 let due: Vec<StopReport> = due;
                 for stop in due {
                     self.notify_owner(stop.notice);
--- a/crates/runner/src/probes.rs
+++ b/crates/runner/src/probes.rs
@@ -34,17 +34,17 @@
         match reply {
             Ok(Reply::Held { born, clock, running, .. }) if born == session.worker.born => {
                 session.probe_not_before = now + REPEAT_DELAY_MS;
-                self.weigh_starts(&running, clock, now);
+                self.weigh_starts((&running, false), clock, now);
             }
             _ => session.probe_not_before = now + delay,
         }
     }
 
     /// Weighs what a list of the worker's runs shows about recent starts, and reports suspects that
-    /// have survived theirs.
-    pub(crate) fn weigh_starts(&mut self, running: &[Run], clock: u64, now: u64) {
+    /// have survived theirs. `polled` says that the list is the reply to a poll.
+    pub(crate) fn weigh_starts(&mut self, (running, polled): (&[Run], bool), clock: u64, now: u64) {
         let Some(session) = &mut self.session else { return };
-        for (task, run) in session.weigh_starts(running, clock, now) {
+        for (task, run) in session.weigh_starts((running, polled), clock, now) {
             self.notify_owner(Notice::Survived { task, run });
         }
     }
--- a/crates/runner/src/recent_start.rs
+++ b/crates/runner/src/recent_start.rs
@@ -33,8 +33,11 @@
     sent_again: bool,
     /// When the worker first confirmed or listed the run, by the agent's clock and the worker's.
     confirmed: Option<(u64, u64)>,
-    /// The run did not crash the worker. Only suspects are kept from then on.
+    /// The run did not crash the worker.
     survived: bool,
+    /// No further list is needed. The start is kept until the reply to a poll, as the owner sees
+    /// only those: until then it may order the start again, which is no new start.
+    settled: bool,
 }
 
 /// What a list of the worker's runs shows about a start.
@@ -44,7 +47,7 @@
     Open,
     /// It did not crash the worker: its run is over, or is no suspect.
     Harmless,
-    /// It is a suspect and did not crash the worker.
+    /// It is a suspect, and turns out now not to have crashed the worker.
     Survived,
 }
 
@@ -60,6 +63,7 @@
             sent_again: false,
             confirmed: None,
             survived: false,
+            settled: false,
         }
     }
 
@@ -113,9 +117,11 @@
             Some((_, since)) => {
                 self.survived |= clock >= since + SURVIVAL_MS;
                 if self.suspect && clock >= since + SUSPECT_SURVIVAL_MS {
-                    return Evidence::Survived;
+                    let known = std::mem::replace(&mut self.settled, true);
+                    return if known { Evidence::Harmless } else { Evidence::Survived };
                 }
                 if self.survived && !self.suspect {
+                    self.settled = true;
                     return Evidence::Harmless;
                 }
             }
@@ -135,9 +141,15 @@
         reached && now <= self.sent_at + CRASH_DELAY_MS
     }
 
-    /// When another list of the worker's runs will show more; none before the run is confirmed.
+    /// Returns whether no further list of the worker's runs is needed.
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
+    /// When another list of the worker's runs will show more; none before the run is confirmed, and
+    /// once the start is settled.
     pub fn next_probe(&self) -> Option<u64> {
-        let (confirmed_at, _) = self.confirmed?;
+        let (confirmed_at, _) = self.confirmed.filter(|_| !self.settled)?;
         let delay = if self.survived { SUSPECT_SURVIVAL_MS } else { SURVIVAL_MS };
         Some(confirmed_at + delay + CLOCK_LAG_MS)
     }
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -196,9 +196,14 @@
         false
     }
 
-    /// Weighs what a list of the worker's runs shows about recent starts. Returns the suspects that
-    /// have survived theirs.
-    pub fn weigh_starts(&mut self, running: &[Run], clock: u64, now: u64) -> Vec<(Task, u64)> {
+    /// Weighs what a list of the worker's runs shows about recent starts; `polled` if it is the reply
+    /// to a poll, which the owner sees. Returns the suspects that have survived their starts.
+    pub fn weigh_starts(
+        &mut self,
+        (running, polled): (&[Run], bool),
+        clock: u64,
+        now: u64,
+    ) -> Vec<(Task, u64)> {
         let pending: Vec<(Task, u64)> = self.orders.values().map(Pending::run).collect();
         let mut survived = Vec::new();
         self.recent_starts.retain_mut(|start| {
@@ -207,7 +212,7 @@
             if evidence == Evidence::Survived {
                 survived.push((start.task.clone(), start.run));
             }
-            evidence == Evidence::Open
+            evidence == Evidence::Open || (start.is_settled() && !polled)
         });
         survived
     }
--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -54,9 +54,13 @@
     }
 
     fn order_start_of(&mut self, index: u32, suspect: bool) {
+        self.order_start_again(index, (false, suspect));
+    }
+
+    /// Orders a start; `again` if the owner has ordered it before.
+    fn order_start_again(&mut self, index: u32, (again, suspect): (bool, bool)) {
         let (spec, saved, ticket) = (String::new(), String::new(), String::new());
         let (worker, task) = ("i1".into(), task(index));
-        let again = false;
         let start = Order::Start { worker, task, run: 1, spec, saved, ticket, again, suspect };
         self.runner.on_order(1, start, self.now);
         self.collect_outputs();
@@ -602,6 +606,35 @@
     ");
 }
 
+// The confirmation of a start was lost with the connection to the owner, which ordered the start
+// again. The worker had survived it long before, and was asked about it by a probe, whose list the
+// owner does not see. When the worker ended just after the repetition, the start was blamed.
+#[test]
+fn a_repeated_start_that_the_worker_has_survived_is_no_suspect() {
+    let mut breaks = Vec::new();
+    for suspect in [false, true] {
+        let mut harness = Harness::new();
+        harness.order_start_of(0, suspect);
+        harness.confirm_start();
+        harness.advance(110);
+        harness.list(harness.probe, &[0]);
+        harness.advance(200);
+        harness.list(harness.probe, &[0]);
+        harness.advance(200);
+        harness.order_start_again(0, (true, suspect));
+        harness.confirm_start();
+        harness.reply(harness.poll, closed());
+        breaks.append(&mut harness.breaks);
+        breaks.push(format!("{} reported as survivors", harness.survivors.len()));
+    }
+    assert_snapshot!(breaks.join("\n"), @r"
+    i1 broke: no start
+    0 reported as survivors
+    i1 broke: no start
+    1 reported as survivors
+    ");
+}
+
 // A worker without running starts is not asked for its runs again and again.
 #[test]
 fn probes_end_once_the_start_is_survived() {
