--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -1,137 +1,12 @@
 //! Reports of workers that break their connections.
 
-use insta::assert_snapshot;
-use quincewheel_job::{Run, Task, Worker};
-use quincewheel_runner::{Action, Fault, Heartbeat, Output, Reply, Runner, Settings};
-use quincewheel_wire::{Notice, Order, Refused, list_causes};
-
-/// An agent whose worker is fenced and idle.
-struct Harness {
-    runner: Runner,
-    now: u64,
-    /// Call ids of the last poll, the last start and the last probe.
-    poll: u64,
-    start: u64,
-    probe: u64,
-    /// Suspects that were reported to have survived their starts.
-    survivors: Vec<String>,
-    /// Reports of broken connections.
-    breaks: Vec<String>,
-    /// The last status reported the worker as fenced.
-    fenced: bool,
-}
-
-impl Harness {
-    fn new() -> Harness {
-        let runner = Runner::new(Settings::default());
-        let mut harness = Harness {
-            runner,
-            now: 1000,
-            poll: 0,
-            start: 0,
-            probe: 0,
-            survivors: Vec::new(),
-            breaks: Vec::new(),
-            fenced: false,
-        };
-        harness.send_heartbeat("i1");
-        harness.runner.on_order(1, Order::Claim { epoch: 1 }, harness.now);
-        harness.runner.on_order(1, Order::Grant { stamp: harness.now }, harness.now);
-        harness.collect_outputs();
-        harness.reply_to_poll(&[]);
-        harness.breaks.clear();
-        harness
-    }
-
-    fn send_heartbeat(&mut self, id: &str) {
-        let worker = Worker { id: id.into(), pool: "p".into(), ..Worker::default() };
-        self.runner.on_heartbeat(&heartbeat(&worker, "10.0.0.1:80", 50_000 + self.now), self.now);
-        self.collect_outputs();
-    }
-
-    fn order_start(&mut self, index: u32) {
-        self.order_start_of(index, false);
-    }
-
-    fn order_start_of(&mut self, index: u32, suspect: bool) {
-        self.order_start_again(index, (false, suspect));
-    }
-
-    /// Orders a start; `again` if the owner has ordered it before.
-    fn order_start_again(&mut self, index: u32, (again, suspect): (bool, bool)) {
-        let (spec, saved, ticket) = (String::new(), String::new(), String::new());
-        let (worker, task) = ("i1".into(), task(index));
-        let start = Order::Start { worker, task, run: 1, spec, saved, ticket, again, suspect };
-        self.runner.on_order(1, start, self.now);
-        self.collect_outputs();
-    }
-
-    /// Confirms the last start.
-    fn confirm_start(&mut self) {
-        self.reply(self.start, Ok(Reply::Done { clock: 50_000 + self.now }));
-    }
-
-    /// Replies to the last poll.
-    fn reply_to_poll(&mut self, running: &[u32]) {
-        self.list(self.poll, running);
-    }
-
-    /// Replies to a poll or probe.
-    fn list(&mut self, id: u64, running: &[u32]) {
-        let running = running.iter().copied().map(listed).collect();
-        let held = Reply::Held { born: 0, clock: 50_000 + self.now, running, ended: Vec::new() };
-        self.reply(id, Ok(held));
-    }
-
-    fn reply(&mut self, id: u64, reply: Result<Reply, Fault>) {
-        self.runner.on_reply(id, reply, self.now);
-        self.collect_outputs();
-    }
-
-    fn advance(&mut self, ms: u64) {
-        self.now += ms;
-        self.runner.tick(self.now);
-        self.collect_outputs();
-    }
-
-    fn collect_outputs(&mut self) {
-        for output in self.runner.take_outputs() {
-            match output {
-                Output::Call { id, call } => match call.action {
-                    Action::Hold { .. } => self.poll = id,
-                    Action::Start { .. } => self.start = id,
-                    Action::List => self.probe = id,
-                    _ => {}
-                },
-                Output::Send { notice: Notice::Broke { worker, starts, possible }, .. } => {
-                    let causes = list_causes(&starts, &possible);
-                    self.breaks.push(format!("{worker} broke: {causes}"));
-                }
-                Output::Send { notice: Notice::Survived { task, run }, .. } => {
-                    self.survivors.push(format!("{task} run {run}"));
-                }
-                Output::Send { notice: Notice::Status { fenced, .. }, .. } => self.fenced = fenced,
-                Output::Send { .. } | Output::Close { .. } => {}
-            }
-        }
-    }
-}
-
-fn task(index: u32) -> Task {
-    Task { job: "j".into(), occurrence: 0, step: 0, index }
-}
+mod connections;
 
-fn listed(index: u32) -> Run {
-    Run { task: task(index), number: 1, saved: String::new(), percent: 1, gauge: 0 }
-}
-
-fn closed() -> Result<Reply, Fault> {
-    Err(Fault::Unclear { closed: true, detail: "closed".into() })
-}
-
-fn refused() -> Result<Reply, Fault> {
-    Err(Fault::Unsent { detail: "refused".into() })
-}
+use connections::{Harness, closed, heartbeat, listed, refused};
+use insta::assert_snapshot;
+use quincewheel_job::Worker;
+use quincewheel_runner::{Fault, Reply};
+use quincewheel_wire::{Order, Refused};
 
 // A task has run for a while, another one starts, and 10 ms later the worker's process ends. The
 // log must show that the worker crashed just after the second start.
@@ -201,30 +76,6 @@
     assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: no start");
 }
 
-// A start is in flight when another connection breaks, and is named. Then its own call is refused,
-// so the worker has not received it. The report was not corrected, and the start was blamed.
-#[test]
-fn a_suspect_whose_call_was_refused_later_is_withdrawn() {
-    let mut breaks = Vec::new();
-    for reply in [refused(), Ok(Reply::Refused(Refused::Leaving))] {
-        let mut harness = Harness::new();
-        harness.order_start(0);
-        harness.confirm_start();
-        harness.advance(110);
-        harness.list(harness.probe, &[0]);
-        harness.order_start(1);
-        harness.reply(harness.poll, closed());
-        harness.reply(harness.start, reply);
-        breaks.append(&mut harness.breaks);
-    }
-    assert_snapshot!(breaks.join("\n"), @r"
-    i1 broke: j.0.0.1 run 1
-    i1 broke: no start
-    i1 broke: j.0.0.1 run 1
-    i1 broke: no start
-    ");
-}
-
 // A timeout shows neither whether the worker's process has ended nor when.
 #[test]
 fn a_timeout_is_no_broken_connection() {
@@ -389,45 +240,6 @@
     assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1");
 }
 
-// A former owner's start was sent to a worker that accepted no connections, and the order was
-// dropped when the owner changed. The start was blamed, since the agent no longer knew that the
-// worker cannot have received it.
-#[test]
-fn an_unsent_start_of_a_former_owner_is_no_suspect() {
-    let mut breaks = Vec::new();
-    for start_first in [true, false] {
-        let mut harness = Harness::new();
-        harness.order_start(0);
-        harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
-        harness.collect_outputs();
-        if start_first {
-            harness.reply(harness.start, refused());
-        }
-        harness.reply(harness.poll, refused());
-        breaks.append(&mut harness.breaks);
-    }
-    assert_snapshot!(breaks.join("\n"), @r"
-    i1 broke: no start
-    i1 broke: no start
-    ");
-}
-
-// The worker crashes just after a former owner's start, and its port is found closed before the
-// connection of that start breaks. The start must be named then, although its order was dropped.
-#[test]
-fn a_start_of_a_former_owner_whose_connection_breaks_late_is_a_suspect() {
-    let mut harness = Harness::new();
-    harness.order_start(0);
-    harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
-    harness.collect_outputs();
-    harness.reply(harness.poll, refused());
-    harness.reply(harness.start, closed());
-    assert_snapshot!(harness.breaks.join("\n"), @r"
-    i1 broke: no start
-    i1 broke: j.0.0.0 run 1
-    ");
-}
-
 // The next incarnation of a crashed worker was known before the connection of a call broke, and the
 // start was named by nobody.
 #[test]
@@ -453,44 +265,6 @@
     assert_snapshot!(harness.breaks.join("\n"), @"");
 }
 
-// The same, but the start was named before the next incarnation listed it. The report was not
-// corrected, so the start counted as the cause once the next incarnation was known.
-#[test]
-fn a_suspect_that_reached_the_next_incarnation_is_withdrawn() {
-    let mut harness = Harness::new();
-    harness.order_start(0);
-    harness.confirm_start();
-    harness.reply(harness.poll, closed());
-    let running = vec![listed(0)];
-    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new() };
-    harness.reply(harness.poll, Ok(held));
-    harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
-    harness.collect_outputs();
-    assert_snapshot!(harness.breaks.join("\n"), @r"
-    i1 broke: j.0.0.0 run 1
-    i1 broke: no start
-    ");
-}
-
-// A start may crash its worker, and its repetition reach the next incarnation. It is still the
-// likely cause, or a task that crashes its workers would be started once more.
-#[test]
-fn a_suspect_whose_repetition_reached_the_next_incarnation_stays_named() {
-    let mut harness = Harness::new();
-    harness.order_start(0);
-    harness.reply(harness.start, closed());
-    harness.confirm_start();
-    let running = vec![listed(0)];
-    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new() };
-    harness.reply(harness.poll, Ok(held));
-    harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
-    harness.collect_outputs();
-    assert_snapshot!(harness.breaks.join("\n"), @r"
-    i1 broke: j.0.0.0 run 1
-    i1 broke: j.0.0.0 run 1
-    ");
-}
-
 // A suspect ran for a second, its worker restarted, and the owner had not learned that it had
 // survived its start, as the poll in flight waited for an end.
 #[test]
@@ -524,117 +298,6 @@
     ");
 }
 
-// Another incarnation had sent a heartbeat, or a call had been refused because the worker is leaving,
-// when a start was sent. The worker was probably gone, and the start was blamed all the same.
-#[test]
-fn a_start_sent_after_other_signs_that_the_worker_is_gone_is_no_likely_cause() {
-    let mut breaks = Vec::new();
-    for refusal in [false, true] {
-        let mut harness = Harness::new();
-        harness.order_start(0);
-        harness.confirm_start();
-        harness.advance(110);
-        harness.list(harness.probe, &[0]);
-        if refusal {
-            harness.order_start(1);
-            harness.reply(harness.start, Ok(Reply::Refused(Refused::Leaving)));
-        } else {
-            harness.send_heartbeat("i2");
-        }
-        harness.order_start(2);
-        harness.reply(harness.start, closed());
-        breaks.append(&mut harness.breaks);
-    }
-    assert_snapshot!(breaks.join("\n"), @r"
-    i1 broke: j.0.0.2 run 1, perhaps
-    i1 broke: j.0.0.2 run 1, perhaps
-    ");
-}
-
-// A heartbeat of another incarnation may be a delayed one. Once the worker has replied, a start that
-// it then crashes on is the likely cause.
-#[test]
-fn a_start_sent_after_a_reply_since_a_delayed_heartbeat_is_a_likely_cause() {
-    let mut harness = Harness::new();
-    harness.send_heartbeat("i0");
-    harness.reply_to_poll(&[]);
-    harness.order_start(0);
-    harness.reply(harness.start, closed());
-    assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1");
-}
-
-// A reset connection must not excuse later starts: a worker that has replied since is there, and a
-// start that it then crashes on before it confirms it is the likely cause.
-#[test]
-fn a_start_sent_after_a_reply_since_the_break_is_a_likely_cause() {
-    let mut harness = Harness::new();
-    harness.order_start(0);
-    harness.confirm_start();
-    harness.advance(110);
-    harness.list(harness.probe, &[0]);
-    harness.reply(harness.poll, closed());
-    harness.order_start(1);
-    harness.confirm_start();
-    harness.advance(60);
-    harness.order_start(2);
-    harness.reply(harness.start, closed());
-    assert_snapshot!(harness.breaks.join("\n"), @r"
-    i1 broke: no start
-    i1 broke: j.0.0.2 run 1, j.0.0.1 run 1, perhaps
-    ");
-}
-
-// A start sent after a break is named as a possible cause when the next connection breaks, and its
-// confirmation arrives only then. If the report were not corrected, tasks that crash their workers
-// would be started once more.
-#[test]
-fn a_possible_cause_that_is_confirmed_later_becomes_a_likely_one() {
-    let mut harness = Harness::new();
-    harness.order_start(0);
-    harness.confirm_start();
-    harness.advance(110);
-    harness.list(harness.probe, &[0]);
-    harness.reply(harness.poll, closed());
-    harness.order_start(1);
-    harness.reply(harness.poll, closed());
-    harness.confirm_start();
-    harness.reply(harness.poll, refused());
-    assert_snapshot!(harness.breaks.join("\n"), @r"
-    i1 broke: no start
-    i1 broke: j.0.0.1 run 1, perhaps
-    i1 broke: j.0.0.1 run 1
-    ");
-}
-
-// The confirmation of a start was lost with the connection to the owner, which ordered the start
-// again. The worker had survived it long before, and was asked about it by a probe, whose list the
-// owner does not see. When the worker ended just after the repetition, the start was blamed.
-#[test]
-fn a_repeated_start_that_the_worker_has_survived_is_no_suspect() {
-    let mut breaks = Vec::new();
-    for suspect in [false, true] {
-        let mut harness = Harness::new();
-        harness.order_start_of(0, suspect);
-        harness.confirm_start();
-        harness.advance(110);
-        harness.list(harness.probe, &[0]);
-        harness.advance(200);
-        harness.list(harness.probe, &[0]);
-        harness.advance(200);
-        harness.order_start_again(0, (true, suspect));
-        harness.confirm_start();
-        harness.reply(harness.poll, closed());
-        breaks.append(&mut harness.breaks);
-        breaks.push(format!("{} reported as survivors", harness.survivors.len()));
-    }
-    assert_snapshot!(breaks.join("\n"), @r"
-    i1 broke: no start
-    0 reported as survivors
-    i1 broke: no start
-    1 reported as survivors
-    ");
-}
-
 // A worker without running starts is not asked for its runs again and again.
 #[test]
 fn probes_end_once_the_start_is_survived() {
@@ -647,8 +310,3 @@
     harness.advance(1000);
     assert_eq!(harness.probe, first);
 }
-
-/// A heartbeat whose sequence number is the worker's clock.
-fn heartbeat<'a>(worker: &'a Worker, address: &'a str, clock: u64) -> Heartbeat<'a> {
-    Heartbeat { worker, address, clock, number: clock }
-}
