--- a/crates/runner/src/recent_start.rs
+++ b/crates/runner/src/recent_start.rs
@@ -24,10 +24,20 @@
     suspect: bool,
     /// When it was first sent.
     sent_at: u64,
+    /// The worker had shown a sign that it had ended, and had not replied to a call sent since.
+    worker_presumed_gone: bool,
+    /// The id of the call in flight, if the worker cannot have received an earlier one. Orders do
+    /// not show this for long: those of a former owner are dropped.
+    first_call: Option<u64>,
+    /// It was sent again after a call that the worker may have received.
+    sent_again: bool,
     /// When the worker first confirmed or listed the run, by the agent's clock and the worker's.
     confirmed: Option<(u64, u64)>,
-    /// The run did not crash the worker. Only suspects are kept from then on.
+    /// The run did not crash the worker.
     survived: bool,
+    /// No further list is needed. The start is kept until the reply to a poll, as the owner sees
+    /// only those: until then it may order the start again, which is no new start.
+    settled: bool,
 }
 
 /// What a list of the worker's runs shows about a start.
@@ -37,19 +47,57 @@
     Open,
     /// It did not crash the worker: its run is over, or is no suspect.
     Harmless,
-    /// It is a suspect and did not crash the worker.
+    /// It is a suspect, and turns out now not to have crashed the worker.
     Survived,
 }
 
 impl RecentStart {
-    pub fn new(task: Task, run: u64, suspect: bool, now: u64) -> RecentStart {
-        RecentStart { task, run, suspect, sent_at: now, confirmed: None, survived: false }
+    pub fn new((task, run): (Task, u64), suspect: bool, presumed_gone: bool, now: u64) -> Self {
+        RecentStart {
+            task,
+            run,
+            suspect,
+            sent_at: now,
+            worker_presumed_gone: presumed_gone,
+            first_call: None,
+            sent_again: false,
+            confirmed: None,
+            survived: false,
+            settled: false,
+        }
     }
 
     pub fn is(&self, task: &Task, run: u64) -> bool {
         self.task == *task && self.run == run
     }
 
+    /// Records that the start is sent with the call `id`; `again` if the worker may have received
+    /// it before.
+    pub fn record_call(&mut self, id: u64, again: bool) {
+        self.first_call = (!again).then_some(id);
+        self.sent_again |= again;
+    }
+
+    /// Returns whether no more than one incarnation of the worker can have received it.
+    pub fn was_sent_once(&self) -> bool {
+        !self.sent_again
+    }
+
+    /// Returns whether the call is the only one with which the worker may receive the start.
+    pub fn awaits_first_call(&self, id: u64) -> bool {
+        self.first_call == Some(id)
+    }
+
+    /// Records that the worker may have received the start.
+    pub fn record_delivery(&mut self) {
+        self.first_call = None;
+    }
+
+    /// Returns whether the worker may have received the start if it accepts no connections now.
+    pub fn may_be_delivered(&self) -> bool {
+        self.first_call.is_none()
+    }
+
     /// Records that the run exists, as of `clock` on the worker's clock.
     pub fn confirm(&mut self, clock: u64, now: u64) {
         self.confirmed.get_or_insert((now, clock));
@@ -69,9 +117,11 @@
             Some((_, since)) => {
                 self.survived |= clock >= since + SURVIVAL_MS;
                 if self.suspect && clock >= since + SUSPECT_SURVIVAL_MS {
-                    return Evidence::Survived;
+                    let known = std::mem::replace(&mut self.settled, true);
+                    return if known { Evidence::Harmless } else { Evidence::Survived };
                 }
                 if self.survived && !self.suspect {
+                    self.settled = true;
                     return Evidence::Harmless;
                 }
             }
@@ -84,14 +134,22 @@
         !self.survived
     }
 
-    /// Returns whether it is the probable cause of a crash that is noticed now.
+    /// Returns whether it is the probable cause of a crash that is noticed now. A start that was
+    /// sent when the worker was presumed gone, and never confirmed, is not.
     pub fn is_likely_cause(&self, now: u64) -> bool {
-        now <= self.sent_at + CRASH_DELAY_MS
+        let reached = self.confirmed.is_some() || !self.worker_presumed_gone;
+        reached && now <= self.sent_at + CRASH_DELAY_MS
+    }
+
+    /// Returns whether no further list of the worker's runs is needed.
+    pub fn is_settled(&self) -> bool {
+        self.settled
     }
 
-    /// When another list of the worker's runs will show more; none before the run is confirmed.
+    /// When another list of the worker's runs will show more; none before the run is confirmed, and
+    /// once the start is settled.
     pub fn next_probe(&self) -> Option<u64> {
-        let (confirmed_at, _) = self.confirmed?;
+        let (confirmed_at, _) = self.confirmed.filter(|_| !self.settled)?;
         let delay = if self.survived { SUSPECT_SURVIVAL_MS } else { SURVIVAL_MS };
         Some(confirmed_at + delay + CLOCK_LAG_MS)
     }
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 use quincewheel_job::{Evacuation, Incarnation, Worker};
-use quincewheel_wire::{LinkId, Notice, Order};
+use quincewheel_wire::{LinkId, Notice, Order, Refused};
 
 use crate::call::{Action, Call, Fault, Reply};
 use crate::candidate::Candidate;
@@ -157,13 +157,24 @@
         if let Some(session) =
             self.session.as_mut().filter(|session| proves && session.awaits_reply(id))
         {
-            session.last_reply = now;
+            session.record_reply(id, now);
         }
         let broke = match reply {
             Err(Fault::Unclear { closed: true, .. }) => self.on_connection_broken(id, true, now),
             Err(Fault::Unsent { .. }) => self.on_connection_broken(id, false, now),
+            Ok(Reply::Refused(Refused::Leaving)) => {
+                if let Some(session) = self.session.as_mut().filter(|s| s.awaits_reply(id)) {
+                    session.presumed_gone_since = Some(self.next_call);
+                }
+                false
+            }
             _ => false,
         };
+        let corrected =
+            self.session.as_mut().is_some_and(|session| session.settle_first_call(id, &reply, now));
+        if corrected {
+            self.send_broke();
+        }
         let session = self.session.as_ref();
         let poll = session.and_then(|session| session.poll).filter(|poll| poll.0 == id);
         if let Some((_, epoch)) = poll {
@@ -307,9 +318,6 @@
             // taken for the reply to this one.
             let Some(mut pending) = session.orders.remove(&id) else { continue };
             pending.retry_at = None;
-            if pending.is_start() {
-                session.record_start(pending.run(), pending.suspect, now);
-            }
             if let (Action::Start { lease_end: end, .. }, Some(renewed)) =
                 (&mut pending.action, lease_end)
             {
@@ -318,6 +326,9 @@
             let call = session.call(self.epoch, pending.action.clone(), settings.call_timeout);
             let id = self.next_call;
             self.next_call += 1;
+            if pending.is_start() {
+                session.record_start(id, &pending, now);
+            }
             session.orders.insert(id, pending);
             self.outputs.push(Output::Call { id, call });
         }
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -1,8 +1,9 @@
 use std::collections::BTreeMap;
 
 use quincewheel_job::{End, Run, Task, Worker};
+use quincewheel_wire::Refused;
 
-use crate::call::{Action, Call};
+use crate::call::{Action, Call, Fault, Reply};
 use crate::crash::Causes;
 use crate::pending::Pending;
 use crate::recent_start::{Evidence, RecentStart};
@@ -55,6 +56,10 @@
     /// The starts that may be why the worker broke its connections; none if it has replied to a
     /// poll since, or has not broken any.
     pub broken: Option<Causes>,
+    /// The id of the first call sent after the worker last showed a sign that it had ended: it broke
+    /// its connections or refused a call as leaving, or another incarnation sent a heartbeat. None
+    /// once it has replied to such a call; a reply to an earlier one may be older than the sign.
+    pub presumed_gone_since: Option<u64>,
 }
 
 impl Session {
@@ -82,6 +87,7 @@
             probe: None,
             probe_not_before: 0,
             broken: None,
+            presumed_gone_since: None,
         }
     }
 
@@ -122,11 +128,46 @@
         self.orders.values().filter(sent).map(Pending::run).collect()
     }
 
-    /// Records that a start is sent; `suspect` if the owner suspects its task.
-    pub fn record_start(&mut self, (task, run): (Task, u64), suspect: bool, now: u64) {
-        if !self.recent_starts.iter().any(|start| start.is(&task, run)) {
-            self.recent_starts.push(RecentStart::new(task, run, suspect, now));
+    /// Records that a start is sent with the call `id`.
+    pub fn record_start(&mut self, id: u64, pending: &Pending, now: u64) {
+        let (task, run) = pending.run();
+        let again = pending.may_take_effect;
+        if let Some(start) = self.recent_starts.iter_mut().find(|start| start.is(&task, run)) {
+            return start.record_call(id, again);
         }
+        let presumed_gone = self.presumed_gone_since.is_some();
+        let mut start = RecentStart::new((task, run), pending.suspect, presumed_gone, now);
+        start.record_call(id, again);
+        self.recent_starts.push(start);
+    }
+
+    /// Records what the reply to the first call of a start shows about the start. Its order may
+    /// have been dropped with the owner that gave it. Returns whether the report of a broken
+    /// connection has to be corrected.
+    pub fn settle_first_call(&mut self, id: u64, reply: &Result<Reply, Fault>, now: u64) -> bool {
+        let mut starts = self.recent_starts.iter_mut();
+        let Some(start) = starts.find(|start| start.awaits_first_call(id)) else { return false };
+        match reply {
+            Ok(Reply::Done { clock } | Reply::Held { clock, .. }) => {
+                start.record_delivery();
+                start.confirm(*clock, now);
+            }
+            // A run that is refused as old may have run.
+            Ok(Reply::Refused(Refused::Old)) | Err(Fault::Unclear { .. }) => {
+                start.record_delivery()
+            }
+            Ok(Reply::Refused(_)) | Err(Fault::Unsent { .. }) => {
+                let run = (start.task.clone(), start.run);
+                return self.forget_start(&run);
+            }
+        }
+        false
+    }
+
+    /// Records that the worker carried out a call and replied.
+    pub fn record_reply(&mut self, id: u64, now: u64) {
+        self.last_reply = now;
+        self.presumed_gone_since.take_if(|first| id >= *first);
     }
 
     /// Records that the worker confirmed a start, as of `clock` on its clock.
@@ -136,14 +177,33 @@
         }
     }
 
-    /// Forgets a start that has not taken effect and no longer can.
-    pub fn forget_start(&mut self, (task, run): &(Task, u64)) {
-        self.recent_starts.retain(|start| !start.is(task, *run));
+    /// Forgets a start that has not taken effect here and no longer can. Returns whether it was
+    /// named as a cause of a broken connection, so that the report has to be corrected.
+    pub fn forget_start(&mut self, run: &(Task, u64)) -> bool {
+        self.recent_starts.retain(|start| !start.is(&run.0, run.1));
+        self.broken.as_mut().is_some_and(|causes| causes.remove(run))
     }
 
-    /// Weighs what a list of the worker's runs shows about recent starts. Returns the suspects that
-    /// have survived theirs.
-    pub fn weigh_starts(&mut self, running: &[Run], clock: u64, now: u64) -> Vec<(Task, u64)> {
+    /// Forgets a start that the next incarnation of the worker lists. One that was sent again may
+    /// have reached this incarnation as well, so it stays named. Returns whether the report of a
+    /// broken connection has to be corrected.
+    pub fn forget_start_at_next(&mut self, run: &(Task, u64)) -> bool {
+        let mut starts = self.recent_starts.iter();
+        if starts.any(|start| start.is(&run.0, run.1) && start.was_sent_once()) {
+            return self.forget_start(run);
+        }
+        self.recent_starts.retain(|start| !start.is(&run.0, run.1));
+        false
+    }
+
+    /// Weighs what a list of the worker's runs shows about recent starts; `polled` if it is the reply
+    /// to a poll, which the owner sees. Returns the suspects that have survived their starts.
+    pub fn weigh_starts(
+        &mut self,
+        (running, polled): (&[Run], bool),
+        clock: u64,
+        now: u64,
+    ) -> Vec<(Task, u64)> {
         let pending: Vec<(Task, u64)> = self.orders.values().map(Pending::run).collect();
         let mut survived = Vec::new();
         self.recent_starts.retain_mut(|start| {
@@ -152,16 +212,16 @@
             if evidence == Evidence::Survived {
                 survived.push((start.task.clone(), start.run));
             }
-            evidence == Evidence::Open
+            evidence == Evidence::Open || (start.is_settled() && !polled)
         });
         survived
     }
 
     /// Returns the starts that may be why the worker has broken its connections: it either closed
     /// an open one (`closed`) or accepted no new one. In the latter case it has not received starts
-    /// whose first attempt is in flight.
+    /// whose first call is in flight.
     pub fn crash_causes(&self, closed: bool, now: u64) -> Causes {
-        let received = |start: &&RecentStart| closed || !self.is_first_attempt(start);
+        let received = |start: &&RecentStart| closed || start.may_be_delivered();
         let starts = self.recent_starts.iter().filter(|start| start.may_crash()).filter(received);
         let (likely, possible): (Vec<&RecentStart>, Vec<&RecentStart>) =
             starts.partition(|start| start.is_likely_cause(now));
@@ -171,12 +231,6 @@
         Causes { likely: runs(likely), possible: runs(possible) }
     }
 
-    /// True if only one attempt of the start has been sent, and it has no reply yet.
-    fn is_first_attempt(&self, start: &RecentStart) -> bool {
-        let mut orders = self.orders.values();
-        orders.any(|order| order.is_start_of(&start.task, start.run) && !order.may_take_effect)
-    }
-
     /// When the next probe is due; none if it would show nothing, or one is in flight.
     pub fn next_probe(&self) -> Option<u64> {
         if self.probe.is_some() || self.broken.is_some() {
@@ -194,6 +248,12 @@
             || self.orders.contains_key(&id)
     }
 
+    /// True if the failure of the call shows that this incarnation broke its connections: it awaits
+    /// a reply, or is the first call of a start that a former owner ordered.
+    pub fn shows_break(&self, id: u64) -> bool {
+        self.awaits_reply(id) || self.recent_starts.iter().any(|start| start.awaits_first_call(id))
+    }
+
     /// True if the worker has to be polled: it is not fenced under this epoch, has runs, has ends
     /// that are not acknowledged, or may have changed since the last poll.
     pub fn needs_poll(&self, epoch: u64) -> bool {
--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -1,133 +1,12 @@
 //! Reports of workers that break their connections.
 
-use insta::assert_snapshot;
-use quincewheel_job::{Run, Task, Worker};
-use quincewheel_runner::{Action, Fault, Heartbeat, Output, Reply, Runner, Settings};
-use quincewheel_wire::{Notice, Order, Refused, list_causes};
-
-/// An agent whose worker is fenced and idle.
-struct Harness {
-    runner: Runner,
-    now: u64,
-    /// Call ids of the last poll, the last start and the last probe.
-    poll: u64,
-    start: u64,
-    probe: u64,
-    /// Suspects that were reported to have survived their starts.
-    survivors: Vec<String>,
-    /// Reports of broken connections.
-    breaks: Vec<String>,
-    /// The last status reported the worker as fenced.
-    fenced: bool,
-}
-
-impl Harness {
-    fn new() -> Harness {
-        let runner = Runner::new(Settings::default());
-        let mut harness = Harness {
-            runner,
-            now: 1000,
-            poll: 0,
-            start: 0,
-            probe: 0,
-            survivors: Vec::new(),
-            breaks: Vec::new(),
-            fenced: false,
-        };
-        harness.send_heartbeat("i1");
-        harness.runner.on_order(1, Order::Claim { epoch: 1 }, harness.now);
-        harness.runner.on_order(1, Order::Grant { stamp: harness.now }, harness.now);
-        harness.collect_outputs();
-        harness.reply_to_poll(&[]);
-        harness.breaks.clear();
-        harness
-    }
-
-    fn send_heartbeat(&mut self, id: &str) {
-        let worker = Worker { id: id.into(), pool: "p".into(), ..Worker::default() };
-        self.runner.on_heartbeat(&heartbeat(&worker, "10.0.0.1:80", 50_000 + self.now), self.now);
-        self.collect_outputs();
-    }
-
-    fn order_start(&mut self, index: u32) {
-        self.order_start_of(index, false);
-    }
-
-    fn order_start_of(&mut self, index: u32, suspect: bool) {
-        let (spec, saved, ticket) = (String::new(), String::new(), String::new());
-        let (worker, task) = ("i1".into(), task(index));
-        let again = false;
-        let start = Order::Start { worker, task, run: 1, spec, saved, ticket, again, suspect };
-        self.runner.on_order(1, start, self.now);
-        self.collect_outputs();
-    }
-
-    /// Confirms the last start.
-    fn confirm_start(&mut self) {
-        self.reply(self.start, Ok(Reply::Done { clock: 50_000 + self.now }));
-    }
-
-    /// Replies to the last poll.
-    fn reply_to_poll(&mut self, running: &[u32]) {
-        self.list(self.poll, running);
-    }
-
-    /// Replies to a poll or probe.
-    fn list(&mut self, id: u64, running: &[u32]) {
-        let running = running.iter().copied().map(listed).collect();
-        let held = Reply::Held { born: 0, clock: 50_000 + self.now, running, ended: Vec::new() };
-        self.reply(id, Ok(held));
-    }
+mod connections;
 
-    fn reply(&mut self, id: u64, reply: Result<Reply, Fault>) {
-        self.runner.on_reply(id, reply, self.now);
-        self.collect_outputs();
-    }
-
-    fn advance(&mut self, ms: u64) {
-        self.now += ms;
-        self.runner.tick(self.now);
-        self.collect_outputs();
-    }
-
-    fn collect_outputs(&mut self) {
-        for output in self.runner.take_outputs() {
-            match output {
-                Output::Call { id, call } => match call.action {
-                    Action::Hold { .. } => self.poll = id,
-                    Action::Start { .. } => self.start = id,
-                    Action::List => self.probe = id,
-                    _ => {}
-                },
-                Output::Send { notice: Notice::Broke { worker, starts, possible }, .. } => {
-                    let causes = list_causes(&starts, &possible);
-                    self.breaks.push(format!("{worker} broke: {causes}"));
-                }
-                Output::Send { notice: Notice::Survived { task, run }, .. } => {
-                    self.survivors.push(format!("{task} run {run}"));
-                }
-                Output::Send { notice: Notice::Status { fenced, .. }, .. } => self.fenced = fenced,
-                Output::Send { .. } | Output::Close { .. } => {}
-            }
-        }
-    }
-}
-
-fn task(index: u32) -> Task {
-    Task { job: "j".into(), occurrence: 0, step: 0, index }
-}
-
-fn listed(index: u32) -> Run {
-    Run { task: task(index), number: 1, saved: String::new(), percent: 1, gauge: 0 }
-}
-
-fn closed() -> Result<Reply, Fault> {
-    Err(Fault::Unclear { closed: true, detail: "closed".into() })
-}
-
-fn refused() -> Result<Reply, Fault> {
-    Err(Fault::Unsent { detail: "refused".into() })
-}
+use connections::{Harness, closed, heartbeat, listed, refused};
+use insta::assert_snapshot;
+use quincewheel_job::Worker;
+use quincewheel_runner::{Fault, Reply};
+use quincewheel_wire::{Order, Refused};
 
 // A task has run for a while, another one starts, and 10 ms later the worker's process ends. The
 // log must show that the worker crashed just after the second start.
@@ -431,8 +310,3 @@
     harness.advance(1000);
     assert_eq!(harness.probe, first);
 }
-
-/// A heartbeat whose sequence number is the worker's clock.
-fn heartbeat<'a>(worker: &'a Worker, address: &'a str, clock: u64) -> Heartbeat<'a> {
-    Heartbeat { worker, address, clock, number: clock }
-}
