--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -93,11 +93,27 @@
     /// Whether the worker has kept running for long enough after the start that the task did
     /// not crash it.
     pub survived_start: bool,
+    /// Its progress in percent before it was complete, and when it was reported.
+    pub sample: Option<(u32, u64)>,
     /// The job that it was stopped for.
     pub preempted_by: Option<Id>,
 }
 
 impl Placement {
+    /// Updates the progress, and returns whether half of the work has just been passed.
+    pub fn update_progress(&mut self, percent: u32, now: u64) -> bool {
+        if self.percent == percent {
+            return false;
+        }
+        let passes_half = self.percent < 50 && percent >= 50;
+        self.progressed_at = now;
+        self.percent = percent;
+        if (MIN_SAMPLED_PERCENT..100).contains(&percent) {
+            self.sample = Some((percent, now));
+        }
+        passes_half
+    }
+
     /// Formats for the log how long the start took to be confirmed, how long the run lasted from
     /// there, and which job preempted it. Empty if the start was never confirmed.
     pub fn timing_detail(&self, now: u64) -> String {
@@ -122,6 +138,10 @@
     }
 }
 
+/// Progress from which on the speed of a run is judged. It is reported in whole percent, so that at
+/// less a rounded report is off by more than 5 %.
+const MIN_SAMPLED_PERCENT: u32 = 20;
+
 /// Progress from which on the remaining time of a run can be extrapolated.
 const MIN_EXTRAPOLATION_PERCENT: u32 = 70;
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -39,6 +39,8 @@
 mod settings;
 mod settlement;
 mod snapshot;
+mod speed_samples;
+mod speeds;
 mod stalled_runs;
 mod suspects;
 mod tally;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -21,6 +21,7 @@
 use crate::review::Review;
 use crate::settings::Settings;
 use crate::settlement::SettlementLog;
+use crate::speeds::Speeds;
 use crate::times::Times;
 use crate::wait_detail::list;
 use crate::waits::Waits;
@@ -69,6 +70,7 @@
     pub(crate) trust: Persisted<Trust>,
     /// Speed of machines.
     pub(crate) speed: Persisted<Speed>,
+    pub(crate) speeds: Speeds,
     /// Usage of teams.
     pub(crate) usage: Persisted<Usage>,
     /// Whether a request to the service that clears steps for workers is in flight.
@@ -154,6 +156,7 @@
             times: Persisted::new(0),
             trust: Persisted::new(TRUST_RECORD_INTERVAL_MS),
             speed: Persisted::new(SPEED_RECORD_INTERVAL_MS),
+            speeds: Speeds::default(),
             usage: Persisted::new(USAGE_RECORD_INTERVAL_MS),
             clearance_pending: false,
             avoidance_ends_at: None,
--- a/crates/dispatch/src/persisted.rs
+++ b/crates/dispatch/src/persisted.rs
@@ -26,6 +26,11 @@
         &mut self.value
     }
 
+    /// Changes the value, and marks it to be recorded if `change` returns true.
+    pub fn change(&mut self, change: impl FnOnce(&mut T) -> bool) {
+        self.changed |= change(&mut self.value);
+    }
+
     /// Replaces the value by the one that a previous owner recorded.
     pub fn restore(&mut self, value: T) {
         self.value = value;
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use quincewheel_job::{Id, Incarnation, Resources, Step};
-use quincewheel_place::{Protection, Request, WorkerState, pack};
+use quincewheel_place::{Protection, Request, WorkerState};
 use quincewheel_policy::{
     Guarantees, Rank, START_ISOLATION_MS, core_weight, is_half_free, release_whole_workers,
     reserve_whole_workers,
@@ -28,12 +28,14 @@
             entry.idle_since = entry.runs.is_empty().then(|| entry.idle_since.unwrap_or(now));
         }
         self.give_up_suspects();
+        self.update_factors(now, wall);
+        let mut snapshot = self.snapshot(now);
+        self.update_room(&snapshot);
         let mut candidates = self.candidates(wall);
         // Guaranteed work whose capacity is being freed comes first. Otherwise work that ranks
         // before it would take that capacity, and both would be late in turn.
         candidates
             .sort_by_key(|candidate| (!self.has_reserved_guarantee(candidate), candidate.rank));
-        let mut snapshot = self.snapshot(now);
         self.waits.begin_round();
         for candidate in &candidates {
             self.start_candidate(candidate, &mut snapshot, now, wall);
@@ -75,6 +77,7 @@
                     if tasks.is_empty() {
                         continue;
                     }
+                    let time = estimator.estimate(entry, number, step);
                     for group in isolate_suspects(id, entry, (occurrence, number), tasks, now) {
                         let need = step.need.accelerators * group.0.len() as u64;
                         // A job that was preempted for a guarantee is not covered by its own any
@@ -85,11 +88,12 @@
                         let rank = Rank {
                             borrowed: !covered,
                             priority: entry.job.queue.priority,
-                            lateness: objective.lateness(wall),
+                            lateness: objective
+                                .lateness(wall + self.expected_delay(entry, need, time)),
                             latest_start: objective.latest_start(),
                             version: entry.version,
                         };
-                        let work = core_weight(step) * estimator.estimate(entry, number, step);
+                        let work = core_weight(step) * time;
                         found.push(Candidate::new(id, (occurrence, number), group, rank, work));
                     }
                 }
@@ -298,7 +302,7 @@
         let kept_free = deferred_until
             .map(|_| reserve_whole_workers(&mut snapshot.workers, pool))
             .unwrap_or_default();
-        let chosen = pack(&snapshot.workers, &request);
+        let chosen = self.pack_by_speed(candidate, &request, snapshot);
         let kept_free = release_whole_workers(&mut snapshot.workers, kept_free);
         let started = chosen.len();
         if started < candidate.tasks.len() {
@@ -408,6 +412,7 @@
                 from_scratch: saved.is_empty(),
                 first_listed_at: None,
                 survived_start: false,
+                sample: None,
                 preempted_by: None,
             };
             entry.runs.insert(key, placed);
--- a/crates/dispatch/src/preemption.rs
+++ b/crates/dispatch/src/preemption.rs
@@ -11,6 +11,7 @@
 use crate::owner::Owner;
 use crate::plan::tasks_per_worker;
 use crate::snapshot::Snapshot;
+use crate::speeds::plan_preemption_by_speed;
 use crate::suspects::RecentStart;
 
 impl Owner {
@@ -125,14 +126,15 @@
             self.settings.reclaim_deadline,
             self.settings.stop_timeout,
         );
-        let preemption = plan_preemption(&snapshot.workers, &request).or_else(|| {
-            let including_guaranteed =
-                Request { preempts: Protection::Guaranteed, ignores_ending: false, ..request };
-            let may_preempt_guaranteed = due && wall >= guaranteed_at && !entry.has_begun;
-            may_preempt_guaranteed
-                .then(|| plan_preemption(&snapshot.workers, &including_guaranteed))
-                .flatten()
-        });
+        let preemption =
+            plan_preemption_by_speed(snapshot, &request, candidate.work).or_else(|| {
+                let including_guaranteed =
+                    Request { preempts: Protection::Guaranteed, ignores_ending: false, ..request };
+                let may_preempt_guaranteed = due && wall >= guaranteed_at && !entry.has_begun;
+                may_preempt_guaranteed
+                    .then(|| plan_preemption(&snapshot.workers, &including_guaranteed))
+                    .flatten()
+            });
         let Some(preemption) = preemption else {
             if guaranteed {
                 let next = [borrowed_at, guaranteed_at].into_iter().find(|at| *at > wall);
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -177,14 +177,12 @@
             self.log("run lost", &run.task.job, detail);
         }
         let Some(entry) = self.jobs.get_mut(&run.task.job) else { return };
+        let mut passes_half = false;
         match entry.runs.get_mut(&key) {
             Some(placed) if placed.worker == *from && placed.run == run.number => {
                 placed.updated_at = now;
                 placed.confirmed_at.get_or_insert(now);
-                if placed.percent != run.percent {
-                    placed.progressed_at = now;
-                }
-                placed.percent = run.percent;
+                passes_half = placed.update_progress(run.percent, now);
                 if placed.phase == Phase::Starting {
                     placed.phase = Phase::Running;
                 }
@@ -214,6 +212,7 @@
                     from_scratch: false,
                     first_listed_at: None,
                     survived_start: false,
+                    sample: None,
                     preempted_by: None,
                 };
                 let unit = entry.runs.range((key.0, key.1, 0)..=(key.0, key.1, u32::MAX));
@@ -230,6 +229,9 @@
                 self.log("run adopted", &run.task.job, format!("{key:?} at {name}"));
             }
         }
+        if passes_half {
+            self.observe_progress(&run.task, now);
+        }
     }
 
     /// Stops a stray run: one that no unfinished task needs. The worker lists it until the stop
@@ -291,11 +293,10 @@
             entry.update_checkpoint(slot, &end.saved);
         }
         let timing = run.as_ref().map(|run| run.timing_detail(now)).unwrap_or_default();
-        self.log(
-            "run ended",
-            &job,
-            format!("{} run {} {:?} at {name}{timing}", end.task, end.run, end.how),
-        );
+        let factor = run.as_ref().map(|run| self.factor_detail(&job, run, now)).unwrap_or_default();
+        let detail =
+            format!("{} run {} {:?} at {name}{factor}{timing}", end.task, end.run, end.how);
+        self.log("run ended", &job, detail);
         if matches!(end.how, How::Done | How::Failed) {
             self.on_start_survived(&end.task, end.run);
         }
@@ -324,23 +325,6 @@
         }
     }
 
-    /// Records the run time of a finished task. The job's objective is computed from the longest
-    /// task of each step; only the first of a step updates the learned run times.
-    fn record_run_time(&mut self, task: &Task, run: &Placement, now: u64) {
-        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
-        let estimate = entry.step(task_key(task)).map_or(0, |step| step.estimate);
-        if !run.from_scratch || estimate == 0 {
-            return;
-        }
-        let took = now.saturating_sub(run.started_at);
-        let known = entry.step_durations.get(&task.step).copied();
-        entry.step_durations.insert(task.step, took.max(known.unwrap_or(0)));
-        if known.is_some() {
-            return;
-        }
-        self.times.update().record(&entry.job.queue.name, estimate, took);
-    }
-
     /// Marks a task as done, and with it its whole gang.
     fn on_done(&mut self, name: &str, task: &Task, now: u64) {
         if let Some(agent) = self.agents.get_mut(name) {
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -24,6 +24,8 @@
     pub units: BTreeMap<u64, Vec<(Id, Key)>>,
     /// Workers that have just started a task, by index in `workers`.
     pub recent_starts: BTreeMap<usize, RecentStart>,
+    /// How slow each worker is, as [`quincewheel_speed::Spread::level`]; empty if no pool is uneven.
+    pub levels: Vec<i32>,
 }
 
 /// Indexes of workers that a step must not use, by reason.
@@ -118,6 +120,7 @@
                 deprioritized: agent.deprioritized_until.max(agent.cold_until) > now
                     || agent.silent_ms > self.settings.unresponsive_after / 2,
                 preemptible: Vec::new(),
+                speed_cost: 0,
             });
         }
         let borrowed = self.borrowed_units();
@@ -163,7 +166,8 @@
             }
         }
         let actual_free = workers.iter().map(|worker| worker.free).collect();
-        Snapshot { workers, actual_free, units, recent_starts }
+        let levels = self.speed_levels(&workers);
+        Snapshot { workers, actual_free, units, recent_starts, levels }
     }
 
     /// Returns a worker's capacity less that of its stray runs, which occupy it until they have
--- /dev/null
+++ b/crates/dispatch/src/speed_samples.rs
@@ -0,0 +1,190 @@
+//! What ends and the progress of runs tell about the speed of machines, and about run times.
+
+use std::collections::BTreeMap;
+
+use quincewheel_job::{Step, Task};
+use quincewheel_speed::{Sample, compare};
+
+use crate::entry::{Entry, Key, Phase, Placement};
+use crate::owner::Owner;
+use crate::reports::task_key;
+use crate::waits::StepKey;
+
+/// Run times of completed tasks of the steps that have not ended.
+#[derive(Debug, Default)]
+pub(crate) struct Ends {
+    steps: BTreeMap<StepKey, Samples>,
+}
+
+/// The run times of one step.
+#[derive(Debug, Default)]
+struct Samples {
+    all: Vec<Sample>,
+    /// How many of the first have been counted as observations.
+    counted: usize,
+}
+
+/// Number of ends of a step after which they are compared although the step has not ended.
+/// Compared one by one, the ends of slow machines would come last, and the first ones would have
+/// nothing to be compared with.
+const COMPARED_ENDS: usize = 32;
+/// Number of the latest ends of a step that are kept.
+const MAX_ENDS: usize = 128;
+/// Run time from which on progress is compared before the end. Shorter runs end so soon that their
+/// ends, which are more exact, are enough.
+const MIN_COMPARED_RUN_MS: u64 = 10_000;
+
+impl Ends {
+    /// Drops the times of jobs for which `is_open` returns false.
+    pub fn retain(&mut self, is_open: impl Fn(&str) -> bool) {
+        self.steps.retain(|(id, ..), _| is_open(id));
+    }
+}
+
+impl Owner {
+    /// Records the run time of a finished task, for a machine of factor 1.0. The job's objective is
+    /// computed from the longest task of each step; only the first of a step updates the learned
+    /// run times.
+    pub(crate) fn record_run_time(&mut self, task: &Task, run: &Placement, now: u64) {
+        self.observe_end(task, run, now);
+        let factor = self.unit_factor(&task.job, run, now);
+        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let estimate = entry.step(task_key(task)).map_or(0, |step| step.estimate);
+        if !run.from_scratch || estimate == 0 {
+            return;
+        }
+        let known = entry.step_durations.get(&task.step).copied();
+        let took = (now.saturating_sub(run.started_at) as f64 / factor) as u64;
+        entry.step_durations.insert(task.step, took.max(known.unwrap_or(0)));
+        if known.is_some() {
+            return;
+        }
+        self.times.update().record(&entry.job.queue.name, estimate, took);
+    }
+
+    /// Compares the members of a gang at its first end, and completed tasks of other steps once
+    /// there are enough of them.
+    fn observe_end(&mut self, task: &Task, run: &Placement, now: u64) {
+        if self.settings.uneven_percent == 0 {
+            return;
+        }
+        let Some(entry) = self.jobs.get(&task.job) else { return };
+        let Some(step) = entry.step(task_key(task)).filter(|step| is_comparable(step)) else {
+            return;
+        };
+        if step.gang {
+            if !entry.progress.is_done(task) {
+                let samples = self.progress_samples(entry, task_key(task), Some(run));
+                self.observe(&samples, 0);
+            }
+            return;
+        }
+        let count = step.count;
+        let sample =
+            self.is_undisturbed(run).then(|| self.sample(run, step, run_ms(run, now) as f64));
+        let step_key = (task.job.clone(), task.occurrence, task.step);
+        let samples = self.speeds.ends.steps.entry(step_key.clone()).or_default();
+        samples.all.extend(sample);
+        let pending = (0..count).filter(|&index| index != task.index).any(|index| {
+            let other = Task { index, ..task.clone() };
+            !entry.progress.is_done(&other)
+        });
+        if pending && samples.all.len() < samples.counted + COMPARED_ENDS {
+            return;
+        }
+        let compared = samples.all.clone();
+        let counted = std::mem::replace(&mut samples.counted, compared.len());
+        let excess = compared.len().saturating_sub(MAX_ENDS);
+        samples.all.drain(..excess);
+        samples.counted -= excess;
+        if !pending {
+            self.speeds.ends.steps.remove(&step_key);
+        }
+        self.observe(&compared, counted);
+    }
+
+    /// Compares the progress of a run that has passed half of its work with that of the other runs
+    /// of its step, if it takes long and nothing of the step has ended.
+    pub(crate) fn observe_progress(&mut self, task: &Task, now: u64) {
+        if self.settings.uneven_percent == 0 {
+            return;
+        }
+        let Some(entry) = self.jobs.get(&task.job) else { return };
+        let Some(placed) = entry.runs.get(&task_key(task)) else { return };
+        let is_comparable = entry.step(task_key(task)).is_some_and(is_comparable);
+        if !is_comparable
+            || run_ms(placed, now) < MIN_COMPARED_RUN_MS
+            || entry.step_durations.contains_key(&task.step)
+        {
+            return;
+        }
+        let mut samples = self.progress_samples(entry, task_key(task), None);
+        // Only this run is counted; each of the others is when it passes half of its work.
+        let Some(at) = samples.iter().position(|sample| sample.machine == placed.agent) else {
+            return;
+        };
+        let last = samples.len() - 1;
+        samples.swap(at, last);
+        self.observe(&samples, last);
+    }
+
+    /// Returns the time for each percent of progress of the runs of a step, and of `ended`, which
+    /// has been removed.
+    fn progress_samples(&self, entry: &Entry, key: Key, ended: Option<&Placement>) -> Vec<Sample> {
+        let Some(step) = entry.step(key) else { return Vec::new() };
+        let range = (key.0, key.1, 0)..=(key.0, key.1, u32::MAX);
+        let runs: Vec<&Placement> =
+            entry.runs.range(range).map(|(_, placed)| placed).chain(ended).collect();
+        // A gang does no work before its last member has started.
+        let complete_at = runs.iter().map(|placed| placed.confirmed_at).max().flatten();
+        let of_run = |placed: &&Placement| {
+            let (percent, at) = placed.sample.filter(|_| self.is_undisturbed(placed))?;
+            let began = if step.gang { complete_at } else { placed.confirmed_at }?;
+            let ms = at.checked_sub(began).filter(|ms| *ms > 0)?;
+            Some(self.sample(placed, step, ms as f64 / f64::from(percent)))
+        };
+        runs.iter().filter_map(of_run).collect()
+    }
+
+    /// Returns whether the time of a run is that of the machine: it began with nothing done, at
+    /// full pace, and after the worker had warmed up.
+    fn is_undisturbed(&self, placed: &Placement) -> bool {
+        let cold_until = self.agents.get(&placed.agent).map_or(0, |agent| agent.cold_until);
+        placed.from_scratch
+            && placed.pace == 100
+            && placed.phase != Phase::Stopping
+            && placed.confirmed_at.is_some_and(|at| at >= cold_until)
+    }
+
+    fn sample(&self, placed: &Placement, step: &Step, time: f64) -> Sample {
+        let worker = self.agents.get(&placed.agent).and_then(|agent| agent.worker.as_ref());
+        let far = !step.near.is_empty() && worker.is_some_and(|worker| worker.rack != step.near);
+        Sample { machine: placed.agent.clone(), time, far }
+    }
+
+    /// Compares samples and adds those from `first` on to the records of their machines.
+    fn observe(&mut self, samples: &[Sample], first: usize) {
+        let now = self.speeds.wall;
+        let first_agent = samples.first().and_then(|sample| self.agents.get(&sample.machine));
+        let worker = first_agent.and_then(|agent| agent.worker.as_ref());
+        let median = worker.and_then(|worker| self.speeds.medians.get(&worker.pool));
+        let median = median.copied().unwrap_or(1.0);
+        let observations = compare(self.speed.get(), samples, median, now);
+        for (sample, observation) in samples.iter().zip(observations).skip(first) {
+            let Some(observation) = observation else { continue };
+            self.speed.change(|speed| speed.observe(&sample.machine, observation, now));
+            self.log_speed(&sample.machine);
+        }
+    }
+}
+
+/// Returns whether the tasks of a step are alike, so that their times differ with the machines.
+/// Tasks that use idle processors take as long as others let them.
+fn is_comparable(step: &Step) -> bool {
+    step.count > 1 && !step.perpetual && !step.fills
+}
+
+/// Returns how long a run has lasted since its worker confirmed it.
+fn run_ms(placed: &Placement, now: u64) -> u64 {
+    now.saturating_sub(placed.confirmed_at.unwrap_or(now))
+}
--- a/crates/place/src/pack.rs
+++ b/crates/place/src/pack.rs
@@ -108,9 +108,14 @@
 }
 
 /// The preference of a worker for the next task, lowest first: not deprioritized, in the rack of
-/// the data, with the fewest free accelerators, then with the least free memory.
-fn rank(worker: &WorkerState, room: &Resources, request: &Request<'_>) -> (bool, bool, u64, u64) {
+/// the data, with the fewest free accelerators, with the least free memory, then of the preferred speed. Speed
+/// comes last, so that whole workers are kept together for gangs.
+fn rank(
+    worker: &WorkerState,
+    room: &Resources,
+    request: &Request<'_>,
+) -> (bool, bool, u64, u64, i32) {
     let near = &request.step.near;
     let far = !near.is_empty() && worker.rack != *near;
-    (worker.deprioritized, far, room.accelerators, room.memory)
+    (worker.deprioritized, far, room.accelerators, room.memory, worker.speed_cost)
 }
--- a/crates/place/src/preemption.rs
+++ b/crates/place/src/preemption.rs
@@ -60,12 +60,13 @@
             .filter_map(|index| {
                 let (units, cost) =
                     cheapest_victims(&workers[index], &available[index], request, &stopped)?;
-                let rank =
-                    (workers[index].deprioritized, cost, available[index].accelerators, index);
+                let worker = &workers[index];
+                let room = available[index].accelerators;
+                let rank = (worker.deprioritized, cost, room, worker.speed_cost, index);
                 Some((rank, units))
             })
             .min_by_key(|(rank, _)| *rank);
-        let ((_, cost, _, index), units) = best?;
+        let ((_, cost, _, _, index), units) = best?;
         loss += cost;
         for unit in units {
             release(workers, &mut available, unit);
--- a/crates/place/src/worker_state.rs
+++ b/crates/place/src/worker_state.rs
@@ -25,6 +25,9 @@
     pub ending: Resources,
     /// Tasks are placed here only if no other worker has room.
     pub deprioritized: bool,
+    /// Preference among workers that are as good otherwise, lowest first: how slow the worker is,
+    /// or how fast it is for work that leaves fast workers to others.
+    pub speed_cost: i32,
     /// Work that may be preempted.
     pub preemptible: Vec<Preemptible>,
 }
