--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -88,8 +88,9 @@
                         let rank = Rank {
                             borrowed: !covered,
                             priority: entry.job.queue.priority,
-                            lateness: objective
-                                .lateness(wall + self.expected_delay(entry, need, time)),
+                            lateness: objective.lateness(
+                                wall + self.expected_delay(entry, step, group.0.len(), time),
+                            ),
                             latest_start: objective.latest_start(),
                             version: entry.version,
                         };
--- a/crates/dispatch/src/preemption.rs
+++ b/crates/dispatch/src/preemption.rs
@@ -126,8 +126,8 @@
             self.settings.reclaim_deadline,
             self.settings.stop_timeout,
         );
-        let preemption =
-            plan_preemption_by_speed(snapshot, &request, candidate.work).or_else(|| {
+        let preemption = plan_preemption_by_speed(snapshot, &request, (candidate.work, guaranteed))
+            .or_else(|| {
                 let including_guaranteed =
                     Request { preempts: Protection::Guaranteed, ignores_ending: false, ..request };
                 let may_preempt_guaranteed = due && wall >= guaranteed_at && !entry.has_begun;
@@ -172,7 +172,9 @@
         let kind = if guaranteed { "guaranteed" } else { "borrowed" };
         let (units, loss, work) =
             (preemption.victims.len(), preemption.loss / 1000, candidate.work / 1000);
-        let detail = format!("{kind}: {units} units stop, losing {loss} core-s for {work}");
+        let slowest = self.preemption_detail(&preemption, snapshot);
+        let detail =
+            format!("{kind}: {units} units stop, losing {loss} core-s for {work}{slowest}");
         self.log("room reclaimed", &candidate.id, detail);
         for unit in preemption.victims {
             for (id, key) in snapshot.units.get(&unit).cloned().unwrap_or_default() {
--- a/crates/dispatch/src/speed_samples.rs
+++ b/crates/dispatch/src/speed_samples.rs
@@ -1,9 +1,9 @@
 //! What ends and the progress of runs tell about the speed of machines, and about run times.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Step, Task};
-use quincewheel_speed::{Sample, compare};
+use quincewheel_speed::{Sample, compare, is_uniform};
 
 use crate::entry::{Entry, Key, Phase, Placement};
 use crate::owner::Owner;
@@ -74,8 +74,10 @@
         };
         if step.gang {
             if !entry.progress.is_done(task) {
-                let samples = self.progress_samples(entry, task_key(task), Some(run));
-                self.observe(&samples, 0);
+                let samples = self.progress_samples(entry, task_key(task), run);
+                if !is_uniform(self.speed.get(), &samples, self.speeds.wall) {
+                    self.observe(&samples, 0);
+                }
             }
             return;
         }
@@ -118,31 +120,37 @@
         {
             return;
         }
-        let mut samples = self.progress_samples(entry, task_key(task), None);
+        let samples = self.progress_samples(entry, task_key(task), placed);
         // Only this run is counted; each of the others is when it passes half of its work.
-        let Some(at) = samples.iter().position(|sample| sample.machine == placed.agent) else {
-            return;
-        };
-        let last = samples.len() - 1;
-        samples.swap(at, last);
+        let last = samples.len().saturating_sub(1);
         self.observe(&samples, last);
     }
 
-    /// Returns the time for each percent of progress of the runs of a step, and of `ended`, which
-    /// has been removed.
-    fn progress_samples(&self, entry: &Entry, key: Key, ended: Option<&Placement>) -> Vec<Sample> {
+    /// Returns the time for each percent of progress of the runs of a step, last that of `run`, whose
+    /// key is given. Empty if that is not known.
+    fn progress_samples(&self, entry: &Entry, key: Key, run: &Placement) -> Vec<Sample> {
         let Some(step) = entry.step(key) else { return Vec::new() };
         let range = (key.0, key.1, 0)..=(key.0, key.1, u32::MAX);
-        let runs: Vec<&Placement> =
-            entry.runs.range(range).map(|(_, placed)| placed).chain(ended).collect();
+        let others = entry.runs.range(range).filter(|(other, _)| **other != key);
+        let runs: Vec<&Placement> = others.map(|(_, placed)| placed).chain([run]).collect();
+        // Spread over racks, some members are slower than others for another reason.
+        let racks: BTreeSet<&str> =
+            runs.iter().filter_map(|placed| self.rack_of(&placed.agent)).collect();
+        if step.gang && step.same_rack && racks.len() > 1 {
+            return Vec::new();
+        }
         // A gang does no work before its last member has started.
         let complete_at = runs.iter().map(|placed| placed.confirmed_at).max().flatten();
         let of_run = |placed: &&Placement| {
             let (percent, at) = placed.sample.filter(|_| self.is_undisturbed(placed))?;
             let began = if step.gang { complete_at } else { placed.confirmed_at }?;
             let ms = at.checked_sub(began).filter(|ms| *ms > 0)?;
-            Some(self.sample(placed, step, ms as f64 / f64::from(percent)))
+            // The worker rounds down.
+            Some(self.sample(placed, step, ms as f64 / (f64::from(percent) + 0.5)))
         };
+        if of_run(&run).is_none() {
+            return Vec::new();
+        }
         runs.iter().filter_map(of_run).collect()
     }
 
@@ -157,11 +165,14 @@
     }
 
     fn sample(&self, placed: &Placement, step: &Step, time: f64) -> Sample {
-        let worker = self.agents.get(&placed.agent).and_then(|agent| agent.worker.as_ref());
-        let far = !step.near.is_empty() && worker.is_some_and(|worker| worker.rack != step.near);
+        let far = !step.near.is_empty() && self.rack_of(&placed.agent) != Some(&step.near);
         Sample { machine: placed.agent.clone(), time, far }
     }
 
+    fn rack_of(&self, agent: &str) -> Option<&str> {
+        Some(&self.agents.get(agent)?.worker.as_ref()?.rack)
+    }
+
     /// Compares samples and adds those from `first` on to the records of their machines.
     fn observe(&mut self, samples: &[Sample], first: usize) {
         let now = self.speeds.wall;
--- a/crates/dispatch/src/speeds.rs
+++ b/crates/dispatch/src/speeds.rs
@@ -5,8 +5,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::Id;
+use quincewheel_job::{Id, Step};
 use quincewheel_place::{Preemption, Request, WorkerState, pack, plan_preemption};
+use quincewheel_policy::is_worth_preempting;
 use quincewheel_speed::{Estimate, Spread};
 
 use crate::candidate::Candidate;
@@ -28,9 +29,8 @@
     pub medians: BTreeMap<String, f64>,
     /// When `factors` was last updated.
     updated_at: Option<u64>,
-    /// For each uneven pool the free accelerators at workers up to each factor, in ascending order
-    /// of the factor.
-    room: BTreeMap<String, Vec<(f64, u64)>>,
+    /// Free room in each uneven pool.
+    room: BTreeMap<String, Room>,
     /// Number of machines whose factor is known, and of those that differ.
     counts: (usize, usize),
     /// Factors of the gangs and runs that have ended lately and when, by unit.
@@ -39,6 +39,10 @@
     lines: (u64, usize),
 }
 
+/// The workers of a pool with free accelerators, by level and number of these: how many, and the sum
+/// of their factors.
+type Room = BTreeMap<(i32, u64), (u64, f64)>;
+
 /// Time between two updates of the factors, which change slowly while planning may run hundreds of
 /// times a second.
 const UPDATE_INTERVAL_MS: u64 = 500;
@@ -104,32 +108,37 @@
             return;
         }
         for worker in snapshot.workers.iter().filter(|worker| worker.free.accelerators > 0) {
-            if let Some((factor, _)) = self.speeds.factors.get(&worker.name) {
+            if let Some((factor, level)) = self.speeds.factors.get(&worker.name) {
                 let room = self.speeds.room.entry(worker.pool.clone()).or_default();
-                room.push((*factor, worker.free.accelerators));
-            }
-        }
-        for room in self.speeds.room.values_mut() {
-            room.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let mut sum = 0;
-            for (_, free) in room {
-                sum += *free;
-                *free = sum;
+                let same = room.entry((*level, worker.free.accelerators)).or_default();
+                *same = (same.0 + 1, same.1 + factor);
             }
         }
     }
 
-    /// Returns by how many milliseconds the start of a step must count as delayed because the
-    /// workers that it could get now are slow. `need` is what it takes in accelerators, `time` its
-    /// run time at factor 1.0. None where it would have to wait for room in any case: it may get
-    /// fast workers then.
-    pub(crate) fn expected_delay(&self, entry: &Entry, need: u64, time: u64) -> u64 {
-        if self.speeds.room.is_empty() {
+    /// Returns by how many milliseconds the start of tasks of a step must count as delayed because
+    /// the workers that they could get now are slow, where `time` is the run time at factor 1.0.
+    /// Tasks that have to wait for room may get fast workers then, so for them that is 0.
+    pub(crate) fn expected_delay(
+        &self,
+        entry: &Entry,
+        step: &Step,
+        tasks: usize,
+        time: u64,
+    ) -> u64 {
+        if self.speeds.room.is_empty() || step.need.accelerators == 0 {
             return 0;
         }
         let Some(room) = self.speeds.room.get(&self.pool_of(entry)) else { return 0 };
-        let slowest = room.get(room.partition_point(|(_, free)| *free < need));
-        slowest.map_or(0, |(factor, _)| (time as f64 * (factor - 1.0)).max(0.0) as u64)
+        let mut left = tasks as u64;
+        for ((_, free), (workers, factors)) in room {
+            left = left.saturating_sub(workers * (free / step.need.accelerators));
+            if left == 0 {
+                let factor = factors / *workers as f64;
+                return (time as f64 * (factor - 1.0)).max(0.0) as u64;
+            }
+        }
+        0
     }
 
     /// Returns the level of each worker; empty if no pool is uneven.
@@ -162,7 +171,10 @@
         let any = pack(&snapshot.workers, request);
         let Some(slowest) = slowest(&any, snapshot).filter(|_| prefers_fast) else { return any };
         let costs = Costs::new(&any, request, snapshot);
-        let faster = fastest(snapshot, slowest, |snapshot| {
+        let levels: BTreeSet<i32> =
+            snapshot.levels.iter().copied().filter(|level| *level < slowest).collect();
+        let levels: Vec<i32> = levels.into_iter().collect();
+        let faster = fastest(snapshot, &levels, |snapshot| {
             let chosen = pack(&snapshot.workers, request);
             let as_good = chosen.len() == any.len()
                 && Costs::new(&chosen, request, snapshot).are_within(&costs);
@@ -180,15 +192,14 @@
         faster: Option<&[usize]>,
         snapshot: &Snapshot,
     ) {
-        let machine = |chosen: &[usize]| {
-            let slowest = chosen.iter().max_by_key(|index| snapshot.levels[**index]);
-            let name = slowest.map_or("", |index| snapshot.workers[*index].name.as_str());
-            format!("{name} ({})", self.speed.get().estimate(name, self.speeds.wall))
-        };
+        let slowest_any = self.slowest_detail(any, snapshot);
         let detail = match faster {
-            Some(faster) => format!("slowest {} instead of {}", machine(faster), machine(any)),
+            Some(faster) => {
+                let slowest = self.slowest_detail(faster, snapshot);
+                format!("slowest {slowest} instead of {slowest_any}")
+            }
             None if slowest(any, snapshot).is_some_and(|level| level > 0) => {
-                format!("slowest {}, no faster room", machine(any))
+                format!("slowest {slowest_any}, no faster room")
             }
             None => return,
         };
@@ -196,6 +207,21 @@
         self.log("placed by speed", &candidate.id, format!("{step}: {detail}"));
     }
 
+    /// Formats the slowest of these workers, and what its factor is based on.
+    fn slowest_detail(&self, chosen: &[usize], snapshot: &Snapshot) -> String {
+        let slowest = chosen.iter().max_by_key(|index| snapshot.levels[**index]);
+        let name = slowest.map_or("", |index| snapshot.workers[*index].name.as_str());
+        format!("{name} ({})", self.speed.get().estimate(name, self.speeds.wall))
+    }
+
+    /// Formats the slowest worker of a preemption for its log line; empty if no pool is uneven.
+    pub(crate) fn preemption_detail(&self, plan: &Preemption, snapshot: &Snapshot) -> String {
+        if snapshot.levels.is_empty() {
+            return String::new();
+        }
+        format!(", slowest {}", self.slowest_detail(&plan.workers, snapshot))
+    }
+
     /// Logs a factor that has changed by enough since it was last logged.
     pub(crate) fn log_speed(&mut self, machine: &str) {
         let wall = self.speeds.wall;
@@ -279,17 +305,14 @@
     chosen.iter().filter_map(|index| snapshot.levels.get(*index).copied()).max()
 }
 
-/// Returns what `attempt` finds without the workers above the lowest level possible, below the
-/// level `slowest`; none if it finds nothing. The levels are searched by halving, so that there are
-/// few attempts.
+/// Returns what `attempt` finds without the workers above the lowest possible of these levels, which
+/// are in ascending order; none if it finds nothing. The levels are searched by halving, so that
+/// there are few attempts.
 fn fastest<T>(
     snapshot: &mut Snapshot,
-    slowest: i32,
+    levels: &[i32],
     attempt: impl Fn(&Snapshot) -> Option<T>,
 ) -> Option<T> {
-    let levels: BTreeSet<i32> =
-        snapshot.levels.iter().copied().filter(|level| *level < slowest).collect();
-    let levels: Vec<i32> = levels.into_iter().collect();
     let (mut from, mut to) = (0, levels.len());
     let mut found = None;
     while from < to {
@@ -316,15 +339,20 @@
 pub(crate) fn plan_preemption_by_speed(
     snapshot: &mut Snapshot,
     request: &Request<'_>,
-    work: u64,
+    (work, guaranteed): (u64, bool),
 ) -> Option<Preemption> {
     let any = plan_preemption(&snapshot.workers, request)?;
     let Some(slowest) = slowest(&any.workers, snapshot) else { return Some(any) };
+    if slowest <= 0 || !is_worth_preempting(any.loss, work, guaranteed) {
+        return Some(any);
+    }
     let costs = Costs::new(&any.workers, request, snapshot);
-    let faster = fastest(snapshot, slowest, |snapshot| {
+    // A plan takes far longer than a placement, so only one other is made.
+    let faster = fastest(snapshot, &[0], |snapshot| {
         let plan = plan_preemption(&snapshot.workers, request)?;
         let as_good = Costs::new(&plan.workers, request, snapshot).are_within(&costs);
-        (as_good && plan.loss <= any.loss + work).then_some(plan)
+        let is_worth = is_worth_preempting(plan.loss, work, guaranteed);
+        (as_good && is_worth && plan.loss <= any.loss + work).then_some(plan)
     });
     Some(faster.unwrap_or(any))
 }
--- a/crates/dispatch/tests/uneven/mod.rs
+++ b/crates/dispatch/tests/uneven/mod.rs
@@ -21,8 +21,10 @@
     jobs: BTreeMap<String, (Job, f64, u64)>,
     /// Milliseconds from submission to end of the jobs that have ended.
     pub took: BTreeMap<String, u64>,
-    /// The workers on which each job's tasks started.
-    pub placed: BTreeMap<String, Vec<usize>>,
+    /// Whether the table refuses all writes.
+    pub table_is_down: bool,
+    /// The row with the speed of machines.
+    pub row: Option<String>,
 }
 
 #[derive(Default)]
@@ -58,7 +60,8 @@
             stop_ms: 900,
             jobs: BTreeMap::new(),
             took: BTreeMap::new(),
-            placed: BTreeMap::new(),
+            table_is_down: false,
+            row: None,
         }
     }
 
@@ -93,7 +96,7 @@
         }
         self.end_runs();
         self.report();
-        self.harness.record();
+        self.record();
         let open = self.jobs.keys().filter(|id| !self.took.contains_key(*id)).cloned();
         for id in open.collect::<Vec<_>>() {
             if self.harness.owner.has_ended(&id) {
@@ -102,6 +105,15 @@
         }
     }
 
+    /// Writes what the owner wants recorded.
+    fn record(&mut self) {
+        let batch = self.harness.owner.next_batch().unwrap_or_default();
+        self.harness.owner.on_recorded(&batch, !self.table_is_down);
+        let row = batch.learned.speed.as_ref().filter(|_| !self.table_is_down);
+        self.row = row.map(|speed| serde_json::to_string(speed).unwrap()).or(self.row.take());
+        self.harness.collect_outputs();
+    }
+
     fn running_counts(&self) -> BTreeMap<String, u32> {
         let mut counts = BTreeMap::new();
         for task in self.workers.iter().flat_map(|worker| worker.runs.keys()) {
@@ -127,7 +139,6 @@
                 continue;
             }
             runs.insert(task.clone(), Running { number, done: 0.0, stops_at: None });
-            self.placed.entry(job.to_owned()).or_default().push(worker);
             self.harness.deliver(worker as u64, Notice::Started { task, run: number });
         }
     }
--- a/crates/entry/src/day/account.rs
+++ b/crates/entry/src/day/account.rs
@@ -167,7 +167,7 @@
         self.open_runs.insert((task.to_owned(), run.to_owned()), time);
     }
 
-    /// Parses `TASK run N HOW at AGENT, started after N ms, ran N ms, for JOB`.
+    /// Parses `TASK run N HOW at AGENT, factor N, started after N ms, ran N ms, for JOB`.
     fn end_run(&mut self, time: f64, text: &str) {
         let words: Vec<&str> = text.split([' ', ',']).collect();
         let [task, "run", run, how, ..] = words[..] else { return };
@@ -177,7 +177,11 @@
         let ran_ms = ms(time - start).saturating_sub(start_ms);
         self.add_time(task, Phase::Start, start_ms);
         if how == "Done" {
-            return self.add_time(task, Phase::Ran, ran_ms);
+            let factor = words.iter().position(|word| *word == "factor");
+            let factor = factor.and_then(|at| words.get(at + 1)?.parse::<f64>().ok());
+            let usual_ms = (ran_ms as f64 / factor.unwrap_or(1.0).max(1.0)) as u64;
+            self.add_time(task, Phase::Ran, usual_ms);
+            return self.add_time(task, Phase::Slowed, ran_ms - usual_ms);
         }
         self.add_time(task, Phase::Lost(how.to_owned()), ran_ms);
         let preempted_by = text.rsplit_once(", for ").map(|(_, job)| job.to_owned());
--- a/crates/entry/src/day/phase.rs
+++ b/crates/entry/src/day/phase.rs
@@ -11,8 +11,10 @@
     Start,
     /// Runs whose work was lost, with the way they ended.
     Lost(String),
-    /// Runs that completed.
+    /// Runs that completed, as long as they would have taken on a machine of usual speed.
     Ran,
+    /// What runs that completed took longer because of a slow machine.
+    Slowed,
 }
 
 impl Phase {
@@ -25,6 +27,7 @@
             Phase::Start => "starting".to_owned(),
             Phase::Lost(how) => format!("run {how}"),
             Phase::Ran => "ran".to_owned(),
+            Phase::Slowed => "slow machine".to_owned(),
         }
     }
 }
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -23,6 +23,8 @@
     evacuated_zones: Gauge,
     evacuated_busy: Gauge,
     skipped_entries: Family<List, Counter>,
+    known_speeds: Gauge,
+    uneven_machines: Gauge,
     /// Epoch of this entry's ownership; 0 if it does not own.
     pub epoch: Gauge,
     /// Unfinished jobs of the owner.
@@ -73,6 +75,8 @@
             evacuated_zones: Gauge::default(),
             evacuated_busy: Gauge::default(),
             skipped_entries: Family::default(),
+            known_speeds: Gauge::default(),
+            uneven_machines: Gauge::default(),
             epoch: Gauge::default(),
             jobs: Gauge::default(),
             config: Gauge::default(),
@@ -113,6 +117,17 @@
                 "Evacuated availability zones that may not be empty yet, at the owner",
                 &self.evacuated_busy,
             ),
+            (
+                "speeds_known",
+                "Machines whose speed is known to differ from that of the others, at the owner",
+                &self.known_speeds,
+            ),
+            (
+                "speeds_uneven",
+                "Machines whose speed differs by the threshold in pools where that is considered, \
+                 at the owner",
+                &self.uneven_machines,
+            ),
             ("config_version", "Version of the configuration in force", &self.config),
             (
                 "config_age_ms",
@@ -163,6 +178,12 @@
         self.evacuated_busy.set(busy as i64);
     }
 
+    /// Sets the number of machines of known speed, and of those that placement treats differently.
+    pub fn set_speeds(&self, (known, uneven): (usize, usize)) {
+        self.known_speeds.set(known as i64);
+        self.uneven_machines.set(uneven as i64);
+    }
+
     /// Encodes the metrics in the OpenMetrics text format.
     pub fn page(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -213,5 +213,6 @@
         self.metrics.set_unlisted_runs(owner.as_ref().map_or(0, Owner::unlisted_runs));
         self.metrics
             .set_evacuation(owner.as_ref().map(Owner::evacuation_counts).unwrap_or_default());
+        self.metrics.set_speeds(owner.as_ref().map(Owner::speed_counts).unwrap_or_default());
     }
 }
--- a/crates/entry/tests/day.rs
+++ b/crates/entry/tests/day.rs
@@ -42,6 +42,22 @@
     assert_eq!(sum_up(None, "x\n{}\n".as_bytes(), Vec::new()).unwrap(), 0);
 }
 
+// The time that slow machines cost looked like work.
+#[test]
+fn time_lost_on_slow_machines_is_told_apart() {
+    let logs = r#"
+{"t":100.000,"process":"e1","event":"accepted","job":"aa","queue":"q","msg":"version 7 1x8"}
+{"t":100.000,"process":"e1","event":"start","job":"aa","msg":"aa.0.0.0 run 1 at w1"}
+{"t":102.610,"process":"e1","event":"run ended","job":"aa","msg":"aa.0.0.0 run 1 Done at w1, factor 1.30, started after 10 ms, ran 2600 ms"}
+{"t":102.610,"process":"e1","event":"job ended","job":"aa","msg":"Succeeded, objective 2500 ms"}
+"#;
+    let mut output = Vec::new();
+    sum_up(Some(100.0), logs.as_bytes(), &mut output).unwrap();
+    let output = String::from_utf8(output).unwrap();
+    let line = output.lines().find(|line| line.contains(" aa ")).unwrap_or_default();
+    assert_snapshot!(line, @"   0.000 aa q (1x8) Late, 2610 ms, 110 ms: starting 10, ran 2000, slow machine 600");
+}
+
 // The summary did not show when an evacuated zone was empty. A new owner logs an evacuation in
 // progress again; it counts as one.
 #[test]
--- a/crates/speed/src/estimate.rs
+++ b/crates/speed/src/estimate.rs
@@ -24,6 +24,9 @@
 impl fmt::Display for Estimate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Estimate { factor, weight, deviation, age, .. } = self;
+        if *weight == 0.0 {
+            return f.write_str("nothing observed");
+        }
         write!(
             f,
             "factor {factor:.2}, {weight:.0} observations, deviation {deviation:.2}, {age} ms old"
--- a/crates/speed/src/lib.rs
+++ b/crates/speed/src/lib.rs
@@ -13,7 +13,7 @@
 mod speed;
 mod spread;
 
-pub use compare::compare;
+pub use compare::{compare, is_uniform};
 pub use estimate::Estimate;
 pub use sample::Sample;
 pub use speed::Speed;
--- a/crates/speed/tests/speed.rs
+++ b/crates/speed/tests/speed.rs
@@ -1,7 +1,7 @@
 //! Factors learned from observations, and what becomes of them.
 
 use insta::assert_snapshot;
-use quincewheel_speed::{Sample, Speed, Spread, compare};
+use quincewheel_speed::{Sample, Speed, Spread, compare, is_uniform};
 
 /// A time of day.
 const NOW: u64 = 1_800_000_000_000;
@@ -97,6 +97,17 @@
     assert_snapshot!(ratios(&speed, &samples(&[("m", 26.0), ("n", 26.0)])), @"1.30x0.50 1.30x0.50");
 }
 
+// Where programs report the progress of the whole gang for each member, slow machines would seem as
+// fast as any.
+#[test]
+fn equal_progress_on_machines_that_are_known_to_differ_says_nothing() {
+    let equal = samples(&[("a", 26.0), ("m", 26.5)]);
+    let uneven = samples(&[("a", 20.0), ("m", 26.0)]);
+    let uniform = |speed: &Speed| [&equal, &uneven].map(|gang| is_uniform(speed, gang, NOW));
+    assert_eq!(uniform(&Speed::default()), [false, false]);
+    assert_eq!(uniform(&after(&[1.3; 4])), [true, false]);
+}
+
 // Compared with each other only, all machines could become faster or slower together.
 #[test]
 fn factors_stay_relative_to_the_usual_machine_over_many_steps() {
