--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -293,7 +293,8 @@
             entry.update_checkpoint(slot, &end.saved);
         }
         let timing = run.as_ref().map(|run| run.timing_detail(now)).unwrap_or_default();
-        let factor = run.as_ref().map(|run| self.factor_detail(&job, run, now)).unwrap_or_default();
+        let factor =
+            run.as_ref().map(|run| self.factor_detail(&end.task, run, now)).unwrap_or_default();
         let detail =
             format!("{} run {} {:?} at {name}{factor}{timing}", end.task, end.run, end.how);
         self.log("run ended", &job, detail);
--- a/crates/dispatch/src/speed_samples.rs
+++ b/crates/dispatch/src/speed_samples.rs
@@ -13,12 +13,9 @@
 /// Run times of completed tasks of the steps that have not ended.
 #[derive(Debug, Default)]
 pub(crate) struct Ends {
-    steps: BTreeMap<StepKey, Vec<Counted>>,
+    steps: BTreeMap<StepKey, Vec<Sample>>,
 }
 
-/// A sample, and whether it has been counted as an observation.
-type Counted = (Sample, bool);
-
 /// Number of ends of a step after which they are compared although the step has not ended. Compared
 /// one by one, the first ones would have nothing to be compared with.
 const COMPARED_ENDS: usize = 8;
@@ -41,7 +38,7 @@
     /// run times.
     pub(crate) fn record_run_time(&mut self, task: &Task, run: &Placement, now: u64) {
         self.observe_end(task, run, now);
-        let factor = self.unit_factor(&task.job, run, now);
+        let factor = self.unit_factor(task, run, now);
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let estimate = entry.step(task_key(task)).map_or(0, |step| step.estimate);
         if !run.from_scratch || estimate == 0 {
@@ -78,17 +75,18 @@
             self.is_undisturbed(run).then(|| self.sample(run, step, run_ms(run, now) as f64));
         let step_key = (task.job.clone(), task.occurrence, task.step);
         let samples = self.speeds.ends.steps.entry(step_key.clone()).or_default();
-        samples.extend(sample.map(|sample| (sample, run.sampled.counted)));
+        samples.extend(sample);
+        let mut other = task.clone();
         let pending = (0..count).filter(|&index| index != task.index).any(|index| {
-            let other = Task { index, ..task.clone() };
+            other.index = index;
             !entry.progress.is_done(&other)
         });
-        let uncounted = samples.iter().filter(|(_, counted)| !counted).count();
+        let uncounted = samples.iter().filter(|sample| !sample.counted).count();
         if pending && uncounted < COMPARED_ENDS {
             return;
         }
         let compared = samples.clone();
-        samples.iter_mut().for_each(|(_, counted)| *counted = true);
+        samples.iter_mut().for_each(|sample| sample.counted = true);
         samples.drain(..compared.len().saturating_sub(MAX_ENDS));
         if !pending {
             self.speeds.ends.steps.remove(&step_key);
@@ -114,7 +112,7 @@
         // Only this run is counted; each of the others is when it passes half of its work.
         let mut samples = self.progress_samples(entry, task_key(task), placed);
         let Some((_, others)) = samples.split_last_mut() else { return };
-        others.iter_mut().for_each(|(_, counted)| *counted = true);
+        others.iter_mut().for_each(|sample| sample.counted = true);
         let counted = self.observe(&samples) > 0;
         let placed = self.jobs.get_mut(&task.job).and_then(|e| e.runs.get_mut(&task_key(task)));
         placed.into_iter().for_each(|placed| placed.sampled.counted |= counted);
@@ -122,7 +120,7 @@
 
     /// Returns the time for each percent of progress of the runs of a step, last that of `run`, whose
     /// key is given. Empty if that is not known, or if the members of a gang progress equally.
-    fn progress_samples(&self, entry: &Entry, key: Key, run: &Placement) -> Vec<Counted> {
+    fn progress_samples(&self, entry: &Entry, key: Key, run: &Placement) -> Vec<Sample> {
         let Some(step) = entry.step(key) else { return Vec::new() };
         let range = (key.0, key.1, 0)..=(key.0, key.1, u32::MAX);
         let others = entry.runs.range(range).filter(|(other, _)| **other != key);
@@ -140,14 +138,13 @@
             let began = if step.gang { complete_at } else { placed.confirmed_at }?;
             let ms = at.checked_sub(began).filter(|ms| *ms > 0)?;
             // The worker rounds down.
-            let sample = self.sample(placed, step, ms as f64 / (f64::from(percent) + 0.5));
-            Some((sample, placed.sampled.counted))
+            Some(self.sample(placed, step, ms as f64 / (f64::from(percent) + 0.5)))
         };
         if of_run(&run).is_none() {
             return Vec::new();
         }
-        let samples: Vec<Counted> = runs.iter().filter_map(of_run).collect();
-        if step.gang && is_uniform(samples.iter().map(|(sample, _)| sample)) {
+        let samples: Vec<Sample> = runs.iter().filter_map(of_run).collect();
+        if step.gang && is_uniform(&samples) {
             return Vec::new();
         }
         samples
@@ -165,7 +162,7 @@
 
     fn sample(&self, placed: &Placement, step: &Step, time: f64) -> Sample {
         let far = !step.near.is_empty() && self.rack_of(&placed.agent) != Some(&step.near);
-        Sample { machine: placed.agent.clone(), time, far }
+        Sample { machine: placed.agent.clone(), time, far, counted: placed.sampled.counted }
     }
 
     fn rack_of(&self, agent: &str) -> Option<&str> {
@@ -174,16 +171,15 @@
 
     /// Compares samples and adds those that have not been counted to the records of their machines.
     /// Returns how many were added.
-    fn observe(&mut self, samples: &[Counted]) -> usize {
+    fn observe(&mut self, samples: &[Sample]) -> usize {
         let now = self.speeds.wall;
-        let first = samples.first().and_then(|(sample, _)| self.agents.get(&sample.machine));
+        let first = samples.first().and_then(|sample| self.agents.get(&sample.machine));
         let pool = first.and_then(|agent| agent.worker.as_ref()).map(|worker| &worker.pool);
         let median = pool.and_then(|pool| self.speeds.medians.get(pool)).copied().unwrap_or(1.0);
-        let (samples, counted): (Vec<Sample>, Vec<bool>) = samples.iter().cloned().unzip();
-        let observations = compare(self.speed.get(), &samples, median, now);
+        let observations = compare(self.speed.get(), samples, median, now);
         let mut added = 0;
-        for ((sample, observation), counted) in samples.iter().zip(observations).zip(counted) {
-            let Some(observation) = observation.filter(|_| !counted) else { continue };
+        for (sample, observation) in samples.iter().zip(observations) {
+            let Some(observation) = observation else { continue };
             added += 1;
             self.speed.change(|speed| speed.observe(&sample.machine, observation, now));
             self.log_speed(&sample.machine);
--- a/crates/dispatch/src/speeds.rs
+++ b/crates/dispatch/src/speeds.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Id, Step};
+use quincewheel_job::{Step, Task};
 use quincewheel_place::{Preemption, Request, WorkerState, pack, plan_preemption};
 use quincewheel_policy::is_worth_preempting;
 use quincewheel_speed::{Estimate, Spread};
@@ -13,6 +13,7 @@
 use crate::candidate::Candidate;
 use crate::entry::{Entry, Placement};
 use crate::owner::Owner;
+use crate::reports::task_key;
 use crate::snapshot::Snapshot;
 use crate::speed_samples::Ends;
 
@@ -33,7 +34,7 @@
     room: BTreeMap<String, Room>,
     /// Number of machines whose factor is known, and of those that differ.
     counts: (usize, usize),
-    /// Factors of the gangs and runs that have ended lately and when, by unit.
+    /// Factors of the gangs that have ended lately and when, by unit.
     ended_units: BTreeMap<u64, (f64, u64)>,
     /// When the present second of the rate limit of log lines began, and the lines in it.
     lines: (u64, usize),
@@ -246,26 +247,29 @@
 
     /// Returns the factor of a run that has ended: of a gang that of its slowest member. The members
     /// of a gang leave one by one, so it is kept from the first end on.
-    pub(crate) fn unit_factor(&mut self, id: &Id, ended: &Placement, now: u64) -> f64 {
+    pub(crate) fn unit_factor(&mut self, task: &Task, ended: &Placement, now: u64) -> f64 {
         if self.speeds.factors.is_empty() {
             return 1.0;
         }
-        if let Some((factor, _)) = self.speeds.ended_units.get(&ended.unit) {
-            return *factor;
-        }
         let factor = |placed: &Placement| {
             self.speeds.factors.get(&placed.agent).map_or(1.0, |(factor, _)| *factor)
         };
-        let others = self.jobs.get(id).into_iter().flat_map(|entry| entry.runs.values());
-        let others = others.filter(|placed| placed.unit == ended.unit).map(factor);
+        let Some(entry) = self.jobs.get(&task.job) else { return factor(ended) };
+        if !entry.step(task_key(task)).is_some_and(|step| step.gang) {
+            return factor(ended);
+        }
+        if let Some((factor, _)) = self.speeds.ended_units.get(&ended.unit) {
+            return *factor;
+        }
+        let others = entry.runs.values().filter(|placed| placed.unit == ended.unit).map(factor);
         let factor = others.fold(factor(ended), f64::max);
         self.speeds.ended_units.insert(ended.unit, (factor, now));
         factor
     }
 
     /// Formats the factor of a run that has ended for its log line; empty if it is not slow.
-    pub(crate) fn factor_detail(&mut self, id: &Id, ended: &Placement, now: u64) -> String {
-        let factor = self.unit_factor(id, ended, now);
+    pub(crate) fn factor_detail(&mut self, task: &Task, ended: &Placement, now: u64) -> String {
+        let factor = self.unit_factor(task, ended, now);
         let slow = 1.0 + self.settings.uneven_percent as f64 / 100.0;
         if factor > 1.0 && factor >= slow { format!(", factor {factor:.2}") } else { String::new() }
     }
--- a/crates/dispatch/tests/speeds.rs
+++ b/crates/dispatch/tests/speeds.rs
@@ -7,7 +7,7 @@
 use insta::assert_snapshot;
 use quincewheel_dispatch::rows::SPEED_KEY;
 use quincewheel_dispatch::{Learned, Mirror, Settings};
-use quincewheel_job::{Job, Queue, Step};
+use quincewheel_job::{How, Job, Queue, Step};
 use quincewheel_store::Change;
 use uneven::Fleet;
 
@@ -155,6 +155,26 @@
     ");
 }
 
+// After a stop, urgent work was late on the slow worker on which the least work was lost.
+#[test]
+fn work_is_stopped_on_a_fast_worker_if_that_loses_little_more() {
+    let stopped = |ms: u64| {
+        let mut harness = owner_with(2, 10, &["w0"]);
+        placed(&mut harness, "a", job(1, vec![step(1, 8)]));
+        placed(&mut harness, "b", job(1, vec![step(1, 8)]));
+        harness.advance(ms);
+        let end = harness::end(1, harness::task("a", 0, 0), 1001, How::Done);
+        harness.report_status(0, &[], &[end]);
+        placed(&mut harness, "c", job(1, vec![step(1, 8)]));
+        let urgent = Job { accepted: harness.now, ..urgent(1) };
+        placed(&mut harness, "u", urgent)
+    };
+    assert_snapshot!([stopped(300), stopped(1500)].join("\n"), @r"
+    w1; nothing
+    w0; nothing
+    ");
+}
+
 // Placement must stay as it was where speed is not considered.
 #[test]
 fn placement_is_unchanged_without_the_setting_or_if_less_than_one_machine_in_ten_differs() {
--- a/crates/speed/src/compare.rs
+++ b/crates/speed/src/compare.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeMap;
+
 use crate::sample::Sample;
 use crate::speed::Speed;
 
@@ -13,8 +15,8 @@
 /// weight.
 pub(crate) type Observation = (f64, f64);
 
-/// Compares the runs of one step with each other, and returns an observation for each sample, or
-/// none if there is no other machine to compare it with.
+/// Compares the runs of one step with each other, and returns an observation for each sample; none
+/// if it has been counted already, or if there is no other machine to compare it with.
 ///
 /// Each run is compared with the median of the runs on other machines. Their times are divided by
 /// the known factors of these machines: otherwise slow machines that mostly get work of the same
@@ -26,6 +28,14 @@
     median: f64,
     now: u64,
 ) -> Vec<Option<Observation>> {
+    let mut numbers: BTreeMap<&str, usize> = BTreeMap::new();
+    let machines: Vec<usize> = samples
+        .iter()
+        .map(|sample| {
+            let next = numbers.len();
+            *numbers.entry(&sample.machine).or_insert(next)
+        })
+        .collect();
     let log_times: Vec<(f64, f64)> = samples
         .iter()
         .map(|sample| {
@@ -37,10 +47,13 @@
     order.sort_by(|a, b| log_times[*a].1.total_cmp(&log_times[*b].1));
     let (lowest, highest) = (RATIO_BOUNDS.0.ln(), RATIO_BOUNDS.1.ln());
     let observe = |(index, sample): (usize, &Sample)| {
+        if sample.counted {
+            return None;
+        }
         let others: Vec<f64> = order
             .iter()
             .filter(|&&other| {
-                samples[other].machine != sample.machine && samples[other].far == sample.far
+                machines[other] != machines[index] && samples[other].far == sample.far
             })
             .map(|&other| log_times[other].1)
             .collect();
@@ -55,8 +68,8 @@
 /// Returns whether the members of a gang progress equally. Some programs report the progress of the
 /// whole gang for each member. That says nothing about single machines, and would hide what
 /// completed tasks have shown.
-pub fn is_uniform<'a>(samples: impl Iterator<Item = &'a Sample>) -> bool {
-    let times = samples.map(|sample| sample.time);
+pub fn is_uniform(samples: &[Sample]) -> bool {
+    let times = samples.iter().map(|sample| sample.time);
     let (low, high) =
         times.fold((f64::MAX, 0.0f64), |(low, high), time| (low.min(time), high.max(time)));
     high <= low * UNIFORM_SPREAD
--- a/crates/speed/src/sample.rs
+++ b/crates/speed/src/sample.rs
@@ -9,4 +9,6 @@
     /// Whether the machine is outside the rack that holds the step's data, where tasks run slower.
     /// Only samples with the same value are compared.
     pub far: bool,
+    /// Whether the run has been counted as an observation. It is still compared with.
+    pub counted: bool,
 }
--- a/crates/speed/tests/speed.rs
+++ b/crates/speed/tests/speed.rs
@@ -24,6 +24,7 @@
         machine: (*machine).into(),
         time: *time,
         far: false,
+        counted: false,
     };
     times.iter().map(sample).collect()
 }
@@ -101,7 +102,7 @@
 // as any.
 #[test]
 fn members_that_progress_equally_are_told_apart_from_uneven_ones() {
-    let uniform = |times: &[(&str, f64)]| is_uniform(samples(times).iter());
+    let uniform = |times: &[(&str, f64)]| is_uniform(&samples(times));
     assert!(uniform(&[("a", 25.0), ("m", 26.5), ("b", 24.8)]));
     assert!(!uniform(&[("a", 20.0), ("m", 26.0), ("b", 20.5)]));
 }
@@ -124,7 +125,7 @@
         let members = (0..2 + step % 7).map(|_| {
             let number = random(30);
             let time = truth(number) * (0.9 + random(200) as f64 / 1000.0);
-            Sample { machine: names[number as usize].clone(), time, far: false }
+            Sample { machine: names[number as usize].clone(), time, far: false, counted: false }
         });
         let members: Vec<Sample> = members.collect();
         for (sample, observation) in members.iter().zip(compare(&speed, &members, median, NOW)) {
