--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -1,5 +1,4 @@
 use quincewheel_job::{Task, Worker};
-use quincewheel_policy::Quarantine;
 use quincewheel_wire::LinkId;
 
 use crate::close_reason::CloseReason;
@@ -36,8 +35,6 @@
     /// the worker has not answered under this epoch, or is late with an answer. None while it
     /// responds.
     pub unresponsive_since: Option<u64>,
-    /// Failures of tasks that count against the worker.
-    pub quarantine: Quarantine,
     /// The starts just before the worker broke its connections, if it has not answered since.
     /// Should the worker turn out to have ended, one of them has crashed it.
     pub suspected_crash: Option<SuspectedCrash>,
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/avoidance.rs
@@ -1,12 +1,9 @@
-//! Failures of tasks counted against workers.
-//!
-//! A task avoids a worker at which it failed, and a worker that fails the tasks of several jobs is
-//! closed for a while.
+//! Workers that tasks avoid for a while after a failure there.
 
 use std::collections::BTreeSet;
 
 use quincewheel_job::{Incarnation, Task};
-use quincewheel_policy::{AVOIDANCE_MS, limit_avoided, max_quarantined};
+use quincewheel_policy::{AVOIDANCE_MS, limit_avoided};
 
 use crate::candidate::Candidate;
 use crate::owner::Owner;
@@ -14,9 +11,8 @@
 use crate::snapshot::Snapshot;
 
 impl Owner {
-    /// Records a failure of a task at an agent's worker, and closes the worker if that is due. The
-    /// number of closed workers is bounded.
-    pub(crate) fn record_failure(&mut self, name: &str, task: &Task, now: u64) {
+    /// Records that a task failed at an agent's worker, so that it avoids the worker.
+    pub(crate) fn record_avoidance(&mut self, name: &str, task: &Task, now: u64) {
         if let Some(entry) = self.jobs.get_mut(&task.job)
             && let Some(worker) = self.agents.get(name).and_then(|agent| agent.worker.as_ref())
         {
@@ -25,28 +21,14 @@
             entry.avoided_workers.entry(slot).or_default().insert(worker.incarnation(), until);
             self.avoidance_ends_at = Some(self.avoidance_ends_at.map_or(until, |at| at.min(until)));
         }
-        let closed = self.agents.values().filter(|agent| now < agent.quarantine.until).count();
-        let most = max_quarantined(self.agents.len());
-        let Some(agent) = self.agents.get_mut(name) else { return };
-        if agent.quarantine.record_failure(&task.job) && closed < most {
-            let ms = agent.quarantine.begin(now);
-            self.log("worker closed", name, format!("for {ms} ms: all recent tasks failed"));
-        }
     }
 
-    /// Reopens workers whose closure has expired, and lets tasks return to workers that they
-    /// avoided.
-    pub(crate) fn reopen_workers(&mut self, now: u64) {
+    /// Lets tasks return to workers that they avoided for long enough.
+    pub(crate) fn end_avoidance(&mut self, now: u64) {
         if self.avoidance_ends_at.take_if(|at| *at <= now).is_some() {
             self.replan = true;
             self.avoidance_ends_at = self.next_avoid_expiry(now);
         }
-        for agent in self.agents.values_mut().filter(|agent| agent.quarantine.until > 0) {
-            if now >= agent.quarantine.until {
-                agent.quarantine.until = 0;
-                self.replan = true;
-            }
-        }
     }
 
     /// Returns the earliest time at which a task may return to a worker that it avoids.
--- a/crates/dispatch/src/cause.rs
+++ b/crates/dispatch/src/cause.rs
@@ -27,6 +27,8 @@
     Clearance,
     /// They failed recently at the workers that have capacity.
     Avoided,
+    /// The workers that have capacity are doubtful, or not sound enough for a last attempt.
+    Doubted,
     /// They are kept apart from other starts at the workers that have capacity, since one of them
     /// may crash its worker.
     Apart,
@@ -34,7 +36,7 @@
 
 impl Cause {
     /// All causes, in the order of their declaration.
-    pub const ALL: [Cause; 14] = [
+    pub const ALL: [Cause; 15] = [
         Cause::Unsettled,
         Cause::Remains,
         Cause::Unconfigured,
@@ -48,6 +50,7 @@
         Cause::Reserved,
         Cause::Clearance,
         Cause::Avoided,
+        Cause::Doubted,
         Cause::Apart,
     ];
 
@@ -78,6 +81,7 @@
             Cause::Reserved => "room being made",
             Cause::Clearance => "no clearance",
             Cause::Avoided => "workers avoided",
+            Cause::Doubted => "waits for a sound worker",
             Cause::Apart => "kept apart after a crash",
         }
     }
--- a/crates/dispatch/src/clearance.rs
+++ b/crates/dispatch/src/clearance.rs
@@ -8,10 +8,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Id, Incarnation};
+use quincewheel_place::WorkerState;
 
 use crate::candidate::Candidate;
 use crate::output::Output;
 use crate::owner::Owner;
+use crate::snapshot::Snapshot;
 
 /// The clearance of one step.
 #[derive(Clone, Debug, Default)]
@@ -152,3 +154,20 @@
         self.outputs.push(Output::RequestClearance { request });
     }
 }
+
+/// Returns the workers at these indexes that could run a step, those with the most free
+/// accelerators first.
+pub(crate) fn most_free(
+    indexes: &[usize],
+    snapshot: &Snapshot,
+    pool: &str,
+    label: &String,
+) -> Vec<Incarnation> {
+    let fits = |worker: &&WorkerState| {
+        worker.pool == pool && (label.is_empty() || worker.labels.contains(label))
+    };
+    let mut workers: Vec<&WorkerState> =
+        indexes.iter().map(|&index| &snapshot.workers[index]).filter(fits).collect();
+    workers.sort_by_key(|worker| std::cmp::Reverse(worker.free.accelerators));
+    workers.into_iter().map(|worker| worker.incarnation.clone()).collect()
+}
--- a/crates/dispatch/src/close_reason.rs
+++ b/crates/dispatch/src/close_reason.rs
@@ -12,8 +12,6 @@
     NoAnswer,
     /// The worker has broken its connections just after starts, and may have crashed.
     ConnectionsBroken,
-    /// Too many tasks of different jobs have failed there.
-    Failures,
     /// The machine is about to go down for maintenance.
     Maintenance,
     /// Operators evacuate the worker's availability zone.
@@ -37,7 +35,6 @@
             (agent.worker.is_none() || agent.worker_left, CloseReason::NoWorker),
             (!agent.fenced, CloseReason::NoAnswer),
             (agent.suspected_crash.is_some(), CloseReason::ConnectionsBroken),
-            (agent.quarantine.until > 0, CloseReason::Failures),
             (agent.refusals.until > 0, CloseReason::RefusesStarts),
             (agent.cordoned || agent.shutdown_requested, CloseReason::Maintenance),
             (agent.zone_evacuated, CloseReason::ZoneEvacuated),
@@ -55,7 +52,6 @@
             CloseReason::NoWorker => "no worker known",
             CloseReason::NoAnswer => "worker has not answered",
             CloseReason::ConnectionsBroken => "broke its connections",
-            CloseReason::Failures => "closed after failures",
             CloseReason::Maintenance => "maintenance",
             CloseReason::ZoneEvacuated => "zone evacuated",
             CloseReason::Draining => "draining",
--- a/crates/dispatch/src/dismissal.rs
+++ b/crates/dispatch/src/dismissal.rs
@@ -73,6 +73,7 @@
     pub(crate) fn dismiss(&mut self, name: &str) {
         self.attribute_crash(name);
         let Some(agent) = self.agents.remove(name) else { return };
+        agent.worker.iter().for_each(|worker| self.forget_worker(&worker.incarnation()));
         self.log("agent dismissed", name, "no connection or worker".to_owned());
         let dismissed =
             DismissedAgent { leases_expire_at: agent.leases_expire_at, silent_ms: agent.silent_ms };
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -143,6 +143,8 @@
     pub agents: Vec<String>,
     /// When the capacity was reserved.
     pub made_at: u64,
+    /// Index of the first task that it is for.
+    pub task: u32,
 }
 
 impl Entry {
--- a/crates/dispatch/src/learned.rs
+++ b/crates/dispatch/src/learned.rs
@@ -34,7 +34,7 @@
         let now = self.now;
         Learned {
             times: self.times.take_due(now),
-            trust: self.trust.take_due(now),
+            trust: self.due_trust(),
             speed: self.speed.take_due(now),
             usage: self.usage.take_due(now),
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! time of day, for scheduled jobs.
 
 mod agent;
+mod avoidance;
 mod batch;
 mod candidate;
 mod cause;
@@ -30,7 +31,6 @@
 mod persisted;
 mod plan;
 mod preemption;
-mod quarantine;
 mod record;
 mod refusals;
 mod reports;
@@ -44,6 +44,7 @@
 mod tally;
 mod throttle;
 mod times;
+mod trust;
 mod unanswered_writes;
 mod unconfirmed_jobs;
 mod unlisted_runs;
@@ -60,6 +61,7 @@
 pub use mirror::{JobView, Mirror, RowEvent};
 pub use output::Output;
 pub use owner::Owner;
+pub use quincewheel_trust::Grade;
 pub use settings::Settings;
 pub use times::Times;
 pub use unanswered_writes::UnansweredWrites;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -22,6 +22,7 @@
 use crate::settings::Settings;
 use crate::settlement::SettlementLog;
 use crate::times::Times;
+use crate::trust::Doubts;
 use crate::wait_detail::list;
 use crate::waits::Waits;
 
@@ -67,6 +68,7 @@
     pub(crate) times: Persisted<Times>,
     /// Trust in workers.
     pub(crate) trust: Persisted<Trust>,
+    pub(crate) doubts: Doubts,
     /// Speed of machines.
     pub(crate) speed: Persisted<Speed>,
     /// Usage of teams.
@@ -153,6 +155,7 @@
             dirty_urgent: false,
             times: Persisted::new(0),
             trust: Persisted::new(TRUST_RECORD_INTERVAL_MS),
+            doubts: Doubts::default(),
             speed: Persisted::new(SPEED_RECORD_INTERVAL_MS),
             usage: Persisted::new(USAGE_RECORD_INTERVAL_MS),
             clearance_pending: false,
@@ -351,7 +354,7 @@
             self.agents_checked_at = now;
             self.check_agents(now);
         }
-        self.reopen_workers(now);
+        self.update_trust(now, wall);
         self.end_backoffs(now);
         if !self.settled && self.check_settled(now) {
             self.settled = true;
--- a/crates/dispatch/src/persisted.rs
+++ b/crates/dispatch/src/persisted.rs
@@ -26,6 +26,16 @@
         &mut self.value
     }
 
+    /// Returns the value for a change that need not be recorded.
+    pub fn get_mut(&mut self) -> &mut T {
+        &mut self.value
+    }
+
+    /// Marks the value to be recorded.
+    pub fn mark_changed(&mut self) {
+        self.changed = true;
+    }
+
     /// Replaces the value by the one that a previous owner recorded.
     pub fn restore(&mut self, value: T) {
         self.value = value;
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use quincewheel_job::{Id, Incarnation, Resources, Step};
+use quincewheel_job::{Id, Resources, Step};
 use quincewheel_place::{Protection, Request, WorkerState, pack};
 use quincewheel_policy::{
     Guarantees, Rank, START_ISOLATION_MS, core_weight, is_half_free, release_whole_workers,
@@ -11,7 +11,8 @@
 use quincewheel_wire::Order;
 
 use crate::candidate::Candidate;
-use crate::entry::{Entry, Phase, Placement};
+use crate::clearance::most_free;
+use crate::entry::{Entry, Phase, Placement, Reservation};
 use crate::estimator::Estimator;
 use crate::owner::{Owner, task};
 use crate::snapshot::{Exclusions, Snapshot};
@@ -28,6 +29,7 @@
             entry.idle_since = entry.runs.is_empty().then(|| entry.idle_since.unwrap_or(now));
         }
         self.give_up_suspects();
+        self.prune_sound_waits();
         let mut candidates = self.candidates(wall);
         // Guaranteed work whose capacity is being freed comes first. Otherwise work that ranks
         // before it would take that capacity, and both would be late in turn.
@@ -75,7 +77,10 @@
                     if tasks.is_empty() {
                         continue;
                     }
-                    for group in isolate_suspects(id, entry, (occurrence, number), tasks, now) {
+                    let at = (occurrence, number);
+                    let groups = isolate_suspects(id, entry, at, tasks, now);
+                    let split = |group| self.split_attempts(id, entry, at, group);
+                    for group in groups.into_iter().flat_map(split) {
                         let need = step.need.accelerators * group.0.len() as u64;
                         // A job that was preempted for a guarantee is not covered by its own any
                         // more: it would take back the capacity that was freed for the other job.
@@ -183,7 +188,8 @@
     ) {
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let occurrence_step = (candidate.occurrence, candidate.step);
-        if let Some(reservation) = entry.reservations.get(&occurrence_step).cloned() {
+        let own = |reservation: &&Reservation| candidate.tasks.contains(&reservation.task);
+        if let Some(reservation) = entry.reservations.get(&occurrence_step).filter(own).cloned() {
             if self.use_reservation(candidate, &reservation, snapshot, now) {
                 self.record_reserved_wait(candidate, now);
                 return;
@@ -195,12 +201,15 @@
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let Some(step) = entry.job.steps.get(candidate.step as usize).cloned() else { return };
         let pool = self.pool_of(entry);
-        let excluded = Exclusions {
+        let admission = self.admission(candidate, (&step, &pool), snapshot, now);
+        let mut excluded = Exclusions {
             uncleared: self.uncleared(candidate, snapshot, now),
             avoided: self.avoided_indexes(candidate, snapshot, now),
+            doubted: admission.excluded.clone(),
             apart: self.excluded_indexes(candidate, snapshot),
         };
         let excluded_indexes = excluded.indexes();
+        let limits = snapshot.limit(&admission, &step);
         let kept_free = match candidate.suspect {
             true => self.place_suspect(
                 candidate,
@@ -215,9 +224,13 @@
                 (now, wall),
             ),
         };
+        snapshot.lift_limits(limits);
         if self.unplaced_tasks(candidate) == 0 {
             return;
         }
+        let doubts = (&mut *snapshot, &excluded, &admission);
+        self.track_doubts(candidate, (&step, &pool), doubts, (now, wall));
+        excluded.doubted.extend(&admission.trials);
         if !excluded.apart.is_empty() {
             self.schedule_replan(wall + START_ISOLATION_MS);
         }
@@ -313,7 +326,14 @@
         self.start_tasks(candidate, step, &pairs, snapshot, now);
         // Nothing is stopped for a task that may crash the worker that it is given.
         let may_preempt = candidate.rank.may_preempt() && !candidate.suspect;
-        if may_preempt && started < candidate.tasks.len() {
+        // A step has one reservation at a time. If its groups replaced each other's, each of them
+        // would stop more work in every round.
+        let entry = self.jobs.get(&candidate.id);
+        let reserved = entry.is_some_and(|entry| {
+            let made_at = entry.reservations.get(&(candidate.occurrence, candidate.step));
+            made_at.is_some_and(|known| now < known.made_at + self.settings.reservation_ttl)
+        });
+        if may_preempt && !reserved && started < candidate.tasks.len() {
             self.preempt_for(candidate, step, pool, started, snapshot, (now, wall));
         }
         kept_free
@@ -372,6 +392,7 @@
             let recent_start =
                 if candidate.suspect { RecentStart::Suspect } else { RecentStart::Any };
             recent_start.record(&mut snapshot.recent_starts, worker_index);
+            snapshot.record_trial(worker_index);
             let Some(worker) = self.agents.get(&name).and_then(|agent| agent.worker.as_ref())
             else {
                 continue;
@@ -449,23 +470,6 @@
     (0..step.count).filter(open).collect()
 }
 
-/// Returns the workers at these indexes that could run a step, those with the most free
-/// accelerators first.
-fn most_free(
-    indexes: &[usize],
-    snapshot: &Snapshot,
-    pool: &str,
-    label: &String,
-) -> Vec<Incarnation> {
-    let fits = |worker: &&WorkerState| {
-        worker.pool == pool && (label.is_empty() || worker.labels.contains(label))
-    };
-    let mut workers: Vec<&WorkerState> =
-        indexes.iter().map(|&index| &snapshot.workers[index]).filter(fits).collect();
-    workers.sort_by_key(|worker| std::cmp::Reverse(worker.free.accelerators));
-    workers.into_iter().map(|worker| worker.incarnation.clone()).collect()
-}
-
 /// Returns how many tasks of the step each worker runs, in the order of `workers`.
 pub(crate) fn tasks_per_worker(
     entry: &Entry,
--- a/crates/dispatch/src/preemption.rs
+++ b/crates/dispatch/src/preemption.rs
@@ -48,8 +48,10 @@
             self.track_reservation_end(until);
             return true;
         }
-        let valid =
-            indexes.len() == candidate.tasks.len() && indexes.iter().all(cleared) && now < until;
+        let valid = indexes.len() == candidate.tasks.len()
+            && indexes.iter().all(cleared)
+            && now < until
+            && !self.is_doubted(candidate, &step, &indexes, snapshot, now);
         if !valid {
             return false;
         }
@@ -162,7 +164,8 @@
         }
         let agents =
             preemption.workers.iter().map(|&index| snapshot.workers[index].name.clone()).collect();
-        let reservation = Reservation { agents, made_at: now };
+        let task = rest.first().copied().unwrap_or(0);
+        let reservation = Reservation { agents, made_at: now, task };
         self.track_reservation_end(now + self.settings.reservation_ttl);
         if let Some(entry) = self.jobs.get_mut(&candidate.id) {
             entry.reservations.insert((candidate.occurrence, candidate.step), reservation);
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -34,6 +34,7 @@
         let new_incarnation =
             agent.worker.as_ref().is_none_or(|known| !known.is_incarnation(&from));
         let restarted = new_incarnation && agent.worker.is_some();
+        let previous = agent.worker.as_ref().map(Worker::incarnation).filter(|_| restarted);
         if new_incarnation {
             // A machine list requested before this incarnation started cannot name it.
             agent.unresponsive_since = None;
@@ -41,7 +42,6 @@
             agent.acknowledged_end = 0;
             agent.consecutive_failures = 0;
             agent.deprioritized_until = 0;
-            agent.quarantine.reset();
             agent.refusals = Refusals::default();
             agent.shutdown_requested = false;
         }
@@ -67,6 +67,7 @@
         if restarted || first_answer || changed || recovered {
             self.replan = true;
         }
+        previous.iter().for_each(|worker| self.forget_worker(worker));
         if new_incarnation {
             self.remove_previous_runs(name, &from, now);
         }
@@ -121,6 +122,7 @@
             agent.reconciled = true;
             agent.worker_left = true;
         }
+        self.forget_worker(from);
         let ended = self.runs_where(|placed| placed.agent == name && placed.worker == *from);
         for (job, key) in ended {
             self.log("run lost", &job, format!("{key:?}: worker at {name} {how}"));
@@ -299,6 +301,7 @@
         if matches!(end.how, How::Done | How::Failed) {
             self.on_start_survived(&end.task, end.run);
         }
+        self.note_outcome(name, from, end, run.as_ref(), now);
         match end.how {
             How::Done => {
                 if let Some(run) = run {
@@ -346,7 +349,6 @@
         if let Some(agent) = self.agents.get_mut(name) {
             agent.consecutive_failures = 0;
             agent.deprioritized_until = 0;
-            agent.quarantine.reset();
         }
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let before = entry.progress.state;
@@ -376,7 +378,7 @@
             agent.deprioritized_until =
                 now + cooldown * u64::from(agent.consecutive_failures.min(3));
         }
-        self.record_failure(name, task, now);
+        self.record_avoidance(name, task, now);
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let perpetual = entry.step(task_key(task)).is_some_and(|step| step.perpetual);
         if entry.progress.state.is_final() || perpetual {
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -5,6 +5,7 @@
 use quincewheel_job::{Id, Resources};
 use quincewheel_place::{Preemptible, Protection, WorkerState};
 use quincewheel_policy::{Guarantees, preemption_loss};
+use quincewheel_trust::Standing;
 
 use crate::agent::Agent;
 use crate::entry::{Key, Phase};
@@ -24,15 +25,19 @@
     pub units: BTreeMap<u64, Vec<(Id, Key)>>,
     /// Workers that have just started a task, by index in `workers`.
     pub recent_starts: BTreeMap<usize, RecentStart>,
+    /// The standing of each worker; empty while failures do not count against workers.
+    pub standings: Vec<Standing>,
 }
 
 /// Indexes of workers that a step must not use, by reason.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Exclusions {
     /// The step is not cleared for the workers.
     pub uncleared: Vec<usize>,
     /// The step's tasks have failed there recently.
     pub avoided: Vec<usize>,
+    /// They are doubtful, or not sound enough for a last attempt.
+    pub doubted: Vec<usize>,
     /// A crash there could not be attributed to one task.
     pub apart: Vec<usize>,
 }
@@ -40,7 +45,7 @@
 impl Exclusions {
     /// Returns all excluded indexes, sorted and without duplicates.
     pub fn indexes(&self) -> Vec<usize> {
-        let mut indexes = [&self.uncleared[..], &self.avoided, &self.apart].concat();
+        let mut indexes = [&self.uncleared[..], &self.avoided, &self.doubted, &self.apart].concat();
         indexes.sort_unstable();
         indexes.dedup();
         indexes
@@ -80,6 +85,7 @@
             (kept_free, Restriction::Spared),
             (&excluded.uncleared, Restriction::Uncleared),
             (&excluded.avoided, Restriction::Avoided),
+            (&excluded.doubted, Restriction::Doubted),
             (&excluded.apart, Restriction::Apart),
         ];
         if kinds.iter().all(|(indexes, _)| indexes.is_empty()) {
@@ -163,7 +169,8 @@
             }
         }
         let actual_free = workers.iter().map(|worker| worker.free).collect();
-        Snapshot { workers, actual_free, units, recent_starts }
+        let standings = self.standings(&workers, now);
+        Snapshot { workers, actual_free, units, recent_starts, standings }
     }
 
     /// Returns a worker's capacity less that of its stray runs, which occupy it until they have
--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -16,6 +16,8 @@
     Uncleared,
     /// Tasks of the step have failed there recently.
     Avoided,
+    /// It is doubtful, or not sound enough for a last attempt.
+    Doubted,
     /// A crash there could not be attributed to one task.
     Apart,
 }
@@ -34,7 +36,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums {
     /// Tasks that fit into free capacity, by restriction.
-    free: [u64; 5],
+    free: [u64; 6],
     /// Tasks that would fit if nothing ran; counted until it is enough.
     whole: u64,
 }
@@ -95,6 +97,7 @@
             (Restriction::Spared, Cause::Spared),
             (Restriction::Uncleared, Cause::Clearance),
             (Restriction::Avoided, Cause::Avoided),
+            (Restriction::Doubted, Cause::Doubted),
             (Restriction::Apart, Cause::Apart),
         ];
         if let Some((_, cause)) =
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -8,7 +8,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
-use quincewheel_dispatch::Cause;
+use quincewheel_dispatch::{Cause, Grade};
 use quincewheel_job::Answer;
 
 /// Metrics of an entry on the platform.
@@ -19,6 +19,7 @@
     latency: Histogram,
     decisions: Family<Decision, Counter>,
     waits: Family<Wait, Gauge>,
+    workers: Family<Trust, Gauge>,
     unlisted_runs: Gauge,
     evacuated_zones: Gauge,
     evacuated_busy: Gauge,
@@ -56,6 +57,11 @@
     cause: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Trust {
+    grade: &'static str,
+}
+
 /// Upper bound of the first latency bucket in seconds, and the number of buckets, each twice as
 /// wide: 0.5 ms to 8 s.
 const LATENCY_BUCKETS: (f64, u16) = (0.0005, 15);
@@ -69,6 +75,7 @@
             latency: Histogram::new(exponential_buckets(smallest, 2.0, count)),
             decisions: Family::default(),
             waits: Family::default(),
+            workers: Family::default(),
             unlisted_runs: Gauge::default(),
             evacuated_zones: Gauge::default(),
             evacuated_busy: Gauge::default(),
@@ -93,6 +100,8 @@
         let help =
             "Steps whose turn came a second ago or more and that wait, by cause, at the owner";
         registry.register("waits", help, self.waits.clone());
+        let help = "Workers by what the ends of their runs say about them, at the owner";
+        registry.register("workers", help, self.workers.clone());
         let help = "Entries of the platform's lists that could not be read and were left out";
         registry.register("entries_left_out", help, self.skipped_entries.clone());
         let gauges = [
@@ -152,6 +161,14 @@
         }
     }
 
+    /// Sets the number of workers of each grade of trust.
+    pub fn set_worker_grades(&self, counts: &BTreeMap<Grade, usize>) {
+        for grade in Grade::ALL {
+            let count = counts.get(&grade).copied().unwrap_or(0);
+            self.workers.get_or_create(&Trust { grade: grade.name() }).set(count as i64);
+        }
+    }
+
     /// Sets the number of runs that are believed to be running and are not listed by their worker.
     pub fn set_unlisted_runs(&self, count: usize) {
         self.unlisted_runs.set(count as i64);
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -122,6 +122,24 @@
         count_run(&mut self.failed, &counted_task(job, task), run)
     }
 
+    /// The number of failures of the task with this occurrence, step and index; of a gang under
+    /// index 0.
+    pub fn failures(&self, (occurrence, step, index): (u32, u32, u32)) -> u32 {
+        let steps = self.failed.get(&occurrence);
+        let runs = steps.and_then(|steps| steps.get(&step)?.get(&index));
+        runs.map_or(0, |runs| runs.len() as u32)
+    }
+
+    /// True if a run of the task or its gang is known to have failed.
+    pub fn has_failed(&self, job: &Job, task: &Task, run: u64) -> bool {
+        contains(&self.failed, &counted_task(job, task), run)
+    }
+
+    /// True if any run of the job is known to have failed.
+    pub fn has_failures(&self) -> bool {
+        !self.failed.is_empty()
+    }
+
     /// Records that a run may have crashed its worker; `likely` if it is the probable cause.
     /// Returns whether that was not known.
     pub fn record_crash(&mut self, job: &Job, task: &Task, run: u64, likely: bool) -> bool {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,18 +1,19 @@
-//! Scheduling policy: which work starts first, which is preempted for it, and which workers are
-//! quarantined.
+//! Scheduling policy: which work starts first, which is preempted for it, and which workers a task
+//! avoids.
 //!
 //! Pure functions over views of jobs, workers and runs. Nothing here uses a network, a clock or
 //! knows which process is the owner: the caller passes the time in. Placement is up to
 //! `quincewheel-place`; the owner of a deployment applies the decisions of both.
 
+mod avoidance;
 mod crash;
 mod objective;
 mod pace;
 mod preemption;
-mod quarantine;
 mod rank;
 mod reserve;
 
+pub use avoidance::{AVOIDANCE_MS, limit_avoided};
 pub use crash::{START_ISOLATION_MS, is_given_up};
 pub use objective::{Objective, rounds};
 pub use pace::{is_stalled, next_pace};
@@ -20,6 +21,5 @@
     Guarantees, borrowed_reclaim_at, core_weight, guaranteed_reclaim_at, is_worth_preempting,
     preemption_loss,
 };
-pub use quarantine::{AVOIDANCE_MS, Quarantine, limit_avoided, max_quarantined};
 pub use rank::{Lateness, Rank};
 pub use reserve::{is_half_free, release_whole_workers, reserve_whole_workers};
--- a/crates/policy/tests/workers.rs
+++ b/crates/policy/tests/workers.rs
@@ -1,43 +1,15 @@
 //! Workers on which tasks fail, stall or slow one another down.
 
 use insta::assert_snapshot;
-use quincewheel_policy::{Quarantine, is_stalled, limit_avoided, max_quarantined, next_pace};
-
-// A faulty worker fails every task within 100 ms for some seconds while it reports itself
-// healthy; a job of another team fails on every worker. Only three failures in a row of two jobs
-// quarantine a worker.
-#[test]
-fn a_worker_is_quarantined_only_for_failures_of_several_jobs() {
-    let mut lines = Vec::new();
-    let mut quarantine = Quarantine::default();
-    lines.push(format!(
-        "one job: {:?}",
-        ["a", "a", "a", "a"].map(|job| quarantine.record_failure(job))
-    ));
-    lines.push(format!(
-        "another: {}, closed for {} ms",
-        quarantine.record_failure("b"),
-        quarantine.begin(1000)
-    ));
-    for _ in 0..4 {
-        let results = ["a", "b", "b"].map(|job| quarantine.record_failure(job));
-        lines.push(format!(
-            "again: {results:?}, for {} ms until {}",
-            quarantine.begin(9000),
-            quarantine.until
-        ));
-    }
-    quarantine.reset();
-    lines.push(format!("after a success: {}", quarantine.until));
-    assert_snapshot!(lines.join("\n"));
-}
+use quincewheel_policy::{is_stalled, limit_avoided, next_pace};
 
 // If most workers of a pool fail their tasks, the workers are not the cause, and a step that
 // avoided all of them would never start.
 #[test]
-fn at_most_a_quarter_of_the_workers_is_quarantined_or_avoided() {
-    let avoided = [2, 3].map(|count| limit_avoided((0..count).collect(), 11).len());
-    assert_snapshot!(format!("{:?} {avoided:?}", [1, 3, 11, 57].map(max_quarantined)));
+fn at_most_a_quarter_of_the_workers_is_avoided() {
+    let avoided = [(1, 1), (2, 1), (1, 3), (2, 3), (2, 11), (3, 11), (14, 57), (15, 57)]
+        .map(|(count, all)| limit_avoided((0..count).collect(), all).len());
+    assert_snapshot!(format!("{avoided:?}"), @"[1, 0, 1, 0, 2, 0, 14, 0]");
 }
 
 // A serving task comes close to its target next to tasks that use idle processors.
