--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -446,7 +446,7 @@
 /// Run numbers available to each epoch for one task. An owner numbers runs from a base derived
 /// from its epoch, so that they increase across takeovers without a record of each start. No task
 /// starts this often under one owner.
-const RUNS_PER_EPOCH: u64 = 1000;
+pub(crate) const RUNS_PER_EPOCH: u64 = 1000;
 
 /// Returns the tasks of a step that are ready and have no run: of a gang all or none.
 pub(crate) fn pending_tasks(
--- a/crates/dispatch/src/trust.rs
+++ b/crates/dispatch/src/trust.rs
@@ -13,7 +13,7 @@
 use crate::candidate::Candidate;
 use crate::entry::{Entry, Key, Placement};
 use crate::owner::Owner;
-use crate::plan::tasks_per_worker;
+use crate::plan::{RUNS_PER_EPOCH, tasks_per_worker};
 use crate::snapshot::{Exclusions, Snapshot};
 use crate::wait_detail::list;
 
@@ -49,6 +49,9 @@
         if !success && run.is_none() && counted() {
             return;
         }
+        // When a previous owner's run started is not known.
+        let own = |run: &&Placement| run.run > (self.epoch - 1) * RUNS_PER_EPOCH;
+        let run = run.filter(own);
         let confirmed = |run: &Placement| now.saturating_sub(run.confirmed_at.unwrap_or(now));
         let outcome = Outcome {
             worker: from.clone(),
@@ -79,7 +82,9 @@
                 self.trust.mark_changed();
             }
             self.replan |= !changes.is_empty();
-            changes.into_iter().for_each(|change| self.log_change(&name, change, time));
+            changes
+                .into_iter()
+                .for_each(|change| self.log_change(&name, &outcome.job, change, time));
         }
     }
 
@@ -320,15 +325,17 @@
         now + self.doubts.clock_offset.unwrap_or(0)
     }
 
-    fn log_change(&mut self, name: &str, change: Change, time: u64) {
+    fn log_change(&mut self, name: &str, id: &str, change: Change, time: u64) {
         match change {
             Change::Doubted(record) => {
+                let (facts, backoff) = (facts(&record, time), record.backoff());
                 let detail =
-                    format!("{}; next trial in {} ms", facts(&record, time), record.backoff());
+                    format!("{name}: a run of {id} failed; {facts}; next trial in {backoff} ms");
                 self.log("worker doubted", name, detail);
             }
             Change::SoundAgain(record) => {
-                let detail = format!("a run succeeded; before: {}", facts(&record, time));
+                let facts = facts(&record, time);
+                let detail = format!("{name}: a run of {id} succeeded; before: {facts}");
                 self.log("worker sound again", name, detail);
             }
             Change::Attributed(job, workers) => {
--- /dev/null
+++ b/crates/dispatch/tests/trust.rs
@@ -0,0 +1,390 @@
+//! Which workers tasks use, by the attempts that they have left.
+
+mod harness;
+
+use std::collections::BTreeMap;
+
+use harness::{Harness, job, run, step, task, worker};
+use insta::assert_snapshot;
+use quincewheel_dispatch::{Grade, Learned, Settings};
+use quincewheel_job::{End, How, Job, Run, Step, Task};
+use quincewheel_wire::Notice;
+
+/// An owner with a few workers, and what runs there.
+struct Site {
+    harness: Harness,
+    workers: u64,
+    running: Vec<(u64, Task, u64)>,
+    ends: BTreeMap<u64, u64>,
+    jobs: u64,
+}
+
+impl Site {
+    /// Creates a site of idle workers of which nothing is known.
+    fn new(epoch: u64, workers: u64) -> Site {
+        let mut harness = Harness::new(epoch, workers);
+        harness.owner.update_settings(Settings { doubt: 10_000, ..Settings::default() });
+        harness.logged_events = vec!["worker doubted", "worker sound again", "waits"];
+        let harness = harness.with_idle_workers(workers);
+        Site { harness, workers, running: Vec::new(), ends: BTreeMap::new(), jobs: 0 }
+    }
+
+    /// Creates a site of which the first workers are sound.
+    fn with_sound(workers: u64, sound: u64) -> Site {
+        let mut site = Site::new(1, workers);
+        site.add("warm", job(1, vec![step(workers as u32, 8)]));
+        site.pass(1000);
+        (0..sound).for_each(|number| site.end(number, How::Done));
+        site.harness.owner.cancel("warm", site.harness.now);
+        (sound..workers).for_each(|number| site.end(number, How::Stopped));
+        site.harness.take_orders();
+        site
+    }
+
+    /// Adds a job, and returns what started.
+    fn add(&mut self, name: &str, job: Job) -> String {
+        self.jobs += 1;
+        self.harness.owner.add_job(name, job, 150 + self.jobs, None);
+        self.harness.tick();
+        self.take_starts()
+    }
+
+    /// Confirms the starts that were ordered, and returns them.
+    fn take_starts(&mut self) -> String {
+        let mut starts = Vec::new();
+        for order in std::mem::take(&mut self.harness.orders) {
+            let Some((worker, rest)) = order.split_once(" start ") else { continue };
+            let worker: u64 = worker[1..].parse().unwrap();
+            let words: Vec<&str> = rest.split_whitespace().collect();
+            let (name, number): (&str, u64) = (words[0], words[2].parse().unwrap());
+            let parts: Vec<&str> = name.split('.').collect();
+            let started = task(parts[0], parts[2].parse().unwrap(), parts[3].parse().unwrap());
+            let notice = Notice::Started { task: started.clone(), run: number };
+            self.harness.owner.on_notice(worker, notice, self.harness.now);
+            self.running.push((worker, started, number));
+            starts.push(format!("{name} at w{worker}"));
+        }
+        if starts.is_empty() { "nothing".to_owned() } else { starts.join(", ") }
+    }
+
+    /// Ends all runs of a worker in this way.
+    fn end(&mut self, worker: u64, how: How) {
+        let ended: Vec<(u64, Task, u64)> =
+            self.running.extract_if(.., |(at, ..)| *at == worker).collect();
+        let mut ends = Vec::new();
+        for (_, task, run) in ended {
+            let number = self.ends.entry(worker).or_default();
+            *number += 1;
+            ends.push(End { number: *number, task, run, how, saved: String::new() });
+        }
+        self.harness.report_status(worker, &[], &ends);
+    }
+
+    /// Lets time pass in steps of 100 ms until something starts, and returns after how long, and
+    /// what started; at most for this long.
+    fn next_start(&mut self, ms: u64) -> String {
+        let before = self.harness.now;
+        loop {
+            let starts = self.take_starts();
+            let waited = self.harness.now - before;
+            if starts != "nothing" || waited >= ms {
+                return format!("after {waited} ms {starts}");
+            }
+            self.pass(100);
+        }
+    }
+
+    /// Lets time pass, in steps of 100 ms.
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 100 {
+            self.harness.advance(100);
+            for number in 0..self.workers {
+                let here = self.running.iter().filter(|(worker, ..)| *worker == number);
+                let listed: Vec<Run> =
+                    here.map(|(_, task, number)| run(task.clone(), *number)).collect();
+                self.harness.report_status(number, &listed, &[]);
+            }
+        }
+    }
+
+    /// Returns the number of sound, unknown and doubtful workers.
+    fn grades(&self) -> String {
+        let counts = self.harness.owner.worker_grades();
+        let count = |grade| counts.get(&grade).copied().unwrap_or(0);
+        Grade::ALL.map(|grade| format!("{} {}", count(grade), grade.name())).join(", ")
+    }
+}
+
+/// A step of whole workers.
+fn whole(count: u32) -> Vec<Step> {
+    vec![step(count, 8)]
+}
+
+/// Fills the sound workers w0 and w1 of four, and lets the first attempt of `a` fail late at w2.
+fn with_last_attempt_waiting(attempts: u32) -> (Site, String) {
+    let mut site = Site::with_sound(4, 2);
+    let mut lines = vec![site.add("long", job(1, whole(2)))];
+    let mut short = job(1, whole(1));
+    short.queue.attempts = attempts;
+    lines.push(site.add("a", short));
+    site.pass(2000);
+    site.end(2, How::Failed);
+    lines.push(site.take_starts());
+    (site, lines.join("\n"))
+}
+
+// The second failure of a task with two attempts is the failure of its job, so its last attempt must
+// not be what shows that a worker is faulty.
+#[test]
+fn last_attempt_waits_for_a_sound_worker_and_takes_an_unknown_one_after_5_s() {
+    let (mut site, begun) = with_last_attempt_waiting(2);
+    let start = site.next_start(9000);
+    let logs = site.harness.take_logs();
+    assert_snapshot!(format!("{begun}\n{start}\n{logs}"), @r"
+    long.0.0.0 at w0, long.0.0.1 at w1
+    a.0.0.0 at w2
+    nothing
+    after 5000 ms a.0.0.0 at w2
+    waits a: a.0.0, 1 tasks, 1000 ms: waits for a sound worker: 2 sound; doubtful: none
+    ");
+}
+
+#[test]
+fn last_attempt_starts_as_soon_as_a_sound_worker_is_free() {
+    let (mut site, begun) = with_last_attempt_waiting(2);
+    site.pass(1000);
+    site.end(1, How::Done);
+    let start = site.next_start(9000);
+    assert_snapshot!(format!("{begun}\n{start}"), @r"
+    long.0.0.0 at w0, long.0.0.1 at w1
+    a.0.0.0 at w2
+    nothing
+    after 0 ms a.0.0.0 at w1
+    ");
+}
+
+#[test]
+fn attempt_that_is_not_the_last_does_not_wait() {
+    let (_, begun) = with_last_attempt_waiting(3);
+    assert_snapshot!(begun, @r"
+    long.0.0.0 at w0, long.0.0.1 at w1
+    a.0.0.0 at w2
+    a.0.0.0 at w3
+    ");
+}
+
+// In a new deployment, and after the rows of a former owner are lost, all workers are unknown.
+#[test]
+fn last_attempt_does_not_wait_where_no_worker_is_known_to_be_sound() {
+    let mut site = Site::new(1, 2);
+    let first = site.add("a", job(1, whole(1)));
+    site.pass(2000);
+    site.end(0, How::Failed);
+    assert_snapshot!(format!("{first}\n{}", site.next_start(1000)), @r"
+    a.0.0.0 at w0
+    after 0 ms a.0.0.0 at w1
+    ");
+}
+
+#[test]
+fn queue_with_one_attempt_prefers_sound_workers_and_does_not_wait() {
+    let mut site = Site::with_sound(4, 1);
+    let mut single = job(1, whole(1));
+    single.queue.attempts = 1;
+    let first = site.add("a", single.clone());
+    let second = site.add("b", single);
+    assert_snapshot!(format!("{first}\n{second}"), @r"
+    a.0.0.0 at w0
+    b.0.0.0 at w1
+    ");
+}
+
+// Workers that failed everything within 50 ms were free again at once, and took most of what waited.
+#[test]
+fn doubtful_worker_takes_one_task_at_a_time_and_no_last_attempt() {
+    let mut site = Site::with_sound(4, 3);
+    let mut lines = vec![site.add("long", job(1, whole(3)))];
+    lines.push(site.add("a", job(1, whole(1))));
+    site.end(3, How::Failed);
+    lines.push(site.take_starts());
+    // Twelve tasks that have two attempts left; the last attempt of `a` must not go to w3.
+    lines.push(site.add("b", job(1, vec![step(12, 1)])));
+    lines.push(site.next_start(5000));
+    site.end(3, How::Failed);
+    lines.push(site.next_start(5000));
+    lines.push(site.grades());
+    site.pass(2000);
+    site.end(3, How::Done);
+    lines.push(site.take_starts());
+    lines.push(site.grades());
+    site.end(0, How::Done);
+    lines.push(site.take_starts());
+    lines.push(site.harness.take_logs());
+    assert_snapshot!(lines.join("\n"), @r"
+    long.0.0.0 at w0, long.0.0.1 at w1, long.0.0.2 at w2
+    a.0.0.0 at w3
+    nothing
+    nothing
+    after 1000 ms b.0.0.0 at w3
+    after 2000 ms b.0.0.1 at w3
+    3 sound, 0 unknown, 1 doubtful
+    b.0.0.0 at w3, b.0.0.2 at w3, b.0.0.3 at w3, b.0.0.4 at w3, b.0.0.5 at w3, b.0.0.6 at w3, b.0.0.7 at w3, b.0.0.8 at w3
+    4 sound, 0 unknown, 0 doubtful
+    b.0.0.9 at w0, b.0.0.10 at w0, b.0.0.11 at w0
+    worker doubted w3: w3: a run of a failed; 1 failures in a row, 1 at once, of 1 jobs, the first 0 ms ago, the last 0 ms ago; no success; next trial in 1000 ms
+    waits a: a.0.0, 1 tasks, 1000 ms: no room: room for 0 of 1, for 1 if nothing ran
+    waits b: b.0.0, 11 tasks, 1000 ms: no room: room for 0 of 11, for 11 if nothing ran
+    worker doubted w3: w3: a run of b failed; 2 failures in a row, 2 at once, of 2 jobs, the first 1000 ms ago, the last 0 ms ago; no success; next trial in 2000 ms
+    waits a: a.0.0, 1 tasks, 2000 ms: waits for a sound worker: 3 sound; doubtful: w3
+    waits b: b.0.0, 11 tasks, 2000 ms: waits for a sound worker: 3 sound; doubtful: w3
+    waits a: a.0.0, 1 tasks, 3000 ms: no room: room for 0 of 1, for 1 if nothing ran
+    waits b: b.0.0, 10 tasks, 3000 ms: no room: room for 0 of 10, for 10 if nothing ran
+    waits b: b.0.0, 10 tasks, 4000 ms: waits for a sound worker: 3 sound; doubtful: w3
+    worker sound again w3: w3: a run of b succeeded; before: 2 failures in a row, 2 at once, of 2 jobs, the first 5000 ms ago, the last 4000 ms ago; no success
+    waits b: b.0.0, 3 tasks, 5000 ms: no room: room for 0 of 3, for 3 if nothing ran
+    ");
+}
+
+// A gang has one attempt for all members. Its last one must not have a member on a faulty worker.
+#[test]
+fn members_of_a_gang_are_placed_by_the_attempts_that_the_gang_has_left() {
+    let mut site = Site::with_sound(4, 3);
+    let gang = || vec![Step { gang: true, ..step(2, 8) }];
+    let mut lines = vec![site.add("long", job(1, whole(1)))];
+    lines.push(site.add("a", job(1, gang())));
+    site.pass(2000);
+    site.end(1, How::Failed);
+    site.end(2, How::Broken);
+    lines.push(site.add("b", job(1, whole(1))));
+    lines.push(site.next_start(2000));
+    site.end(0, How::Done);
+    lines.push(site.next_start(4000));
+    assert_snapshot!(lines.join("\n"), @r"
+    long.0.0.0 at w0
+    a.0.0.0 at w1, a.0.0.1 at w2
+    b.0.0.0 at w2
+    after 2000 ms nothing
+    after 500 ms a.0.0.0 at w0, a.0.0.1 at w1
+    ");
+}
+
+// The tasks of a wide step were placed together, and a few last attempts would make all wait.
+#[test]
+fn tasks_of_one_step_on_their_last_attempt_do_not_hold_up_the_others() {
+    let mut site = Site::with_sound(4, 1);
+    let mut lines = vec![site.add("a", job(1, whole(6)))];
+    site.pass(2000);
+    site.end(1, How::Failed);
+    lines.push(site.take_starts());
+    site.end(2, How::Failed);
+    lines.push(site.take_starts());
+    assert_snapshot!(lines.join("\n"), @r"
+    a.0.0.0 at w0, a.0.0.1 at w1, a.0.0.2 at w2, a.0.0.3 at w3
+    a.0.0.4 at w1
+    a.0.0.5 at w2
+    ");
+}
+
+// An owner died, and the next one gave full loads to workers that were known to fail everything.
+#[test]
+fn next_owner_reads_what_was_recorded_of_workers() {
+    let mut site = Site::with_sound(2, 1);
+    site.add("a", job(1, whole(2)));
+    site.end(1, How::Failed);
+    let batch = site.harness.record();
+    let row = serde_json::to_string(&batch.learned.trust).unwrap();
+    let mut next = Site::new(2, 2);
+    let learned = Learned { trust: serde_json::from_str(&row).unwrap(), ..Learned::default() };
+    next.harness.owner.restore_learned(&learned);
+    let begun = next.grades();
+    next.add("b", job(1, vec![step(12, 1)]));
+    let started = next.running.iter().filter(|(worker, ..)| *worker == 1).count();
+    assert_snapshot!(format!("{begun}\n{started} tasks at w1"), @r"
+    0 sound, 1 unknown, 1 doubtful
+    0 tasks at w1
+    ");
+}
+
+// A run of a previous owner that failed just after the new owner had learned of it counted as a
+// failure at once.
+#[test]
+fn failure_of_an_adopted_run_is_not_immediate() {
+    let mut site = Site::new(2, 1);
+    site.harness.owner.add_job("a", job(1, whole(1)), 50, None);
+    site.running.push((0, task("a", 0, 0), 7));
+    site.pass(100);
+    site.end(0, How::Failed);
+    assert_snapshot!(site.grades(), @"0 sound, 1 unknown, 0 doubtful");
+}
+
+// The table was down while a worker failed, and what was known of it was lost with the write.
+#[test]
+fn trust_that_could_not_be_recorded_is_recorded_later_and_at_most_once_a_second() {
+    let mut site = Site::new(1, 2);
+    let mut lines = Vec::new();
+    site.add("a", job(1, whole(2)));
+    for (number, written) in [(0, false), (0, true), (1, true)] {
+        site.end(number, How::Failed);
+        let batch = site.harness.owner.next_batch().unwrap();
+        site.harness.owner.on_recorded(&batch, written);
+        lines.push(batch.learned.trust.is_some().to_string());
+    }
+    site.pass(1000);
+    let batch = site.harness.record();
+    lines.push(batch.learned.trust.is_some().to_string());
+    assert_snapshot!(lines.join(" "), @"true true false true");
+}
+
+// A worker that restarts under its id may have been mended, and its ends are numbered from 1 again.
+#[test]
+fn record_of_a_worker_is_dropped_with_its_incarnation() {
+    let mut site = Site::new(1, 1);
+    site.add("a", job(1, whole(1)));
+    site.end(0, How::Failed);
+    let before = site.grades();
+    let worker = Some(quincewheel_job::Worker { born: 7, ..worker(0) });
+    let (running, ended) = (Vec::new(), Vec::new());
+    let stamp = site.harness.now;
+    site.harness.deliver(0, Notice::Status { stamp, worker, fenced: true, running, ended });
+    assert_snapshot!(format!("{before}\n{}", site.grades()), @r"
+    0 sound, 0 unknown, 1 doubtful
+    0 sound, 1 unknown, 0 doubtful
+    ");
+}
+
+// An agent lists an end until it is recorded, also after a new connection.
+#[test]
+fn failure_that_is_reported_twice_counts_once() {
+    let mut site = Site::new(1, 1);
+    site.add("a", job(1, whole(1)));
+    let ends = [harness::end(1, task("a", 0, 0), 1, How::Failed)];
+    site.harness.report_status(0, &[], &ends);
+    site.harness.owner.on_disconnected(0);
+    site.harness.connect(0);
+    site.harness.report_status(0, &[], &ends);
+    site.harness.owner.cancel("a", site.harness.now);
+    site.running.clear();
+    site.ends.insert(0, 1);
+    let mut lines = vec![site.add("b", job(1, whole(1)))];
+    lines.push(site.next_start(2000));
+    site.end(0, How::Failed);
+    lines.push(site.harness.take_logs());
+    assert_snapshot!(lines.join("\n"), @r"
+    nothing
+    after 1000 ms b.0.0.0 at w0
+    worker doubted w0: w0: a run of a failed; 1 failures in a row, 1 at once, of 1 jobs, the first 0 ms ago, the last 0 ms ago; no success; next trial in 1000 ms
+    worker doubted w0: w0: a run of b failed; 2 failures in a row, 2 at once, of 2 jobs, the first 1000 ms ago, the last 0 ms ago; no success; next trial in 2000 ms
+    ");
+}
+
+#[test]
+fn failures_count_against_no_worker_while_the_part_is_off() {
+    let mut site = Site::new(1, 1);
+    site.harness.owner.update_settings(Settings::default());
+    site.add("a", job(1, whole(1)));
+    site.end(0, How::Failed);
+    assert_snapshot!(format!("{}\n{}", site.grades(), site.add("b", job(1, whole(1)))), @r"
+    0 sound, 1 unknown, 0 doubtful
+    b.0.0.0 at w0
+    ");
+}
--- a/crates/entry/tests/day.rs
+++ b/crates/entry/tests/day.rs
@@ -64,3 +64,27 @@
     z1: 1.000, 4.500, 9.000
     ");
 }
+
+// The summary did not show which workers had failed what they started, nor what waited for others.
+#[test]
+fn doubted_workers_and_waits_for_sound_ones_are_listed() {
+    let logs = r#"
+{"t":100.000,"process":"e1","event":"accepted","job":"aa","queue":"q","msg":"version 7 1x1"}
+{"t":100.100,"process":"e1","event":"worker doubted","job":"w3","msg":"w3: a run of aa failed; 1 failures in a row"}
+{"t":101.200,"process":"e1","event":"worker doubted","job":"w3","msg":"w3: a run of bb failed; 2 failures in a row"}
+{"t":102.000,"process":"e1","event":"waited","job":"aa","msg":"aa.0.0: waits for a sound worker 1800 ms"}
+{"t":103.000,"process":"e1","event":"worker doubted","job":"w5","msg":"w5: a run of bb failed; 1 failures in a row"}
+{"t":104.000,"process":"e2","event":"worker sound again","job":"w3","msg":"w3: a run of cc succeeded"}
+{"t":109.000,"process":"e1","event":"job ended","job":"aa","msg":"Succeeded, objective 1000 ms"}
+"#;
+    let mut output = Vec::new();
+    sum_up(Some(100.0), logs.as_bytes(), &mut output).unwrap();
+    let output = String::from_utf8(output).unwrap();
+    let waits = output.lines().find(|line| line.contains("sound worker")).unwrap_or("none");
+    let workers = output.split_once("workers doubted").unwrap().1;
+    assert_snapshot!(format!("{}{workers}", waits.trim()), @r"
+    q 1: 0, 1, 0, 0, 0, 0, 0; waits for a sound worker 1800: at, failed trials, sound again
+    w3: 0.100, 1, 4.000
+    w5: 3.000, 0, -
+    ");
+}
