--- a/crates/dispatch/src/trust.rs
+++ b/crates/dispatch/src/trust.rs
@@ -52,7 +52,12 @@
         // When a previous owner's run started is not known.
         let own = |run: &&Placement| run.run > (self.epoch - 1) * RUNS_PER_EPOCH;
         let run = run.filter(own);
-        let confirmed = |run: &Placement| now.saturating_sub(run.confirmed_at.unwrap_or(now));
+        // The work of a gang begins with the start of its last member.
+        let confirmed = |run: &Placement| {
+            let unit = entry.runs.values().filter(|other| other.unit == run.unit);
+            let begun = unit.filter_map(|other| other.confirmed_at).chain(run.confirmed_at).max();
+            now.saturating_sub(begun.unwrap_or(now))
+        };
         let outcome = Outcome {
             worker: from.clone(),
             job: end.task.job.clone(),
@@ -175,15 +180,18 @@
         }
         let request = request(candidate, step, pool, &[]);
         let workers = snapshot.workers.iter().zip(&snapshot.standings).enumerate();
-        let eligible = workers.filter(|(_, (worker, _))| request.is_eligible(worker));
+        let (count, gang, same_rack) = (u64::from(request.count), step.gang, step.same_rack);
+        let demand = Demand { count, gang, same_rack };
+        // For single tasks with attempts to spare, which are the most, only doubtful workers matter.
+        let all = attempt != Attempt::Spare || demand.is_joint();
+        let relevant = workers.filter(|(_, (_, standing))| all || doubtful(standing));
+        let eligible = relevant.filter(|(_, (worker, _))| request.is_eligible(worker));
         let members: Vec<Member<'_>> = eligible
             .map(|(index, (worker, standing))| {
                 let holds = request.max_tasks(index, &worker.capacity);
                 Member { index, rack: &worker.rack, holds, standing: *standing }
             })
             .collect();
-        let (count, gang, same_rack) = (u64::from(request.count), step.gang, step.same_rack);
-        let demand = Demand { count, gang, same_rack };
         Admission::decide(&members, &demand, attempt, self.trust_time(now))
     }
 
--- a/crates/dispatch/tests/trust.rs
+++ b/crates/dispatch/tests/trust.rs
@@ -268,6 +268,24 @@
     ");
 }
 
+// The members of a gang wait for the last one, so a gang that fails at once may fail long after the
+// start of the member that failed.
+#[test]
+fn time_in_which_a_gang_waits_for_its_members_does_not_count_as_run_time() {
+    let mut site = Site::new(1, 2);
+    let gang = vec![Step { gang: true, ..step(2, 8) }];
+    site.harness.owner.add_job("a", job(1, gang), 150, None);
+    site.harness.tick();
+    site.running = (0..2).map(|number| (number, task("a", 0, number as u32), 1)).collect();
+    for (number, wait) in [(0, 800), (1, 50)] {
+        let started = Notice::Started { task: task("a", 0, number as u32), run: 1 };
+        site.harness.deliver(number, started);
+        site.harness.advance(wait);
+    }
+    site.end(0, How::Failed);
+    assert_snapshot!(site.grades(), @"0 sound, 1 unknown, 1 doubtful");
+}
+
 // The tasks of a wide step were placed together, and a few last attempts would make all wait.
 #[test]
 fn tasks_of_one_step_on_their_last_attempt_do_not_hold_up_the_others() {
--- a/crates/trust/src/admission.rs
+++ b/crates/trust/src/admission.rs
@@ -19,6 +19,9 @@
 impl Admission {
     /// Decides which of the members tasks of this demand may use at `now`.
     ///
+    /// Trials are for single tasks, as a member of a gang that fails costs the work of all members,
+    /// and an attempt of them all. A gang uses doubtful workers only if no others could hold it.
+    ///
     /// A last attempt uses sound workers as long as they could ever hold the demand, and doubtful
     /// ones only if no others could. An urgent one also uses unknown workers, as the last choice.
     pub fn decide(
@@ -35,7 +38,8 @@
         if attempt == Attempt::Spare && !doubt_matters {
             return admission;
         }
-        let tries_doubtful = attempt == Attempt::Spare
+        let affords_trial = attempt == Attempt::Spare && !demand.is_joint();
+        let tries_doubtful = affords_trial
             || (doubt_matters && !demand.is_held_by(members, |member| !is_doubtful(member)));
         let sound_suffice = attempt != Attempt::Spare && demand.is_held_by(members, is_sound);
         for member in members {
--- a/crates/trust/src/member.rs
+++ b/crates/trust/src/member.rs
@@ -27,6 +27,11 @@
 }
 
 impl Demand {
+    /// True if several tasks start together or not at all.
+    pub fn is_joint(&self) -> bool {
+        self.gang && self.count > 1
+    }
+
     /// True if the members for which `allowed` returns true could hold the tasks if nothing ran:
     /// all tasks of a gang, otherwise one.
     ///
