--- a/crates/dispatch/tests/trust_load.rs
+++ b/crates/dispatch/tests/trust_load.rs
@@ -63,14 +63,14 @@
         (self.seed >> 33) % below
     }
 
-    /// Runs the load for 80 s and returns a summary.
+    /// Runs the load for 100 s and returns a summary.
     fn play(mut self, fault_start: u64) -> String {
         let began = self.harness.now;
-        for number in 0..1600 {
+        for number in 0..2000 {
             let time = self.harness.now - began;
-            // One job in 1.6 s: 90 % of what the sound workers can do.
-            if number % 32 == 0 && time < 50_000 {
-                let name = format!("j{:03}", number / 32);
+            // One job in 1.2 s: 1.3 times what the workers can do that are not faulty.
+            if number % 24 == 0 && time < 50_000 {
+                let name = format!("j{:03}", number / 24);
                 let version = 150 + number;
                 self.harness.owner.add_job(&name, job(2, vec![step(TASKS, 1)]), version, None);
             }
@@ -163,8 +163,8 @@
 fn no_job_of_two_attempts_fails_because_of_workers_that_fail_everything() {
     let (on, off) = (Load::new(10_000).play(0), Load::new(0).play(0));
     assert_snapshot!(format!("{on}\nwithout trust: {off}"), @r"
-    32 jobs ended, 0 tasks failed twice, 39 failures on faulty workers, second attempts after 50 ms (median), 500 ms (longest)
-    without trust: 32 jobs ended, 115 tasks failed twice, 305 failures on faulty workers, second attempts after 50 ms (median), 650 ms (longest)
+    42 jobs ended, 0 tasks failed twice, 40 failures on faulty workers, second attempts after 50 ms (median), 1400 ms (longest)
+    without trust: 42 jobs ended, 320 tasks failed twice, 879 failures on faulty workers, second attempts after 150 ms (median), 1800 ms (longest)
     ");
 }
 
@@ -174,7 +174,7 @@
 fn workers_that_begin_to_fail_everything_take_at_most_one_last_attempt_each() {
     let (on, off) = (Load::new(10_000).play(10_000), Load::new(0).play(10_000));
     assert_snapshot!(format!("{on}\nwithout trust: {off}"), @r"
-    32 jobs ended, 1 tasks failed twice, 19 failures on faulty workers, second attempts after 50 ms (median), 350 ms (longest)
-    without trust: 32 jobs ended, 81 tasks failed twice, 212 failures on faulty workers, second attempts after 50 ms (median), 450 ms (longest)
+    42 jobs ended, 0 tasks failed twice, 21 failures on faulty workers, second attempts after 100 ms (median), 650 ms (longest)
+    without trust: 42 jobs ended, 241 tasks failed twice, 712 failures on faulty workers, second attempts after 300 ms (median), 550 ms (longest)
     ");
 }
