--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -68,6 +68,7 @@
     pub(crate) times: Persisted<Times>,
     /// Trust in workers.
     pub(crate) trust: Persisted<Trust>,
+    /// What belongs to it and is not recorded.
     pub(crate) doubts: Doubts,
     /// Speed of machines.
     pub(crate) speed: Persisted<Speed>,
--- a/crates/dispatch/src/trust.rs
+++ b/crates/dispatch/src/trust.rs
@@ -16,6 +16,7 @@
 use crate::plan::{RUNS_PER_EPOCH, tasks_per_worker};
 use crate::snapshot::{Exclusions, Snapshot};
 use crate::wait_detail::list;
+use crate::waits::StepKey;
 
 /// What the owner keeps beside the records: it is not needed by a later owner.
 #[derive(Debug, Default)]
@@ -108,10 +109,13 @@
         self.trust.take_due(self.now).map(|trust| trust.for_row(doubt, time))
     }
 
-    /// Returns the number of workers of each grade.
+    /// Returns the number of workers of each grade; empty while failures do not count against workers.
     pub fn worker_grades(&self) -> BTreeMap<Grade, usize> {
-        let time = self.trust_time(self.now);
         let mut counts = BTreeMap::new();
+        if self.settings.doubt == 0 {
+            return counts;
+        }
+        let time = self.trust_time(self.now);
         for worker in self.agents.values().filter_map(|agent| agent.worker.as_ref()) {
             let grade = self.trust.get().grade(&worker.incarnation(), self.settings.doubt, time);
             *counts.entry(grade).or_default() += 1;
@@ -251,8 +255,9 @@
         });
     }
 
-    /// Formats which workers a step must not use.
-    pub(crate) fn doubted_detail(&self, entry: &Entry, now: u64) -> String {
+    /// Formats which workers a step must not use, and for how long a last attempt of it could have
+    /// started on an unknown one.
+    pub(crate) fn doubted_detail(&self, entry: &Entry, step_key: &StepKey, now: u64) -> String {
         let (pool, time) = (self.pool_of(entry), self.trust_time(now));
         let mut doubtful = Vec::new();
         let mut sound = 0;
@@ -267,7 +272,15 @@
             }
         }
         let doubtful = if doubtful.is_empty() { "none".to_owned() } else { list(doubtful) };
-        format!("{sound} sound; doubtful: {doubtful}")
+        let (id, occurrence, step) = step_key;
+        let slots = (*occurrence, *step, 0)..=(*occurrence, *step, u32::MAX);
+        let waiting = self.doubts.waiting.get(id);
+        let since = waiting.and_then(|waiting| waiting.range(slots).map(|(_, at)| *at).min());
+        let unknown = match since {
+            Some(at) => format!("; an unknown one had room {} ms ago", now.saturating_sub(at)),
+            None => String::new(),
+        };
+        format!("{sound} sound; doubtful: {doubtful}{unknown}")
     }
 
     /// Classifies the start of a candidate's tasks, which are alike in this. Guaranteed work is due
--- a/crates/dispatch/src/wait_detail.rs
+++ b/crates/dispatch/src/wait_detail.rs
@@ -35,7 +35,7 @@
             }
             Cause::Reserved => reserved(entry, step_key, now),
             Cause::Clearance => self.clearance_detail(entry, step_key, now),
-            Cause::Doubted => self.doubted_detail(entry, now),
+            Cause::Doubted => self.doubted_detail(entry, step_key, now),
             Cause::Avoided => format!("failed at {}", list(self.failed_at(entry, step_key, now))),
         }
     }
