--- a/crates/dispatch/tests/trust.rs
+++ b/crates/dispatch/tests/trust.rs
@@ -6,8 +6,9 @@
 
 use harness::{Harness, job, run, step, task, worker};
 use insta::assert_snapshot;
-use quincewheel_dispatch::{Grade, Learned, Settings};
+use quincewheel_dispatch::{Grade, Learned, Mirror, Settings};
 use quincewheel_job::{End, How, Job, Run, Step, Task};
+use quincewheel_store::Change;
 use quincewheel_wire::Notice;
 
 /// An owner with a few workers, and what runs there.
@@ -323,6 +324,24 @@
     ");
 }
 
+// Another version, or another program, wrote what this one cannot read. The owner must start without
+// it, and with a log line, which the entry writes for a malformed row.
+#[test]
+fn row_that_cannot_be_read_is_ignored() {
+    let mut mirror = Mirror::default();
+    let values = [r#"{"workers":[]}"#, r#"{"workers":{"i0":{"failures":-1}}}"#, r#"{"grades":7}"#];
+    let results = values.map(|value| {
+        let value = Some(value.to_owned());
+        let event = mirror.apply(&Change { key: "trust".to_owned(), version: 9, value });
+        format!("{:?} {:?}", event.is_some(), mirror.learned.trust)
+    });
+    assert_snapshot!(results.join("\n"), @r"
+    true None
+    true None
+    false Some(Trust { workers: {}, recent: [] })
+    ");
+}
+
 // A run of a previous owner that failed just after the new owner had learned of it counted as a
 // failure at once.
 #[test]
--- a/crates/trust/src/record.rs
+++ b/crates/trust/src/record.rs
@@ -69,7 +69,7 @@
     /// When the doubt ends without a new failure. Not before twice the backoff has passed, so that
     /// a worker with a long backoff gets its trial before it is open to all tasks again.
     pub fn doubt_ends(&self, doubt: u64) -> u64 {
-        self.last_failure + doubt.max(2 * self.backoff())
+        self.last_failure.saturating_add(doubt.max(2 * self.backoff()))
     }
 
     /// Milliseconds from a failure to the next trial.
@@ -104,10 +104,10 @@
         if self.failures == 0 {
             self.first_failure = now;
         }
-        self.failures += 1;
-        self.immediate += u32::from(immediate);
+        self.failures = self.failures.saturating_add(1);
+        self.immediate = self.immediate.saturating_add(u32::from(immediate));
         self.last_failure = now;
-        if self.kept.len() == MAX_KEPT_FAILURES {
+        if self.kept.len() >= MAX_KEPT_FAILURES {
             self.kept.remove(0);
         }
         self.kept.push(Failure { job: outcome.job.clone(), at: now, immediate });
@@ -121,7 +121,7 @@
         // Tasks that were started together also fail together, which says no more than one does.
         let is_trial = outcome.started >= self.doubted_at && now >= self.retry_at;
         if begins || is_trial {
-            self.rounds += u32::from(immediate);
+            self.rounds = self.rounds.saturating_add(u32::from(immediate));
         }
         self.retry_at = self.retry_at.max(now + self.backoff());
         begins || is_trial
--- a/crates/trust/src/trust.rs
+++ b/crates/trust/src/trust.rs
@@ -88,7 +88,7 @@
     }
 
     /// The standing of each of the workers, which are given with their pools. Of each pool, at most
-    /// one worker in [`WORKERS_PER_DOUBTFUL`] is doubtful: those with the most immediate failures.
+    /// one worker in four is doubtful: those with the most immediate failures.
     pub fn standings<'a>(
         &self,
         workers: impl Iterator<Item = (&'a Incarnation, &'a str)>,
@@ -122,7 +122,7 @@
         self.workers.values_mut().for_each(|record| record.clamp(now));
     }
 
-    /// Returns what a later owner should know, in less than [`MAX_ROW_BYTES`]. Where there is more,
+    /// Returns what a later owner should know, in about 48 KiB. Where there is more,
     /// the records that say the least are left out.
     pub fn for_row(&self, doubt: u64, now: u64) -> Trust {
         let informative = |record: &Record| record.is_informative(doubt, now);
