--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -23,6 +23,7 @@
 use crate::settlement::SettlementLog;
 use crate::speeds::Speeds;
 use crate::times::Times;
+use crate::trust::Doubts;
 use crate::wait_detail::list;
 use crate::waits::Waits;
 
@@ -68,6 +69,8 @@
     pub(crate) times: Persisted<Times>,
     /// Trust in workers.
     pub(crate) trust: Persisted<Trust>,
+    /// What belongs to it and is not recorded.
+    pub(crate) doubts: Doubts,
     /// Speed of machines.
     pub(crate) speed: Persisted<Speed>,
     pub(crate) speeds: Speeds,
@@ -155,6 +158,7 @@
             dirty_urgent: false,
             times: Persisted::new(0),
             trust: Persisted::new(TRUST_RECORD_INTERVAL_MS),
+            doubts: Doubts::default(),
             speed: Persisted::new(SPEED_RECORD_INTERVAL_MS),
             speeds: Speeds::default(),
             usage: Persisted::new(USAGE_RECORD_INTERVAL_MS),
@@ -354,7 +358,7 @@
             self.agents_checked_at = now;
             self.check_agents(now);
         }
-        self.reopen_workers(now);
+        self.update_trust(now, wall);
         self.end_backoffs(now);
         if !self.settled && self.check_settled(now) {
             self.settled = true;
