--- a/crates/dispatch/benches/owner.rs
+++ b/crates/dispatch/benches/owner.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use harness::{Harness, job, run, step};
-use quincewheel_job::Run;
+use quincewheel_dispatch::Settings;
+use quincewheel_job::{Job, Run};
 use quincewheel_wire::Notice;
 
 /// Tasks that each worker runs.
@@ -22,8 +23,9 @@
 const REPETITIONS: u32 = 200;
 
 fn main() {
-    for workers in [30, 100, 300] {
-        let mut harness = full(workers);
+    for (workers, share_half_life) in [30, 100, 300].into_iter().flat_map(|n| [(n, 0), (n, 10_000)])
+    {
+        let mut harness = full(workers, share_half_life);
         let statuses: Vec<Vec<Run>> = (0..workers).map(|number| listed(&harness, number)).collect();
         let micros = |spent: Duration| spent.as_micros() as u64 / u64::from(REPETITIONS);
         let status = time(|at| {
@@ -45,7 +47,8 @@
             harness.tick();
         });
         println!(
-            "{workers} workers: status {} us, ping {} us, planning round {} us",
+            "{workers} workers{}: status {} us, ping {} us, planning round {} us",
+            if share_half_life > 0 { ", ten teams with shares" } else { "" },
             micros(status),
             micros(ping),
             micros(round)
@@ -53,19 +56,25 @@
     }
 }
 
-/// A test harness whose workers are all full, with queued jobs.
-fn full(workers: u64) -> Harness {
+/// A test harness whose workers are all full, with queued jobs. With a half-life of usage, the jobs
+/// belong to ten teams.
+fn full(workers: u64, share_half_life: u64) -> Harness {
     let mut harness = Harness::new(1, workers).with_idle_workers(workers);
+    harness.owner.update_settings(Settings { share_half_life, ..Settings::default() });
+    let job = |number: u64, tasks| {
+        let team = if share_half_life > 0 { format!("t{}", number % 10) } else { "t".into() };
+        Job { team, ..job(2, tasks) }
+    };
     for number in 0..workers {
         let tasks = vec![step(TASKS_PER_WORKER as u32, 1)];
-        harness.owner.add_job(&format!("r{number:04}"), job(2, tasks), 150 + number, None);
+        harness.owner.add_job(&format!("r{number:04}"), job(number, tasks), 150 + number, None);
     }
     harness.tick();
     for number in 0..QUEUED_JOBS {
         let tasks = vec![step(40, 1)];
         harness.owner.add_job(
             &format!("w{number:04}"),
-            job(2, tasks),
+            job(number.into(), tasks),
             600 + u64::from(number),
             None,
         );
--- a/crates/dispatch/src/cause.rs
+++ b/crates/dispatch/src/cause.rs
@@ -30,11 +30,13 @@
     /// They are kept apart from other starts at the workers that have capacity, since one of them
     /// may crash its worker.
     Apart,
+    /// Other work takes the capacity, and work of teams that use less of the pool comes first.
+    Share,
 }
 
 impl Cause {
     /// All causes, in the order of their declaration.
-    pub const ALL: [Cause; 14] = [
+    pub const ALL: [Cause; 15] = [
         Cause::Unsettled,
         Cause::Remains,
         Cause::Unconfigured,
@@ -49,12 +51,17 @@
         Cause::Clearance,
         Cause::Avoided,
         Cause::Apart,
+        Cause::Share,
     ];
 
     /// Returns whether a change of the workers alone may change the cause.
     pub(crate) fn depends_on_workers(self) -> bool {
-        let room = [Cause::Unconfigured, Cause::Room, Cause::Spared, Cause::Rack];
-        room.contains(&self) || self.is_lack_of_workers()
+        self == Cause::Unconfigured || self.is_lack_of_room() || self.is_lack_of_workers()
+    }
+
+    /// Returns whether the tasks wait for capacity that other work takes or could take.
+    pub(crate) fn is_lack_of_room(self) -> bool {
+        [Cause::Room, Cause::Spared, Cause::Rack, Cause::Share].contains(&self)
     }
 
     /// Returns whether the open workers could not hold the tasks even if nothing else ran.
@@ -79,6 +86,7 @@
             Cause::Clearance => "no clearance",
             Cause::Avoided => "workers avoided",
             Cause::Apart => "kept apart after a crash",
+            Cause::Share => "team over its share",
         }
     }
 }
--- a/crates/dispatch/src/diagnosis.rs
+++ b/crates/dispatch/src/diagnosis.rs
@@ -57,6 +57,7 @@
         }
         let key = step_key_of(candidate);
         let Some((cause, room)) = self.cause(&key, left, &snapshot.workers, limits) else { return };
+        let cause = self.cause_with_share(candidate, cause);
         self.waits.record(key, (left, cause), room, now);
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod rows;
 mod settings;
 mod settlement;
+mod shares;
 mod snapshot;
 mod stalled_runs;
 mod suspects;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Config, Id, Job, Progress, State, Task};
-use quincewheel_share::Usage;
+use quincewheel_share::{Shares, Usage};
 use quincewheel_speed::Speed;
 use quincewheel_trust::Trust;
 use quincewheel_wire::{LinkId, Notice, Order};
@@ -71,6 +71,8 @@
     pub(crate) speed: Persisted<Speed>,
     /// Usage of teams.
     pub(crate) usage: Persisted<Usage>,
+    /// Levels of teams above their shares.
+    pub(crate) shares: Shares,
     /// Whether a request to the service that clears steps for workers is in flight.
     pub(crate) clearance_pending: bool,
     /// When the next task may return to a worker at which it failed.
@@ -155,6 +157,7 @@
             trust: Persisted::new(TRUST_RECORD_INTERVAL_MS),
             speed: Persisted::new(SPEED_RECORD_INTERVAL_MS),
             usage: Persisted::new(USAGE_RECORD_INTERVAL_MS),
+            shares: Shares::default(),
             clearance_pending: false,
             avoidance_ends_at: None,
             reservation_ends_at: None,
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -28,6 +28,7 @@
             entry.idle_since = entry.runs.is_empty().then(|| entry.idle_since.unwrap_or(now));
         }
         self.give_up_suspects();
+        self.begin_shares(now, wall);
         let mut candidates = self.candidates(wall);
         // Guaranteed work whose capacity is being freed comes first. Otherwise work that ranks
         // before it would take that capacity, and both would be late in turn.
@@ -44,6 +45,7 @@
         }
         self.record_held_back(now, wall);
         self.log_ended_waits(now);
+        self.end_shares();
     }
 
     /// Returns the tasks that could start now, grouped by step, and sets `replan_at` to when the
@@ -85,6 +87,7 @@
                         let rank = Rank {
                             borrowed: !covered,
                             priority: entry.job.queue.priority,
+                            level: if covered { 0 } else { self.share_level(entry) },
                             lateness: objective.lateness(wall),
                             latest_start: objective.latest_start(),
                             version: entry.version,
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -199,7 +199,7 @@
 
     /// Returns the units of priority 0 that exceed their team's guarantee, which are those that
     /// the team started last.
-    fn borrowed_units(&self) -> BTreeSet<u64> {
+    pub(crate) fn borrowed_units(&self) -> BTreeSet<u64> {
         let mut units: BTreeMap<u64, (&str, u64)> = BTreeMap::new();
         for entry in self.jobs.values().filter(|entry| entry.job.queue.priority == 0) {
             for (key, placed) in &entry.runs {
--- a/crates/dispatch/src/wait_detail.rs
+++ b/crates/dispatch/src/wait_detail.rs
@@ -33,6 +33,7 @@
             Cause::Few | Cause::Room | Cause::Spared | Cause::Rack | Cause::Apart => {
                 format!("{room}{not_open}")
             }
+            Cause::Share => format!("{}; {room}{not_open}", self.share_detail(entry)),
             Cause::Reserved => reserved(entry, step_key, now),
             Cause::Clearance => self.clearance_detail(entry, step_key, now),
             Cause::Avoided => format!("failed at {}", list(self.failed_at(entry, step_key, now))),
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -114,6 +114,12 @@
         waits.map(|(step, wait)| (step.clone(), *wait)).collect()
     }
 
+    /// Returns the steps that wait for capacity.
+    pub fn waiting_for_room(&self) -> impl Iterator<Item = &StepKey> {
+        let waits = self.steps.iter().filter(|(_, wait)| wait.cause.is_lack_of_room());
+        waits.map(|(step, _)| step)
+    }
+
     /// Keeps only the waits for which `waits` returns true.
     pub fn retain(&mut self, waits: impl Fn(&StepKey, &Wait) -> bool) {
         self.steps.retain(|step, wait| waits(step, wait));
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -95,7 +95,7 @@
 #[test]
 fn capacity_for_a_guarantee_is_freed_in_the_remaining_zones() {
     let mut harness = two_zones(3);
-    let team = Team { name: "t".into(), guaranteed: 8 };
+    let team = Team { name: "t".into(), guaranteed: 8, ..Team::default() };
     let teams = [("t".to_owned(), team)].into();
     harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
     harness.owner.set_evacuation(&evacuation_of(&["a"]), harness.now);
--- a/crates/dispatch/tests/preemption.rs
+++ b/crates/dispatch/tests/preemption.rs
@@ -26,7 +26,7 @@
 }
 
 fn set_guarantee(harness: &mut Harness, accelerators: u64) {
-    let team = Team { name: "t".into(), guaranteed: accelerators };
+    let team = Team { name: "t".into(), guaranteed: accelerators, ..Team::default() };
     let teams = [("t".to_owned(), team)].into();
     harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
 }
@@ -108,7 +108,9 @@
 #[test]
 fn borrowed_capacity_is_preempted_in_time_for_a_guarantee() {
     let mut harness = Harness::new(1, 2).with_idle_workers(2);
-    let team = |name: &str, guaranteed| (name.to_owned(), Team { name: name.into(), guaranteed });
+    let team = |name: &str, guaranteed| {
+        (name.to_owned(), Team { name: name.into(), guaranteed, ..Team::default() })
+    };
     let teams = [team("t", 8), team("other", 8)].into();
     harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
     fill_worker(&mut harness, 0, "own", 0, 100);
@@ -237,7 +239,9 @@
 #[test]
 fn guaranteed_job_starts_in_time_in_a_pool_full_of_other_guaranteed_work() {
     let mut harness = Harness::new(1, 2).with_idle_workers(2);
-    let team = |name: &str, guaranteed| (name.to_owned(), Team { name: name.into(), guaranteed });
+    let team = |name: &str, guaranteed| {
+        (name.to_owned(), Team { name: name.into(), guaranteed, ..Team::default() })
+    };
     let teams = [team("t", 8), team("u", 16)].into();
     harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
     let mut gang = urgent_job(vec![Step { gang: true, ..step(2, 8) }], harness.now);
@@ -265,7 +269,9 @@
 #[test]
 fn guaranteed_work_is_preempted_for_another_guarantee_once_only() {
     let mut harness = Harness::new(1, 1).with_idle_workers(1);
-    let team = |name: &str| (name.to_owned(), Team { name: name.into(), guaranteed: 8 });
+    let team = |name: &str| {
+        (name.to_owned(), Team { name: name.into(), guaranteed: 8, ..Team::default() })
+    };
     let teams = [team("a"), team("b"), team("c"), team("d")].into();
     harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
     let mut end_number = 0;
@@ -317,7 +323,9 @@
 #[test]
 fn capacity_being_freed_for_a_guarantee_is_kept_for_its_job() {
     let mut harness = Harness::new(1, 2).with_idle_workers(2);
-    let team = |name: &str, guaranteed| (name.to_owned(), Team { name: name.into(), guaranteed });
+    let team = |name: &str, guaranteed| {
+        (name.to_owned(), Team { name: name.into(), guaranteed, ..Team::default() })
+    };
     let teams = [team("t", 8), team("u", 8), team("v", 8)].into();
     harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
     fill_worker(&mut harness, 0, "low", 1, 500);
--- a/crates/dispatch/tests/reservation_refused_start.rs
+++ b/crates/dispatch/tests/reservation_refused_start.rs
@@ -14,7 +14,7 @@
 #[test]
 fn refusal_does_not_free_capacity_twice() {
     let mut harness = Harness::new(1, 2).with_idle_workers(2);
-    let team = Team { name: "t".into(), guaranteed: 8 };
+    let team = Team { name: "t".into(), guaranteed: 8, ..Team::default() };
     let teams = [("t".to_owned(), team)].into();
     harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
     for number in 0..2 {
--- a/crates/dispatch/tests/waits.rs
+++ b/crates/dispatch/tests/waits.rs
@@ -127,7 +127,7 @@
 #[test]
 fn preemption_in_progress_is_logged() {
     let mut harness = idle_owner(1);
-    let team = Team { name: "t".into(), guaranteed: 8 };
+    let team = Team { name: "t".into(), guaranteed: 8, ..Team::default() };
     let teams = [("t".to_owned(), team)].into();
     harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
     add_job(&mut harness, "a", 150, job(1, vec![step(1, 8)]));
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -10,6 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use quincewheel_dispatch::Cause;
 use quincewheel_job::Answer;
+use quincewheel_share::Account;
 
 /// Metrics of an entry on the platform.
 #[derive(Debug)]
@@ -23,6 +25,10 @@
     evacuated_zones: Gauge,
     evacuated_busy: Gauge,
     skipped_entries: Family<List, Counter>,
+    team_usage: Family<Team, Seconds>,
+    team_put_back: Family<Team, Seconds>,
+    /// The teams of the two metrics above.
+    listed_teams: Mutex<Vec<String>>,
     /// Epoch of this entry's ownership; 0 if it does not own.
     pub epoch: Gauge,
     /// Unfinished jobs of the owner.
@@ -56,6 +62,13 @@
     cause: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Team {
+    team: String,
+}
+
+type Seconds = Gauge<f64, AtomicU64>;
+
 /// Upper bound of the first latency bucket in seconds, and the number of buckets, each twice as
 /// wide: 0.5 ms to 8 s.
 const LATENCY_BUCKETS: (f64, u16) = (0.0005, 15);
@@ -73,6 +86,9 @@
             evacuated_zones: Gauge::default(),
             evacuated_busy: Gauge::default(),
             skipped_entries: Family::default(),
+            team_usage: Family::default(),
+            team_put_back: Family::default(),
+            listed_teams: Mutex::default(),
             epoch: Gauge::default(),
             jobs: Gauge::default(),
             config: Gauge::default(),
@@ -95,6 +111,11 @@
         registry.register("waits", help, self.waits.clone());
         let help = "Entries of the platform's lists that could not be read and were left out";
         registry.register("entries_left_out", help, self.skipped_entries.clone());
+        let help = "Accelerator-seconds that the team used beyond its guarantee, under this owner";
+        registry.register("team_accelerator_seconds", help, self.team_usage.clone());
+        let help =
+            "Seconds that steps of the team waited for teams that use less, under this owner";
+        registry.register("team_put_back_seconds", help, self.team_put_back.clone());
         let gauges = [
             ("epoch", "Epoch under which this entry owns; 0 if it does not", &self.epoch),
             ("jobs", "Unfinished jobs, at the owner", &self.jobs),
@@ -163,6 +184,24 @@
         self.evacuated_busy.set(busy as i64);
     }
 
+    /// Replaces the accounts of teams. Those of another owner, or of a removed team, are dropped.
+    pub fn set_teams(&self, accounts: &[(String, Account)]) {
+        let mut listed = self.listed_teams.lock().unwrap_or_else(|lock| lock.into_inner());
+        for team in listed.drain(..) {
+            if !accounts.iter().any(|(name, _)| *name == team) {
+                let team = Team { team };
+                self.team_usage.remove(&team);
+                self.team_put_back.remove(&team);
+            }
+        }
+        listed.extend(accounts.iter().map(|(team, _)| team.clone()));
+        for (team, account) in accounts {
+            let team = Team { team: team.clone() };
+            self.team_usage.get_or_create(&team).set(account.accelerator_ms as f64 / 1000.0);
+            self.team_put_back.get_or_create(&team).set(account.put_back_ms as f64 / 1000.0);
+        }
+    }
+
     /// Encodes the metrics in the OpenMetrics text format.
     pub fn page(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -1,5 +1,5 @@
-/// The order in which steps start: guaranteed work first, then by priority, by lateness, and by
-/// the latest start that meets the objective. Lateness comes after the priority: the other way
+/// The order in which steps start: guaranteed work first, then by priority, by how far the team is
+/// above its share, by lateness, and by the latest start that meets the objective. Lateness comes after the priority: the other way
 /// round, the average job value fell from 0.80 to 0.72 and from 0.75 to 0.69 under two reference
 /// loads.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -8,6 +8,8 @@
     pub borrowed: bool,
     /// The priority of its queue; 0 is the highest.
     pub priority: u32,
+    /// 0 unless its team uses more than its share while other teams' steps of the priority wait.
+    pub level: u8,
     /// Whether its job can still meet its objective.
     pub lateness: Lateness,
     /// The latest start that meets the objective, in milliseconds since 1970.
--- a/crates/policy/tests/ranks.rs
+++ b/crates/policy/tests/ranks.rs
@@ -7,6 +7,7 @@
     Rank {
         borrowed,
         priority,
+        level: 0,
         lateness: objective.lateness(wall),
         latest_start: objective.latest_start(),
         version,
