--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -167,9 +167,11 @@
 
 impl Wait {
     /// Returns whether the present cause has not been logged. Waits of unsettled jobs are logged
-    /// by the owner in one line for all of them.
+    /// by the owner in one line for all of them. Other teams' steps that come first may start and
+    /// arrive several times a second, so the time between is not logged.
     fn needs_line(&self) -> bool {
-        self.logged_cause != Some(self.cause) && self.cause != Cause::Unsettled
+        let between = self.logged_cause == Some(Cause::Share) && self.cause == Cause::Room;
+        self.logged_cause != Some(self.cause) && self.cause != Cause::Unsettled && !between
     }
 
     /// Returns the milliseconds spent on each cause that is not zero.
--- a/crates/share/src/pool.rs
+++ b/crates/share/src/pool.rs
@@ -40,8 +40,8 @@
     /// Returns a team's share: its weight among those of the teams with demand, itself included.
     pub fn share(&self, team: &str, weight: impl Fn(&str) -> u64) -> f64 {
         let others = self.teams.iter().filter(|(name, demand)| *name != team && demand.is_any());
-        let others: u64 = others.map(|(name, _)| weight(name)).sum();
-        let own = weight(team);
-        own as f64 / (own + others) as f64
+        let others: f64 = others.map(|(name, _)| weight(name) as f64).sum();
+        let own = weight(team) as f64;
+        own / (own + others)
     }
 }
--- a/crates/share/src/shares.rs
+++ b/crates/share/src/shares.rs
@@ -84,8 +84,7 @@
         self.contest(pool, priority).map_or(0, |contest| contest.teams)
     }
 
-    /// Returns the accounts up to now, those of the teams that used the most if there are more
-    /// than [`MAX_ACCOUNTS`].
+    /// Returns the accounts up to now, those of the 96 teams that used the most if there are more.
     pub fn accounts(&self, now: u64) -> Vec<(String, Account)> {
         let elapsed = self.last_round_at.map_or(0, |at| now.saturating_sub(at));
         let mut accounts = self.accounts.clone();
--- a/crates/share/tests/levels.rs
+++ b/crates/share/tests/levels.rs
@@ -104,6 +104,32 @@
     ");
 }
 
+// Failure: the time of day is set back, or a former owner's machine was ahead of this one.
+#[test]
+fn time_of_day_counts_only_across_owners() {
+    let lines = [[1000, 11_000, 21_000], [1000, 500, 90_000]].map(|walls| {
+        let (mut shares, mut usage) = (Shares::default(), Usage::default());
+        let weight = |_: &str| Some(1);
+        let half_life = HALF_LIFE_MS;
+        for (now, wall) in [0, 10_000, 20_000].into_iter().zip(walls) {
+            let pools = pools(&[("a", 40, 0)]);
+            let round = Round { pools: &pools, weight, half_life, now, wall };
+            shares.begin_round(&mut usage, &round);
+            shares.end_round(pools);
+        }
+        let before = usage.recent("p", "a");
+        // The next owner takes over at 31 s by its clock, which is behind in the second case.
+        let (now, wall) = (7, 31_000);
+        let round = Round { pools: &pools(&[]), weight, half_life, now, wall };
+        Shares::default().begin_round(&mut usage, &round);
+        format!("{before:.3}, then {:.3}", usage.recent("p", "a"))
+    });
+    assert_snapshot!(lines.join("\n"), @r"
+    0.300, then 0.150
+    0.300, then 0.300
+    ");
+}
+
 // The dominant resource counts, not the accelerators alone.
 #[test]
 fn usage_is_that_of_the_dominant_resource() {
