--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -33,6 +33,7 @@
         let mut snapshot = self.snapshot(now);
         self.update_room(&snapshot);
         self.prune_sound_waits();
+        self.begin_shares(now, wall);
         let mut candidates = self.candidates(wall);
         // Guaranteed work whose capacity is being freed comes first. Otherwise work that ranks
         // before it would take that capacity, and both would be late in turn.
@@ -48,6 +49,7 @@
         }
         self.record_held_back(now, wall);
         self.log_ended_waits(now);
+        self.end_shares();
     }
 
     /// Returns the tasks that could start now, grouped by step, and sets `replan_at` to when the
@@ -96,6 +98,7 @@
                             lateness: objective.lateness(
                                 wall + self.expected_delay(entry, step, group.0.len(), time),
                             ),
+                            level: if covered { 0 } else { self.share_level(entry) },
                             latest_start: objective.latest_start(),
                             version: entry.version,
                         };
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -114,6 +114,12 @@
         waits.map(|(step, wait)| (step.clone(), *wait)).collect()
     }
 
+    /// Returns the steps that wait for capacity.
+    pub fn waiting_for_room(&self) -> impl Iterator<Item = &StepKey> {
+        let waits = self.steps.iter().filter(|(_, wait)| wait.cause.is_lack_of_room());
+        waits.map(|(step, _)| step)
+    }
+
     /// Keeps only the waits for which `waits` returns true.
     pub fn retain(&mut self, waits: impl Fn(&StepKey, &Wait) -> bool) {
         self.steps.retain(|step, wait| waits(step, wait));
@@ -161,9 +167,11 @@
 
 impl Wait {
     /// Returns whether the present cause has not been logged. Waits of unsettled jobs are logged
-    /// by the owner in one line for all of them.
+    /// by the owner in one line for all of them. Other teams' steps that come first may start and
+    /// arrive several times a second, so the time between is not logged.
     fn needs_line(&self) -> bool {
-        self.logged_cause != Some(self.cause) && self.cause != Cause::Unsettled
+        let between = self.logged_cause == Some(Cause::Share) && self.cause == Cause::Room;
+        self.logged_cause != Some(self.cause) && self.cause != Cause::Unsettled && !between
     }
 
     /// Returns the milliseconds spent on each cause that is not zero.
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -212,6 +212,7 @@
         self.metrics.set_waits(&owner.as_ref().map(Owner::long_waits).unwrap_or_default());
         self.metrics
             .set_worker_grades(&owner.as_ref().map(Owner::worker_grades).unwrap_or_default());
+        self.metrics.set_teams(&owner.as_ref().map(Owner::team_accounts).unwrap_or_default());
         self.metrics.set_unlisted_runs(owner.as_ref().map_or(0, Owner::unlisted_runs));
         self.metrics
             .set_evacuation(owner.as_ref().map(Owner::evacuation_counts).unwrap_or_default());
