--- a/crates/dispatch/src/cause.rs
+++ b/crates/dispatch/src/cause.rs
@@ -19,6 +19,8 @@
     Room,
     /// Capacity is kept free for more urgent work.
     Spared,
+    /// Capacity is claimed by a gang that has waited for it.
+    Claimed,
     /// There is capacity, but not in a single rack.
     Rack,
     /// Capacity is reserved for them, but the work there has not stopped yet.
@@ -34,7 +36,7 @@
 
 impl Cause {
     /// All causes, in the order of their declaration.
-    pub const ALL: [Cause; 14] = [
+    pub const ALL: [Cause; 15] = [
         Cause::Unsettled,
         Cause::Remains,
         Cause::Unconfigured,
@@ -44,6 +46,7 @@
         Cause::Few,
         Cause::Room,
         Cause::Spared,
+        Cause::Claimed,
         Cause::Rack,
         Cause::Reserved,
         Cause::Clearance,
@@ -53,7 +56,7 @@
 
     /// Returns whether a change of the workers alone may change the cause.
     pub(crate) fn depends_on_workers(self) -> bool {
-        let room = [Cause::Unconfigured, Cause::Room, Cause::Spared, Cause::Rack];
+        let room = [Cause::Unconfigured, Cause::Room, Cause::Spared, Cause::Claimed, Cause::Rack];
         room.contains(&self) || self.is_lack_of_workers()
     }
 
@@ -74,6 +77,7 @@
             Cause::Few => "too few workers",
             Cause::Room => "no room",
             Cause::Spared => "room spared for urgent work",
+            Cause::Claimed => "room claimed by a gang",
             Cause::Rack => "waits for one rack",
             Cause::Reserved => "room being made",
             Cause::Clearance => "no clearance",
--- a/crates/dispatch/src/checkpoints.rs
+++ b/crates/dispatch/src/checkpoints.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry::Key;
+use crate::owner::Owner;
 
 /// The newest checkpoints of a job's tasks, as its row in the table holds them.
 ///
@@ -33,3 +34,14 @@
         self.tasks.iter().map(row).collect()
     }
 }
+
+impl Owner {
+    /// Loads a job's recorded checkpoints. Checkpoints that workers have reported since are kept.
+    pub fn restore_checkpoints(&mut self, id: &str, checkpoints: &Checkpoints) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            for (key, checkpoint) in checkpoints.by_task() {
+                entry.checkpoints.entry(key).or_insert(checkpoint);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/claims.rs
@@ -0,0 +1,473 @@
+//! Claims of waiting gangs on capacity, and what they withhold from later work.
+//!
+//! Gangs used to wait without bound: smaller work that arrived later took each worker as it became
+//! free. `quincewheel-backfill` decides which workers a gang claims and what other work may still
+//! use there; here it is given views of the owner's state, and its answer is applied while
+//! candidates are placed. Claims are planned anew in each round and are not stored.
+
+use std::collections::BTreeMap;
+
+use quincewheel_backfill::{Claim, Gang, Kept, Plan, Planner, Release, Run, Turn};
+use quincewheel_job::{Resources, Step};
+use quincewheel_place::{Preemptible, Protection, Request, WorkerState};
+use quincewheel_policy::is_half_free;
+
+use crate::candidate::Candidate;
+use crate::entry::{Entry, Key, Phase, Placement};
+use crate::estimator::run_time;
+use crate::owner::{Owner, task};
+use crate::snapshot::Snapshot;
+use crate::wait_detail::list;
+use crate::waits::StepKey;
+
+/// The claims of the last round.
+#[derive(Debug, Default)]
+pub(crate) struct Claims {
+    /// The claims by their gangs, in the order of `plan`.
+    held: Vec<Held>,
+    plan: Plan,
+    /// Whether a claim kept tasks from starting in this round.
+    held_back: bool,
+    /// When the present second of the rate limit of log lines began.
+    second_began_at: u64,
+    /// Lines written in the present second.
+    lines_in_second: usize,
+}
+
+/// A claim that a gang keeps from round to round.
+#[derive(Clone, Debug)]
+struct Held {
+    gang: StepKey,
+    pool: String,
+    /// The agents of the claimed workers.
+    agents: Vec<String>,
+    /// The claimed rack, if the gang requires a single one.
+    rack: Option<String>,
+    /// When the gang made its first claim.
+    made_at: u64,
+    /// The start that was planned when these workers were claimed.
+    planned: u64,
+    /// What is to be logged about the claim.
+    unlogged: Option<&'static str>,
+    /// When the claim was last logged.
+    logged_at: u64,
+}
+
+/// Capacity that a candidate must leave, taken out of the snapshot while it is placed.
+#[derive(Debug)]
+pub(crate) struct Withheld {
+    worker: usize,
+    free: Resources,
+    stopping: Resources,
+    ending: Resources,
+    preemptible: Vec<Preemptible>,
+}
+
+/// A run whose end releases resources.
+struct Running<'a> {
+    id: &'a str,
+    key: Key,
+    placed: &'a Placement,
+}
+
+/// Most log lines about claims in one second. At most four gangs of a pool have claims, but their
+/// workers may change with each round.
+const MAX_LINES_PER_SECOND: usize = 10;
+/// Shortest time between two log lines about the claim of one gang that moves.
+const MIN_LINE_INTERVAL_MS: u64 = 1000;
+
+impl Claims {
+    /// Returns whether there are no claims.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Returns whether a step of the job has a claim.
+    pub fn is_held_by(&self, id: &str) -> bool {
+        self.held.iter().any(|held| held.gang.0 == id)
+    }
+
+    /// Formats for the log which gangs claim capacity in a pool.
+    pub fn detail(&self, pool: &str, now: u64) -> String {
+        let claims = self.held.iter().zip(&self.plan.claims);
+        let claims = claims.filter(|(held, _)| held.pool == pool).map(|(held, claim)| {
+            let ms = claim.start.saturating_sub(now);
+            format!("{}, planned in {ms} ms", name(&held.gang))
+        });
+        format!("by {}", list(claims.collect()))
+    }
+
+    /// Returns the claim of a gang in the last round.
+    fn of(&self, gang: &StepKey) -> Option<&Held> {
+        self.held.iter().find(|held| held.gang == *gang)
+    }
+
+    /// Returns whether the rate limit permits another line, and counts it.
+    fn take_line(&mut self, now: u64) -> bool {
+        if now >= self.second_began_at + 1000 {
+            self.second_began_at = now;
+            self.lines_in_second = 0;
+        }
+        self.lines_in_second += 1;
+        self.lines_in_second <= MAX_LINES_PER_SECOND
+    }
+}
+
+impl Owner {
+    /// Returns the number of gangs with a claim, and that of the accelerators that they claim.
+    pub fn claim_counts(&self) -> (usize, u64) {
+        let claims = &self.claims.plan.claims;
+        (claims.len(), claims.iter().map(Claim::accelerators).sum())
+    }
+
+    /// Plans the claims of a round for the candidates that are entitled to one.
+    pub(crate) fn plan_claims(
+        &mut self,
+        candidates: &[Candidate],
+        snapshot: &Snapshot,
+        (now, wall): (u64, u64),
+    ) {
+        self.claims.held_back = false;
+        let gangs = match self.settings.claim_after {
+            0 => Vec::new(),
+            _ => self.entitled(candidates, (now, wall)),
+        };
+        if gangs.is_empty() {
+            self.claims.held.clear();
+            self.claims.plan = Plan::default();
+            return;
+        }
+        let (running, releases) = self.releases(snapshot, now);
+        let mut planner = Planner::new(&snapshot.workers, &releases, now);
+        for (index, until, need) in self.reserved(snapshot, now) {
+            planner.reserve(index, until, &need);
+        }
+        let steps: Vec<(&Candidate, &Entry, &Step, String)> = gangs
+            .iter()
+            .filter_map(|(candidate, _)| {
+                let entry = self.jobs.get(&candidate.id)?;
+                let step = entry.job.steps.get(candidate.step as usize)?;
+                Some((*candidate, entry, step, self.pool_of(entry)))
+            })
+            .collect();
+        let mut held = Vec::new();
+        let mut former = Vec::new();
+        for ((candidate, turn), (_, entry, step, pool)) in gangs.iter().zip(&steps) {
+            if planner.is_full(pool) {
+                continue;
+            }
+            let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
+            let known = self.claims.of(&key);
+            let request = Request {
+                step,
+                pool,
+                count: candidate.tasks.len() as u32,
+                waits_for_rack: true,
+                preempts: Protection::Lower,
+                ignores_ending: false,
+                tasks_by_worker: &[],
+            };
+            let mut excluded = self.uncleared(candidate, snapshot, now);
+            excluded.extend(self.avoided_indexes(candidate, snapshot, now));
+            excluded.sort_unstable();
+            let half_free = is_half_free(&snapshot.workers, pool);
+            let yields_until = self.deferred_until(candidate, half_free, (now, wall));
+            let gang = Gang {
+                request,
+                turn: *turn,
+                run_time: run_time(self.times.get(), entry, candidate.step, step),
+                not_before: yields_until.map_or(now, |until| now + until.saturating_sub(wall)),
+                excluded,
+                kept: known
+                    .map(|held| held.kept(&snapshot.workers))
+                    .filter(|kept| !kept.is_abandoned(now)),
+            };
+            if planner.claim(&gang) {
+                held.push((key, pool.clone()));
+                let abandoned =
+                    known.is_some_and(|held| held.kept(&snapshot.workers).is_abandoned(now));
+                former.push(known.map(|held| (held.clone(), abandoned)));
+            }
+        }
+        let plan = planner.finish();
+        let mut lines = Vec::new();
+        let mut all = Vec::new();
+        for (((gang, pool), former), claim) in held.into_iter().zip(former).zip(&plan.claims) {
+            let agents =
+                claim.workers.iter().map(|(index, _)| snapshot.workers[*index].name.clone());
+            let mut held = Held {
+                gang,
+                pool,
+                agents: agents.collect(),
+                rack: claim.rack.clone(),
+                made_at: now,
+                planned: claim.start,
+                unlogged: Some("claim made"),
+                logged_at: 0,
+            };
+            let mut overdue = String::new();
+            if let Some((former, abandoned)) = former {
+                (held.made_at, held.logged_at) = (former.made_at, former.logged_at);
+                match (claim.kept, abandoned) {
+                    (true, _) => (held.planned, held.unlogged) = (former.planned, former.unlogged),
+                    (false, false) => held.unlogged = Some("claim moved"),
+                    (false, true) => {
+                        let planned = former.planned - former.made_at;
+                        let ms = now - former.planned;
+                        overdue = format!("planned after {planned} ms, overdue by {ms} ms; ");
+                        held.unlogged = Some("claim abandoned");
+                    }
+                }
+            }
+            let due = |_: &mut &str| now >= held.logged_at + MIN_LINE_INTERVAL_MS;
+            if let Some(event) = held.unlogged.take_if(due) {
+                held.logged_at = now;
+                let detail = format!("{overdue}{}", describe(&held, claim, &running, now));
+                lines.push((event, held.gang.0.clone(), detail));
+            }
+            all.push(held);
+        }
+        self.claims.plan = plan;
+        self.claims.held = all;
+        // No event marks the moment at which a claim is given up.
+        let given_up = self.claims.held.iter().map(|held| held.kept(&[]).abandoned_at());
+        if let Some(at) = given_up.min() {
+            self.schedule_replan(wall + at.saturating_sub(now));
+        }
+        for (event, id, detail) in lines {
+            if self.claims.take_line(now) {
+                self.log(event, &id, detail);
+            }
+        }
+    }
+
+    /// Returns the candidates that are entitled to a claim, in the order of their turns, and
+    /// schedules the next round for when another one is.
+    fn entitled<'a>(
+        &mut self,
+        candidates: &'a [Candidate],
+        (now, wall): (u64, u64),
+    ) -> Vec<(&'a Candidate, Turn)> {
+        let mut found = Vec::new();
+        for candidate in candidates.iter().filter(|candidate| !candidate.suspect) {
+            let Some(entry) = self.jobs.get(&candidate.id) else { continue };
+            let gang = |step: &Step| step.gang && !step.perpetual;
+            let occurrence_step = (candidate.occurrence, candidate.step);
+            if !entry.job.steps.get(candidate.step as usize).is_some_and(gang)
+                || entry.reservations.contains_key(&occurrence_step)
+            {
+                continue;
+            }
+            let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
+            let since = self.waits.waiting_since(&key).unwrap_or(now);
+            let due = since + self.settings.claim_after;
+            if due > now {
+                self.schedule_replan(wall + due - now);
+            } else {
+                found.push((candidate, Turn { waiting_since: since, ..turn(candidate) }));
+            }
+        }
+        found.sort_by_key(|(_, turn)| *turn);
+        found
+    }
+
+    /// Returns the runs on the workers of the snapshot, and what each worker releases when they are
+    /// expected to end. Perpetual runs release nothing.
+    fn releases(&self, snapshot: &Snapshot, now: u64) -> (Vec<Running<'_>>, Vec<Vec<Release>>) {
+        let mut running = Vec::new();
+        let mut releases: Vec<Vec<Release>> = vec![Vec::new(); snapshot.workers.len()];
+        for (id, entry) in &self.jobs {
+            let mut step_estimate = None;
+            let mut unit_ends: BTreeMap<u64, u64> = BTreeMap::new();
+            let first = running.len();
+            for (key, placed) in &entry.runs {
+                let Some(step) = entry.step(*key).filter(|step| !step.perpetual) else { continue };
+                let estimate = match step_estimate {
+                    Some((number, estimate)) if number == key.1 => estimate,
+                    _ => run_time(self.times.get(), entry, key.1, step),
+                };
+                step_estimate = Some((key.1, estimate));
+                let end = self.expected_end(placed, estimate, now);
+                // The members of a gang end together.
+                let unit_end = unit_ends.entry(placed.unit).or_insert(end);
+                *unit_end = end.max(*unit_end);
+                running.push(Running { id, key: *key, placed });
+            }
+            for (run, Running { key, placed, .. }) in running.iter().enumerate().skip(first) {
+                let Some(step) = entry.step(*key) else { continue };
+                let Some(index) = index_of(&snapshot.workers, &placed.agent) else { continue };
+                let at = unit_ends.get(&placed.unit).copied().unwrap_or(now);
+                releases[index].push(Release { at, need: step.resources(), run });
+            }
+        }
+        (running, releases)
+    }
+
+    /// Returns when a run is expected to end.
+    fn expected_end(&self, placed: &Placement, estimate: u64, now: u64) -> u64 {
+        let run = match placed.phase {
+            Phase::Stopping => Run {
+                started_at: placed.updated_at,
+                estimate: self.settings.stop_timeout,
+                ..Run::default()
+            },
+            Phase::Starting | Phase::Running => Run {
+                started_at: placed.confirmed_at.unwrap_or(placed.started_at),
+                seen_at: placed.updated_at,
+                percent: placed.percent,
+                estimate,
+                from_scratch: placed.from_scratch,
+            },
+        };
+        run.expected_end(now)
+    }
+
+    /// Returns what is reserved on workers for steps for which other work is being stopped there,
+    /// and until when they are expected to use it.
+    fn reserved(&self, snapshot: &Snapshot, now: u64) -> Vec<(usize, u64, Resources)> {
+        let mut found = Vec::new();
+        for entry in self.jobs.values() {
+            for ((_, number), reservation) in &entry.reservations {
+                let Some(step) = entry.job.steps.get(*number as usize) else { continue };
+                let until = now + run_time(self.times.get(), entry, *number, step);
+                let workers = reservation.agents.iter();
+                let workers = workers.filter_map(|name| index_of(&snapshot.workers, name));
+                found.extend(workers.map(|index| (index, until, step.resources())));
+            }
+        }
+        found
+    }
+
+    /// Takes capacity out of the snapshot that claims withhold from the candidate.
+    pub(crate) fn withhold_claimed(
+        &self,
+        candidate: &Candidate,
+        step: &Step,
+        snapshot: &mut Snapshot,
+        now: u64,
+    ) -> Vec<Withheld> {
+        let (plan, turn) = (&self.claims.plan, turn(candidate));
+        if !plan.binds(&turn) {
+            return Vec::new();
+        }
+        let Some(entry) = self.jobs.get(&candidate.id) else { return Vec::new() };
+        let until = match step.perpetual {
+            true => u64::MAX,
+            false => now + run_time(self.times.get(), entry, candidate.step, step),
+        };
+        let mut withheld = Vec::new();
+        for index in plan.workers() {
+            let worker = &mut snapshot.workers[index];
+            let Some(usable) = plan.usable(index, &worker.free, &turn, until) else { continue };
+            let mut free = worker.free;
+            free.subtract(&usable);
+            worker.free = usable;
+            // What runs there ends for the gang, so it can't be stopped for the candidate.
+            withheld.push(Withheld {
+                worker: index,
+                free,
+                stopping: std::mem::take(&mut worker.stopping),
+                ending: std::mem::take(&mut worker.ending),
+                preemptible: std::mem::take(&mut worker.preemptible),
+            });
+        }
+        withheld
+    }
+
+    /// Puts back what [`Owner::withhold_claimed`] took out. Returns the indexes of the workers on
+    /// which claims withhold free capacity from the candidate; none if it has a claim itself.
+    pub(crate) fn return_claimed(
+        &mut self,
+        candidate: &Candidate,
+        withheld: Vec<Withheld>,
+        snapshot: &mut Snapshot,
+    ) -> Vec<usize> {
+        if withheld.is_empty() {
+            return Vec::new();
+        }
+        let mut claimed = Vec::new();
+        for Withheld { worker, free, stopping, ending, preemptible } in withheld {
+            if free != Resources::default() {
+                claimed.push(worker);
+            }
+            let state = &mut snapshot.workers[worker];
+            state.free.add(&free);
+            state.stopping.add(&stopping);
+            state.ending.add(&ending);
+            for holder in preemptible {
+                // A gang that runs here and elsewhere may have been stopped for the candidate.
+                let members = snapshot.units.get(&holder.unit).map_or(&[][..], Vec::as_slice);
+                match members.iter().any(|(id, key)| self.is_stopping(id, key)) {
+                    true => state.stopping.add(&holder.need),
+                    false => state.preemptible.push(holder),
+                }
+            }
+        }
+        self.claims.held_back |= self.unplaced_tasks(candidate) > 0;
+        let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
+        if self.claims.of(&key).is_some() { Vec::new() } else { claimed }
+    }
+
+    /// Ends a round. What a claim withheld may start in the next one if its gang has started, maybe
+    /// on other workers.
+    pub(crate) fn end_claims_round(&mut self) {
+        let has_started = |held: &Held| {
+            let (id, occurrence, step) = &held.gang;
+            self.jobs.get(id).is_none_or(|entry| entry.has_runs(*occurrence, *step))
+        };
+        if self.claims.held_back && self.claims.held.iter().any(has_started) {
+            self.replan = true;
+        }
+    }
+
+    fn is_stopping(&self, id: &str, key: &Key) -> bool {
+        let placed = self.jobs.get(id).and_then(|entry| entry.runs.get(key));
+        placed.is_some_and(|placed| placed.phase == Phase::Stopping)
+    }
+}
+
+impl Held {
+    /// The claim as the planner takes it up again.
+    fn kept(&self, workers: &[WorkerState]) -> Kept {
+        let indexes = self.agents.iter().filter_map(|agent| index_of(workers, agent));
+        let (made_at, planned) = (self.made_at, self.planned);
+        Kept { workers: indexes.collect(), rack: self.rack.clone(), made_at, planned }
+    }
+}
+
+/// Returns the place of a candidate in the order of claims, without its wait.
+fn turn(candidate: &Candidate) -> Turn {
+    let rank = &candidate.rank;
+    let (borrowed, priority, version) = (rank.borrowed, rank.priority, rank.version);
+    Turn { borrowed, priority, waiting_since: 0, version }
+}
+
+/// Returns the index of an agent's worker. The workers of a snapshot are in the order of names.
+fn index_of(workers: &[WorkerState], agent: &str) -> Option<usize> {
+    workers.binary_search_by(|worker| worker.name.as_str().cmp(agent)).ok()
+}
+
+/// Formats a claim, and the runs that it waits for with the age of what is known of them.
+fn describe(held: &Held, claim: &Claim, running: &[Running<'_>], now: u64) -> String {
+    let waited = now.saturating_sub(claim.turn.waiting_since);
+    let start = claim.start - now;
+    let runs = claim.basis.iter().filter_map(|(run, end)| {
+        let Running { id, key, placed } = running.get(*run)?;
+        let (percent, age) = (placed.percent, now.saturating_sub(placed.updated_at));
+        let task = task(id, *key);
+        let left = end - now;
+        Some(format!("{task} at {} in {left} ms ({percent} %, {age} ms ago)", placed.agent))
+    });
+    let runs = match claim.basis.is_empty() {
+        true => "no runs".to_owned(),
+        false => list(runs.collect()),
+    };
+    let name = name(&held.gang);
+    let rack = held.rack.as_ref().map_or(String::new(), |rack| format!(" in rack {rack}"));
+    let agents = list(held.agents.clone());
+    format!("{name} waited {waited} ms, may start in {start} ms{rack} at {agents}; after {runs}")
+}
+
+fn name((id, occurrence, step): &StepKey) -> String {
+    format!("{id}.{occurrence}.{step}")
+}
--- a/crates/dispatch/src/clearance.rs
+++ b/crates/dispatch/src/clearance.rs
@@ -8,10 +8,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Id, Incarnation};
+use quincewheel_place::WorkerState;
 
 use crate::candidate::Candidate;
 use crate::output::Output;
 use crate::owner::Owner;
+use crate::snapshot::Snapshot;
 
 /// The clearance of one step.
 #[derive(Clone, Debug, Default)]
@@ -151,4 +153,22 @@
         self.clearance_pending = true;
         self.outputs.push(Output::RequestClearance { request });
     }
+
+    /// Returns the indexes of workers that the step is not cleared for. Empty on a queue that needs
+    /// no clearance.
+    pub(crate) fn uncleared(
+        &self,
+        candidate: &Candidate,
+        snapshot: &Snapshot,
+        now: u64,
+    ) -> Vec<usize> {
+        let Some(entry) = self.jobs.get(&candidate.id) else { return Vec::new() };
+        if entry.job.queue.advice.is_none() {
+            return Vec::new();
+        }
+        let key = (candidate.occurrence, candidate.step, 0);
+        let cleared = |worker: &WorkerState| entry.ticket(key, &worker.incarnation, now).is_some();
+        let workers = snapshot.workers.iter().enumerate();
+        workers.filter(|(_, worker)| !cleared(worker)).map(|(index, _)| index).collect()
+    }
 }
--- a/crates/dispatch/src/estimator.rs
+++ b/crates/dispatch/src/estimator.rs
@@ -33,9 +33,13 @@
     /// Returns the expected run time of a step of the job, in milliseconds. Tasks that do not fit
     /// into the pool at once run in several rounds.
     pub fn estimate(&self, entry: &Entry, number: u32, step: &Step) -> u64 {
-        let queue = &entry.job.queue;
-        let known = entry.step_durations.get(&number).copied();
-        let time = known.unwrap_or_else(|| self.times.estimate(&queue.name, step.estimate));
-        time * rounds(step, self.pools.get(&queue.pool))
+        let pool = self.pools.get(&entry.job.queue.pool);
+        run_time(self.times, entry, number, step) * rounds(step, pool)
     }
 }
+
+/// Returns the expected time of one run of a step of the job, in milliseconds.
+pub(crate) fn run_time(times: &Times, entry: &Entry, number: u32, step: &Step) -> u64 {
+    let known = entry.step_durations.get(&number).copied();
+    known.unwrap_or_else(|| times.estimate(&entry.job.queue.name, step.estimate))
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod candidate;
 mod cause;
 mod checkpoints;
+mod claims;
 mod clearance;
 mod close_reason;
 mod crashes;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -7,7 +7,7 @@
 use quincewheel_wire::{LinkId, Notice, Order};
 
 use crate::agent::Agent;
-use crate::checkpoints::Checkpoints;
+use crate::claims::Claims;
 use crate::crashes::SuspectedCrash;
 use crate::dismissal::Dismissal;
 use crate::election::OWNER_TIMEOUT_MS;
@@ -95,6 +95,8 @@
     pub(crate) review: Review,
     /// Steps that wait for their start, and what has been logged about them.
     pub(crate) waits: Waits,
+    /// Claims of waiting gangs on capacity.
+    pub(crate) claims: Claims,
     /// Requests to the platform for its list of machines.
     pub(crate) listing: Listing,
     /// Groups of several tasks that had just started at a worker when it crashed.
@@ -167,6 +169,7 @@
             settlement_log: SettlementLog::default(),
             review: Review::default(),
             waits: Waits::default(),
+            claims: Claims::default(),
             listing: Listing::default(),
             suspect_groups: Vec::new(),
             maintenance: Maintenance::default(),
@@ -277,15 +280,6 @@
         }
     }
 
-    /// Loads a job's recorded checkpoints. Checkpoints that workers have reported since are kept.
-    pub fn restore_checkpoints(&mut self, id: &str, checkpoints: &Checkpoints) {
-        if let Some(entry) = self.jobs.get_mut(id) {
-            for (key, checkpoint) in checkpoints.by_task() {
-                entry.checkpoints.entry(key).or_insert(checkpoint);
-            }
-        }
-    }
-
     /// Ends a job as cancelled and stops its runs.
     pub fn cancel(&mut self, id: &str, now: u64) {
         self.end_job(id, State::Cancelled, now);
@@ -407,6 +401,7 @@
         }
         entry.progress.state = state;
         entry.reservations.clear();
+        self.replan |= self.claims.is_held_by(id);
         let keys: Vec<Key> = entry.runs.keys().copied().collect();
         self.mark_dirty(id, true);
         for key in keys {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -35,9 +35,11 @@
             .sort_by_key(|candidate| (!self.has_reserved_guarantee(candidate), candidate.rank));
         let mut snapshot = self.snapshot(now);
         self.waits.begin_round();
+        self.plan_claims(&candidates, &snapshot, (now, wall));
         for candidate in &candidates {
             self.start_candidate(candidate, &mut snapshot, now, wall);
         }
+        self.end_claims_round();
         // No event marks the moment at which a suspected task has survived its start.
         if snapshot.recent_starts.values().any(|start| *start == RecentStart::Suspect) {
             self.schedule_replan(wall + START_ISOLATION_MS);
@@ -201,6 +203,7 @@
             apart: self.excluded_indexes(candidate, snapshot),
         };
         let excluded_indexes = excluded.indexes();
+        let withheld = self.withhold_claimed(candidate, &step, snapshot, now);
         let kept_free = match candidate.suspect {
             true => self.place_suspect(
                 candidate,
@@ -215,6 +218,7 @@
                 (now, wall),
             ),
         };
+        let claimed = self.return_claimed(candidate, withheld, snapshot);
         if self.unplaced_tasks(candidate) == 0 {
             return;
         }
@@ -228,7 +232,7 @@
                 now,
             );
         }
-        let restrictions = snapshot.restrictions(&kept_free, &excluded);
+        let restrictions = snapshot.restrictions((&kept_free, &claimed), &excluded);
         self.record_wait(candidate, snapshot, &restrictions, now);
     }
 
@@ -254,19 +258,6 @@
         candidate.tasks.iter().filter(|&&index| !entry.runs.contains_key(&key(index))).count()
     }
 
-    /// Returns the indexes of workers that the step is not cleared for. Empty on a queue that needs
-    /// no clearance.
-    fn uncleared(&self, candidate: &Candidate, snapshot: &Snapshot, now: u64) -> Vec<usize> {
-        let Some(entry) = self.jobs.get(&candidate.id) else { return Vec::new() };
-        if entry.job.queue.advice.is_none() {
-            return Vec::new();
-        }
-        let key = (candidate.occurrence, candidate.step, 0);
-        let cleared = |worker: &WorkerState| entry.ticket(key, &worker.incarnation, now).is_some();
-        let workers = snapshot.workers.iter().enumerate();
-        workers.filter(|(_, worker)| !cleared(worker)).map(|(index, _)| index).collect()
-    }
-
     /// Starts as many of a candidate's tasks as it can on the workers that are not hidden, and
     /// makes room for the others there if it may. Returns the indexes of workers that it keeps free
     /// for other work.
@@ -325,7 +316,7 @@
     /// While half of the pool is free, a job of which nothing runs defers for
     /// [`MAX_IDLE_DEFERRAL_MS`] at most. Urgent work finds capacity there anyway, and users would
     /// not understand a job that waits next to idle workers until its deadline is near.
-    fn deferred_until(
+    pub(crate) fn deferred_until(
         &self,
         candidate: &Candidate,
         half_free: bool,
--- a/crates/dispatch/src/review.rs
+++ b/crates/dispatch/src/review.rs
@@ -34,6 +34,8 @@
             return;
         }
         self.review.closed_agents = closed;
+        // Claims on a worker that has closed move to others.
+        self.replan |= !self.claims.is_empty();
         let waits = self.waits.waiting_for_workers();
         if waits.is_empty() {
             return;
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -75,9 +75,14 @@
 
     /// Returns the restriction that applies to a step at each worker; empty if there is none at
     /// all.
-    pub fn restrictions(&self, kept_free: &[usize], excluded: &Exclusions) -> Vec<Restriction> {
+    pub fn restrictions(
+        &self,
+        (kept_free, claimed): (&[usize], &[usize]),
+        excluded: &Exclusions,
+    ) -> Vec<Restriction> {
         let kinds = [
             (kept_free, Restriction::Spared),
+            (claimed, Restriction::Claimed),
             (&excluded.uncleared, Restriction::Uncleared),
             (&excluded.avoided, Restriction::Avoided),
             (&excluded.apart, Restriction::Apart),
--- a/crates/dispatch/src/tally.rs
+++ b/crates/dispatch/src/tally.rs
@@ -12,6 +12,8 @@
     None,
     /// Kept free for more urgent work.
     Spared,
+    /// Claimed by a gang that has waited for it.
+    Claimed,
     /// The step is not cleared for the worker.
     Uncleared,
     /// Tasks of the step have failed there recently.
@@ -34,7 +36,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums {
     /// Tasks that fit into free capacity, by restriction.
-    free: [u64; 5],
+    free: [u64; 6],
     /// Tasks that would fit if nothing ran; counted until it is enough.
     whole: u64,
 }
@@ -93,6 +95,7 @@
         }
         let lifted = [
             (Restriction::Spared, Cause::Spared),
+            (Restriction::Claimed, Cause::Claimed),
             (Restriction::Uncleared, Cause::Clearance),
             (Restriction::Avoided, Cause::Avoided),
             (Restriction::Apart, Cause::Apart),
--- a/crates/dispatch/src/wait_detail.rs
+++ b/crates/dispatch/src/wait_detail.rs
@@ -33,6 +33,9 @@
             Cause::Few | Cause::Room | Cause::Spared | Cause::Rack | Cause::Apart => {
                 format!("{room}{not_open}")
             }
+            Cause::Claimed => {
+                format!("{}; {room}{not_open}", self.claims.detail(&self.pool_of(entry), now))
+            }
             Cause::Reserved => reserved(entry, step_key, now),
             Cause::Clearance => self.clearance_detail(entry, step_key, now),
             Cause::Avoided => format!("failed at {}", list(self.failed_at(entry, step_key, now))),
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Returns since when a step has been waiting.
+    pub fn waiting_since(&self, step: &StepKey) -> Option<u64> {
+        self.steps.get(step).map(|wait| wait.waiting_since)
+    }
+
     /// Ends the round. Steps that were not recorded in it no longer wait; those that had waited
     /// for at least [`MIN_LOGGED_ENDED_WAIT_MS`] are returned.
     pub fn end_round(&mut self, now: u64) -> Vec<(StepKey, Wait)> {
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -20,6 +20,8 @@
     decisions: Family<Decision, Counter>,
     waits: Family<Wait, Gauge>,
     unlisted_runs: Gauge,
+    claims: Gauge,
+    claimed_accelerators: Gauge,
     evacuated_zones: Gauge,
     evacuated_busy: Gauge,
     skipped_entries: Family<List, Counter>,
@@ -70,6 +72,8 @@
             decisions: Family::default(),
             waits: Family::default(),
             unlisted_runs: Gauge::default(),
+            claims: Gauge::default(),
+            claimed_accelerators: Gauge::default(),
             evacuated_zones: Gauge::default(),
             evacuated_busy: Gauge::default(),
             skipped_entries: Family::default(),
@@ -103,6 +107,12 @@
                 "Runs believed at workers that answer and do not list them, at the owner",
                 &self.unlisted_runs,
             ),
+            ("claims", "Gangs that claim capacity, at the owner", &self.claims),
+            (
+                "claimed_accelerators",
+                "Accelerators that gangs claim, at the owner",
+                &self.claimed_accelerators,
+            ),
             (
                 "evacuated_zones",
                 "Availability zones that operators evacuate, at the owner",
@@ -157,6 +167,12 @@
         self.unlisted_runs.set(count as i64);
     }
 
+    /// Sets the number of gangs that claim capacity, and of the accelerators that they claim.
+    pub fn set_claims(&self, (claims, accelerators): (usize, u64)) {
+        self.claims.set(claims as i64);
+        self.claimed_accelerators.set(accelerators as i64);
+    }
+
     /// Sets the number of evacuated availability zones, and of those that may not be empty yet.
     pub fn set_evacuation(&self, (zones, busy): (usize, usize)) {
         self.evacuated_zones.set(zones as i64);
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -211,6 +211,7 @@
         self.metrics.jobs.set(owner.as_ref().map_or(0, |owner| owner.active_jobs() as i64));
         self.metrics.set_waits(&owner.as_ref().map(Owner::long_waits).unwrap_or_default());
         self.metrics.set_unlisted_runs(owner.as_ref().map_or(0, Owner::unlisted_runs));
+        self.metrics.set_claims(owner.as_ref().map(Owner::claim_counts).unwrap_or_default());
         self.metrics
             .set_evacuation(owner.as_ref().map(Owner::evacuation_counts).unwrap_or_default());
     }
