--- a/crates/entry/tests/day.rs
+++ b/crates/entry/tests/day.rs
@@ -64,3 +64,18 @@
     z1: 1.000, 4.500, 9.000
     ");
 }
+
+// Time that a step spends behind the claim of a gang is a phase of its own.
+#[test]
+fn waits_behind_a_claim_are_listed() {
+    let logs = r#"
+{"t":100.000,"process":"e1","event":"accepted","job":"aa","queue":"q","msg":"version 7 1x1"}
+{"t":100.000,"process":"e2","event":"known","job":"aa","msg":"version 7"}
+{"t":101.400,"process":"e2","event":"waited","job":"aa","msg":"aa.0.0: no room 180 ms, room claimed by a gang 1220 ms"}
+{"t":101.400,"process":"e2","event":"start","job":"aa","msg":"aa.0.0.0 run 1 at w1"}
+"#;
+    let mut output = Vec::new();
+    sum_up(Some(100.0), logs.as_bytes(), &mut output).unwrap();
+    let output = String::from_utf8(output).unwrap();
+    assert!(output.contains("no room 180, room claimed by a gang 1220"), "{output}");
+}
--- a/crates/entry/tests/explain.rs
+++ b/crates/entry/tests/explain.rs
@@ -75,3 +75,30 @@
     assert_eq!(explain("cc", LOGS.as_bytes(), &mut output).unwrap(), 0);
     assert!(output.is_empty());
 }
+
+const CLAIMED: &str = r#"
+{"t":10.000,"process":"e1","event":"accepted","job":"aa","msg":"version 7 3x8 gang rack"}
+{"t":12.000,"process":"e1","event":"claim made","job":"aa","msg":"aa.0.0 waited 2000 ms, may start in 900 ms at w0; after cc.0.0.0 at w0 in 900 ms (80 %, 100 ms ago)"}
+{"t":12.100,"process":"e1","event":"accepted","job":"bb","msg":"version 8 1x1"}
+{"t":13.100,"process":"e1","event":"waits","job":"bb","msg":"bb.0.0, 1 tasks, 1000 ms: room claimed by a gang: by aa.0.0, planned in 0 ms; room for 1 of 1, for 1 if nothing ran"}
+{"t":13.200,"process":"e1","event":"start","job":"aa","msg":"aa.0.0.0 run 1 at w0"}
+"#;
+
+// Which gang held a job back, and which jobs a gang held back, could be told from no history.
+#[test]
+fn history_shows_claims_and_what_they_hold_back() {
+    let history = |id: &str| {
+        let mut output = Vec::new();
+        explain(id, CLAIMED.as_bytes(), &mut output).unwrap();
+        String::from_utf8(output).unwrap()
+    };
+    assert_snapshot!(format!("{}--\n{}", history("aa"), history("bb")), @r"
+        0.000  e1                       accepted: version 7 3x8 gang rack
+        2.000  e1                       claim made: aa.0.0 waited 2000 ms, may start in 900 ms at w0; after cc.0.0.0 at w0 in 900 ms (80 %, 100 ms ago)
+        3.100  e1                       waits: bb.0.0, 1 tasks, 1000 ms: room claimed by a gang: by aa.0.0, planned in 0 ms; room for 1 of 1, for 1 if nothing ran
+        3.200  e1                       start: aa.0.0.0 run 1 at w0
+    --
+        0.000  e1                       accepted: version 8 1x1
+        1.000  e1                       waits: bb.0.0, 1 tasks, 1000 ms: room claimed by a gang: by aa.0.0, planned in 0 ms; room for 1 of 1, for 1 if nothing ran
+    ");
+}
