--- a/crates/backfill/src/planner.rs
+++ b/crates/backfill/src/planner.rs
@@ -1,5 +1,5 @@
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use quincewheel_job::Resources;
 use quincewheel_place::{WorkerIndex, WorkerState};
@@ -16,6 +16,10 @@
     workers: &'a [WorkerState],
     releases: &'a [Vec<Release>],
     now: u64,
+    /// The number of each worker's rack.
+    racks: Vec<usize>,
+    /// The times at which more may become available on any worker, in ascending order.
+    times: Vec<u64>,
     /// What is available on each worker beside all claims so far.
     left: Vec<Profile>,
     /// The same on claimed workers, before their first claim.
@@ -51,13 +55,33 @@
             Profile::new(worker.free, releases.get(index).map_or(&[], Vec::as_slice))
         };
         let left = workers.iter().enumerate().map(profile).collect();
-        let (unclaimed, pools) = (BTreeMap::new(), BTreeMap::new());
-        Planner { workers, releases, now, left, unclaimed, pools, plan: Plan::default() }
+        let mut numbers: HashMap<&str, usize> = HashMap::new();
+        let racks = (workers.iter().map(|worker| worker.rack.as_str()))
+            .map(|rack| {
+                let next = numbers.len();
+                *numbers.entry(rack).or_insert(next)
+            })
+            .collect();
+        let mut times: Vec<u64> = releases.iter().flatten().map(|release| release.at).collect();
+        times.sort_unstable();
+        times.dedup();
+        Planner {
+            workers,
+            releases,
+            now,
+            racks,
+            times,
+            left,
+            unclaimed: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            plan: Plan::default(),
+        }
     }
 
     /// Takes resources out that are reserved for other work from now on. Must precede all claims.
     pub fn reserve(&mut self, worker: WorkerIndex, until: u64, need: &Resources) {
         self.left[worker].hold(self.now, until, need);
+        self.add_time(until);
     }
 
     /// True if no further gang of the pool gets a claim.
@@ -102,53 +126,64 @@
         let empty = |index: WorkerIndex| self.workers[index].capacity;
         let one_rack =
             gang.prefers_one_rack() && !self.racks_that_hold(gang, &eligible, &empty).is_empty();
-        let (mut open, mut start) = (eligible, None);
-        let in_rack = |open: &[WorkerIndex], rack: &str| -> Vec<WorkerIndex> {
-            open.iter().copied().filter(|&index| self.workers[index].rack == rack).collect()
+        let in_rack = |rack: &str| -> Vec<WorkerIndex> {
+            let within = |index: &&WorkerIndex| self.workers[**index].rack == rack;
+            eligible.iter().filter(within).copied().collect()
         };
-        let first = self.earliest(gang, &open, one_rack)?;
         if let Some(kept) = &gang.kept {
             let same = match &kept.rack {
-                Some(rack) if !kept.is_overdue(self.now) => in_rack(&open, rack),
-                _ => (open.iter().copied())
+                Some(rack) if !kept.is_overdue(self.now) => in_rack(rack),
+                _ => (eligible.iter().copied())
                     .filter(|index| kept.workers.binary_search(index).is_ok())
                     .collect(),
             };
-            let latest = first + kept.min_gain(self.now);
-            start = self.earliest(gang, &same, one_rack).filter(|at| *at < latest);
-            if start.is_some() {
-                open = same;
+            let start = self.earliest(gang, &same, one_rack);
+            // Other workers must be available sooner by more than the gain.
+            let sooner = |start: u64| start.checked_sub(kept.min_gain(self.now));
+            let fits = |time: u64| {
+                time >= gang.not_before.max(self.now) && self.fits(gang, &eligible, one_rack, time)
+            };
+            if let Some(start) = start.filter(|start| !sooner(*start).is_some_and(fits)) {
+                return Some(self.choose(gang, same, one_rack, start));
             }
         }
-        if start.is_none() && !gang.request.step.near.is_empty() {
-            let near = in_rack(&open, &gang.request.step.near);
-            start = self.earliest(gang, &near, one_rack);
-            start = start.filter(|at| *at <= first + MAX_RACK_DELAY_MS);
-            if start.is_some() {
-                open = near;
+        let first = self.earliest(gang, &eligible, one_rack)?;
+        if !gang.request.step.near.is_empty() {
+            let near = in_rack(&gang.request.step.near);
+            let start = self.earliest(gang, &near, one_rack);
+            if let Some(start) = start.filter(|at| *at <= first + MAX_RACK_DELAY_MS) {
+                return Some(self.choose(gang, near, one_rack, start));
             }
         }
-        Some(self.choose(gang, open, one_rack, start.unwrap_or(first)))
+        Some(self.choose(gang, eligible, one_rack, first))
     }
 
     /// Returns the first time at which the gang fits on the open workers. What is available never
     /// decreases, so a binary search over the times of releases finds it.
     fn earliest(&self, gang: &Gang<'_>, open: &[WorkerIndex], one_rack: bool) -> Option<u64> {
         let earliest = gang.not_before.max(self.now);
-        let releases = open.iter().flat_map(|&index| self.left[index].times());
-        let mut times: Vec<u64> = releases.filter(|time| *time > earliest).collect();
-        times.push(earliest);
-        times.sort_unstable();
-        times.dedup();
-        let fits = |time: u64| {
-            let available = |index: WorkerIndex| self.left[index].at(time);
-            match one_rack {
-                true => !self.racks_that_hold(gang, open, &available).is_empty(),
-                false => self.count(gang, open, &available) >= u64::from(gang.request.count),
-            }
-        };
-        let first = times.partition_point(|time| !fits(*time));
-        times.get(first).copied()
+        if self.fits(gang, open, one_rack, earliest) {
+            return Some(earliest);
+        }
+        let later = &self.times[self.times.partition_point(|time| *time <= earliest)..];
+        let first = later.partition_point(|time| !self.fits(gang, open, one_rack, *time));
+        later.get(first).copied()
+    }
+
+    /// True if the gang fits on the open workers from `time` on.
+    fn fits(&self, gang: &Gang<'_>, open: &[WorkerIndex], one_rack: bool, time: u64) -> bool {
+        let available = |index: WorkerIndex| self.left[index].at(time);
+        match one_rack {
+            true => !self.racks_that_hold(gang, open, &available).is_empty(),
+            false => self.count(gang, open, &available) >= u64::from(gang.request.count),
+        }
+    }
+
+    /// Adds a time at which more becomes available.
+    fn add_time(&mut self, time: u64) {
+        if let Err(index) = self.times.binary_search(&time) {
+            self.times.insert(index, time);
+        }
     }
 
     /// Returns how many of the gang's tasks fit, at most as many as it has.
@@ -168,21 +203,19 @@
         count
     }
 
-    /// Returns the racks that hold all tasks of the gang.
+    /// Returns the numbers of the racks that hold all tasks of the gang.
     fn racks_that_hold(
         &self,
         gang: &Gang<'_>,
         open: &[WorkerIndex],
         room: &impl Fn(WorkerIndex) -> Resources,
-    ) -> Vec<&'a str> {
-        let mut counts: BTreeMap<&'a str, u64> = BTreeMap::new();
+    ) -> Vec<usize> {
+        let mut counts = vec![0; self.workers.len()];
         for &index in open {
-            let count = gang.request.max_tasks(index, &room(index));
-            *counts.entry(&self.workers[index].rack).or_default() += count;
+            counts[self.racks[index]] += gang.request.max_tasks(index, &room(index));
         }
         let needed = u64::from(gang.request.count);
-        let enough = counts.into_iter().filter(|(_, count)| *count >= needed);
-        enough.map(|(rack, _)| rack).collect()
+        (0..counts.len()).filter(|&rack| counts[rack] >= needed).collect()
     }
 
     /// Chooses among the open workers, on which the gang fits at `start`: the fullest ones, so
@@ -197,13 +230,14 @@
         let available = |index: WorkerIndex| self.left[index].at(start);
         let mut rack = None;
         if one_rack {
-            let room = |rack: &str| -> u64 {
-                let within = open.iter().filter(|&&index| self.workers[index].rack == rack);
+            let room = |rack: usize| -> u64 {
+                let within = open.iter().filter(|&&index| self.racks[index] == rack);
                 within.map(|&index| available(index).accelerators).sum()
             };
             let racks = self.racks_that_hold(gang, &open, &available);
-            rack = racks.into_iter().min_by_key(|rack| room(rack));
-            open.retain(|&index| Some(self.workers[index].rack.as_str()) == rack);
+            let chosen = racks.into_iter().min_by_key(|rack| room(*rack));
+            open.retain(|&index| Some(self.racks[index]) == chosen);
+            rack = open.first().map(|&index| self.workers[index].rack.as_str());
         }
         // An overdue claim collects what is free, since the expected ends were wrong.
         let overdue = gang.kept.as_ref().is_some_and(|kept| kept.is_overdue(self.now));
@@ -276,6 +310,7 @@
             self.plan.holds.entry(worker).or_default().push(hold);
             self.left[worker].hold(claim.start, claim.until, &need);
         }
+        self.add_time(claim.until);
         self.plan.claims.push(claim);
     }
 }
--- a/crates/backfill/src/profile.rs
+++ b/crates/backfill/src/profile.rs
@@ -12,13 +12,14 @@
 impl Profile {
     /// A worker with `free` resources, and the runs that end there.
     pub fn new(free: Resources, releases: &[Release]) -> Profile {
-        let mut releases: Vec<&Release> = releases.iter().collect();
-        releases.sort_by_key(|release| release.at);
-        let mut steps = vec![(0, free)];
-        let mut room = free;
-        for release in releases {
-            room.add(&release.need);
-            steps.push((release.at, room));
+        let mut steps = Vec::with_capacity(releases.len() + 1);
+        steps.push((0, free));
+        steps.extend(releases.iter().map(|release| (release.at, release.need)));
+        steps[1..].sort_unstable_by_key(|(at, _)| *at);
+        let mut room = Resources::default();
+        for (_, resources) in &mut steps {
+            room.add(resources);
+            *resources = room;
         }
         Profile { steps }
     }
@@ -29,11 +30,6 @@
         after.checked_sub(1).map(|index| self.steps[index].1).unwrap_or_default()
     }
 
-    /// The times at which more becomes available.
-    pub fn times(&self) -> impl Iterator<Item = u64> {
-        self.steps.iter().skip(1).map(|(from, _)| *from)
-    }
-
     /// Takes resources out between two times. What is available before is limited to what remains
     /// then, since it is used without an end.
     pub fn hold(&mut self, from: u64, until: u64, need: &Resources) {
--- a/crates/dispatch/benches/owner.rs
+++ b/crates/dispatch/benches/owner.rs
@@ -3,7 +3,8 @@
 //!
 //!     cargo bench -p quincewheel-dispatch --bench owner
 //!
-//! Each worker has 8 accelerators and runs 8 tasks; 2,000 tasks are queued.
+//! Each worker has 8 accelerators and runs 8 tasks; 2,000 tasks are queued. The planning round is
+//! also measured with gangs that wait, without and with claims.
 
 #[path = "../tests/harness/mod.rs"]
 mod harness;
@@ -11,13 +12,16 @@
 use std::time::{Duration, Instant};
 
 use harness::{Harness, job, run, step};
-use quincewheel_job::Run;
+use quincewheel_dispatch::Settings;
+use quincewheel_job::{Run, Step};
 use quincewheel_wire::Notice;
 
 /// Tasks that each worker runs.
 const TASKS_PER_WORKER: u64 = 8;
 /// Queued jobs, each of 40 tasks that need one accelerator.
 const QUEUED_JOBS: u32 = 50;
+/// Gangs that wait and are entitled to a claim.
+const WAITING_GANGS: u64 = 8;
 /// Repetitions of each measurement.
 const REPETITIONS: u32 = 200;
 
@@ -34,25 +38,43 @@
             let notice = Notice::Ping { stamp: harness.now, silent: 0 };
             harness.deliver(u64::from(at) % workers, notice);
         });
-        let round = time(|at| {
-            // A new job triggers planning.
-            harness.owner.add_job(
-                &format!("n{at}"),
-                job(1, vec![step(1, 8)]),
-                900 + u64::from(at),
-                None,
-            );
-            harness.tick();
+        let round = time(|at| plan_for_new_job(&mut harness, at));
+        let [waiting, claimed] = [0, 1].map(|claim_after| {
+            let mut harness = full(workers);
+            add_gangs(&mut harness, claim_after);
+            time(|at| plan_for_new_job(&mut harness, at))
         });
         println!(
-            "{workers} workers: status {} us, ping {} us, planning round {} us",
+            "{workers} workers: status {} us, ping {} us, planning round {} us, with gangs {} us, \
+             with claims {} us",
             micros(status),
             micros(ping),
-            micros(round)
+            micros(round),
+            micros(waiting),
+            micros(claimed)
         );
     }
 }
 
+/// Plans a round for a new job.
+fn plan_for_new_job(harness: &mut Harness, at: u32) {
+    let job = job(1, vec![step(1, 8)]);
+    harness.owner.add_job(&format!("n{at}"), job, 900 + u64::from(at), None);
+    harness.tick();
+}
+
+/// Adds gangs that are accepted before the queued jobs, and waits until they may claim workers if
+/// they may at all.
+fn add_gangs(harness: &mut Harness, claim_after: u64) {
+    harness.owner.update_settings(Settings { claim_after, ..Settings::default() });
+    for number in 0..WAITING_GANGS {
+        let gang = Step { gang: true, same_rack: number % 2 == 0, ..step(3, 8) };
+        harness.owner.add_job(&format!("g{number}"), job(1, vec![gang]), 500 + number, None);
+    }
+    harness.tick();
+    harness.advance(2);
+}
+
 /// A test harness whose workers are all full, with queued jobs.
 fn full(workers: u64) -> Harness {
     let mut harness = Harness::new(1, workers).with_idle_workers(workers);
--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -5,17 +5,16 @@
 //! use there; here it is given views of the owner's state, and its answer is applied while
 //! candidates are placed. Claims are planned anew in each round and are not stored.
 
-use std::collections::BTreeMap;
-
-use quincewheel_backfill::{Claim, Gang, Kept, Plan, Planner, Release, Run, Turn};
+use quincewheel_backfill::{Claim, Gang, Kept, Plan, Planner, Turn};
 use quincewheel_job::{Resources, Step};
 use quincewheel_place::{Preemptible, Protection, Request, WorkerState};
 use quincewheel_policy::is_half_free;
 
 use crate::candidate::Candidate;
-use crate::entry::{Entry, Key, Phase, Placement};
+use crate::entry::{Entry, Key, Phase};
 use crate::estimator::run_time;
 use crate::owner::{Owner, task};
+use crate::releases::{Running, index_of};
 use crate::snapshot::Snapshot;
 use crate::wait_detail::list;
 use crate::waits::StepKey;
@@ -63,13 +62,6 @@
     preemptible: Vec<Preemptible>,
 }
 
-/// A run whose end releases resources.
-struct Running<'a> {
-    id: &'a str,
-    key: Key,
-    placed: &'a Placement,
-}
-
 /// Most log lines about claims in one second. At most four gangs of a pool have claims, but their
 /// workers may change with each round.
 const MAX_LINES_PER_SECOND: usize = 10;
@@ -137,11 +129,6 @@
             self.claims.plan = Plan::default();
             return;
         }
-        let (running, releases) = self.releases(snapshot, now);
-        let mut planner = Planner::new(&snapshot.workers, &releases, now);
-        for (index, until, need) in self.reserved(snapshot, now) {
-            planner.reserve(index, until, &need);
-        }
         let steps: Vec<(&Candidate, &Entry, &Step, String)> = gangs
             .iter()
             .filter_map(|(candidate, _)| {
@@ -150,6 +137,12 @@
                 Some((*candidate, entry, step, self.pool_of(entry)))
             })
             .collect();
+        let pools = steps.iter().map(|(.., pool)| pool.as_str()).collect();
+        let (running, releases) = self.releases(snapshot, &pools, now);
+        let mut planner = Planner::new(&snapshot.workers, &releases, now);
+        for (index, until, need) in self.reserved(snapshot, now) {
+            planner.reserve(index, until, &need);
+        }
         let mut held = Vec::new();
         let mut former = Vec::new();
         for ((candidate, turn), (_, entry, step, pool)) in gangs.iter().zip(&steps) {
@@ -271,73 +264,6 @@
         found
     }
 
-    /// Returns the runs on the workers of the snapshot, and what each worker releases when they are
-    /// expected to end. Perpetual runs release nothing.
-    fn releases(&self, snapshot: &Snapshot, now: u64) -> (Vec<Running<'_>>, Vec<Vec<Release>>) {
-        let mut running = Vec::new();
-        let mut releases: Vec<Vec<Release>> = vec![Vec::new(); snapshot.workers.len()];
-        for (id, entry) in &self.jobs {
-            let mut step_estimate = None;
-            let mut unit_ends: BTreeMap<u64, u64> = BTreeMap::new();
-            let first = running.len();
-            for (key, placed) in &entry.runs {
-                let Some(step) = entry.step(*key).filter(|step| !step.perpetual) else { continue };
-                let estimate = match step_estimate {
-                    Some((number, estimate)) if number == key.1 => estimate,
-                    _ => run_time(self.times.get(), entry, key.1, step),
-                };
-                step_estimate = Some((key.1, estimate));
-                let end = self.expected_end(placed, estimate, now);
-                // The members of a gang end together.
-                let unit_end = unit_ends.entry(placed.unit).or_insert(end);
-                *unit_end = end.max(*unit_end);
-                running.push(Running { id, key: *key, placed });
-            }
-            for (run, Running { key, placed, .. }) in running.iter().enumerate().skip(first) {
-                let Some(step) = entry.step(*key) else { continue };
-                let Some(index) = index_of(&snapshot.workers, &placed.agent) else { continue };
-                let at = unit_ends.get(&placed.unit).copied().unwrap_or(now);
-                releases[index].push(Release { at, need: step.resources(), run });
-            }
-        }
-        (running, releases)
-    }
-
-    /// Returns when a run is expected to end.
-    fn expected_end(&self, placed: &Placement, estimate: u64, now: u64) -> u64 {
-        let run = match placed.phase {
-            Phase::Stopping => Run {
-                started_at: placed.updated_at,
-                estimate: self.settings.stop_timeout,
-                ..Run::default()
-            },
-            Phase::Starting | Phase::Running => Run {
-                started_at: placed.confirmed_at.unwrap_or(placed.started_at),
-                seen_at: placed.updated_at,
-                percent: placed.percent,
-                estimate,
-                from_scratch: placed.from_scratch,
-            },
-        };
-        run.expected_end(now)
-    }
-
-    /// Returns what is reserved on workers for steps for which other work is being stopped there,
-    /// and until when they are expected to use it.
-    fn reserved(&self, snapshot: &Snapshot, now: u64) -> Vec<(usize, u64, Resources)> {
-        let mut found = Vec::new();
-        for entry in self.jobs.values() {
-            for ((_, number), reservation) in &entry.reservations {
-                let Some(step) = entry.job.steps.get(*number as usize) else { continue };
-                let until = now + run_time(self.times.get(), entry, *number, step);
-                let workers = reservation.agents.iter();
-                let workers = workers.filter_map(|name| index_of(&snapshot.workers, name));
-                found.extend(workers.map(|index| (index, until, step.resources())));
-            }
-        }
-        found
-    }
-
     /// Takes capacity out of the snapshot that claims withhold from the candidate.
     pub(crate) fn withhold_claimed(
         &self,
@@ -355,9 +281,13 @@
             true => u64::MAX,
             false => now + run_time(self.times.get(), entry, candidate.step, step),
         };
+        let (need, may_preempt) = (step.resources(), candidate.rank.may_preempt());
         let mut withheld = Vec::new();
         for index in plan.workers() {
             let worker = &mut snapshot.workers[index];
+            if !need.fits(&worker.free) && !may_preempt {
+                continue;
+            }
             let Some(usable) = plan.usable(index, &worker.free, &turn, until) else { continue };
             let mut free = worker.free;
             free.subtract(&usable);
@@ -385,6 +315,10 @@
         if withheld.is_empty() {
             return Vec::new();
         }
+        let occurrence_step = (candidate.occurrence, candidate.step);
+        let entry = self.jobs.get(&candidate.id);
+        let makes_room =
+            entry.is_some_and(|entry| entry.reservations.contains_key(&occurrence_step));
         let mut claimed = Vec::new();
         for Withheld { worker, free, stopping, ending, preemptible } in withheld {
             if free != Resources::default() {
@@ -394,16 +328,22 @@
             state.free.add(&free);
             state.stopping.add(&stopping);
             state.ending.add(&ending);
-            for holder in preemptible {
+            state.preemptible = preemptible;
+            if makes_room {
                 // A gang that runs here and elsewhere may have been stopped for the candidate.
-                let members = snapshot.units.get(&holder.unit).map_or(&[][..], Vec::as_slice);
-                match members.iter().any(|(id, key)| self.is_stopping(id, key)) {
-                    true => state.stopping.add(&holder.need),
-                    false => state.preemptible.push(holder),
+                let members = |unit| snapshot.units.get(&unit).map_or(&[][..], Vec::as_slice);
+                let stopping = |holder: &Preemptible| {
+                    members(holder.unit).iter().any(|(id, key)| self.is_stopping(id, key))
+                };
+                for holder in state.preemptible.extract_if(.., |holder| stopping(holder)) {
+                    state.stopping.add(&holder.need);
                 }
             }
         }
-        self.claims.held_back |= self.unplaced_tasks(candidate) > 0;
+        if claimed.is_empty() {
+            return claimed;
+        }
+        self.claims.held_back = true;
         let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
         if self.claims.of(&key).is_some() { Vec::new() } else { claimed }
     }
@@ -442,17 +382,12 @@
     Turn { borrowed, priority, waiting_since: 0, version }
 }
 
-/// Returns the index of an agent's worker. The workers of a snapshot are in the order of names.
-fn index_of(workers: &[WorkerState], agent: &str) -> Option<usize> {
-    workers.binary_search_by(|worker| worker.name.as_str().cmp(agent)).ok()
-}
-
 /// Formats a claim, and the runs that it waits for with the age of what is known of them.
 fn describe(held: &Held, claim: &Claim, running: &[Running<'_>], now: u64) -> String {
     let waited = now.saturating_sub(claim.turn.waiting_since);
     let start = claim.start - now;
     let runs = claim.basis.iter().filter_map(|(run, end)| {
-        let Running { id, key, placed } = running.get(*run)?;
+        let Running { id, key, placed, .. } = running.get(*run)?;
         let (percent, age) = (placed.percent, now.saturating_sub(placed.updated_at));
         let task = task(id, *key);
         let left = end - now;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 mod quarantine;
 mod record;
 mod refusals;
+mod releases;
 mod reports;
 mod review;
 pub mod rows;
