--- a/crates/dispatch/tests/busy_pool/mod.rs
+++ b/crates/dispatch/tests/busy_pool/mod.rs
@@ -17,6 +17,8 @@
     pub harness: Harness,
     /// When each run was started: job, task index, agent, time.
     pub starts: Vec<(String, u32, u64, u64)>,
+    /// Jobs whose runs were ordered to stop, one entry for each run.
+    pub stopped: Vec<String>,
     agents: u64,
     /// Agents that report nothing any more.
     pub silent: Vec<u64>,
@@ -45,6 +47,7 @@
         Pool {
             harness,
             starts: Vec::new(),
+            stopped: Vec::new(),
             agents,
             silent: Vec::new(),
             running: Vec::new(),
@@ -113,6 +116,9 @@
     fn carry_out(&mut self) {
         for line in std::mem::take(&mut self.harness.orders) {
             let words: Vec<&str> = line.split_whitespace().collect();
+            if let ["stop", name, ..] = words[1..] {
+                self.stopped.push(name.split('.').next().unwrap_or_default().to_owned());
+            }
             let ["start", name, "run", number, ..] = words[1..] else { continue };
             let (Ok(agent), Ok(run)) = (words[0][1..].parse(), number.parse()) else { continue };
             let parts: Vec<&str> = name.split('.').collect();
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -129,6 +129,26 @@
     assert_eq!(pool.agents_of("guaranteed").len(), 1);
 }
 
+// An urgent gang that was too late to preempt lost its claim to a later one, which preempted the
+// run that the claim waited for. The later one preempts elsewhere.
+#[test]
+fn later_urgent_work_does_not_preempt_on_claimed_workers() {
+    let stopped = |claim_after| {
+        let mut pool = Pool::new(2, claim_after);
+        pool.add("old", 150, 9000, single(1, 8, 9000));
+        pool.advance(300);
+        pool.add("young", 151, 2500, single(1, 8, 2500));
+        let gang = job(0, vec![Step { gang: true, ..step(1, 8) }]);
+        pool.harness.owner.add_job("late", Job { accepted: 0, ..gang }, 160, None);
+        pool.advance(1200);
+        let mut urgent = single(0, 8, 4000);
+        (urgent.queue.stretch, urgent.queue.slack) = (1.5, 1000);
+        pool.add("urgent", 170, 4000, urgent);
+        pool.stopped.clone()
+    };
+    assert_eq!((stopped(0), stopped(1000)), (vec!["young".to_owned()], vec!["old".to_owned()]));
+}
+
 // Failure: a claimed worker is closed. The gang waited for it until it came back.
 #[test]
 fn claim_moves_when_a_claimed_worker_is_closed() {
