--- a/crates/dispatch/src/cause.rs
+++ b/crates/dispatch/src/cause.rs
@@ -19,6 +19,8 @@
     Room,
     /// Capacity is kept free for more urgent work.
     Spared,
+    /// Capacity is claimed by a gang that has waited for it.
+    Claimed,
     /// There is capacity, but not in a single rack.
     Rack,
     /// Capacity is reserved for them, but the work there has not stopped yet.
@@ -38,7 +40,7 @@
 
 impl Cause {
     /// All causes, in the order of their declaration.
-    pub const ALL: [Cause; 16] = [
+    pub const ALL: [Cause; 17] = [
         Cause::Unsettled,
         Cause::Remains,
         Cause::Unconfigured,
@@ -48,6 +50,7 @@
         Cause::Few,
         Cause::Room,
         Cause::Spared,
+        Cause::Claimed,
         Cause::Rack,
         Cause::Reserved,
         Cause::Clearance,
@@ -64,7 +67,7 @@
 
     /// Returns whether the tasks wait for capacity that other work takes or could take.
     pub(crate) fn is_lack_of_room(self) -> bool {
-        [Cause::Room, Cause::Spared, Cause::Rack, Cause::Share].contains(&self)
+        [Cause::Room, Cause::Spared, Cause::Claimed, Cause::Rack, Cause::Share].contains(&self)
     }
 
     /// Returns whether the open workers could not hold the tasks even if nothing else ran.
@@ -84,6 +87,7 @@
             Cause::Few => "too few workers",
             Cause::Room => "no room",
             Cause::Spared => "room spared for urgent work",
+            Cause::Claimed => "room claimed by a gang",
             Cause::Rack => "waits for one rack",
             Cause::Reserved => "room being made",
             Cause::Clearance => "no clearance",
--- a/crates/dispatch/src/wait_detail.rs
+++ b/crates/dispatch/src/wait_detail.rs
@@ -34,6 +34,9 @@
                 format!("{room}{not_open}")
             }
             Cause::Share => format!("{}; {room}{not_open}", self.share_detail(entry)),
+            Cause::Claimed => {
+                format!("{}; {room}{not_open}", self.claims.detail(&self.pool_of(entry), now))
+            }
             Cause::Reserved => reserved(entry, step_key, now),
             Cause::Clearance => self.clearance_detail(entry, step_key, now),
             Cause::Doubted => self.doubted_detail(entry, step_key, now),
