--- a/crates/backfill/src/claim.rs
+++ b/crates/backfill/src/claim.rs
@@ -30,10 +30,14 @@
 }
 
 impl Claim {
-    /// True if a step must leave the claimed capacity to the gang: it has no higher priority, was
-    /// accepted later, and is not covered by a guarantee.
+    /// True if a step must leave the claimed capacity to the gang: it is not covered by a guarantee,
+    /// and has a lower priority, or the same one and was accepted later. A late gang does not hold
+    /// up work of its priority that is in time and at least as large, which no gap left by it holds.
     pub fn binds(&self, step: &Turn) -> bool {
-        step.borrowed && step.priority >= self.turn.priority && step.version > self.turn.version
+        let gang = &self.turn;
+        let yields = gang.late && !step.late && step.accelerators >= gang.accelerators;
+        let same = step.priority == gang.priority && step.version > gang.version && !yields;
+        step.borrowed && (step.priority > gang.priority || same)
     }
 
     /// The number of claimed accelerators.
--- a/crates/dispatch/src/candidate.rs
+++ b/crates/dispatch/src/candidate.rs
@@ -15,6 +15,8 @@
     /// Expected work of the tasks in core-milliseconds. It limits how much work of others may
     /// be lost by preemption.
     pub work: u64,
+    /// The accelerators that the tasks need together.
+    pub accelerators: u64,
     /// Whether one of the tasks may crash the workers that start it.
     pub suspect: bool,
     /// Candidates are placed in ascending order of rank.
@@ -22,16 +24,16 @@
 }
 
 impl Candidate {
-    /// Creates a candidate. `work` is that of one task.
+    /// Creates a candidate. `work` is that of one task, `accelerators` what all tasks need.
     pub fn new(
         id: &Id,
         (occurrence, step): (u32, u32),
         (tasks, suspect): (Vec<u32>, bool),
         rank: Rank,
-        work: u64,
+        (work, accelerators): (u64, u64),
     ) -> Candidate {
         let work = work * tasks.len() as u64;
-        Candidate { id: id.clone(), occurrence, step, tasks, work, suspect, rank }
+        Candidate { id: id.clone(), occurrence, step, tasks, work, accelerators, suspect, rank }
     }
 
     /// Returns whether the tasks are covered by their team's guarantee.
--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -8,7 +8,7 @@
 use quincewheel_backfill::{Claim, Gang, Kept, Plan, Planner, Turn};
 use quincewheel_job::{Resources, Step};
 use quincewheel_place::{Preemptible, Protection, Request, WorkerState};
-use quincewheel_policy::is_half_free;
+use quincewheel_policy::{Lateness, is_half_free};
 
 use crate::candidate::Candidate;
 use crate::entry::{Entry, Key, Phase};
@@ -65,6 +65,10 @@
 /// Most log lines about claims in one second. At most four gangs of a pool have claims, but their
 /// workers may change with each round.
 const MAX_LINES_PER_SECOND: usize = 10;
+/// How long a gang that can no longer meet its objective waits at least before it may claim capacity.
+/// It should lose no room to smaller, later work after 10 s; claimed earlier, the room would be
+/// missing for work that is still in time.
+const LATE_CLAIM_DELAY_MS: u64 = 8000;
 /// Shortest time between two log lines about the claim of one gang that moves.
 const MIN_LINE_INTERVAL_MS: u64 = 1000;
 
@@ -253,8 +257,8 @@
             }
             let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
             let since = self.waits.waiting_since(&key).unwrap_or(now);
-            let due = since + self.settings.claim_after;
-            if due > now {
+            let due = since + self.claim_delay(candidate);
+            if due > now && self.claims.of(&key).is_none() {
                 self.schedule_replan(wall + due - now);
             } else {
                 found.push((candidate, Turn { waiting_since: since, ..turn(candidate) }));
@@ -264,6 +268,16 @@
         found
     }
 
+    /// Returns how long a gang waits before it may claim capacity.
+    fn claim_delay(&self, candidate: &Candidate) -> u64 {
+        match candidate.rank.lateness {
+            Lateness::InTime => self.settings.claim_after,
+            Lateness::Late | Lateness::Expired => {
+                self.settings.claim_after.max(LATE_CLAIM_DELAY_MS)
+            }
+        }
+    }
+
     /// Takes capacity out of the snapshot that claims withhold from the candidate.
     pub(crate) fn withhold_claimed(
         &self,
@@ -378,8 +392,15 @@
 /// Returns the place of a candidate in the order of claims, without its wait.
 fn turn(candidate: &Candidate) -> Turn {
     let rank = &candidate.rank;
-    let (borrowed, priority, level) = (rank.borrowed, rank.priority, rank.level);
-    Turn { borrowed, priority, level, waiting_since: 0, version: rank.version }
+    Turn {
+        borrowed: rank.borrowed,
+        priority: rank.priority,
+        level: rank.level,
+        late: rank.lateness != Lateness::InTime,
+        waiting_since: 0,
+        version: rank.version,
+        accelerators: candidate.accelerators,
+    }
 }
 
 /// Formats a claim, and the runs that it waits for with the age of what is known of them.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -104,8 +104,8 @@
                             latest_start: objective.latest_start(),
                             version: entry.version,
                         };
-                        let work = core_weight(step) * time;
-                        found.push(Candidate::new(id, (occurrence, number), group, rank, work));
+                        let size = (core_weight(step) * time, need);
+                        found.push(Candidate::new(id, at, group, rank, size));
                     }
                 }
             }
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Where steps of several teams of the same priority wait for room, a team that uses more than its
 //! share comes after the others. Usage is that of dominant resource fairness, of what runs beyond
-//! the team's guarantee, plus recent usage that decays. Pure functions over views of pools: nothing
+//! the team's guarantee: what runs now, or its decaying mean if that is higher. Pure functions over views of pools: nothing
 //! here uses a network or a clock, and the caller passes the time in.
 
 mod account;
--- a/crates/share/src/standing.rs
+++ b/crates/share/src/standing.rs
@@ -20,7 +20,7 @@
 impl Standing {
     /// Creates the standing of a team that was at level `previous` before.
     pub fn new(running: f64, recent: f64, share: f64, previous: u8) -> Standing {
-        let usage = running + recent;
+        let usage = running.max(recent);
         let holds = |level: &u8| {
             let threshold = share * f64::from(*level);
             usage > threshold || (previous >= *level && usage >= threshold * HYSTERESIS)
@@ -29,8 +29,9 @@
         Standing { running, recent, share, level }
     }
 
-    /// Returns the usage that is compared with the share.
+    /// Returns the usage that is compared with the share: what runs now, or recent usage if that is
+    /// higher. A flood counts at once, and its end only after a while.
     pub fn usage(&self) -> f64 {
-        self.running + self.recent
+        self.running.max(self.recent)
     }
 }
