--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -6,7 +6,7 @@
 //! candidates are placed. Claims are planned anew in each round and are not stored.
 
 use quincewheel_backfill::{Claim, Gang, Kept, Plan, Planner, Turn};
-use quincewheel_job::{Resources, Step};
+use quincewheel_job::{Id, Resources, Step};
 use quincewheel_place::{Preemptible, Protection, Request, WorkerState};
 use quincewheel_policy::{Lateness, is_half_free};
 
@@ -52,6 +52,25 @@
     logged_at: u64,
 }
 
+/// A gang that is entitled to a claim.
+#[derive(Debug)]
+struct Waiting<'a> {
+    candidate: &'a Candidate,
+    key: StepKey,
+    turn: Turn,
+    entry: &'a Entry,
+    step: &'a Step,
+    pool: String,
+}
+
+/// A log line about the claim of a gang of this job.
+#[derive(Debug)]
+struct Line {
+    event: &'static str,
+    id: Id,
+    detail: String,
+}
+
 /// Capacity that a candidate must leave, taken out of the snapshot while it is placed.
 #[derive(Debug)]
 pub(crate) struct Withheld {
@@ -124,120 +143,95 @@
         (now, wall): (u64, u64),
     ) {
         self.claims.held_back = false;
-        let gangs = match self.settings.claim_after {
+        let entitled = match self.settings.claim_after {
             0 => Vec::new(),
             _ => self.entitled(candidates, (now, wall)),
         };
-        if gangs.is_empty() {
+        if entitled.is_empty() {
             self.claims.held.clear();
             self.claims.plan = Plan::default();
             return;
         }
-        let steps: Vec<(&Entry, &Step, String)> = gangs
-            .iter()
-            .filter_map(|(candidate, _)| {
-                let entry = self.jobs.get(&candidate.id)?;
-                let step = entry.job.steps.get(candidate.step as usize)?;
-                Some((entry, step, self.pool_of(entry)))
-            })
-            .collect();
-        let pools = steps.iter().map(|(.., pool)| pool.as_str()).collect();
+        let gangs: Vec<Waiting<'_>> =
+            entitled.into_iter().filter_map(|(it, turn)| self.waiting_gang(it, turn)).collect();
+        let pools = gangs.iter().map(|gang| gang.pool.as_str()).collect();
         let (running, releases) = self.releases(snapshot, &pools, now);
         let mut planner = Planner::new(&snapshot.workers, &releases, now);
         for (index, until, need) in self.reserved(snapshot, now) {
             planner.reserve(index, until, &need);
         }
-        let mut held = Vec::new();
-        let mut former = Vec::new();
-        for ((candidate, turn), (entry, step, pool)) in gangs.iter().zip(&steps) {
-            if planner.is_full(pool) {
-                continue;
-            }
-            let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
-            let known = self.claims.of(&key);
-            let request = Request {
-                step,
-                pool,
-                count: candidate.tasks.len() as u32,
-                waits_for_rack: true,
-                preempts: Protection::Lower,
-                ignores_ending: false,
-                tasks_by_worker: &[],
-            };
-            let mut excluded = self.uncleared(candidate, snapshot, now);
-            excluded.extend(self.avoided_indexes(candidate, snapshot, now));
-            excluded.sort_unstable();
-            let half_free = is_half_free(&snapshot.workers, pool);
-            let yields_until = self.deferred_until(candidate, half_free, (now, wall));
-            let gang = Gang {
-                request,
-                turn: *turn,
-                run_time: run_time(self.times.get(), entry, candidate.step, step),
-                not_before: yields_until.map_or(now, |until| now + until.saturating_sub(wall)),
-                excluded,
-                kept: known
-                    .map(|held| held.kept(&snapshot.workers))
-                    .filter(|kept| !kept.is_abandoned(now)),
-            };
-            if planner.claim(&gang) {
-                held.push((key, pool.clone()));
-                let abandoned =
-                    known.is_some_and(|held| held.kept(&snapshot.workers).is_abandoned(now));
-                former.push(known.map(|held| (held.clone(), abandoned)));
+        let mut holders = Vec::new();
+        for gang in &gangs {
+            if !planner.is_full(&gang.pool)
+                && planner.claim(&self.claim_request(gang, snapshot, (now, wall)))
+            {
+                holders.push(gang);
             }
         }
         let plan = planner.finish();
+        let mut held = Vec::new();
         let mut lines = Vec::new();
-        let mut all = Vec::new();
-        for (((gang, pool), former), claim) in held.into_iter().zip(former).zip(&plan.claims) {
-            let agents =
-                claim.workers.iter().map(|(index, _)| snapshot.workers[*index].name.clone());
-            let mut held = Held {
-                gang,
-                pool,
-                agents: agents.collect(),
-                rack: claim.rack.clone(),
-                made_at: now,
-                planned: claim.start,
-                unlogged: Some("claim made"),
-                logged_at: 0,
-            };
-            let mut overdue = String::new();
-            if let Some((former, abandoned)) = former {
-                (held.made_at, held.logged_at) = (former.made_at, former.logged_at);
-                match (claim.kept, abandoned) {
-                    (true, _) => (held.planned, held.unlogged) = (former.planned, former.unlogged),
-                    (false, false) => held.unlogged = Some("claim moved"),
-                    (false, true) => {
-                        let planned = former.planned - former.made_at;
-                        let ms = now - former.planned;
-                        overdue = format!("planned after {planned} ms, overdue by {ms} ms; ");
-                        held.unlogged = Some("claim abandoned");
-                    }
-                }
-            }
-            let due = |_: &mut &str| now >= held.logged_at + MIN_LINE_INTERVAL_MS;
-            if let Some(event) = held.unlogged.take_if(due) {
-                held.logged_at = now;
-                let detail = format!("{overdue}{}", describe(&held, claim, &running, now));
-                lines.push((event, held.gang.0.clone(), detail));
-            }
-            all.push(held);
+        for (gang, claim) in holders.into_iter().zip(&plan.claims) {
+            let former = self.claims.of(&gang.key);
+            let (claimed, line) = Held::renew(former, gang, claim, (snapshot, &running), now);
+            lines.extend(line);
+            held.push(claimed);
         }
         self.claims.plan = plan;
-        self.claims.held = all;
+        self.claims.held = held;
         // No event marks the moment at which a claim is given up.
         let given_up = self.claims.held.iter().map(|held| held.kept(&[]).abandoned_at());
         if let Some(at) = given_up.min() {
             self.schedule_replan(wall + at.saturating_sub(now));
         }
-        for (event, id, detail) in lines {
+        for Line { event, id, detail } in lines {
             if self.claims.take_line(now) {
                 self.log(event, &id, detail);
             }
         }
     }
 
+    /// Returns what is known of a candidate that is entitled to a claim.
+    fn waiting_gang<'a>(&'a self, candidate: &'a Candidate, turn: Turn) -> Option<Waiting<'a>> {
+        let entry = self.jobs.get(&candidate.id)?;
+        let step = entry.job.steps.get(candidate.step as usize)?;
+        let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
+        Some(Waiting { candidate, key, turn, entry, step, pool: self.pool_of(entry) })
+    }
+
+    /// Returns a waiting gang as the planner sees it.
+    fn claim_request<'a>(
+        &self,
+        waiting: &'a Waiting<'_>,
+        snapshot: &Snapshot,
+        (now, wall): (u64, u64),
+    ) -> Gang<'a> {
+        let Waiting { candidate, key, turn, entry, step, pool } = waiting;
+        let request = Request {
+            step,
+            pool,
+            count: candidate.tasks.len() as u32,
+            waits_for_rack: true,
+            preempts: Protection::Lower,
+            ignores_ending: false,
+            tasks_by_worker: &[],
+        };
+        let mut excluded = self.uncleared(candidate, snapshot, now);
+        excluded.extend(self.avoided_indexes(candidate, snapshot, now));
+        excluded.sort_unstable();
+        let half_free = is_half_free(&snapshot.workers, pool);
+        let yields_until = self.deferred_until(candidate, half_free, (now, wall));
+        let kept = self.claims.of(key).map(|held| held.kept(&snapshot.workers));
+        Gang {
+            request,
+            turn: *turn,
+            run_time: run_time(self.times.get(), entry, candidate.step, step),
+            not_before: yields_until.map_or(now, |until| now + until.saturating_sub(wall)),
+            excluded,
+            kept: kept.filter(|kept| !kept.is_abandoned(now)),
+        }
+    }
+
     /// Returns the candidates that are entitled to a claim, in the order of their turns, and
     /// schedules the next round for when another one is.
     fn entitled<'a>(
@@ -381,6 +375,47 @@
 }
 
 impl Held {
+    /// Returns a gang's claim in this round, given its `former` one, and the log line that is due.
+    fn renew(
+        former: Option<&Held>,
+        gang: &Waiting<'_>,
+        claim: &Claim,
+        (snapshot, running): (&Snapshot, &[Running<'_>]),
+        now: u64,
+    ) -> (Held, Option<Line>) {
+        let agents = claim.workers.iter().map(|(index, _)| snapshot.workers[*index].name.clone());
+        let mut held = Held {
+            gang: gang.key.clone(),
+            pool: gang.pool.clone(),
+            agents: agents.collect(),
+            rack: claim.rack.clone(),
+            made_at: now,
+            planned: claim.start,
+            unlogged: Some("claim made"),
+            logged_at: 0,
+        };
+        let mut overdue = String::new();
+        if let Some(former) = former {
+            (held.made_at, held.logged_at) = (former.made_at, former.logged_at);
+            if claim.kept {
+                (held.planned, held.unlogged) = (former.planned, former.unlogged);
+            } else if former.kept(&snapshot.workers).is_abandoned(now) {
+                let planned = former.planned - former.made_at;
+                let ms = now - former.planned;
+                overdue = format!("planned after {planned} ms, overdue by {ms} ms; ");
+                held.unlogged = Some("claim abandoned");
+            } else {
+                held.unlogged = Some("claim moved");
+            }
+        }
+        let due = |_: &mut &str| now >= held.logged_at + MIN_LINE_INTERVAL_MS;
+        let Some(event) = held.unlogged.take_if(due) else { return (held, None) };
+        held.logged_at = now;
+        let detail = format!("{overdue}{}", describe(&held, claim, running, now));
+        let id = held.gang.0.clone();
+        (held, Some(Line { event, id, detail }))
+    }
+
     /// The claim as the planner takes it up again.
     fn kept(&self, workers: &[WorkerState]) -> Kept {
         let indexes = self.agents.iter().filter_map(|agent| index_of(workers, agent));
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -303,7 +303,7 @@
         if matches!(end.how, How::Done | How::Failed) {
             self.on_start_survived(&end.task, end.run);
         }
-        self.note_outcome(name, from, end, run.as_ref(), now);
+        self.record_outcome(name, from, end, run.as_ref(), now);
         match end.how {
             How::Done => {
                 if let Some(run) = run {
--- a/crates/dispatch/src/trust.rs
+++ b/crates/dispatch/src/trust.rs
@@ -33,7 +33,7 @@
 impl Owner {
     /// Notes the end of a run for the trust in its worker. Ends that are no verdict on the worker,
     /// and failures that a previous owner has counted already, are left out.
-    pub(crate) fn note_outcome(
+    pub(crate) fn record_outcome(
         &mut self,
         name: &str,
         from: &Incarnation,
