--- a/crates/backfill/src/claim.rs
+++ b/crates/backfill/src/claim.rs
@@ -30,9 +30,10 @@
 }
 
 impl Claim {
-    /// True if a step must leave the claimed capacity to the gang: it is not covered by a guarantee,
-    /// and has a lower priority, or the same one and was accepted later. A late gang does not hold
-    /// up work of its priority that is in time and at least as large, which no gap left by it holds.
+    /// True if a step must leave the claimed capacity to the gang: it is not covered by a
+    /// guarantee, and has a lower priority, or the same one and was accepted later. A late gang does
+    /// not hold up work of its priority that is in time and at least as large: only smaller work
+    /// could starve it by filling each gap.
     pub fn binds(&self, step: &Turn) -> bool {
         let gang = &self.turn;
         let yields = gang.late && !step.late && step.accelerators >= gang.accelerators;
--- a/crates/backfill/src/turn.rs
+++ b/crates/backfill/src/turn.rs
@@ -9,8 +9,8 @@
     pub priority: u32,
     /// The level of its team above its share.
     pub level: u8,
-    /// It can no longer meet its objective. Late gangs come after those in time: otherwise a pool that
-    /// is short of capacity runs late work first, and makes the rest late as well.
+    /// It can no longer meet its objective. Late gangs come after those in time: otherwise a pool
+    /// that is short of capacity runs late work first, and makes the rest late as well.
     pub late: bool,
     /// Since when it has been waiting.
     pub waiting_since: u64,
--- a/crates/backfill/tests/claims.rs
+++ b/crates/backfill/tests/claims.rs
@@ -181,7 +181,8 @@
     assert_eq!(ends, [13_000, 12_000, 12_700, 10_200, 10_100, 10_200]);
 }
 
-// A claim on wrong estimates would last for as long as its runs: it is made anew once overdue by more than twice the horizon, and by 5 s or more.
+// A claim on wrong estimates lasted for as long as its runs. It is made anew once it is overdue by
+// more than twice its horizon, and by 5 s or more.
 #[test]
 fn claim_is_abandoned_when_long_overdue() {
     let kept = |planned| Kept { made_at: 1000, planned, ..Kept::default() };
--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -84,9 +84,9 @@
 /// Most log lines about claims in one second. At most four gangs of a pool have claims, but their
 /// workers may change with each round.
 const MAX_LINES_PER_SECOND: usize = 10;
-/// How long a gang that can no longer meet its objective waits at least before it may claim capacity.
-/// It should lose no room to smaller, later work after 10 s; claimed earlier, the room would be
-/// missing for work that is still in time.
+/// How long a gang that can no longer meet its objective waits at least before it may claim
+/// capacity. It should lose no room to smaller, later work after 10 s; claimed earlier, the room
+/// would be missing for work that is still in time.
 const LATE_CLAIM_DELAY_MS: u64 = 8000;
 /// Shortest time between two log lines about the claim of one gang that moves.
 const MIN_LINE_INTERVAL_MS: u64 = 1000;
