Log ends of unknown jobs, and the lease that is left of runs taken for over

Add `end of unknown job` and `done before restart`, and the worker's silence and the time left of its lease to `run lost`, `run lapsed` and `run missing`. Each event has its counter, as all decisions of the owner. No logic changes; the tests of the dispatch crate pass.

--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -114,7 +114,7 @@
         for (name, worker) in ended {
             self.log("worker gone", &name, format!("{worker} is not listed any more"));
             self.attribute_crash(&name);
-            self.end_incarnation(&name, &worker, "is gone");
+            self.end_incarnation(&name, &worker, "is gone", self.now);
             self.replan = true;
         }
         if pages == 1 {
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -142,8 +142,9 @@
             // Runs that started later are not covered by this silence.
             let covered =
                 |placed: &Placement| placed.agent == name && now >= placed.started_at + bound;
+            let lease = self.lease_detail(&name, now);
             for (id, key) in self.runs_where(covered) {
-                self.log("run lapsed", &id, format!("{key:?} at {name}"));
+                self.log("run lapsed", &id, format!("{key:?} at {name}{lease}"));
                 self.remove_run(&id, key);
             }
         }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -325,7 +325,7 @@
                 self.update_silence(&name, silent);
                 self.grant_lease(&name, link, stamp, silent, now);
             }
-            Notice::Left { worker } => self.on_left(&name, &worker),
+            Notice::Left { worker } => self.on_left(&name, &worker, now),
             Notice::Broke { worker, starts: likely, possible } => {
                 let crash = SuspectedCrash { worker, likely, possible };
                 self.on_connections_broken(&name, crash)
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -105,27 +105,30 @@
                 self.stop_run(&job, key, now);
                 continue;
             }
-            self.log("run lost", &job, format!("{key:?}: worker at {name} restarted"));
+            let detail =
+                format!("{key:?}: worker at {name} restarted{}", self.lease_detail(name, now));
+            self.log("run lost", &job, detail);
             self.remove_run(&job, key);
         }
     }
 
     /// Handles a worker's notice that it is shutting down.
-    pub(crate) fn on_left(&mut self, name: &str, from: &Incarnation) {
+    pub(crate) fn on_left(&mut self, name: &str, from: &Incarnation, now: u64) {
         self.dismiss_crash(name);
-        self.end_incarnation(name, from, "left");
+        self.end_incarnation(name, from, "left", now);
     }
 
     /// Drops all runs of an incarnation of a worker that has ended. `how` is for the log.
-    pub(crate) fn end_incarnation(&mut self, name: &str, from: &Incarnation, how: &str) {
+    pub(crate) fn end_incarnation(&mut self, name: &str, from: &Incarnation, how: &str, now: u64) {
         if let Some(agent) = self.agents.get_mut(name) {
             agent.reconciled = true;
             agent.worker_left = true;
         }
         self.forget_worker(from);
         let ended = self.runs_where(|placed| placed.agent == name && placed.worker == *from);
+        let lease = self.lease_detail(name, now);
         for (job, key) in ended {
-            self.log("run lost", &job, format!("{key:?}: worker at {name} {how}"));
+            self.log("run lost", &job, format!("{key:?}: worker at {name} {how}{lease}"));
             self.remove_run(&job, key);
         }
     }
@@ -269,7 +272,8 @@
         for (job, key) in overdue {
             let listed = running.iter().any(|run| run.task == task(&job, key));
             if !listed {
-                self.log("run missing", &job, format!("{key:?} at {name}"));
+                let detail = format!("{key:?} at {name}{}", self.lease_detail(name, now));
+                self.log("run missing", &job, detail);
                 self.remove_run(&job, key);
             }
         }
@@ -284,12 +288,16 @@
         agent.last_end = end.number;
         let key = task_key(&end.task);
         let job = end.task.job.clone();
-        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return self.log_unknown_end(name, end);
+        };
         let slot = entry.slot(key);
         let known = entry.runs.get(&key);
         let vacant = known.is_none();
         let current = known.is_some_and(|placed| placed.worker == *from && placed.run == end.run);
         let run = current.then(|| entry.runs.remove(&key)).flatten();
+        let later = entry.runs.get(&key).filter(|placed| placed.run > end.run);
+        let later = later.map(|placed| format!("run {} at {}", placed.run, placed.agent));
         self.replan |= current;
         if current || vacant {
             entry.update_checkpoint(slot, &end.saved);
@@ -300,6 +308,10 @@
         let detail =
             format!("{} run {} {:?} at {name}{factor}{timing}", end.task, end.run, end.how);
         self.log("run ended", &job, detail);
+        if let Some(later) = later.filter(|_| end.how == How::Done) {
+            let detail = format!("{} run {} at {name}, {later} was started", end.task, end.run);
+            self.log("done before restart", &job, detail);
+        }
         if matches!(end.how, How::Done | How::Failed) {
             self.on_start_survived(&end.task, end.run);
         }
@@ -317,6 +329,24 @@
         self.close_if_finished(&job);
     }
 
+    /// Logs an end of a job that this owner does not know. It will be acknowledged, so if the job
+    /// became known later, its task would run again.
+    fn log_unknown_end(&mut self, name: &str, end: &End) {
+        let job = &end.task.job;
+        if !self.ended_jobs.contains(job) {
+            let detail = format!("{} run {} {:?} at {name}", end.task, end.run, end.how);
+            self.log("end of unknown job", job, detail);
+        }
+    }
+
+    /// Formats for the log, when a run is taken for over, how long its worker has owed a reply and
+    /// how long its lease may last from now.
+    pub(crate) fn lease_detail(&self, name: &str, now: u64) -> String {
+        let Some(agent) = self.agents.get(name) else { return String::new() };
+        let left = agent.leases_expire_at.saturating_sub(now);
+        format!("; silent for {} ms, lease for {left} ms", agent.silent_ms)
+    }
+
     /// Logs an end whose number was already processed, if its run is still recorded as active:
     /// the number may then belong to another end.
     fn log_ignored_end(&mut self, name: &str, from: &Incarnation, end: &End) {
