Reproduce a second start of tasks that had ended as done

A worker confirms two starts and then answers no poll, as one does that hangs or whose connection carries nothing. Its last list is older than the starts. The agent sends that list again, marked as the worker's answer under the present epoch, when it reconnects to the same owner or a heartbeat reports another state. From 5 s after the start on the owner takes the runs for missing, forgets them without a stop and starts the tasks elsewhere; the worker's lease lasts for 6 s from its last reply.

The simulation gets workers that answer no polls, and heartbeats of a worker that is about to shut down.

--- a/crates/runner/tests/simulation/mod.rs
+++ b/crates/runner/tests/simulation/mod.rs
@@ -111,8 +111,8 @@
     pub fn send_heartbeat(&mut self, number: usize) {
         let now = self.now;
         let node = &mut self.nodes[number];
-        let zone = node.zone.clone();
-        let worker = Worker { born: node.born, zone, ..worker(number, node.renames) };
+        let (zone, draining) = (node.zone.clone(), node.draining);
+        let worker = Worker { born: node.born, zone, draining, ..worker(number, node.renames) };
         node.runner.on_heartbeat(&heartbeat(&worker, "10.0.0.1:80", node.clock(now)), now);
         node.next_heartbeat = Some(now + HEARTBEAT_INTERVAL_MS);
     }
--- a/crates/runner/tests/simulation/node.rs
+++ b/crates/runner/tests/simulation/node.rs
@@ -16,6 +16,8 @@
     /// Starts get no reply, and are carried out this many milliseconds after their timeout; other
     /// calls are carried out at once.
     DelaysStarts(u64),
+    /// Polls get no reply, and are not carried out; other calls are carried out at once.
+    SilentPolls,
     /// Its process has ended: it accepts no connections and sends no heartbeats.
     Down,
 }
@@ -57,6 +59,8 @@
     pub prompt_starts: Vec<(Task, u64, u64)>,
     /// Its availability zone.
     pub zone: String,
+    /// Its heartbeats say that it is about to shut down.
+    pub draining: bool,
     /// Tasks whose ends as done were acknowledged to it.
     pub(super) acknowledged: Vec<Task>,
 }
@@ -84,6 +88,7 @@
             started: Vec::new(),
             prompt_starts: Vec::new(),
             zone: String::new(),
+            draining: false,
             acknowledged: Vec::new(),
         }
     }
@@ -92,6 +97,7 @@
     /// it or is down.
     pub(super) fn reply_time(&self, call: &Call, now: u64) -> u64 {
         match (&call.action, self.behavior) {
+            (Action::Hold { .. }, Behavior::SilentPolls) => now + call.timeout,
             (Action::Hold { .. }, _) if self.poll_due => now,
             (
                 Action::Hold { wait, .. },
@@ -112,6 +118,10 @@
             Behavior::Healthy => {}
             Behavior::RefusesStarts if is_poll => {}
             Behavior::Busy | Behavior::RefusesStarts => return Ok(Reply::Refused(Refused::Busy)),
+            Behavior::SilentPolls if is_poll => {
+                return Err(Fault::Unclear { closed: false, detail: "no reply".into() });
+            }
+            Behavior::SilentPolls => {}
             Behavior::Down => return Err(Fault::Unsent { detail: "refused".into() }),
             Behavior::DelaysStarts(delay) if matches!(call.action, Action::Start { .. }) => {
                 self.delayed_starts.push((now + delay, call.clone()));
