Count a poll in flight as a reply that the worker owes

A worker confirms its first start, and then its replies to polls are lost while it receives them. The agent's last list has no run, and sending a poll resets the mark that one is due, so as long as the poll was in flight the worker counted as idle: `last_reply` moved on, each renewal lengthened the lease, and the owner was told of no silence. The worker ran on without its agent's knowledge, and an owner that took its runs for missing started them a second time beside it.

Found while reproducing the incident: the silence told for a worker that answers no poll never exceeded the time between two polls.

--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -305,7 +305,7 @@
         let Some(session) = &mut self.session else { return };
         let quiet = now >= session.last_seen + self.settings.heartbeat_timeout;
         session.changed |= quiet && session.poll.is_none();
-        if !session.needs_poll(self.epoch) && session.orders.is_empty() {
+        if !session.owes_reply(self.epoch) {
             session.last_reply = now;
         }
         let lease_end = self.lease.end_on_worker_clock(session.last_reply + self.settings.lease);
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -267,6 +267,12 @@
                 || self.orders.values().any(|pending| pending.attempts > 0))
     }
 
+    /// True if a call to the worker has no reply yet, or one is due. The state that makes a poll
+    /// necessary is reset when the poll is sent, so the poll in flight counts by itself.
+    pub fn owes_reply(&self, epoch: u64) -> bool {
+        self.poll.is_some() || !self.orders.is_empty() || self.needs_poll(epoch)
+    }
+
     /// Builds a call to this incarnation; `timeout` is in milliseconds.
     pub fn call(&self, fencing_token: u64, action: Action, timeout: u64) -> Call {
         Call {
--- a/crates/runner/tests/simulation/node.rs
+++ b/crates/runner/tests/simulation/node.rs
@@ -18,6 +18,8 @@
     DelaysStarts(u64),
     /// Polls get no reply, and are not carried out; other calls are carried out at once.
     SilentPolls,
+    /// Polls get no reply, although they are carried out; other calls are carried out at once.
+    LosesPollReplies,
     /// Its process has ended: it accepts no connections and sends no heartbeats.
     Down,
 }
@@ -31,6 +33,8 @@
     pub(super) born: u64,
     /// The highest fencing token that it has seen.
     pub(super) fencing_token: u64,
+    /// When its lease ends, on its own clock.
+    pub lease_end: u64,
     /// How far its clock is behind that of its first incarnation, in milliseconds.
     pub(super) clock_lag: u64,
     pub(super) runner: Runner,
@@ -73,6 +77,7 @@
             renames: 0,
             born: 0,
             fencing_token: 0,
+            lease_end: 0,
             clock_lag: 0,
             runner: Runner::new(Settings::default()),
             running: Vec::new(),
@@ -97,7 +102,9 @@
     /// it or is down.
     pub(super) fn reply_time(&self, call: &Call, now: u64) -> u64 {
         match (&call.action, self.behavior) {
-            (Action::Hold { .. }, Behavior::SilentPolls) => now + call.timeout,
+            (Action::Hold { .. }, Behavior::SilentPolls | Behavior::LosesPollReplies) => {
+                now + call.timeout
+            }
             (Action::Hold { .. }, _) if self.poll_due => now,
             (
                 Action::Hold { wait, .. },
@@ -121,7 +128,11 @@
             Behavior::SilentPolls if is_poll => {
                 return Err(Fault::Unclear { closed: false, detail: "no reply".into() });
             }
-            Behavior::SilentPolls => {}
+            Behavior::LosesPollReplies if is_poll => {
+                _ = self.execute(call, now);
+                return Err(Fault::Unclear { closed: false, detail: "no reply".into() });
+            }
+            Behavior::SilentPolls | Behavior::LosesPollReplies => {}
             Behavior::Down => return Err(Fault::Unsent { detail: "refused".into() }),
             Behavior::DelaysStarts(delay) if matches!(call.action, Action::Start { .. }) => {
                 self.delayed_starts.push((now + delay, call.clone()));
@@ -180,7 +191,7 @@
     }
 
     /// The clock of the current incarnation.
-    pub(super) fn clock(&self, now: u64) -> u64 {
+    pub fn clock(&self, now: u64) -> u64 {
         first_clock(now) - self.clock_lag
     }
 
@@ -198,6 +209,11 @@
             return Ok(Reply::Refused(Refused::Fence));
         }
         self.fencing_token = call.fencing_token;
+        if let Action::Start { lease_end, .. } | Action::Hold { lease_end: Some(lease_end), .. } =
+            &call.action
+        {
+            self.lease_end = self.lease_end.max(*lease_end);
+        }
         match &call.action {
             Action::Start { task, run, .. } => {
                 if self.has_run(task, *run) {
