Forget no run because a list lacks it: stop it first

What callers saw: tasks whose runs had ended as done started again at another worker, and the ends of the first runs were acknowledged later (TWICE).

Cause: an agent sends the last list of its worker's runs again when it reconnects or a heartbeat reports another state. The list may be older than a run that the worker has confirmed.

Change: a run is dropped because a list lacks it only once a stop was confirmed and a later poll does not list it. Lists of a worker that owes an answer count neither as a sign that a run is missing nor that it stands still.

No check was taken out.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -58,8 +58,6 @@
     pub listed_runs: Vec<(Task, u64)>,
     /// Listed runs that belong to no job's current state, and are being stopped.
     pub strays: Vec<Task>,
-    /// When the owner last checked for runs that should be listed and are not.
-    pub missing_checked_at: u64,
     /// Number of the last end that was processed.
     pub last_end: u64,
     /// Number of the last end that was acknowledged to the worker, which then forgets it.
@@ -124,6 +122,13 @@
         now + settings.lease / 4 + settings.lease_margin < self.leases_expire_at
     }
 
+    /// Returns whether the worker's last list of runs shows their present state. An agent sends the
+    /// last list again when it reconnects or the worker's state changes, also while the worker owes
+    /// an answer.
+    pub fn lists_present_runs(&self, settings: &Settings) -> bool {
+        self.fenced && self.link.is_some() && self.silent_ms < settings.answer_overdue
+    }
+
     /// Returns whether runs may start there.
     pub fn accepts_runs(&self, settings: &Settings, now: u64) -> bool {
         CloseReason::of(self, settings, now).is_none()
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -445,6 +445,14 @@
             return;
         }
         placed.phase = Phase::Stopping;
+        self.repeat_stop(id, key, now);
+    }
+
+    /// Sends the order to stop a run again.
+    pub(crate) fn repeat_stop(&mut self, id: &str, key: Key, now: u64) {
+        let Some(placed) = self.jobs.get_mut(id).and_then(|entry| entry.runs.get_mut(&key)) else {
+            return;
+        };
         placed.updated_at = now;
         let (name, worker, run) = (placed.agent.clone(), placed.worker.clone(), placed.run);
         self.send_to_agent(&name, Order::Stop { worker, task: task(id, key), run });
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -80,7 +80,6 @@
         if fenced {
             self.clear_suspects(name, &from, running, stamp);
             self.throttle(name, running);
-            self.remove_missing_runs(name, running, now);
             self.stop_stalled_runs(name, now);
         }
         if first_answer {
@@ -255,30 +254,6 @@
         self.send_to_agent(name, Order::Stop { worker: from.clone(), task: task.clone(), run });
     }
 
-    /// Drops runs that the worker has not listed for `missing_timeout`.
-    fn remove_missing_runs(&mut self, name: &str, running: &[Run], now: u64) {
-        let bound = self.settings.missing_timeout;
-        let Some(agent) = self.agents.get_mut(name) else { return };
-        // The scan covers all runs and statuses arrive with each end, so it is rate-limited.
-        if now < agent.missing_checked_at + bound / 10 {
-            return;
-        }
-        agent.missing_checked_at = now;
-        let overdue = self.runs_where(|placed| {
-            placed.agent == name
-                && placed.phase != Phase::Starting
-                && now >= placed.updated_at + bound
-        });
-        for (job, key) in overdue {
-            let listed = running.iter().any(|run| run.task == task(&job, key));
-            if !listed {
-                let detail = format!("{key:?} at {name}{}", self.lease_detail(name, now));
-                self.log("run missing", &job, detail);
-                self.remove_run(&job, key);
-            }
-        }
-    }
-
     /// Applies one end that a worker lists. Ends are numbered; each is applied once.
     fn on_end(&mut self, name: &str, from: &Incarnation, end: &End, now: u64) {
         let Some(agent) = self.agents.get_mut(name) else { return };
--- a/crates/dispatch/src/stalled_runs.rs
+++ b/crates/dispatch/src/stalled_runs.rs
@@ -5,6 +5,7 @@
 use quincewheel_job::Step;
 use quincewheel_policy as policy;
 
+use crate::agent::Agent;
 use crate::entry::{Key, Phase, Placement};
 use crate::owner::Owner;
 
@@ -12,6 +13,10 @@
     /// Stops stalled runs on a worker, so that they start elsewhere, and prefers other workers
     /// for a while.
     pub(crate) fn stop_stalled_runs(&mut self, name: &str, now: u64) {
+        let present = |agent: &Agent| agent.lists_present_runs(&self.settings);
+        if !self.agents.get(name).is_some_and(present) {
+            return;
+        }
         let mut found = Vec::new();
         for (id, entry) in &self.jobs {
             for (key, placed) in entry.runs.iter().filter(|(_, placed)| placed.agent == name) {
--- a/crates/dispatch/tests/crashing_pool/mod.rs
+++ b/crates/dispatch/tests/crashing_pool/mod.rs
@@ -160,9 +160,10 @@
         }
     }
 
-    /// Executes the owner's starts at once; tasks of `crashing_jobs` crash their worker.
+    /// Executes the owner's orders at once; tasks of `crashing_jobs` crash their worker.
     pub fn execute_orders(&mut self) {
         let mut started: Vec<(u64, Task, u64)> = Vec::new();
+        let mut stopped: Vec<(u64, Task, u64)> = Vec::new();
         for output in self.harness.owner.take_outputs() {
             match output {
                 Output::Send { link, order } => {
@@ -170,6 +171,8 @@
                         self.starts.push(task.to_string());
                         self.start_agents.push(link);
                         started.push((link, task, run));
+                    } else if let Order::Stop { task, run, .. } = order {
+                        stopped.push((link, task, run));
                     }
                 }
                 Output::ListMachines => self.send_machine_list(),
@@ -179,6 +182,11 @@
                 _ => {}
             }
         }
+        for (number, task, run) in stopped {
+            if !self.is_down(number) {
+                self.stop(number, task, run);
+            }
+        }
         for (number, task, run) in started.clone() {
             let running = harness::run(task.clone(), run);
             self.running[number as usize].push(running);
@@ -198,6 +206,15 @@
         }
     }
 
+    /// Confirms the stop of a run that the worker does not have. Others go on: no task here makes
+    /// progress, so the owner would move it again and again.
+    fn stop(&mut self, number: u64, task: Task, run: u64) {
+        let listed = |known: &Run| known.task == task && known.number == run;
+        if !self.running[number as usize].iter().any(listed) {
+            self.harness.owner.on_notice(number, Notice::Stopped { task, run }, self.harness.now);
+        }
+    }
+
     /// Crashes a worker just after these starts.
     pub fn crash(&mut self, number: u64, starts: Vec<(Task, u64)>) {
         self.crashes += 1;
