Restart a run taken for over only while the table confirms the owner

What callers saw: two runs of a task at once, or a start of a task after its run had ended as done and the end was acknowledged (TWICE).

Cause: an owner that is cut off from the table and from some agents takes their runs for over once the leases that it granted have ended, or once the platform's list lacks the worker, and starts the tasks at agents that still follow it. It does not know that another entry has taken over since, has renewed those leases, or has recorded the ends.

The entry writes at once for this, so the wait is one write of a healthy table. An owner without the table no longer restarts what it lost from sight.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -22,6 +22,9 @@
     pub progress: Progress,
     /// Runs that may exist, by task.
     pub runs: BTreeMap<Key, Placement>,
+    /// When a run was last taken for over at an agent without a connection; 0 for never. Nothing of
+    /// the job starts before the table has confirmed the ownership since.
+    pub assumed_over_at: u64,
     /// Since when the job has had no runs; none while it has any.
     pub idle_since: Option<u64>,
     /// The newest checkpoint of each task. A gang has one, at index 0.
--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -97,7 +97,12 @@
     /// A list of several pages is not a consistent snapshot: a machine that is removed between two
     /// pages may shift another one out of both. So a worker must be missing from two such lists in
     /// a row. A list without any machine is ignored.
-    pub(crate) fn on_machine_list(&mut self, machines: &[Machine], pages: usize, sent: u64) {
+    pub(crate) fn on_machine_list(
+        &mut self,
+        machines: &[Machine],
+        pages: usize,
+        (sent, now): (u64, u64),
+    ) {
         if machines.is_empty() {
             return;
         }
@@ -114,7 +119,7 @@
         for (name, worker) in ended {
             self.log("worker gone", &name, format!("{worker} is not listed any more"));
             self.attribute_crash(&name);
-            self.end_incarnation(&name, &worker, "is gone", self.now);
+            self.end_incarnation(&name, &worker, "is gone", now);
             self.replan = true;
         }
         if pages == 1 {
--- a/crates/dispatch/src/maintenance.rs
+++ b/crates/dispatch/src/maintenance.rs
@@ -155,10 +155,16 @@
     ///
     /// A machine whose entry cannot be parsed still exists and keeps its last known state. If it
     /// were dropped, its wave would be reported as complete before its turn.
-    pub fn on_machines(&mut self, machines: Vec<Machine>, complete: bool, pages: usize, sent: u64) {
+    pub fn on_machines(
+        &mut self,
+        machines: Vec<Machine>,
+        complete: bool,
+        pages: usize,
+        (sent, now): (u64, u64),
+    ) {
         if complete {
             self.maintenance.machines.clear();
-            self.on_machine_list(&machines, pages, sent);
+            self.on_machine_list(&machines, pages, (sent, now));
         }
         let by_name = machines.into_iter().map(|machine| (machine.name.clone(), machine));
         self.maintenance.machines.extend(by_name);
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -143,9 +143,13 @@
             let covered =
                 |placed: &Placement| placed.agent == name && now >= placed.started_at + bound;
             let lease = self.lease_detail(&name, now);
+            let follows = self.follows_owner(&name, now);
             for (id, key) in self.runs_where(covered) {
                 self.log("run lapsed", &id, format!("{key:?} at {name}{lease}"));
-                self.remove_run(&id, key);
+                match follows {
+                    true => self.remove_run(&id, key),
+                    false => self.assume_over(&id, key, now),
+                }
             }
         }
     }
@@ -154,10 +158,19 @@
     fn expire_dismissed(&mut self, now: u64) {
         for (id, key) in self.runs_where(|placed| self.dismissal.has_lapsed(&placed.agent, now)) {
             self.log("run lapsed", &id, format!("{key:?}: its agent was dismissed"));
-            self.remove_run(&id, key);
+            self.assume_over(&id, key, now);
         }
     }
 
+    /// Returns whether the agent has told this owner lately what it knows, so that it followed no
+    /// later owner.
+    pub(crate) fn follows_owner(&self, name: &str, now: u64) -> bool {
+        let told = |agent: &Agent| {
+            agent.link.is_some() && now <= agent.last_notice_at + self.settings.quorum_age
+        };
+        self.agents.get(name).is_some_and(told)
+    }
+
     /// Returns whether the agent has an open connection.
     pub fn is_connected(&self, agent: &str) -> bool {
         self.agents.get(agent).is_some_and(|agent| agent.link.is_some())
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -61,6 +61,8 @@
     pub(crate) dismissal: Dismissal,
     /// Stray runs, which belong to no job's current state, and when their stop was ordered.
     pub(crate) stray_stops: BTreeMap<(Task, u64), u64>,
+    /// The latest [`Entry::assumed_over_at`] of all jobs.
+    pub(crate) assumed_over_at: u64,
     /// Jobs whose progress has changed since it was last recorded.
     pub(crate) dirty: BTreeSet<Id>,
     /// Whether the dirty jobs include a change of state that clients wait for.
@@ -158,6 +160,7 @@
             links: BTreeMap::new(),
             dismissal: Dismissal::default(),
             stray_stops: BTreeMap::new(),
+            assumed_over_at: 0,
             dirty: BTreeSet::new(),
             dirty_urgent: false,
             times: Persisted::new(0),
@@ -249,6 +252,7 @@
             version,
             progress: progress.unwrap_or_default(),
             runs: BTreeMap::new(),
+            assumed_over_at: 0,
             idle_since: None,
             checkpoints: BTreeMap::new(),
             checkpoints_dirty: false,
@@ -297,9 +301,15 @@
 
     /// Records that the table confirmed the ownership in answer to a request sent at `sent`.
     pub fn confirm_ownership(&mut self, sent: u64) {
+        self.replan |= self.needs_confirmation() && sent >= self.assumed_over_at;
         self.confirmed_at = self.confirmed_at.max(sent);
     }
 
+    /// Returns whether work waits for the table to confirm the ownership.
+    pub fn needs_confirmation(&self) -> bool {
+        self.confirmed_at < self.assumed_over_at
+    }
+
     /// Returns whether no other entry can have taken over yet. Every candidate waits for a fixed
     /// minimum time after the last write of the owner's row that it has seen, and its claim
     /// succeeds only if that row is unchanged.
@@ -458,6 +468,20 @@
         self.send_to_agent(&name, Order::Stop { worker, task: task(id, key), run });
     }
 
+    /// Removes a run that is taken for over without a word of its worker or its agent.
+    ///
+    /// If another entry has taken over, the agent may have reported to that one since: its worker's
+    /// lease may have been renewed, and the run may be done. An owner that the table does not answer
+    /// and whose connection to the agent is lost would not know. So the task waits until the table
+    /// has confirmed that there was no other owner up to now.
+    pub(crate) fn assume_over(&mut self, id: &str, key: Key, now: u64) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.assumed_over_at = now;
+            self.assumed_over_at = now;
+        }
+        self.remove_run(id, key);
+    }
+
     /// Removes a run that no longer exists, and marks its ended job for a record if this was
     /// the last one.
     pub(crate) fn remove_run(&mut self, id: &str, key: Key) {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -116,9 +116,12 @@
     }
 
     /// Returns whether all runs of a job are known. Tasks of older jobs may run already, started by a
-    /// previous owner, which is known only once all agents have reported.
+    /// previous owner, which is known only once all agents have reported, or by a later one, until
+    /// the table confirms that there is none.
     pub(crate) fn is_accounted_for(&self, entry: &Entry) -> bool {
-        self.settled || entry.version > self.claim_version
+        let by_predecessor = !self.settled && entry.version <= self.claim_version;
+        let by_successor = self.confirmed_at < entry.assumed_over_at;
+        !by_predecessor && !by_successor
     }
 
     /// Returns whether capacity is reserved for the candidate under its team's guarantee.
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -126,9 +126,13 @@
         self.forget_worker(from);
         let ended = self.runs_where(|placed| placed.agent == name && placed.worker == *from);
         let lease = self.lease_detail(name, now);
+        let follows = self.follows_owner(name, now);
         for (job, key) in ended {
             self.log("run lost", &job, format!("{key:?}: worker at {name} {how}{lease}"));
-            self.remove_run(&job, key);
+            match follows {
+                true => self.remove_run(&job, key),
+                false => self.assume_over(&job, key, now),
+            }
         }
     }
 
--- a/crates/dispatch/tests/crashing_pool/mod.rs
+++ b/crates/dispatch/tests/crashing_pool/mod.rs
@@ -237,7 +237,8 @@
             ..Machine::default()
         };
         let machines = (0..self.incarnations.len() as u64).map(machine).collect();
-        self.harness.owner.on_machines(machines, true, 1, self.harness.now);
+        let now = self.harness.now;
+        self.harness.owner.on_machines(machines, true, 1, (now, now));
     }
 
     /// Returns the number of starts of a job's tasks, and whether its end is recorded.
--- a/crates/dispatch/tests/machine_list.rs
+++ b/crates/dispatch/tests/machine_list.rs
@@ -53,7 +53,7 @@
 
 /// Delivers a complete list of one page, and returns the owner's orders.
 fn deliver_list(harness: &mut Harness, workers: &[&str]) -> String {
-    harness.owner.on_machines(machines(workers), true, 1, harness.now);
+    harness.owner.on_machines(machines(workers), true, 1, (harness.now, harness.now));
     harness.tick();
     harness.take_orders()
 }
@@ -89,7 +89,7 @@
         let new_orders = harness.take_orders();
         let new_orders = new_orders.lines().filter(|line| *line != "nothing");
         orders.extend(new_orders.map(|line| format!("{} ms: {line}", harness.now - begin)));
-        harness.owner.on_machines(machines(&["i0", "i1"]), true, 1, harness.now);
+        harness.owner.on_machines(machines(&["i0", "i1"]), true, 1, (harness.now, harness.now));
     }
     assert_snapshot!(orders.join("\n"), @r"
     100 ms: list
@@ -111,16 +111,16 @@
     report_connection_refused(&mut harness);
     harness.advance(100);
     harness.take_orders();
-    harness.owner.on_machines(machines(&["", "i1"]), true, 1, before);
-    harness.owner.on_machines(machines(&["", "i1"]), false, 1, harness.now);
-    harness.owner.on_machines(Vec::new(), true, 1, harness.now);
+    harness.owner.on_machines(machines(&["", "i1"]), true, 1, (before, harness.now));
+    harness.owner.on_machines(machines(&["", "i1"]), false, 1, (harness.now, harness.now));
+    harness.owner.on_machines(Vec::new(), true, 1, (harness.now, harness.now));
     harness.tick();
     let rejected = harness.take_orders();
     // A list of two pages counts only if a second read agrees with the first.
-    harness.owner.on_machines(machines(&["", "i1"]), true, 2, harness.now);
+    harness.owner.on_machines(machines(&["", "i1"]), true, 2, (harness.now, harness.now));
     harness.tick();
     let first_read = harness.take_orders();
-    harness.owner.on_machines(machines(&["", "i1"]), true, 2, harness.now);
+    harness.owner.on_machines(machines(&["", "i1"]), true, 2, (harness.now, harness.now));
     harness.tick();
     assert_snapshot!(format!("{rejected}\n{first_read}\n{}", harness.take_orders()), @r"
     nothing
@@ -163,7 +163,12 @@
         let new_orders: Vec<&str> = new_orders.lines().filter(|line| *line != "nothing").collect();
         orders.extend(new_orders.iter().map(|line| format!("{} ms: {line}", harness.now - begin)));
         if new_orders.contains(&"list") {
-            harness.owner.on_machines(machines(&["i0", "i1", ""]), true, 1, harness.now);
+            harness.owner.on_machines(
+                machines(&["i0", "i1", ""]),
+                true,
+                1,
+                (harness.now, harness.now),
+            );
         }
     }
     assert_snapshot!(orders.join("\n"), @r"
@@ -182,7 +187,12 @@
         for number in 0..2 {
             harness.deliver(number, Notice::Ping { stamp: harness.now, silent: 0 });
         }
-        harness.owner.on_machines(machines(&["i0", "i1", "i2"]), true, 1, harness.now);
+        harness.owner.on_machines(
+            machines(&["i0", "i1", "i2"]),
+            true,
+            1,
+            (harness.now, harness.now),
+        );
         orders += &harness.take_orders().replace("list", "").replace("nothing", "");
     }
     let settled = |owner: &Owner| owner.is_settled();
@@ -204,7 +214,7 @@
     let worker = Some(quincewheel_job::Worker { id: "j0".into(), ..harness::worker(0) });
     harness.deliver(0, Notice::Status { stamp, worker, fenced: false, running, ended });
     harness.take_orders();
-    harness.owner.on_machines(machines(&["", "i1"]), true, 1, requested_at);
+    harness.owner.on_machines(machines(&["", "i1"]), true, 1, (requested_at, harness.now));
     harness.tick();
     assert_snapshot!(format!("{:?}", harness.record().departed), @"[]");
 }
--- a/crates/dispatch/tests/maintenance.rs
+++ b/crates/dispatch/tests/maintenance.rs
@@ -24,7 +24,7 @@
         worker: format!("i{number}"),
     };
     let machines = conditions.iter().enumerate().map(machine).collect();
-    harness.owner.on_machines(machines, true, 1, harness.now);
+    harness.owner.on_machines(machines, true, 1, (harness.now, harness.now));
 }
 
 /// Returns the record of a wave that a previous owner began.
@@ -229,7 +229,7 @@
     advance(&mut harness, 3000, 2);
     harness.owner.add_wave(&wave(2, 2, 60_000), None, harness.now);
     let first = Machine { name: "m0".into(), condition: Condition::Up, worker: "i0".into() };
-    harness.owner.on_machines(vec![first.clone()], false, 1, harness.now);
+    harness.owner.on_machines(vec![first.clone()], false, 1, (harness.now, harness.now));
     harness.tick();
     harness.owner.on_take_down(1, "m0", TakeDownResult::Begun, harness.now);
     advance(&mut harness, 500, 2);
@@ -238,7 +238,7 @@
     harness.tick();
     harness.owner.on_take_down(1, "m1", TakeDownResult::Begun, harness.now);
     // m1 was known before, so it still counts beside an entry that cannot be read.
-    harness.owner.on_machines(vec![first], false, 1, harness.now);
+    harness.owner.on_machines(vec![first], false, 1, (harness.now, harness.now));
     harness.tick();
     assert_snapshot!(format!("{unread}\n--\n{}", harness.take_orders()));
 }
--- a/crates/entry/src/site/machines.rs
+++ b/crates/entry/src/site/machines.rs
@@ -58,7 +58,8 @@
     match machines.list(CALL_TIMEOUT).await {
         Ok(listed) => {
             if let Some(owner) = shared.owner.borrow_mut().as_mut() {
-                owner.on_machines(listed.machines, listed.complete, listed.page_count, sent_at);
+                let times = (sent_at, quincewheel_clock::boot());
+                owner.on_machines(listed.machines, listed.complete, listed.page_count, times);
             }
         }
         Err(error) => log::warn!(event = "machines"; "{error}"),
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -49,6 +49,7 @@
         let due = shared.owner.borrow().as_ref().is_some_and(|owner| {
             let unconfirmed = !shared.unconfirmed_jobs.borrow().is_empty();
             unconfirmed
+                || owner.needs_confirmation()
                 || owner.has_urgent_changes()
                 || (owner.has_unrecorded() && now >= last_write_at + BATCH_DELAY_MS)
                 || now >= last_write_at + RENEWAL_INTERVAL_MS
