Reproduce second starts after a stale heartbeat to a restarted agent

A worker crashed, and its next incarnation runs two tasks. Its agent's process restarts, and the first heartbeat that it hears is one of the former incarnation, delayed by a cut. It reports that incarnation as its worker, without a reply to a poll, and the owner drops all runs of the current one at once: two tasks start at another worker in the same millisecond. Later the first runs are listed as done, and acknowledged.

--- a/crates/runner/tests/ended_incarnations.rs
+++ b/crates/runner/tests/ended_incarnations.rs
@@ -79,3 +79,32 @@
     let second = orders.lines().filter(|line| line.contains("w1 start")).count();
     assert_snapshot!(format!("w0 {first}, w1 {second}"), @"w0 8, w1 8");
 }
+
+// Guards against a second start of all tasks of a worker whose agent restarted and first hears a
+// delayed heartbeat of the worker's former incarnation.
+#[test]
+fn a_stale_heartbeat_to_a_restarted_agent_ends_no_run() {
+    let mut sim = Simulation::new(1, 2);
+    sim.accepts_records = true;
+    for number in 0..2 {
+        sim.send_heartbeat(number);
+        sim.connect(number);
+    }
+    sim.advance(1000);
+    sim.replace_worker(0);
+    sim.advance(1000);
+    sim.owner.add_job("a", job(2), 150, None);
+    sim.advance(1000);
+    sim.forget_agent_state(0);
+    sim.deliver_stale_heartbeat(0);
+    sim.connect(0);
+    sim.advance(100);
+    sim.finish_runs(0, "a");
+    sim.send_heartbeat(0);
+    sim.advance(2000);
+    assert!(sim.owner.has_ended("a"), "the ends were not recorded");
+    assert_snapshot!(sim.take_orders(), @r"
+    2100 ms: w0 start a.0.0.0 run 1
+    2100 ms: w0 start a.0.0.1 run 1
+    ");
+}
--- a/crates/runner/tests/simulation/mod.rs
+++ b/crates/runner/tests/simulation/mod.rs
@@ -196,11 +196,16 @@
 
     /// Restarts an agent's process while its worker runs on.
     pub fn restart_agent(&mut self, number: usize) {
+        self.forget_agent_state(number);
+        self.send_heartbeat(number);
+        self.connect(number);
+    }
+
+    /// Restarts an agent's process, which has heard no heartbeat and has no connection yet.
+    pub fn forget_agent_state(&mut self, number: usize) {
         self.nodes[number].runner = Runner::new(Settings::default());
         self.nodes[number].calls.clear();
         self.owner.on_disconnected(number as u64);
-        self.send_heartbeat(number);
-        self.connect(number);
     }
 
     /// The current runs of all workers, one line each.
