Drop a worker's former runs only once its next incarnation has answered

What callers saw: tasks started a second time at another worker, although their first runs went on or had ended as done (TWICE).

Cause: a restarted agent knows no incarnation of its worker. The first heartbeat that it hears may be a delayed one of a former incarnation. It reports that one, as not fenced, and the owner took every other incarnation there for ended at once.

Change: the owner drops the runs of other incarnations when the reported one has answered a poll, which proves that it is current. A worker that answers is polled within milliseconds of its first heartbeat; runs at one that does not answer wait for their lease, as runs at any silent worker.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -22,6 +22,9 @@
     pub reconciled: bool,
     /// Whether the worker has answered under this owner's epoch on the open connection.
     pub fenced: bool,
+    /// Whether the worker has not answered since it was first reported, so that it may have ended,
+    /// and another incarnation may be current.
+    pub unverified: bool,
     /// Whether a previous owner may have granted leases through this agent.
     pub predecessor_leases: bool,
     /// When the last lease granted through this agent expires.
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -38,6 +38,7 @@
         if new_incarnation {
             // A machine list requested before this incarnation started cannot name it.
             agent.unresponsive_since = None;
+            agent.unverified = true;
             agent.last_end = 0;
             agent.acknowledged_end = 0;
             agent.consecutive_failures = 0;
@@ -60,6 +61,7 @@
         agent.worker = Some(worker);
         agent.fenced = fenced;
         agent.reconciled |= fenced;
+        let verified = fenced && std::mem::take(&mut agent.unverified);
         agent.listed_runs = running.iter().map(|run| (run.task.clone(), run.number)).collect();
         self.replan |= !std::mem::take(&mut agent.strays).is_empty();
         // A worker that broke its connections is schedulable again once it answers.
@@ -68,7 +70,7 @@
             self.replan = true;
         }
         previous.iter().for_each(|worker| self.forget_worker(worker));
-        if new_incarnation {
+        if verified {
             self.remove_previous_runs(name, &from, now);
         }
         for end in ended {
@@ -87,7 +89,8 @@
         }
     }
 
-    /// Drops the runs of the worker's previous incarnations, which ended with them.
+    /// Drops the runs of the worker's previous incarnations, which ended with them. Called once this
+    /// one has answered: a restarted agent may hear a delayed heartbeat of a former one first.
     ///
     /// Calls to a worker name it by id only. A start that the previous incarnation never listed
     /// may have reached the current one, or may still reach it. Its task would run twice if it
