Send an acknowledgement again after a lost connection

A worker listed ends that were recorded, and was polled for them three times a second, until its next end.

Cause: the owner notes an end as acknowledged when it is recorded, also while it has no connection to the agent, and an order on a connection that breaks is lost. The end's number is not above the last one that was noted, so nothing was sent again.

Evidence: the new test in acknowledgements.rs failed (nothing was sent) and passes.

Change: with the first answer on a connection, the last acknowledgement is sent again, as pending starts and stops are.

--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -85,6 +85,7 @@
             self.stop_stalled_runs(name, now);
         }
         if first_answer {
+            self.resend_acknowledgement(name, &from);
             self.resend_orders(name, &from, now);
         }
     }
@@ -139,6 +140,16 @@
         }
     }
 
+    /// Sends the last acknowledgement of ends again after a reconnect, since it may have been lost
+    /// with the previous connection.
+    fn resend_acknowledgement(&mut self, name: &str, from: &Incarnation) {
+        let Some(agent) = self.agents.get(name) else { return };
+        let (worker, number) = (from.clone(), agent.acknowledged_end);
+        if number > 0 {
+            self.send_to_agent(name, Order::Seen { worker, number });
+        }
+    }
+
     /// Sends pending orders again after a reconnect, since they may have been lost with the
     /// previous connection. Starts and stops are idempotent.
     fn resend_orders(&mut self, name: &str, from: &Incarnation, now: u64) {
