Check starts between an end and its acknowledgement in the soak

The soak's checker looked at acknowledged ends only when a start came. A start between the end of a run as done and the acknowledgement of that end was never reported, although the rule TWICE rules it out unless the worker's lease lapsed in between. The same held for BUDGET and the ends that are failures.

Starts and ends now have a place in one order, and each acknowledgement looks back at the starts since the end. A worker notes a lapse of its lease when it is called, too: a lapse and the next call could both come between two ticks, and the runs then went on as if the lease had been extended in time.

The new check of the checker, soak_checker, fails if acknowledgements do not look back: of its five cases the two with a start before the acknowledgement report nothing.

--- a/crates/stand-in/tests/soak/checker.rs
+++ b/crates/stand-in/tests/soak/checker.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::fleet::End;
+
 /// A task: job, step, index.
 pub type Task = (String, u32, u32);
 
@@ -48,10 +50,26 @@
 const CRASH_LIMIT: usize = 3;
 const MAX_STARTS_AFTER_CRASHES: usize = 2;
 
+/// A start of a task.
+struct Start {
+    task: Task,
+    /// Worker, incarnation and run.
+    location: (usize, u64, u64),
+    /// Its place in the order of all starts and ends.
+    order: u64,
+}
+
 /// Checks events in the order in which they happen.
 #[derive(Default)]
 pub struct Checker {
     pub jobs: BTreeMap<String, Job>,
+    /// Number of starts and ends so far.
+    event_count: u64,
+    /// All starts, by the key under which ends are counted.
+    all_starts: BTreeMap<Task, Vec<Start>>,
+    /// Failures that were acknowledged before the worker's lease lapsed: their places in the order
+    /// of all starts and ends, sorted, and their runs.
+    valid_failures: BTreeMap<Task, BTreeSet<(u64, u64)>>,
     /// Where each task runs: worker, incarnation and run.
     running: BTreeMap<Task, (usize, u64, u64)>,
     /// Tasks that ended as `done`, with the end acknowledged to the worker as recorded.
@@ -75,11 +93,20 @@
         (task.0.clone(), task.1, if gang { 0 } else { task.2 })
     }
 
+    /// Returns the place of a new event in the order of all starts and ends.
+    pub fn count_event(&mut self) -> u64 {
+        self.event_count += 1;
+        self.event_count
+    }
+
     /// Records that a worker starts a run.
     pub fn on_start(&mut self, worker: usize, incarnation: u64, task: &Task, run: u64, spec: &str) {
         self.starts += 1;
         let location = (worker, incarnation, run);
         let slot = self.slot(task);
+        let order = self.count_event();
+        let start = Start { task: task.clone(), location, order };
+        self.all_starts.entry(slot.clone()).or_default().push(start);
         let Some(job) = self.jobs.get(&task.0) else {
             return self.report(format!("UNASKED {task:?}: nobody submitted the job"));
         };
@@ -154,14 +181,62 @@
     }
 
     /// Records that an end was acknowledged to the worker as recorded.
-    pub fn on_end_recorded(&mut self, task: &Task, done: bool, failed: bool) {
-        if done {
-            self.recorded_done.insert(task.clone());
+    pub fn on_end_recorded(&mut self, end: &End) {
+        if end.how == "done" {
+            self.recorded_done.insert(end.task.clone());
         }
-        if failed {
-            let slot = self.slot(task);
+        if end.how == "failed" {
+            let slot = self.slot(&end.task);
             *self.failed.entry(slot).or_default() += 1;
         }
+        if !end.lease_lapsed {
+            self.check_starts_since(end);
+        }
+    }
+
+    /// Checks that nothing was started between an end and its acknowledgement that the end rules
+    /// out. [`Checker::on_start`] checks the starts after the acknowledgement.
+    fn check_starts_since(&mut self, end: &End) {
+        match end.how {
+            "done" => self.check_starts_since_done(end),
+            "failed" => self.check_starts_since_failure(end),
+            _ => {}
+        }
+    }
+
+    fn check_starts_since_done(&mut self, end: &End) {
+        let End { task, run, order, .. } = end;
+        let starts = self.all_starts.get(&self.slot(task)).into_iter().flatten();
+        let later = |start: &&Start| start.task == *task && start.order > *order;
+        let texts: Vec<String> = starts
+            .filter(later)
+            .map(|start| {
+                let location = start.location;
+                format!("TWICE {task:?}: {location:?} after run {run} had ended as done")
+            })
+            .collect();
+        self.violations.extend(texts);
+    }
+
+    fn check_starts_since_failure(&mut self, end: &End) {
+        let slot = self.slot(&end.task);
+        let failures = self.valid_failures.entry(slot.clone()).or_default();
+        failures.insert((end.order, end.run));
+        let Some((order, run)) = failures.iter().nth(MAX_FAILURES as usize - 1).copied() else {
+            return;
+        };
+        let gang = self.jobs.get(&slot.0).is_some_and(|job| job.steps[slot.1 as usize].gang);
+        // Members of a gang share the run, and may start after another member has failed.
+        let later = |start: &&Start| start.order > order && !(gang && start.location.2 == run);
+        let starts = self.all_starts.get(&slot).into_iter().flatten();
+        let texts: Vec<String> = starts
+            .filter(later)
+            .map(|start| {
+                let Start { task, location, .. } = start;
+                format!("BUDGET {task:?}: {location:?} after {MAX_FAILURES} runs had failed")
+            })
+            .collect();
+        self.violations.extend(texts);
     }
 
     /// Records that a worker listed a failure to its agent. It may count from then on: the owner
--- /dev/null
+++ b/crates/stand-in/tests/soak/checker_test.rs
@@ -0,0 +1,90 @@
+//! Checks of the checker itself: starts between an end and its acknowledgement.
+
+use crate::checker::{Job, MAX_FAILURES, Step, SubmitOutcome, Task};
+use crate::fleet::{Fleet, MAX_LEASE_MS};
+use crate::kind::Kind;
+
+const JOB: &str = "job";
+/// The worker whose ends are acknowledged late, and another one.
+const FIRST: usize = 0;
+const SECOND: usize = 1;
+
+/// Runs all checks, and returns what the checker misses or reports without cause.
+pub fn run() -> Vec<String> {
+    let cases = [
+        ("a start after a done end that is acknowledged later", 1, started_after_done(false)),
+        ("the same with a lapse in between", 0, started_after_done(true)),
+        ("a start after the last failure", 1, started_after_failures(false)),
+        ("the same with a lapse in between", 0, started_after_failures(true)),
+        ("a start before a done end", 0, started_before_done()),
+    ];
+    cases
+        .into_iter()
+        .filter(|(_, expected, found)| found.len() != *expected)
+        .map(|(name, expected, found)| format!("{name}: expected {expected}, found {found:?}"))
+        .collect()
+}
+
+/// Guards against missing a second start that comes before the first run's end as done is
+/// acknowledged.
+fn started_after_done(lapses: bool) -> Vec<String> {
+    let mut fleet = fleet(0);
+    run_once(&mut fleet, FIRST, 1);
+    run_once(&mut fleet, SECOND, 2);
+    if lapses {
+        lapse(&mut fleet, FIRST);
+    }
+    fleet.acknowledge(FIRST, 1);
+    fleet.checker.violations
+}
+
+/// Guards against missing a start after as many failures as a task may have, if they are
+/// acknowledged after it.
+fn started_after_failures(lapses: bool) -> Vec<String> {
+    let mut fleet = fleet(1);
+    let failures = u64::from(MAX_FAILURES);
+    (1..=failures).for_each(|run| run_once(&mut fleet, FIRST, run));
+    run_once(&mut fleet, SECOND, failures + 1);
+    if lapses {
+        lapse(&mut fleet, FIRST);
+    }
+    fleet.acknowledge(FIRST, failures);
+    fleet.checker.violations
+}
+
+/// Guards against reporting a task's only start as a second one.
+fn started_before_done() -> Vec<String> {
+    let mut fleet = fleet(0);
+    run_once(&mut fleet, FIRST, 1);
+    fleet.acknowledge(FIRST, 1);
+    fleet.checker.violations
+}
+
+/// Returns a fleet that knows a job of one task, which ends at the first tick.
+fn fleet(fail_interval: u64) -> Fleet {
+    let mut fleet = Fleet::new(2, Kind::Faults);
+    let step = Step { count: 1, accelerators: 1, gang: false, after: Vec::new(), ms: 0 };
+    let job = Job {
+        spec: String::new(),
+        steps: vec![step],
+        submit_outcome: SubmitOutcome::Accepted,
+        cancelled: false,
+        fail_interval,
+        crashes: false,
+    };
+    fleet.checker.jobs.insert(JOB.to_owned(), job);
+    fleet
+}
+
+fn run_once(fleet: &mut Fleet, worker: usize, number: u64) {
+    let task: Task = (JOB.to_owned(), 0, 0);
+    fleet.extend_lease(worker, fleet.now() + MAX_LEASE_MS);
+    fleet.start_run(worker, task, number, "", true);
+    fleet.tick();
+}
+
+/// Lets a worker's lease lapse, and extends it again.
+fn lapse(fleet: &mut Fleet, worker: usize) {
+    fleet.workers[worker].lease = 0;
+    fleet.extend_lease(worker, fleet.now() + MAX_LEASE_MS);
+}
--- a/crates/stand-in/tests/soak/fleet.rs
+++ b/crates/stand-in/tests/soak/fleet.rs
@@ -49,6 +49,10 @@
     pub how: &'static str,
     /// It was in a reply to a poll.
     pub listed: bool,
+    /// Its place in the order of all starts and ends.
+    pub order: u64,
+    /// The worker's lease has lapsed since.
+    pub lease_lapsed: bool,
 }
 
 /// One worker.
@@ -224,10 +228,11 @@
 
     /// Handles the acknowledgement of all ends up to `seen` as recorded.
     pub fn acknowledge(&mut self, index: usize, seen: u64) {
+        self.apply_lapse(index);
         let ended = std::mem::take(&mut self.workers[index].ended);
         for end in ended {
             if end.number <= seen {
-                self.checker.on_end_recorded(&end.task, end.how == "done", end.how == "failed");
+                self.checker.on_end_recorded(&end);
             } else {
                 self.workers[index].ended.push(end);
             }
@@ -256,13 +261,34 @@
         }
     }
 
+    /// Extends a worker's lease. It never gets shorter.
+    pub fn extend_lease(&mut self, index: usize, lease_end: u64) {
+        self.apply_lapse(index);
+        let worker = &mut self.workers[index];
+        worker.lease = worker.lease.max(lease_end);
+    }
+
+    /// Ends all runs of a worker whose lease has lapsed. An acknowledgement that comes after a lapse
+    /// does not count for the ends before it, even if the lease was extended in between.
+    fn apply_lapse(&mut self, index: usize) {
+        if self.now() < self.workers[index].lease {
+            return;
+        }
+        self.workers[index].ended.iter_mut().for_each(|end| end.lease_lapsed = true);
+        let runs: Vec<(Task, u64)> =
+            self.workers[index].runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
+        for (task, run) in runs {
+            self.end_run(index, &task, run, "lapsed");
+        }
+    }
+
     /// Advances the simulation: gangs become complete, runs end, leases lapse.
     pub fn tick(&mut self) {
         let now = self.now();
         self.mark_complete_gangs(now);
         self.crash_workers(now);
         for index in 0..self.workers.len() {
-            let lapsed = now >= self.workers[index].lease;
+            self.apply_lapse(index);
             let runs: Vec<(Task, Run)> = self.workers[index]
                 .runs
                 .iter()
@@ -271,7 +297,7 @@
             for (task, run) in runs {
                 let failing = run.started_at < self.workers[index].fails_until
                     && now >= run.started_at + FAILURE_DELAY_MS;
-                let how = match self.end_reason(&task, &run, lapsed, now) {
+                let how = match self.end_reason(&task, &run, now) {
                     None if failing => Some("failed"),
                     how => how,
                 };
@@ -321,13 +347,12 @@
         }
     }
 
-    fn end_reason(&self, task: &Task, run: &Run, lapsed: bool, now: u64) -> Option<&'static str> {
+    fn end_reason(&self, task: &Task, run: &Run, now: u64) -> Option<&'static str> {
         let job = self.checker.jobs.get(&task.0)?;
         let step = &job.steps[task.1 as usize];
         let fails = job.fail_interval > 0
             && (run.number + u64::from(task.2)).is_multiple_of(job.fail_interval);
         match run.working_since {
-            _ if lapsed => Some("lapsed"),
             _ if run.stops_at.is_some_and(|at| now >= at) => Some("stopped"),
             None => (now >= run.started_at + GANG_TIMEOUT_MS).then_some("alone"),
             Some(working_since) if now >= working_since + step.ms => {
@@ -378,7 +403,15 @@
         }
         worker.runs.remove(task);
         worker.next_end += 1;
-        let end = End { number: worker.next_end, task: task.clone(), run, how, listed: false };
+        let end = End {
+            number: worker.next_end,
+            task: task.clone(),
+            run,
+            how,
+            listed: false,
+            order: self.checker.count_event(),
+            lease_lapsed: false,
+        };
         worker.ended.push(end);
         let highest = worker.highest_ended.entry(task.clone()).or_default();
         *highest = run.max(*highest);
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -20,6 +20,7 @@
 
 mod bad_calls;
 mod checker;
+mod checker_test;
 mod client;
 mod cut_off;
 mod deployment;
@@ -78,6 +79,8 @@
 const LOAD_SEEDS: [u64; 2] = [44, 4_501];
 /// Name of the run in which one entry at a time is cut off from the table.
 const CUT_OFF_TEST: &str = "soak_cut_off";
+/// Name of the checks of the checker itself.
+const CHECKER_TEST: &str = "soak_checker";
 /// Seconds for which faults are injected unless an option sets it.
 const DEFAULT_SECONDS: u64 = 8;
 
@@ -137,6 +140,9 @@
         named && !skipped.iter().any(|part| name.contains(part))
     };
     let mut failed = Vec::new();
+    if runs_ci_seeds && chosen(CHECKER_TEST) {
+        report(CHECKER_TEST, &checker_test::run(), &mut failed);
+    }
     if runs_ci_seeds && chosen(CUT_OFF_TEST) {
         report(CUT_OFF_TEST, &cut_off::run(), &mut failed);
     }
--- a/crates/stand-in/tests/soak/worker.rs
+++ b/crates/stand-in/tests/soak/worker.rs
@@ -213,8 +213,8 @@
 /// Extends the lease. It never gets shorter, nor longer than [`MAX_LEASE_MS`].
 fn extend(fleet: &mut Fleet, index: usize, lease_end: u64) {
     let max_lease_end = fleet.now() + MAX_LEASE_MS;
-    let worker = &mut fleet.workers[index];
-    worker.lease = worker.lease.max((lease_end + worker.started_at).min(max_lease_end));
+    let lease_end = lease_end + fleet.workers[index].started_at;
+    fleet.extend_lease(index, lease_end.min(max_lease_end));
 }
 
 fn poll_reply(fleet: &mut Fleet, index: usize) -> Value {
