Let workers shut down gracefully in the soak, with long overlapping faults

The soak had graceful shutdowns of no worker, and few faults longer than 4 s.

The new kind, departures, has workers that drain, give notice and end, crashes, worker connections that are silent, one-way or reset, refused and late calls, paused and killed processes, broken connections to the table and a queue that operators remove. A worker that is down refuses connections, as an ended process does; proxies could only reset them. Steps are wide and their tasks last up to 4 s.

--- a/crates/stand-in/tests/soak/checker.rs
+++ b/crates/stand-in/tests/soak/checker.rs
@@ -84,6 +84,9 @@
     crashed: BTreeMap<Task, (usize, usize)>,
     pub violations: Vec<String>,
     pub starts: u64,
+    /// Starts of tasks that had ended as `done`. They break a rule only if such an end is
+    /// acknowledged before a lapse of the worker's lease.
+    pub repeats: u64,
 }
 
 impl Checker {
@@ -105,6 +108,8 @@
         let location = (worker, incarnation, run);
         let slot = self.slot(task);
         let order = self.count_event();
+        let done = self.finished.get(&(task.0.clone(), task.1));
+        self.repeats += u64::from(done.is_some_and(|indices| indices.contains(&task.2)));
         let start = Start { task: task.clone(), location, order };
         self.all_starts.entry(slot.clone()).or_default().push(start);
         let Some(job) = self.jobs.get(&task.0) else {
--- a/crates/stand-in/tests/soak/client.rs
+++ b/crates/stand-in/tests/soak/client.rs
@@ -38,6 +38,8 @@
     random: StdRng,
     /// Some jobs crash the workers that start them.
     crashing_jobs: bool,
+    /// Steps are wide, and their tasks small and long.
+    wide_steps: bool,
 }
 
 impl Client {
@@ -48,9 +50,15 @@
             entries: entries.to_vec(),
             random: StdRng::seed_from_u64(seed),
             crashing_jobs: false,
+            wide_steps: false,
         }
     }
 
+    /// Gives its jobs steps of small and long tasks, several of which run at one worker.
+    pub fn with_wide_steps(self, wide_steps: bool) -> Client {
+        Client { wide_steps, ..self }
+    }
+
     /// Makes one in [`CRASHING_JOB_RATIO`] of its jobs crash the workers that start it.
     pub fn with_crashing_jobs(self, crashing_jobs: bool) -> Client {
         Client { crashing_jobs, ..self }
@@ -214,12 +222,22 @@
     }
 
     fn step(&mut self, number: u32) -> Step {
+        let after = if number > 0 { vec![number - 1] } else { Vec::new() };
+        if self.wide_steps {
+            return Step {
+                count: self.random.random_range(2..=5),
+                accelerators: 1,
+                gang: self.random.random_bool(0.15),
+                after,
+                ms: self.random.random_range(500..4000),
+            };
+        }
         let gang = self.random.random_bool(0.4);
         Step {
             count: self.random.random_range(1..=3),
             accelerators: 1 << self.random.random_range(0..4),
             gang,
-            after: if number > 0 { vec![number - 1] } else { Vec::new() },
+            after,
             ms: self.random.random_range(200..1500),
         }
     }
--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -8,6 +8,7 @@
 use std::{fs, thread};
 
 use crate::bad_calls;
+use crate::checker::Checker;
 use crate::client::{Accepted, Client};
 use crate::fault::{self, Fault};
 use crate::fleet::Fleet;
@@ -20,6 +21,7 @@
 use crate::settings::{name, program, settings};
 use crate::table::{self, Table, TableFault};
 use crate::worker;
+use crate::worker_log::WorkerLog;
 use futures_util::future::join_all;
 use quincewheel_http::Server;
 
@@ -83,6 +85,8 @@
     TableService,
     Capacity(usize),
     Zone(usize),
+    WorkerLink(usize),
+    Queue,
 }
 
 impl Deployment {
@@ -100,7 +104,9 @@
         deployment.wait_for_jobs(&jobs, seed);
         deployment.check_processes();
         let checker = &mut deployment.fleet.lock().unwrap().checker;
-        let line = format!("{accepted} jobs accepted, {} starts", checker.starts);
+        let Checker { starts, repeats, .. } = checker;
+        let line =
+            format!("{accepted} jobs accepted, {starts} starts, {repeats} of tasks that were done");
         let mut violations = std::mem::take(&mut checker.violations);
         if checker.starts == 0 {
             violations.push("nothing was served".to_owned());
@@ -110,7 +116,11 @@
     }
 
     pub fn open(folder: &Path, kind: Kind, logs: Option<&Path>) -> Deployment {
-        let fleet = Arc::new(Mutex::new(Fleet::new(WORKERS, kind)));
+        let mut fleet = Fleet::new(WORKERS, kind);
+        if let Some(folder) = logs {
+            fleet.log = WorkerLog::open(folder).unwrap();
+        }
+        let fleet = Arc::new(Mutex::new(fleet));
         let (net, table, server) = Deployment::claim_addresses();
         let (address, mut servers) = (net.own(TABLE_HOST, net::TABLE), vec![server]);
         let list = net.own(TABLE_HOST, net::MACHINES);
@@ -193,7 +203,10 @@
             .then(|| self.spawn_flood(&entries, seed ^ (CLIENTS << 32), Arc::clone(&stop)));
         let prober = self.spawn_key_prober(&entries, seed, Arc::clone(&stop));
         let begin = Instant::now();
-        let mut faults = fault::draw(seed, seconds, ENTRIES + WORKERS, WORKERS);
+        let mut faults = match kind.departs() {
+            true => fault::draw_departures(seed, seconds, ENTRIES, WORKERS),
+            false => fault::draw(seed, seconds, ENTRIES + WORKERS, WORKERS),
+        };
         if kind.harms_workers() {
             faults.extend(fault::draw_shrinks(seed, seconds, WORKERS));
         }
@@ -278,7 +291,9 @@
         thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let crashing_jobs = kind.harms_workers();
-                let mut client = Client::new(&entries, seed).with_crashing_jobs(crashing_jobs);
+                let mut client = Client::new(&entries, seed)
+                    .with_crashing_jobs(crashing_jobs)
+                    .with_wide_steps(kind.departs());
                 let mut paths = Vec::new();
                 while !stop.load(Ordering::Relaxed) {
                     let key = keys.lock().unwrap().current.clone();
@@ -388,6 +403,21 @@
                     self.kill(owner, down);
                 }
             }
+            Fault::Drain { worker, serves, down } => {
+                self.fleet.lock().unwrap().drain(worker, serves, down)
+            }
+            Fault::WorkerLink { worker, mode, ms } => {
+                self.fleet.lock().unwrap().link_modes[worker] = mode;
+                self.repairs.push((after(ms), Repair::WorkerLink(worker)));
+            }
+            Fault::RefuseCalls { worker, polls_only, ms } => {
+                self.fleet.lock().unwrap().refuse_calls(worker, polls_only, ms)
+            }
+            Fault::DelayCalls { worker, ms } => self.fleet.lock().unwrap().delay_calls(worker, ms),
+            Fault::RemoveQueue { ms } => {
+                self.set_queue_removed(true);
+                self.repairs.push((after(ms), Repair::Queue));
+            }
             Fault::RotateKey => self.rotate_keys(),
             Fault::Evacuate { zone, .. } if self.is_evacuated(zone) => {}
             Fault::Evacuate { zone, ms } => {
@@ -401,6 +431,12 @@
         }
     }
 
+    /// Removes a queue or adds it again, as operators do.
+    fn set_queue_removed(&self, removed: bool) {
+        let config = self.keys.lock().unwrap().set_queue_removed(removed);
+        self.table.lock().unwrap().put("op", "config", &config);
+    }
+
     /// Returns the index of the entry that the table names as owner.
     fn owner(&self) -> Option<usize> {
         let row = self.table.lock().unwrap().value(SYSTEM_TABLE, "owner")?;
@@ -451,7 +487,9 @@
             | Repair::PeerLinks(_)
             | Repair::TableService
             | Repair::Capacity(_)
-            | Repair::Zone(_) => false,
+            | Repair::Zone(_)
+            | Repair::WorkerLink(_)
+            | Repair::Queue => false,
         })
     }
 
@@ -496,6 +534,10 @@
             Repair::PeerLinks(process) => self.to_peers[process].set(Mode::Pass),
             Repair::Capacity(worker) => self.fleet.lock().unwrap().resize(worker, 0),
             Repair::Zone(zone) => self.evacuate(zone, false),
+            Repair::WorkerLink(worker) => {
+                self.fleet.lock().unwrap().link_modes[worker] = Mode::Pass
+            }
+            Repair::Queue => self.set_queue_removed(false),
             Repair::TableService => self.table.lock().unwrap().fault = TableFault::None,
         }
     }
--- a/crates/stand-in/tests/soak/fault.rs
+++ b/crates/stand-in/tests/soak/fault.rs
@@ -39,6 +39,18 @@
     FailStarts { worker: usize, ms: u64 },
     /// The entry that owns the deployment is killed, and started again after `down` milliseconds.
     KillOwner { down: u64 },
+    /// A worker reports that it drains, goes on serving for `serves` milliseconds, gives notice and
+    /// ends. Another one is at its address after `down` milliseconds.
+    Drain { worker: usize, serves: u64, down: u64 },
+    /// The connections of an agent to its worker are disturbed, while the worker runs on.
+    WorkerLink { worker: usize, mode: Mode, ms: u64 },
+    /// A worker refuses polls, or all calls, for `ms` milliseconds.
+    RefuseCalls { worker: usize, polls_only: bool, ms: u64 },
+    /// Every other call to a worker gets no reply in time for `ms` milliseconds, and is carried out
+    /// later.
+    DelayCalls { worker: usize, ms: u64 },
+    /// Operators remove one of the two queues for `ms` milliseconds.
+    RemoveQueue { ms: u64 },
     /// A worker loses `lost` accelerators for `ms` milliseconds.
     Shrink { worker: usize, lost: u64, ms: u64 },
 }
@@ -95,6 +107,56 @@
     times.map(|at| (at, draw_one(&mut random))).collect()
 }
 
+/// Pauses after which an agent reports what it knew before, while its worker's lease still runs.
+const NEAR_LEASE_MS: std::ops::Range<u64> = 4800..6200;
+
+/// Draws the faults of runs in which workers leave. About eight overlap in the densest runs, about
+/// three in the others.
+pub fn draw_departures(
+    seed: u64,
+    seconds: u64,
+    entries: usize,
+    workers: usize,
+) -> Vec<(u64, Fault)> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let interval = [300, 450, 700, 1000][random.random_range(0..4)];
+    let times = (500..seconds * 1000).step_by(interval);
+    times.map(|at| (at, draw_departure(&mut random, entries, workers))).collect()
+}
+
+fn draw_departure(random: &mut StdRng, entries: usize, workers: usize) -> Fault {
+    let worker = random.random_range(0..workers);
+    let process = random.random_range(0..entries + workers);
+    let entry = random.random_range(0..entries);
+    let ms = random.random_range(300..8000);
+    let down = random.random_range(300..3000);
+    match random.random_range(0..24) {
+        0..=3 => Fault::Drain { worker, serves: random.random_range(1000..8000), down },
+        4 | 5 => Fault::RestartWorker { worker, down },
+        6..=8 => {
+            let mode = [Mode::Silent, Mode::OneWay, Mode::Reset][random.random_range(0..3)];
+            Fault::WorkerLink { worker, mode, ms: ms.min(7000) }
+        }
+        9 | 21 | 22 => Fault::RefuseCalls { worker, polls_only: random.random_bool(0.7), ms },
+        10 | 11 => Fault::DelayCalls { worker, ms: ms / 2 },
+        12 => Fault::Pause { process: entry, ms },
+        13 => Fault::Pause { process: entries + worker, ms },
+        14 => {
+            let ms = random.random_range(NEAR_LEASE_MS);
+            Fault::Pause { process: entries + worker, ms }
+        }
+        15 | 16 => {
+            let mode = [Mode::Silent, Mode::Reset][random.random_range(0..2)];
+            Fault::TableLink { process, mode, ms }
+        }
+        17 => Fault::PeerLinks { process, mode: proxy_mode(random), ms },
+        18 => Fault::Kill { process: entry, down },
+        19 => Fault::KillOwner { down },
+        20 => Fault::Kill { process: entries + worker, down },
+        _ => Fault::RemoveQueue { ms: ms / 2 },
+    }
+}
+
 /// Draws faults with their times, in milliseconds since the start of the run.
 pub fn draw(seed: u64, seconds: u64, processes: usize, workers: usize) -> Vec<(u64, Fault)> {
     let mut random = StdRng::seed_from_u64(seed);
--- a/crates/stand-in/tests/soak/fleet.rs
+++ b/crates/stand-in/tests/soak/fleet.rs
@@ -6,6 +6,7 @@
 use crate::checker::{Checker, Task};
 use crate::kind::Kind;
 use crate::proxy::{Mode, Proxy};
+use crate::worker_log::WorkerLog;
 
 /// Accelerators of a worker.
 pub const ACCELERATORS: u64 = 8;
@@ -75,6 +76,17 @@
     pub highest_ended: BTreeMap<Task, u64>,
     /// It answers no call until then.
     pub unavailable_until: u64,
+    /// When it gives notice and ends, and for how long nothing is at its address then; only while
+    /// it drains.
+    pub departure: Option<(u64, u64)>,
+    /// It refuses polls until then.
+    pub refuses_polls_until: u64,
+    /// It refuses other calls until then.
+    pub refuses_orders_until: u64,
+    /// Every other call gets no reply in time until then, and is carried out later.
+    pub calls_delayed_until: u64,
+    /// Number of calls while calls are delayed.
+    pub delayed_call_count: u64,
     /// Accelerators that are temporarily lost.
     pub lost_accelerators: u64,
     /// When the capacity last shrank.
@@ -95,21 +107,26 @@
     pub checker: Checker,
     /// The proxy in front of each worker; empty if the run has none.
     pub proxies: Vec<Proxy>,
+    /// What these proxies do while their workers are up.
+    pub link_modes: Vec<Mode>,
+    pub log: WorkerLog,
     kind: Kind,
     /// Availability zones under evacuation, with the time when it started.
     evacuated: BTreeMap<usize, u64>,
 }
 
 impl Fleet {
-    pub fn new(workers: usize, kind: Kind) -> Fleet {
+    pub fn new(worker_count: usize, kind: Kind) -> Fleet {
         let worker = |_| Worker { incarnation: 1, ..Worker::default() };
-        let workers = (0..workers).map(worker).collect();
+        let workers = (0..worker_count).map(worker).collect();
         let (created_at, checker) = (Instant::now(), Checker::default());
         Fleet {
             created_at,
             workers,
             checker,
             proxies: Vec::new(),
+            link_modes: vec![Mode::Pass; worker_count],
+            log: WorkerLog::default(),
             kind,
             evacuated: BTreeMap::new(),
         }
@@ -146,6 +163,42 @@
         self.workers[index].fails_until = self.now() + ms;
     }
 
+    /// Lets a worker drain for `serves` milliseconds and end then, unless it drains already.
+    pub fn drain(&mut self, index: usize, serves: u64, down_ms: u64) {
+        let now = self.now();
+        let worker = &mut self.workers[index];
+        if now >= worker.unavailable_until {
+            worker.departure.get_or_insert((now + serves, down_ms));
+            self.log.write(index, "draining", &format!("for {serves} ms"));
+        }
+    }
+
+    /// Lets a worker refuse polls, or all calls, for `ms` milliseconds.
+    pub fn refuse_calls(&mut self, index: usize, polls_only: bool, ms: u64) {
+        let until = self.now() + ms;
+        let worker = &mut self.workers[index];
+        worker.refuses_polls_until = until;
+        if !polls_only {
+            worker.refuses_orders_until = until;
+        }
+    }
+
+    /// Lets every other call to a worker get no reply in time for `ms` milliseconds.
+    pub fn delay_calls(&mut self, index: usize, ms: u64) {
+        self.workers[index].calls_delayed_until = self.now() + ms;
+    }
+
+    /// Returns whether a call that arrives at a worker now is carried out late.
+    pub fn delays_call(&mut self, index: usize, is_start: bool) -> bool {
+        let now = self.now();
+        let worker = &mut self.workers[index];
+        if now < worker.calls_delayed_until {
+            worker.delayed_call_count += 1;
+            return worker.delayed_call_count.is_multiple_of(2);
+        }
+        is_start && now < worker.starts_delayed_until
+    }
+
     /// Returns the accelerators in use, including those of runs that are being stopped.
     pub fn used(&self, worker: usize) -> u64 {
         self.workers[worker].runs.keys().map(|task| self.need(task)).sum()
@@ -199,6 +252,7 @@
             let text = format!("LIMIT {task:?}: {} and {need} of {room}", self.used(index));
             self.checker.report(text);
         }
+        self.log.write(index, "start", &format!("{task:?} run {number}, on time: {on_time}"));
         self.checker.on_start(index, incarnation, &task, number, spec);
         let run = Run { number, started_at: now, working_since: None, stops_at: None };
         self.workers[index].runs.insert(task, run);
@@ -232,6 +286,7 @@
         let ended = std::mem::take(&mut self.workers[index].ended);
         for end in ended {
             if end.number <= seen {
+                self.log.write(index, "end acknowledged", &format!("{end:?}"));
                 self.checker.on_end_recorded(&end);
             } else {
                 self.workers[index].ended.push(end);
@@ -246,14 +301,15 @@
         let runs = std::mem::take(&mut self.workers[index].runs);
         let started_at = if self.keeps_ids() { now + down_ms } else { 0 };
         let unavailable_until = now + down_ms;
+        self.log.write(index, "down", &format!("incarnation {incarnation}, for {down_ms} ms"));
         self.workers[index] = Worker {
             incarnation: incarnation + 1,
             started_at,
             unavailable_until,
             ..Worker::default()
         };
-        if self.keeps_ids() {
-            self.proxies[index].set(Mode::Reset);
+        if let Some(mode) = self.kind.downtime_mode() {
+            self.proxies[index].set(mode);
         }
         for (task, run) in runs {
             self.checker.on_run_over(index, incarnation, &task, run.number);
@@ -274,7 +330,10 @@
         if self.now() < self.workers[index].lease {
             return;
         }
-        self.workers[index].ended.iter_mut().for_each(|end| end.lease_lapsed = true);
+        for end in self.workers[index].ended.iter_mut().filter(|end| !end.lease_lapsed) {
+            end.lease_lapsed = true;
+            self.log.write(index, "lease lapsed", &format!("{end:?}"));
+        }
         let runs: Vec<(Task, u64)> =
             self.workers[index].runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
         for (task, run) in runs {
@@ -323,9 +382,9 @@
             if !crashing.is_empty() {
                 crashing.iter().for_each(|task| self.checker.on_crash(task));
                 self.restart_worker(index, CRASH_DOWNTIME_MS);
-                self.proxies[index].set(Mode::Reset);
+                self.proxies[index].set(self.kind.downtime_mode().unwrap_or(Mode::Reset));
             } else if now >= self.workers[index].unavailable_until {
-                self.proxies[index].set(Mode::Pass);
+                self.proxies[index].set(self.link_modes[index]);
             }
         }
     }
@@ -412,6 +471,7 @@
             order: self.checker.count_event(),
             lease_lapsed: false,
         };
+        self.log.write(index, "end", &format!("{end:?}"));
         worker.ended.push(end);
         let highest = worker.highest_ended.entry(task.clone()).or_default();
         *highest = run.max(*highest);
--- a/crates/stand-in/tests/soak/keys.rs
+++ b/crates/stand-in/tests/soak/keys.rs
@@ -14,6 +14,8 @@
 pub struct Keys {
     /// The configuration has a second team, whose key is [`FLOOD_KEY`].
     has_flood: bool,
+    /// The queue that is not urgent is removed.
+    queue_removed: bool,
     version: u64,
     pub current: String,
     /// Revoked keys, with the time of the revocation.
@@ -27,9 +29,19 @@
 
     /// Replaces the current key. Returns the configuration to publish, and the revoked key.
     pub fn rotate(&mut self) -> (String, String) {
-        self.version += 1;
-        let current = format!("key-{}", self.version);
+        let current = format!("key-{}", self.version + 1);
         let former = std::mem::replace(&mut self.current, current);
+        (self.next_config(), former)
+    }
+
+    /// Removes the queue that is not urgent, or adds it again. Returns the configuration to publish.
+    pub fn set_queue_removed(&mut self, removed: bool) -> String {
+        self.queue_removed = removed;
+        self.next_config()
+    }
+
+    fn next_config(&mut self) -> String {
+        self.version += 1;
         let route = |name: &str, priority: u32| {
             json!({
                 "name": name, "host": "soak.example", "pathPrefix": format!("/{name}/"),
@@ -37,13 +49,17 @@
                 "sloMs": 1000,
             })
         };
+        let mut routes = vec![route("urgent", 0)];
+        if !self.queue_removed {
+            routes.push(route("calm", 1));
+        }
         let config = json!({
             "version": self.version,
-            "routes": [route("urgent", 0), route("calm", 1)],
+            "routes": routes,
             "services": [{ "name": "pool" }],
             "tenants": self.teams(),
         });
-        (config.to_string(), former)
+        config.to_string()
     }
 
     fn teams(&self) -> Vec<Value> {
--- a/crates/stand-in/tests/soak/kind.rs
+++ b/crates/stand-in/tests/soak/kind.rs
@@ -1,5 +1,7 @@
 //! Kinds of runs.
 
+use crate::proxy::Mode;
+
 /// Which faults a run injects. A seed reproduces a failure only with the kind that it failed with.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -17,6 +19,11 @@
     /// Also, one team submits far more work than fits, workers fail all that they start while they
     /// report themselves healthy, and the owner is killed while gangs wait.
     Load,
+    /// Workers shut down gracefully or crash, and come back under other ids; their calls get no
+    /// reply, resets or refusals while they run on, or are carried out late; processes are paused
+    /// or killed, and connections to the table break. The faults last for seconds, and many
+    /// overlap. Also, the worker faults of [`Kind::Workers`].
+    Departures,
 }
 
 impl Kind {
@@ -28,6 +35,7 @@
             Kind::Restarts => "restarts",
             Kind::Evacuations => "evacuations",
             Kind::Load => "load",
+            Kind::Departures => "departures",
         }
     }
 
@@ -46,6 +54,21 @@
         self == Kind::Evacuations
     }
 
+    /// Returns whether workers leave, and faults last for seconds and overlap.
+    pub fn departs(self) -> bool {
+        self == Kind::Departures
+    }
+
+    /// Returns what happens to the connections of a worker that is down; nothing where it just does
+    /// not reply.
+    pub fn downtime_mode(self) -> Option<Mode> {
+        match self {
+            Kind::Faults | Kind::Workers => None,
+            Kind::Restarts | Kind::Evacuations | Kind::Load => Some(Mode::Reset),
+            Kind::Departures => Some(Mode::Refused),
+        }
+    }
+
     /// Returns whether the deployment is overloaded, with failing workers.
     pub fn overloads(self) -> bool {
         self == Kind::Load
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -6,7 +6,7 @@
 //! that delay, reset, block or block one direction; the table is down, slow,
 //! loses replies or its history; workers crash and restart; keys are revoked. In
 //! the kinds with worker faults, tasks crash the workers that start them, and the
-//! platform lists machines. Faults overlap. Everything that clients and workers
+//! platform lists machines. In one kind workers shut down gracefully. Faults overlap. Everything that clients and workers
 //! observe is checked during the run, and after the faults every accepted job
 //! must end.
 //!
@@ -35,6 +35,7 @@
 mod settings;
 mod table;
 mod worker;
+mod worker_log;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -79,6 +80,8 @@
 const LOAD_SEEDS: [u64; 2] = [44, 4_501];
 /// Name of the run in which one entry at a time is cut off from the table.
 const CUT_OFF_TEST: &str = "soak_cut_off";
+/// Seeds of [`Kind::Departures`] that CI runs.
+const DEPARTURE_SEEDS: [u64; 2] = [7, 12];
 /// Name of the checks of the checker itself.
 const CHECKER_TEST: &str = "soak_checker";
 /// Seconds for which faults are injected unless an option sets it.
@@ -91,7 +94,7 @@
     options.optopt(
         "",
         "kind",
-        "what goes wrong: faults, workers, restarts (the default), evacuations or load",
+        "what goes wrong: faults, workers, restarts (the default), evacuations, load or departures",
         "K",
     );
     options.optopt("", "seconds", "how long faults come", "S");
@@ -111,8 +114,11 @@
         Some("restarts") | None => Kind::Restarts,
         Some("evacuations") => Kind::Evacuations,
         Some("load") => Kind::Load,
+        Some("departures") => Kind::Departures,
         Some(other) => {
-            eprintln!("kind must be faults, workers, restarts, evacuations or load, not {other}");
+            eprintln!(
+                "kind must be faults, workers, restarts, evacuations, load or departures, not {other}"
+            );
             return ExitCode::FAILURE;
         }
     };
@@ -129,7 +135,9 @@
                 RESTART_SEEDS.iter().map(|(seed, seconds)| (*seed, Kind::Restarts, *seconds));
             let zones = EVACUATION_SEEDS.iter().map(|seed| usual(*seed, Kind::Evacuations));
             let load = LOAD_SEEDS.iter().map(|seed| usual(*seed, Kind::Load));
-            faults.chain(crashes).chain(restarts).chain(zones).chain(load).collect()
+            let departures = DEPARTURE_SEEDS.iter().map(|seed| usual(*seed, Kind::Departures));
+            let workers = crashes.chain(restarts).chain(zones).chain(load).chain(departures);
+            faults.chain(workers).collect()
         }
     };
     let runs_ci_seeds = number("seed").is_none() && number("fresh").is_none();
--- a/crates/stand-in/tests/soak/proxy.rs
+++ b/crates/stand-in/tests/soak/proxy.rs
@@ -20,6 +20,8 @@
     OneWay,
     /// Closes connections at once.
     Reset,
+    /// Closes connections and refuses new ones, as if no process listened.
+    Refused,
 }
 
 /// A running proxy.
@@ -36,26 +38,42 @@
 
 /// How often a blocked connection checks whether it may go on.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How often a proxy checks for new connections, and whether it has to refuse them.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(5);
 
 impl Proxy {
     /// Starts a proxy that listens on `from` and connects to `to`.
     pub fn bind(from: &str, to: &str) -> std::io::Result<Proxy> {
-        let listener = TcpListener::bind(from)?;
+        let mut listener = Some(Proxy::listen(from)?);
         let proxy = Proxy { state: Arc::default() };
-        let (running, to) = (proxy.clone(), to.to_owned());
+        let (running, from, to) = (proxy.clone(), from.to_owned(), to.to_owned());
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                running.accept(stream, &to);
+            loop {
+                listener = match (running.mode(), listener) {
+                    (Mode::Refused, _) => None,
+                    (_, None) => Proxy::listen(&from).ok(),
+                    (_, listener) => listener,
+                };
+                match listener.as_ref().map(TcpListener::accept) {
+                    Some(Ok((stream, _))) => running.accept(stream, &to),
+                    _ => thread::sleep(ACCEPT_INTERVAL),
+                }
             }
         });
         Ok(proxy)
     }
 
+    fn listen(address: &str) -> std::io::Result<TcpListener> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    }
+
     /// Changes the mode for new and open connections.
     pub fn set(&self, mode: Mode) {
         let mut state = self.state.lock().unwrap();
         state.mode = mode;
-        if mode == Mode::Reset {
+        if matches!(mode, Mode::Reset | Mode::Refused) {
             for stream in state.open.drain(..) {
                 let _ = stream.shutdown(Shutdown::Both);
             }
@@ -67,7 +85,7 @@
     }
 
     fn accept(&self, client: TcpStream, to: &str) {
-        if self.mode() == Mode::Reset {
+        if matches!(self.mode(), Mode::Reset | Mode::Refused) {
             return;
         }
         let Ok(server) = TcpStream::connect(to) else { return };
@@ -101,7 +119,7 @@
         match self.mode() {
             Mode::Silent => true,
             Mode::OneWay => towards,
-            Mode::Pass | Mode::Delay(_) | Mode::Reset => false,
+            Mode::Pass | Mode::Delay(_) | Mode::Reset | Mode::Refused => false,
         }
     }
 }
--- a/crates/stand-in/tests/soak/worker.rs
+++ b/crates/stand-in/tests/soak/worker.rs
@@ -15,8 +15,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Wall-clock time at the start of a run, in milliseconds since 1970.
 const CLOCK_ORIGIN_MS: u64 = 1_700_000_000_000;
-/// Delay after which a start without a reply is carried out.
-const LATE_START_DELAY: Duration = Duration::from_millis(2500);
+/// Delay after which a call without a reply is carried out.
+const LATE_CALL_DELAY: Duration = Duration::from_millis(2500);
 /// How often a poll that waits for an end checks for one.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -55,7 +55,13 @@
                 tokio::time::sleep(HEARTBEAT_INTERVAL).await;
                 let Some((id, msg)) = report(net, host, index, &mut seq, &fleet) else { continue };
                 let url = format!("http://{}/v1/instances/{id}", net.own(host, REPORTS));
-                let _ = client.put(url).timeout(HEARTBEAT_INTERVAL).send_json(&msg).await;
+                if leaves(&fleet, index) {
+                    // The worker ends with or without a reply.
+                    let _ = client.delete(url).timeout(HEARTBEAT_INTERVAL).send().await;
+                    end_departure(&fleet, index, &id);
+                } else {
+                    let _ = client.put(url).timeout(HEARTBEAT_INTERVAL).send_json(&msg).await;
+                }
             }
         });
     });
@@ -89,9 +95,29 @@
         "labels": ["a", rack],
     });
     add_start_time(&fleet, index, &mut body);
+    if let Some((ends_at, _)) = worker.departure {
+        body["state"] = json!("draining");
+        body["remainingMs"] = json!(ends_at.saturating_sub(fleet.now()));
+    }
     Some((id(&fleet, index), body))
 }
 
+/// Returns whether a worker has drained and gives notice now.
+fn leaves(fleet: &Mutex<Fleet>, index: usize) -> bool {
+    let fleet = fleet.lock().unwrap();
+    fleet.workers[index].departure.is_some_and(|(ends_at, _)| fleet.now() >= ends_at)
+}
+
+/// Ends a worker that has given notice, unless it has crashed since.
+fn end_departure(fleet: &Mutex<Fleet>, index: usize, left: &str) {
+    let mut fleet = fleet.lock().unwrap();
+    if id(&fleet, index) == left
+        && let Some((_, down_ms)) = fleet.workers[index].departure
+    {
+        fleet.restart_worker(index, down_ms);
+    }
+}
+
 /// Adds the start time of a worker if its id does not identify the incarnation.
 fn add_start_time(fleet: &Fleet, index: usize, body: &mut Value) {
     if fleet.keeps_ids() {
@@ -125,13 +151,13 @@
         return reply(503, &json!({}));
     }
     let (late, incarnation) = {
-        let fleet = fleet.lock().unwrap();
-        let worker = &fleet.workers[index];
-        (path == "/v1/run-start" && fleet.now() < worker.starts_delayed_until, worker.incarnation)
+        let mut fleet = fleet.lock().unwrap();
+        let late = fleet.delays_call(index, path == "/v1/run-start");
+        (late, fleet.workers[index].incarnation)
     };
     if late {
-        // The caller has timed out by then. A restarted worker drops the start.
-        tokio::time::sleep(LATE_START_DELAY).await;
+        // The caller has timed out by then. A restarted worker drops the call.
+        tokio::time::sleep(LATE_CALL_DELAY).await;
         if fleet.lock().unwrap().workers[index].incarnation != incarnation {
             return reply(421, &json!({}));
         }
@@ -148,7 +174,11 @@
         tokio::time::sleep(POLL_INTERVAL).await;
         waited += POLL_INTERVAL;
     }
-    reply(200, &poll_reply(&mut fleet.lock().unwrap(), index))
+    let mut fleet = fleet.lock().unwrap();
+    if fleet.workers[index].incarnation != incarnation {
+        return reply(421, &json!({}));
+    }
+    reply(200, &poll_reply(&mut fleet, index))
 }
 
 /// Handles a call, unless it is for another incarnation or fenced off.
@@ -162,7 +192,13 @@
     if expected_id != id(fleet, index) || fleet.now() < fleet.workers[index].unavailable_until {
         return (421, json!({}));
     }
+    let now = fleet.now();
     let worker = &mut fleet.workers[index];
+    let refuses_until =
+        if path == "/v1/hold" { worker.refuses_polls_until } else { worker.refuses_orders_until };
+    if now < refuses_until {
+        return (503, json!({}));
+    }
     let fenced = call.fence < worker.fence;
     worker.fence = worker.fence.max(call.fence);
     match path {
