--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -26,7 +26,7 @@
 use quincewheel_http::Server;
 
 pub const ENTRIES: usize = 3;
-const WORKERS: usize = 6;
+pub const WORKERS: usize = 6;
 /// Their availability zones.
 const ZONES: usize = 2;
 const CLIENTS: u64 = 4;
@@ -68,7 +68,7 @@
     to_table: Vec<Proxy>,
     to_peers: Vec<Proxy>,
     table: Arc<Mutex<Table>>,
-    fleet: Arc<Mutex<Fleet>>,
+    pub fleet: Arc<Mutex<Fleet>>,
     keys: Arc<Mutex<Keys>>,
     /// Repairs of active faults, with the times when they are due.
     repairs: Vec<(Instant, Repair)>,
@@ -244,6 +244,11 @@
         self.to_table[process].set(mode);
     }
 
+    /// Sends a signal to a process.
+    pub fn signal(&self, process: usize, signal: Signal) {
+        self.processes[process].signal(signal);
+    }
+
     /// Returns the current key.
     pub fn key(&self) -> String {
         self.keys.lock().unwrap().current.clone()
@@ -268,7 +273,7 @@
     }
 
     /// Ticks the workers for as long as the run lasts.
-    fn spawn_clock(&self, _stop: Arc<AtomicBool>) -> thread::JoinHandle<()> {
+    pub fn spawn_clock(&self, _stop: Arc<AtomicBool>) -> thread::JoinHandle<()> {
         let fleet = Arc::downgrade(&self.fleet);
         thread::spawn(move || {
             while let Some(fleet) = fleet.upgrade() {
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -30,6 +30,7 @@
 mod kind;
 mod machines;
 mod net;
+mod paused_agents;
 mod process;
 mod proxy;
 mod settings;
@@ -84,6 +85,8 @@
 const DEPARTURE_SEEDS: [u64; 2] = [7, 12];
 /// Name of the checks of the checker itself.
 const CHECKER_TEST: &str = "soak_checker";
+/// Name of the run in which agents are paused for almost a lease.
+const PAUSED_AGENTS_TEST: &str = "soak_paused_agents";
 /// Seconds for which faults are injected unless an option sets it.
 const DEFAULT_SECONDS: u64 = 8;
 
@@ -154,6 +157,9 @@
     if runs_ci_seeds && chosen(CUT_OFF_TEST) {
         report(CUT_OFF_TEST, &cut_off::run(), &mut failed);
     }
+    if runs_ci_seeds && chosen(PAUSED_AGENTS_TEST) {
+        report(PAUSED_AGENTS_TEST, &paused_agents::run(logs.as_deref()), &mut failed);
+    }
     for (seed, kind, usual_seconds) in seeds {
         let name = format!("soak_{}_seed_{seed}", kind.name());
         if chosen(&name) {
