--- a/crates/stand-in/tests/soak/fleet.rs
+++ b/crates/stand-in/tests/soak/fleet.rs
@@ -6,6 +6,7 @@
 use crate::checker::{Checker, Task};
 use crate::kind::Kind;
 use crate::proxy::{Mode, Proxy};
+use crate::worker_log::WorkerLog;
 
 /// Accelerators of a worker.
 pub const ACCELERATORS: u64 = 8;
@@ -49,6 +50,10 @@
     pub how: &'static str,
     /// It was in a reply to a poll.
     pub listed: bool,
+    /// Its place in the order of all starts and ends.
+    pub order: u64,
+    /// The worker's lease has lapsed since.
+    pub lease_lapsed: bool,
 }
 
 /// One worker.
@@ -71,6 +76,17 @@
     pub highest_ended: BTreeMap<Task, u64>,
     /// It answers no call until then.
     pub unavailable_until: u64,
+    /// When it gives notice and ends, and for how long nothing is at its address then; only while
+    /// it drains.
+    pub departure: Option<(u64, u64)>,
+    /// It refuses polls until then.
+    pub refuses_polls_until: u64,
+    /// It refuses other calls until then.
+    pub refuses_orders_until: u64,
+    /// Every other call gets no reply in time until then, and is carried out later.
+    pub calls_delayed_until: u64,
+    /// Number of calls while calls are delayed.
+    pub delayed_call_count: u64,
     /// Accelerators that are temporarily lost.
     pub lost_accelerators: u64,
     /// When the capacity last shrank.
@@ -91,21 +107,26 @@
     pub checker: Checker,
     /// The proxy in front of each worker; empty if the run has none.
     pub proxies: Vec<Proxy>,
+    /// What these proxies do while their workers are up.
+    pub link_modes: Vec<Mode>,
+    pub log: WorkerLog,
     kind: Kind,
     /// Availability zones under evacuation, with the time when it started.
     evacuated: BTreeMap<usize, u64>,
 }
 
 impl Fleet {
-    pub fn new(workers: usize, kind: Kind) -> Fleet {
+    pub fn new(worker_count: usize, kind: Kind) -> Fleet {
         let worker = |_| Worker { incarnation: 1, ..Worker::default() };
-        let workers = (0..workers).map(worker).collect();
+        let workers = (0..worker_count).map(worker).collect();
         let (created_at, checker) = (Instant::now(), Checker::default());
         Fleet {
             created_at,
             workers,
             checker,
             proxies: Vec::new(),
+            link_modes: vec![Mode::Pass; worker_count],
+            log: WorkerLog::default(),
             kind,
             evacuated: BTreeMap::new(),
         }
@@ -142,6 +163,42 @@
         self.workers[index].fails_until = self.now() + ms;
     }
 
+    /// Lets a worker drain for `serves` milliseconds and end then, unless it drains already.
+    pub fn drain(&mut self, index: usize, serves: u64, down_ms: u64) {
+        let now = self.now();
+        let worker = &mut self.workers[index];
+        if now >= worker.unavailable_until {
+            worker.departure.get_or_insert((now + serves, down_ms));
+            self.log.write(index, "draining", &format!("for {serves} ms"));
+        }
+    }
+
+    /// Lets a worker refuse polls, or all calls, for `ms` milliseconds.
+    pub fn refuse_calls(&mut self, index: usize, polls_only: bool, ms: u64) {
+        let until = self.now() + ms;
+        let worker = &mut self.workers[index];
+        worker.refuses_polls_until = until;
+        if !polls_only {
+            worker.refuses_orders_until = until;
+        }
+    }
+
+    /// Lets every other call to a worker get no reply in time for `ms` milliseconds.
+    pub fn delay_calls(&mut self, index: usize, ms: u64) {
+        self.workers[index].calls_delayed_until = self.now() + ms;
+    }
+
+    /// Returns whether a call that arrives at a worker now is carried out late.
+    pub fn delays_call(&mut self, index: usize, is_start: bool) -> bool {
+        let now = self.now();
+        let worker = &mut self.workers[index];
+        if now < worker.calls_delayed_until {
+            worker.delayed_call_count += 1;
+            return worker.delayed_call_count.is_multiple_of(2);
+        }
+        is_start && now < worker.starts_delayed_until
+    }
+
     /// Returns the accelerators in use, including those of runs that are being stopped.
     pub fn used(&self, worker: usize) -> u64 {
         self.workers[worker].runs.keys().map(|task| self.need(task)).sum()
@@ -195,6 +252,7 @@
             let text = format!("LIMIT {task:?}: {} and {need} of {room}", self.used(index));
             self.checker.report(text);
         }
+        self.log.write(index, "start", &format!("{task:?} run {number}, on time: {on_time}"));
         self.checker.on_start(index, incarnation, &task, number, spec);
         let run = Run { number, started_at: now, working_since: None, stops_at: None };
         self.workers[index].runs.insert(task, run);
@@ -224,10 +282,12 @@
 
     /// Handles the acknowledgement of all ends up to `seen` as recorded.
     pub fn acknowledge(&mut self, index: usize, seen: u64) {
+        self.apply_lapse(index);
         let ended = std::mem::take(&mut self.workers[index].ended);
         for end in ended {
             if end.number <= seen {
-                self.checker.on_end_recorded(&end.task, end.how == "done", end.how == "failed");
+                self.log.write(index, "end acknowledged", &format!("{end:?}"));
+                self.checker.on_end_recorded(&end);
             } else {
                 self.workers[index].ended.push(end);
             }
@@ -241,14 +301,15 @@
         let runs = std::mem::take(&mut self.workers[index].runs);
         let started_at = if self.keeps_ids() { now + down_ms } else { 0 };
         let unavailable_until = now + down_ms;
+        self.log.write(index, "down", &format!("incarnation {incarnation}, for {down_ms} ms"));
         self.workers[index] = Worker {
             incarnation: incarnation + 1,
             started_at,
             unavailable_until,
             ..Worker::default()
         };
-        if self.keeps_ids() {
-            self.proxies[index].set(Mode::Reset);
+        if let Some(mode) = self.kind.downtime_mode() {
+            self.proxies[index].set(mode);
         }
         for (task, run) in runs {
             self.checker.on_run_over(index, incarnation, &task, run.number);
@@ -256,13 +317,37 @@
         }
     }
 
+    /// Extends a worker's lease. It never gets shorter.
+    pub fn extend_lease(&mut self, index: usize, lease_end: u64) {
+        self.apply_lapse(index);
+        let worker = &mut self.workers[index];
+        worker.lease = worker.lease.max(lease_end);
+    }
+
+    /// Ends all runs of a worker whose lease has lapsed. An acknowledgement that comes after a lapse
+    /// does not count for the ends before it, even if the lease was extended in between.
+    fn apply_lapse(&mut self, index: usize) {
+        if self.now() < self.workers[index].lease {
+            return;
+        }
+        for end in self.workers[index].ended.iter_mut().filter(|end| !end.lease_lapsed) {
+            end.lease_lapsed = true;
+            self.log.write(index, "lease lapsed", &format!("{end:?}"));
+        }
+        let runs: Vec<(Task, u64)> =
+            self.workers[index].runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
+        for (task, run) in runs {
+            self.end_run(index, &task, run, "lapsed");
+        }
+    }
+
     /// Advances the simulation: gangs become complete, runs end, leases lapse.
     pub fn tick(&mut self) {
         let now = self.now();
         self.mark_complete_gangs(now);
         self.crash_workers(now);
         for index in 0..self.workers.len() {
-            let lapsed = now >= self.workers[index].lease;
+            self.apply_lapse(index);
             let runs: Vec<(Task, Run)> = self.workers[index]
                 .runs
                 .iter()
@@ -271,7 +356,7 @@
             for (task, run) in runs {
                 let failing = run.started_at < self.workers[index].fails_until
                     && now >= run.started_at + FAILURE_DELAY_MS;
-                let how = match self.end_reason(&task, &run, lapsed, now) {
+                let how = match self.end_reason(&task, &run, now) {
                     None if failing => Some("failed"),
                     how => how,
                 };
@@ -297,9 +382,9 @@
             if !crashing.is_empty() {
                 crashing.iter().for_each(|task| self.checker.on_crash(task));
                 self.restart_worker(index, CRASH_DOWNTIME_MS);
-                self.proxies[index].set(Mode::Reset);
+                self.proxies[index].set(self.kind.downtime_mode().unwrap_or(Mode::Reset));
             } else if now >= self.workers[index].unavailable_until {
-                self.proxies[index].set(Mode::Pass);
+                self.proxies[index].set(self.link_modes[index]);
             }
         }
     }
@@ -321,13 +406,12 @@
         }
     }
 
-    fn end_reason(&self, task: &Task, run: &Run, lapsed: bool, now: u64) -> Option<&'static str> {
+    fn end_reason(&self, task: &Task, run: &Run, now: u64) -> Option<&'static str> {
         let job = self.checker.jobs.get(&task.0)?;
         let step = &job.steps[task.1 as usize];
         let fails = job.fail_interval > 0
             && (run.number + u64::from(task.2)).is_multiple_of(job.fail_interval);
         match run.working_since {
-            _ if lapsed => Some("lapsed"),
             _ if run.stops_at.is_some_and(|at| now >= at) => Some("stopped"),
             None => (now >= run.started_at + GANG_TIMEOUT_MS).then_some("alone"),
             Some(working_since) if now >= working_since + step.ms => {
@@ -378,7 +462,16 @@
         }
         worker.runs.remove(task);
         worker.next_end += 1;
-        let end = End { number: worker.next_end, task: task.clone(), run, how, listed: false };
+        let end = End {
+            number: worker.next_end,
+            task: task.clone(),
+            run,
+            how,
+            listed: false,
+            order: self.checker.count_event(),
+            lease_lapsed: false,
+        };
+        self.log.write(index, "end", &format!("{end:?}"));
         worker.ended.push(end);
         let highest = worker.highest_ended.entry(task.clone()).or_default();
         *highest = run.max(*highest);
