Judge runs by a list as of when the worker gave it

What callers saw: the second starts that soak_paused_agents shows with real processes: an agent that was paused for 5 s reconnects and sends the list from before its pause, and the owner takes younger runs for missing and for standing still.

Cause: a status does not say how old its list is; the owner took each for the worker's answer now. A worker that refuses polls as busy while it confirms starts is not silent either, so silence is no measure of a list's age.

Change: a status carries when the worker last answered a poll. A run is unlisted only if that is later than the last sign of the run; stalled runs, survived starts and the last sign of a listed run are reckoned as of then. This replaces the check of the worker's silence that came with the stop of unlisted runs.

Statuses of former agents lack the time and count as fresh, as before.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -57,6 +57,8 @@
     pub shutdown_requested: bool,
     /// For how long an answer of the worker has been overdue, in milliseconds.
     pub silent_ms: u64,
+    /// When the worker last listed its runs in answer to a poll, by the owner's clock.
+    pub listed_at: u64,
     /// The runs that the worker listed in its last status.
     pub listed_runs: Vec<(Task, u64)>,
     /// Listed runs that belong to no job's current state, and are being stopped.
@@ -125,13 +127,6 @@
         now + settings.lease / 4 + settings.lease_margin < self.leases_expire_at
     }
 
-    /// Returns whether the worker's last list of runs shows their present state. An agent sends the
-    /// last list again when it reconnects or the worker's state changes, also while the worker owes
-    /// an answer.
-    pub fn lists_present_runs(&self, settings: &Settings) -> bool {
-        self.fenced && self.link.is_some() && self.silent_ms < settings.answer_overdue
-    }
-
     /// Returns whether runs may start there.
     pub fn accepts_runs(&self, settings: &Settings, now: u64) -> bool {
         CloseReason::of(self, settings, now).is_none()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod estimator;
 mod evacuation;
 mod learned;
+mod list;
 mod listing;
 mod maintenance;
 mod members;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -14,6 +14,7 @@
 use crate::entry::{Entry, Key, Phase, Placement};
 use crate::estimator::Estimator;
 use crate::evacuation::EvacuationState;
+use crate::list::List;
 use crate::listing::Listing;
 use crate::maintenance::Maintenance;
 use crate::output::Output;
@@ -340,9 +341,12 @@
                 let crash = SuspectedCrash { worker, likely, possible };
                 self.on_connections_broken(&name, crash)
             }
-            Notice::Status { stamp, worker, fenced, running, ended } => {
+            Notice::Status { stamp, worker, fenced, listed_at, running, ended } => {
                 self.grant_lease(&name, link, stamp, 0, now);
-                self.on_status(&name, worker, fenced, (&running, &ended), (stamp, now));
+                let age = listed_at.map_or(0, |at| stamp.saturating_sub(at));
+                let list =
+                    List { running: &running, ended: &ended, at: stamp.saturating_sub(age), age };
+                self.on_status(&name, worker, fenced, &list, now);
             }
             Notice::Survived { task, run } => self.on_survived(&task, run),
             Notice::Started { task, run } => self.on_started(&task, run, now),
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -4,21 +4,23 @@
 use quincewheel_wire::{Order, Refused};
 
 use crate::entry::{Key, Phase, Placement, Sampled};
+use crate::list::List;
 use crate::owner::{Owner, task};
 use crate::refusals::Refusals;
 
 impl Owner {
     /// Applies an agent's status: its worker, what runs there, and ends not yet acknowledged.
     ///
-    /// `stamp` is the agent's clock when it sent the status, `now` is the owner's.
     pub(crate) fn on_status(
         &mut self,
         name: &str,
         worker: Option<Worker>,
         fenced: bool,
-        (running, ended): (&[Run], &[End]),
-        (stamp, now): (u64, u64),
+        list: &List<'_>,
+        now: u64,
     ) {
+        let List { running, ended, at, age } = *list;
+        let listed_at = now.saturating_sub(age);
         let crashed = |worker: &Worker| self.follows_crash(name, &worker.incarnation());
         if worker.as_ref().is_some_and(crashed) {
             self.attribute_crash(name);
@@ -62,6 +64,9 @@
         agent.fenced = fenced;
         agent.reconciled |= fenced;
         let verified = fenced && std::mem::take(&mut agent.unverified);
+        if fenced {
+            agent.listed_at = listed_at;
+        }
         agent.listed_runs = running.iter().map(|run| (run.task.clone(), run.number)).collect();
         self.replan |= !std::mem::take(&mut agent.strays).is_empty();
         // A worker that broke its connections is schedulable again once it answers.
@@ -77,12 +82,12 @@
             self.on_end(name, &from, end, now);
         }
         for run in running {
-            self.on_listed_run(name, &from, run, now);
+            self.on_listed_run(name, &from, run, (listed_at, now));
         }
         if fenced {
-            self.clear_suspects(name, &from, running, stamp);
+            self.clear_suspects(name, &from, running, at);
             self.throttle(name, running);
-            self.stop_stalled_runs(name, now);
+            self.stop_stalled_runs(name, (listed_at, now));
         }
         if first_answer {
             self.resend_acknowledgement(name, &from);
@@ -182,8 +187,14 @@
         }
     }
 
-    /// Applies one run that a worker lists.
-    fn on_listed_run(&mut self, name: &str, from: &Incarnation, run: &Run, now: u64) {
+    /// Applies one run that a worker listed at `listed_at` by the owner's clock.
+    fn on_listed_run(
+        &mut self,
+        name: &str,
+        from: &Incarnation,
+        run: &Run,
+        (listed_at, now): (u64, u64),
+    ) {
         let key = task_key(&run.task);
         let Some(entry) = self.jobs.get_mut(&run.task.job) else {
             return self.stop_stray(name, from, &run.task, run.number, now);
@@ -202,7 +213,7 @@
         let mut passes_half = false;
         match entry.runs.get_mut(&key) {
             Some(placed) if placed.worker == *from && placed.run == run.number => {
-                placed.updated_at = now;
+                placed.updated_at = placed.updated_at.max(listed_at);
                 placed.confirmed_at.get_or_insert(now);
                 passes_half = placed.update_progress(run.percent, now);
                 if placed.phase == Phase::Starting {
--- a/crates/dispatch/src/stalled_runs.rs
+++ b/crates/dispatch/src/stalled_runs.rs
@@ -5,24 +5,19 @@
 use quincewheel_job::Step;
 use quincewheel_policy as policy;
 
-use crate::agent::Agent;
 use crate::entry::{Key, Phase, Placement};
 use crate::owner::Owner;
 
 impl Owner {
-    /// Stops stalled runs on a worker, so that they start elsewhere, and prefers other workers
-    /// for a while.
-    pub(crate) fn stop_stalled_runs(&mut self, name: &str, now: u64) {
-        let present = |agent: &Agent| agent.lists_present_runs(&self.settings);
-        if !self.agents.get(name).is_some_and(present) {
-            return;
-        }
+    /// Stops runs on a worker that had stalled when it listed them at `listed_at`, so that they start
+    /// elsewhere, and prefers other workers for a while.
+    pub(crate) fn stop_stalled_runs(&mut self, name: &str, (listed_at, now): (u64, u64)) {
         let mut found = Vec::new();
         for (id, entry) in &self.jobs {
             for (key, placed) in entry.runs.iter().filter(|(_, placed)| placed.agent == name) {
                 let Some(step) = entry.step(*key) else { continue };
                 let progressed_at = entry.unit_progressed_at(placed);
-                if is_stalled(step, placed, progressed_at, now) {
+                if is_stalled(step, placed, progressed_at, listed_at) {
                     found.push((id.clone(), *key));
                 }
             }
@@ -53,8 +48,8 @@
 
 /// Returns whether a run has stalled. `progressed_at` is when any run of its unit last made
 /// progress: a member of a gang that has finished and waits for the others has not stalled.
-fn is_stalled(step: &Step, placed: &Placement, progressed_at: u64, now: u64) -> bool {
-    let stalled_ms = now.saturating_sub(progressed_at);
+fn is_stalled(step: &Step, placed: &Placement, progressed_at: u64, listed_at: u64) -> bool {
+    let stalled_ms = listed_at.saturating_sub(progressed_at);
     placed.phase == Phase::Running
         && !step.perpetual
         && policy::is_stalled(step.estimate, stalled_ms)
--- a/crates/dispatch/src/unlisted_runs.rs
+++ b/crates/dispatch/src/unlisted_runs.rs
@@ -46,12 +46,14 @@
         missing.map(|(id, (key, _))| (id.clone(), *key)).collect()
     }
 
-    /// Returns whether the run's worker answers and its last list does not contain the run.
+    /// Returns whether the run's worker answers, and has listed its runs without this one since the
+    /// last sign of it. A list that an agent sends again may be older than the run.
     fn is_unlisted(&self, id: &str, key: Key, placed: &Placement) -> bool {
         let Some(agent) = self.agents.get(&placed.agent) else { return false };
         let current =
             agent.worker.as_ref().is_some_and(|worker| worker.is_incarnation(&placed.worker));
         let run = (task(id, key), placed.run);
-        current && agent.lists_present_runs(&self.settings) && !agent.listed_runs.contains(&run)
+        let listed_since = agent.fenced && placed.updated_at <= agent.listed_at;
+        current && agent.link.is_some() && listed_since && !agent.listed_runs.contains(&run)
     }
 }
--- a/crates/dispatch/tests/capacity.rs
+++ b/crates/dispatch/tests/capacity.rs
@@ -12,7 +12,10 @@
     let capacity = Resources { accelerators, ..worker(0).capacity };
     let worker = Some(Worker { capacity, ..worker(0) });
     let (stamp, running, ended) = (harness.now, running.to_vec(), Vec::new());
-    harness.deliver(0, Notice::Status { stamp, worker, fenced: true, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+    );
 }
 
 // Work waited beside a worker that had capacity again: its capacity shrinks and grows, and nothing
@@ -50,7 +53,10 @@
         Some(Worker { capacity: Resources { accelerators: 4, ..worker(0).capacity }, ..worker(0) }),
     );
     let (running, ended) = (runs[1..].to_vec(), ended.to_vec());
-    harness.deliver(0, Notice::Status { stamp, worker, fenced: true, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+    );
     assert_snapshot!(format!("{before_end}\n{}", harness.take_orders()), @r"
     nothing
     w0 start b.0.0.0 run 1
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -164,8 +164,14 @@
     let made = pool.harness.take_logs();
     let draining = Worker { draining: true, ..harness::worker(0) };
     let (stamp, running) = (pool.harness.now, pool.listed(0));
-    let notice =
-        Notice::Status { stamp, worker: Some(draining), fenced: true, running, ended: Vec::new() };
+    let notice = Notice::Status {
+        listed_at: None,
+        stamp,
+        worker: Some(draining),
+        fenced: true,
+        running,
+        ended: Vec::new(),
+    };
     pool.silent.push(0);
     pool.harness.deliver(0, notice);
     pool.advance(1500);
--- a/crates/dispatch/tests/crash_reports.rs
+++ b/crates/dispatch/tests/crash_reports.rs
@@ -72,7 +72,10 @@
     }
     let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
     let worker = Some(Worker { id: "i0-2".into(), ..harness::worker(0) });
-    harness.deliver(0, Notice::Status { stamp, worker, fenced: false, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+    );
     assert_snapshot!(format!("{suspected:?}\n{}", harness.take_logs()), @r"
     [2, 1]
     crash suspected a: a.0.0.0 run 1 at w0, likely cause, one of 1: 1 likely, 1 in all
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -193,7 +193,10 @@
     pool.harness.deliver(number, Notice::Left { worker });
     let worker = Some(Worker { id: "next".into(), ..harness::worker(number) });
     let (stamp, running, ended) = (pool.harness.now, Vec::new(), Vec::new());
-    pool.harness.deliver(number, Notice::Status { stamp, worker, fenced: false, running, ended });
+    pool.harness.deliver(
+        number,
+        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+    );
     assert_snapshot!(pool.harness.take_logs(), @"nothing");
 }
 
@@ -210,10 +213,16 @@
     let starts = vec![(harness::task("a", 0, 0), 1)];
     harness.deliver(0, Notice::Broke { worker: "i0".into(), starts, possible: Vec::new() });
     let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
-    harness.deliver(0, Notice::Status { stamp, worker: None, fenced: false, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker: None, fenced: false, running, ended },
+    );
     let worker = Some(Worker { id: "i0-2".into(), ..harness::worker(0) });
     let (running, ended) = (Vec::new(), Vec::new());
-    harness.deliver(0, Notice::Status { stamp, worker, fenced: false, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+    );
     assert_snapshot!(
         harness.take_logs(),
         @"crash suspected a: a.0.0.0 run 1 at w0, likely cause, one of 1: 1 likely, 1 in all"
@@ -340,7 +349,10 @@
     // The first member's worker restarted; the second member waits for it.
     let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
     let other = Some(Worker { id: "i0-2".into(), ..harness::worker(0) });
-    harness.deliver(0, Notice::Status { stamp, worker: other, fenced: false, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker: other, fenced: false, running, ended },
+    );
     for _ in 0..3 {
         harness.advance(1000);
         harness.report_status(1, &[harness::run(harness::task("a", 0, 1), 1)], &[]);
@@ -349,7 +361,10 @@
     harness.deliver(1, Notice::Broke { worker: "i1".into(), starts, possible: Vec::new() });
     let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
     let other = Some(Worker { id: "i1-2".into(), ..harness::worker(1) });
-    harness.deliver(1, Notice::Status { stamp, worker: other, fenced: false, running, ended });
+    harness.deliver(
+        1,
+        Notice::Status { listed_at: None, stamp, worker: other, fenced: false, running, ended },
+    );
     assert_snapshot!(
         harness.take_logs(),
         @"crash suspected a: a.0.0.1 run 1 at w1, likely cause, one of 1: 1 likely, 1 in all"
--- a/crates/dispatch/tests/crashing_pool/mod.rs
+++ b/crates/dispatch/tests/crashing_pool/mod.rs
@@ -87,7 +87,14 @@
     pub fn report(&mut self, number: u64) {
         let (stamp, worker) = (self.harness.now, Some(self.worker(number)));
         let running = self.running[number as usize].clone();
-        let notice = Notice::Status { stamp, worker, fenced: true, running, ended: Vec::new() };
+        let notice = Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: true,
+            running,
+            ended: Vec::new(),
+        };
         self.harness.owner.on_notice(number, notice, self.harness.now);
     }
 
@@ -225,7 +232,8 @@
         let (stamp, running) =
             (self.harness.now, std::mem::take(&mut self.running[number as usize]));
         let (worker, ended) = (Some(worker), Vec::new());
-        let notice = Notice::Status { stamp, worker, fenced: false, running, ended };
+        let notice =
+            Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended };
         self.harness.owner.on_notice(number, notice, self.harness.now);
     }
 
--- a/crates/dispatch/tests/dismissal_late_answer.rs
+++ b/crates/dispatch/tests/dismissal_late_answer.rs
@@ -19,7 +19,8 @@
 fn member_that_registered_again_is_not_dismissed_by_a_late_answer() {
     let mut harness = Harness::new(1, 2).with_idle_workers(2);
     let (running, ended) = (Vec::new(), Vec::new());
-    let no_worker = Notice::Status { stamp: 0, worker: None, fenced: false, running, ended };
+    let no_worker =
+        Notice::Status { listed_at: None, stamp: 0, worker: None, fenced: false, running, ended };
     harness.deliver(1, Notice::Left { worker: "i1".into() });
     harness.deliver(1, no_worker);
     let batch = harness.owner.next_batch().unwrap_or_default();
@@ -30,6 +31,7 @@
     harness.owner.on_connected("w1", 2, harness.now);
     let status = |running: &[_], stamp| Notice::Status {
         stamp,
+        listed_at: None,
         worker: Some(Worker { id: "i1b".into(), ..worker(1) }),
         fenced: true,
         running: running.to_vec(),
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -36,7 +36,10 @@
     let zone = if number < 2 { "a" } else { "b" }.to_owned();
     let worker = Some(Worker { zone, ..worker(number) });
     let (stamp, running, ended) = (harness.now, running.to_vec(), Vec::new());
-    harness.deliver(number, Notice::Status { stamp, worker, fenced: true, running, ended });
+    harness.deliver(
+        number,
+        Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+    );
 }
 
 // Operators switched off a zone in which work was going on: an owner that had just taken over
--- a/crates/dispatch/tests/harness/mod.rs
+++ b/crates/dispatch/tests/harness/mod.rs
@@ -63,6 +63,7 @@
         self.deliver(
             number,
             Notice::Status {
+                listed_at: None,
                 stamp: self.now,
                 worker,
                 fenced: true,
--- a/crates/dispatch/tests/machine_list.rs
+++ b/crates/dispatch/tests/machine_list.rs
@@ -38,7 +38,10 @@
     let running = vec![run(task("a", 0, 0), 1)];
     let worker = Some(harness::worker(0));
     let (stamp, ended) = (harness.now, Vec::new());
-    harness.deliver(0, Notice::Status { stamp, worker, fenced: false, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+    );
 }
 
 /// Returns a machine list with the workers of these ids.
@@ -212,7 +215,10 @@
     harness.advance(100);
     let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
     let worker = Some(quincewheel_job::Worker { id: "j0".into(), ..harness::worker(0) });
-    harness.deliver(0, Notice::Status { stamp, worker, fenced: false, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+    );
     harness.take_orders();
     harness.owner.on_machines(machines(&["", "i1"]), true, 1, (requested_at, harness.now));
     harness.tick();
@@ -234,7 +240,10 @@
     }
     let (stamp, running, ended) = (harness.now, vec![run(task("old", 0, 0), 1)], Vec::new());
     let worker = Some(harness::worker(0));
-    harness.deliver(0, Notice::Status { stamp, worker, fenced: false, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+    );
     harness.report_status(1, &[run(task("old", 0, 0), 2)], &[]);
     harness.report_status(2, &[], &[]);
     harness.advance(1500);
--- a/crates/dispatch/tests/previous_owner_leases.rs
+++ b/crates/dispatch/tests/previous_owner_leases.rs
@@ -135,5 +135,12 @@
 
 fn status(number: u64, stamp: u64, running: &[quincewheel_job::Run]) -> Notice {
     let worker = Some(harness::worker(number));
-    Notice::Status { stamp, worker, fenced: true, running: running.to_vec(), ended: Vec::new() }
+    Notice::Status {
+        listed_at: None,
+        stamp,
+        worker,
+        fenced: true,
+        running: running.to_vec(),
+        ended: Vec::new(),
+    }
 }
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -11,7 +11,17 @@
 fn report_incarnation(harness: &mut Harness, born: u64, running: &[Run], ended: &[End]) {
     let worker = Some(Worker { born, ..harness::worker(0) });
     let (running, ended) = (running.to_vec(), ended.to_vec());
-    harness.deliver(0, Notice::Status { stamp: harness.now, worker, fenced: true, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status {
+            listed_at: None,
+            stamp: harness.now,
+            worker,
+            fenced: true,
+            running,
+            ended,
+        },
+    );
 }
 
 /// Creates an owner with a worker that has restarted since an end of a run at it was recorded.
@@ -92,7 +102,14 @@
     harness.logged_events = vec!["crash suspected"];
     for stamp in [500_000, 1000, 1400] {
         let (worker, running) = (Some(harness::worker(0)), vec![run(task("a", 0, 0), 1)]);
-        let status = Notice::Status { stamp, worker, fenced: true, running, ended: Vec::new() };
+        let status = Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: true,
+            running,
+            ended: Vec::new(),
+        };
         harness.deliver(0, status);
     }
     let starts = vec![(task("a", 0, 0), 1), (task("other", 0, 0), 1)];
--- a/crates/dispatch/tests/trust.rs
+++ b/crates/dispatch/tests/trust.rs
@@ -382,7 +382,10 @@
     let worker = Some(quincewheel_job::Worker { born: 7, ..worker(0) });
     let (running, ended) = (Vec::new(), Vec::new());
     let stamp = site.harness.now;
-    site.harness.deliver(0, Notice::Status { stamp, worker, fenced: true, running, ended });
+    site.harness.deliver(
+        0,
+        Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+    );
     assert_snapshot!(format!("{before}\n{}", site.grades()), @r"
     0 sound, 0 unknown, 1 doubtful
     0 sound, 1 unknown, 0 doubtful
--- a/crates/dispatch/tests/unlisted_runs.rs
+++ b/crates/dispatch/tests/unlisted_runs.rs
@@ -27,9 +27,6 @@
     harness.tick();
     assert_snapshot!(format!("{stopped}\n-- stopped\n{}", harness.take_orders()), @r"
     w0 stop a.0.0.0 run 1
-    w0 stop a.0.0.0 run 1
-    w0 stop a.0.0.0 run 1
-    w0 stop a.0.0.0 run 1
     -- stopped
     w0 start a.0.0.0 run 2
     ");
--- a/crates/dispatch/tests/unready_workers.rs
+++ b/crates/dispatch/tests/unready_workers.rs
@@ -38,7 +38,10 @@
     let report_worker = |harness: &mut Harness, worker| {
         let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
         let worker = Some(worker);
-        harness.deliver(0, Notice::Status { stamp, worker, fenced: true, running, ended });
+        harness.deliver(
+            0,
+            Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+        );
     };
     report_worker(&mut harness, cold(800));
     harness.owner.add_job("cold", job(0, vec![step(1, 1)]), 150, None);
--- a/crates/dispatch/tests/waits.rs
+++ b/crates/dispatch/tests/waits.rs
@@ -68,7 +68,10 @@
         let (running, ended) = (vec![run(task("a", 0, number as u32), 1)], Vec::new());
         let stamp = harness.now;
         let worker = Some(worker);
-        harness.deliver(number, Notice::Status { stamp, worker, fenced: true, running, ended });
+        harness.deliver(
+            number,
+            Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+        );
     }
     add_job(&mut harness, "c", 152, job(1, vec![step(1, 8)]));
     harness.advance_with_pings(900, 2);
@@ -191,7 +194,17 @@
     let full = harness.take_logs();
     let (running, ended) = (vec![run(task("a", 0, 0), 1)], Vec::new());
     let worker = Some(quincewheel_job::Worker { draining: true, ..harness::worker(0) });
-    harness.deliver(0, Notice::Status { stamp: harness.now, worker, fenced: true, running, ended });
+    harness.deliver(
+        0,
+        Notice::Status {
+            listed_at: None,
+            stamp: harness.now,
+            worker,
+            fenced: true,
+            running,
+            ended,
+        },
+    );
     harness.advance_with_pings(2000, 1);
     assert_snapshot!(format!("{full}\n-- drains\n{}", harness.take_logs()), @r"
     waits b: b.0.0, 1 tasks, 1000 ms: no room: room for 0 of 1, for 1 if nothing ran
@@ -301,10 +314,16 @@
     }
     harness.report_status(0, &[], &[]);
     let (running, ended) = (Vec::new(), Vec::new());
-    harness.deliver(2, Notice::Status { stamp: 0, worker: None, fenced: false, running, ended });
+    harness.deliver(
+        2,
+        Notice::Status { listed_at: None, stamp: 0, worker: None, fenced: false, running, ended },
+    );
     let (running, ended) = (Vec::new(), Vec::new());
     let worker = Some(harness::worker(3));
-    harness.deliver(3, Notice::Status { stamp: 0, worker, fenced: false, running, ended });
+    harness.deliver(
+        3,
+        Notice::Status { listed_at: None, stamp: 0, worker, fenced: false, running, ended },
+    );
     harness.advance_with_pings(900, 4);
     let before = harness.take_logs();
     harness.advance_with_pings(2500, 4);
--- a/crates/dispatch/tests/worker_shutdown.rs
+++ b/crates/dispatch/tests/worker_shutdown.rs
@@ -23,7 +23,14 @@
     let (running, ended) = (Vec::new(), Vec::new());
     harness.deliver(
         0,
-        Notice::Status { stamp: harness.now, worker: None, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp: harness.now,
+            worker: None,
+            fenced: false,
+            running,
+            ended,
+        },
     );
     for _ in 0..6 {
         harness.advance(500);
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -25,6 +25,7 @@
                 session.no_failed_calls = true;
                 session.fenced = session.fenced.max(epoch);
                 session.acknowledged = session.acknowledged.max(session.sent_acknowledgement);
+                session.listed_at = Some(now);
                 session.running = running;
                 session.ended = ended;
                 let recorded = session.recorded;
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -357,6 +357,7 @@
                 stamp: now,
                 worker: None,
                 fenced: false,
+                listed_at: None,
                 running: Vec::new(),
                 ended: Vec::new(),
             },
@@ -365,6 +366,7 @@
                 worker: Some(session.worker.clone()),
                 // After a broken connection the worker is not fenced until it replies to a poll.
                 fenced: session.fenced == self.epoch && session.broken.is_none(),
+                listed_at: session.listed_at,
                 running: session.running.clone(),
                 ended: session.ended.clone(),
             },
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -16,6 +16,8 @@
     /// The highest epoch under which the worker replied to a poll; 0 for none. It is reset when
     /// the worker accepts no connections.
     pub fenced: u64,
+    /// When the worker last replied to a poll, and so listed its runs and ends.
+    pub listed_at: Option<u64>,
     pub running: Vec<Run>,
     pub ended: Vec<End>,
     /// The owner has recorded all ends up to this number.
@@ -68,6 +70,7 @@
             worker: worker.clone(),
             address: address.to_owned(),
             fenced: 0,
+            listed_at: None,
             running: Vec::new(),
             ended: Vec::new(),
             recorded: 0,
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -44,6 +44,10 @@
         /// Whether the worker itself has replied under the claimed epoch. From then
         /// on, no order of a previous owner can take effect there.
         fenced: bool,
+        /// When the worker last listed its runs and ends, by the agent's clock; none if it has not. An
+        /// agent sends the last list again when it reconnects or the worker's state changes.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        listed_at: Option<u64>,
         /// All runs on the worker.
         running: Vec<Run>,
         /// Ends of runs that the owner has not acknowledged as recorded.
