Model leases and the whole rule on second starts in the simulation

The workers of the simulation had no lease, so a test could not tell a run that was dropped too early from one whose lease had lapsed, and violations() missed starts between the end of a run and its acknowledgement.

A worker now has a lease on its own clock, which starts and polls extend by at most 6 s, and ends all its runs when it lapses. The history of starts and ends covers the whole rule: no two runs of a task at a time, and no start after an end as done that is acknowledged then or later, unless the lease lapsed between the two. The older checks stay.

Tests can also cut a connection without either side noticing, hold orders back, and let a worker refuse its next starts.

--- a/crates/runner/tests/simulation/mod.rs
+++ b/crates/runner/tests/simulation/mod.rs
@@ -2,9 +2,12 @@
 
 #![allow(dead_code)]
 
+pub mod history;
 mod node;
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use quincewheel_dispatch::{Output as OwnerOutput, Owner, Settings as OwnerSettings};
 use quincewheel_job::{
@@ -13,6 +16,7 @@
 use quincewheel_runner::{Call, Fault, Heartbeat, Output, Runner, Settings};
 use quincewheel_wire::Order;
 
+use history::History;
 use node::first_clock;
 pub use node::{Behavior, Node};
 
@@ -51,6 +55,8 @@
     recorded: BTreeMap<String, Progress>,
     /// Starts and stops that owners ordered, with the time since the start.
     orders: Vec<String>,
+    /// The starts and ends of all workers.
+    history: Rc<RefCell<History>>,
 }
 
 impl Simulation {
@@ -61,7 +67,8 @@
         for number in 0..workers {
             owner.add_agent(&format!("w{number}"), START_MS);
         }
-        let nodes = (0..workers).map(|_| Node::new()).collect();
+        let history = Rc::new(RefCell::new(History::default()));
+        let nodes = (0..workers).map(|_| Node::new(Rc::clone(&history))).collect();
         Simulation {
             owner,
             nodes,
@@ -75,6 +82,7 @@
             jobs: Vec::new(),
             recorded: BTreeMap::new(),
             orders: Vec::new(),
+            history,
         }
     }
 
@@ -122,12 +130,14 @@
     pub fn restart_worker(&mut self, number: usize) {
         let now = self.now;
         let node = &mut self.nodes[number];
+        node.replace_process();
+        self.history.borrow_mut().ids_are_kept = true;
         node.born = now;
         node.notice_delay = 0;
         node.fencing_token = 0;
         node.clock_lag = first_clock(now);
         node.last_end = 0;
-        node.running.clear();
+        node.last_lapsed_end = 0;
         node.unacknowledged.clear();
         node.stopped.clear();
         node.started.clear();
@@ -145,8 +155,9 @@
         }
     }
 
-    /// Violations of what must hold at any time: no task has two runs at once, and none runs again
-    /// after its end was acknowledged to the worker.
+    /// Violations of what must hold at any time: no task has two runs at once, and none starts after
+    /// an end as done that was acknowledged to its worker then or later, unless the worker's lease
+    /// lapsed between the two.
     pub fn violations(&self) -> Vec<String> {
         let runs = self.nodes.iter().flat_map(|node| node.running.iter().map(|run| &run.task));
         let runs: Vec<&Task> = runs.collect();
@@ -154,7 +165,8 @@
         let acknowledged =
             |task: &&&Task| self.nodes.iter().any(|node| node.acknowledged.contains(task));
         let again = runs.iter().filter(acknowledged).map(|task| format!("{task} runs again"));
-        doubled.map(|task| format!("{task} runs twice")).chain(again).collect()
+        let past = self.history.borrow().violations.clone();
+        doubled.map(|task| format!("{task} runs twice")).chain(again).chain(past).collect()
     }
 
     /// Ends all runs of a job at a worker as done.
@@ -171,7 +183,7 @@
     pub fn replace_worker(&mut self, number: usize) {
         self.nodes[number].renames += 1;
         self.nodes[number].fencing_token = 0;
-        self.nodes[number].running.clear();
+        self.nodes[number].replace_process();
         self.send_heartbeat(number);
     }
 
@@ -194,11 +206,16 @@
         self.owner.on_connected(&format!("w{number}"), number as u64, self.now);
     }
 
-    /// Restarts an agent's process while its worker runs on.
-    pub fn restart_agent(&mut self, number: usize) {
+    /// Restarts an agent's process while its worker runs on. It has received no heartbeat yet.
+    pub fn replace_agent(&mut self, number: usize) {
         self.nodes[number].runner = Runner::new(Settings::default());
         self.nodes[number].calls.clear();
         self.owner.on_disconnected(number as u64);
+    }
+
+    /// Restarts an agent's process while its worker runs on, and connects it.
+    pub fn restart_agent(&mut self, number: usize) {
+        self.replace_agent(number);
         self.send_heartbeat(number);
         self.connect(number);
     }
@@ -248,6 +265,12 @@
         if std::mem::take(&mut self.nodes[number].needs_dial) {
             self.connect(number);
         }
+        if !self.nodes[number].orders_wait {
+            for (link, order) in std::mem::take(&mut self.nodes[number].waiting_orders) {
+                self.nodes[number].runner.on_order(link, order, self.now);
+            }
+        }
+        self.nodes[number].expire_lease(self.now);
         self.nodes[number].apply_delayed_starts(self.now);
         if let Some(duration) = self.run_duration {
             self.nodes[number].finish_after(duration, self.now);
@@ -269,7 +292,12 @@
                 if let OwnerOutput::Send { link, order } = output {
                     quiet = false;
                     self.log_order(link, &order);
-                    self.nodes[link as usize].runner.on_order(link, order, self.now);
+                    let node = &mut self.nodes[link as usize];
+                    if node.orders_wait {
+                        node.waiting_orders.push((link, order));
+                    } else if !node.cut {
+                        node.runner.on_order(link, order, self.now);
+                    }
                 }
             }
             for number in 0..self.nodes.len() {
@@ -299,6 +327,7 @@
                 Output::Call { id, call } => {
                     node.calls.push((node.reply_time(&call, now), id, call))
                 }
+                Output::Send { .. } if node.cut => {}
                 Output::Send { link, notice } => self.owner.on_notice(link, notice, now),
                 // The owner is disconnected too, and dials again in the next step.
                 Output::Close { link } => {
--- a/crates/runner/tests/simulation/node.rs
+++ b/crates/runner/tests/simulation/node.rs
@@ -1,8 +1,17 @@
 //! One worker, its agent, and the calls between them.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
 use quincewheel_job::{End, How, Run, Task};
 use quincewheel_runner::{Action, Call, Fault, Reply, Runner, Settings};
-use quincewheel_wire::Refused;
+use quincewheel_wire::{Order, Refused};
+
+use super::history::History;
+
+/// The longest lease that a worker accepts, in milliseconds on its own clock.
+const MAX_LEASE_MS: u64 = 6000;
 
 /// How a worker replies to calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,6 +46,14 @@
     pub running: Vec<Run>,
     /// Number of the last end of this incarnation.
     pub(super) last_end: u64,
+    /// Number of the last end after which the lease has lapsed.
+    pub(super) last_lapsed_end: u64,
+    /// When its lease ends, on its own clock.
+    pub(super) lease_end: u64,
+    /// Number of its process in the history.
+    pub(super) process: usize,
+    /// The starts and ends of all workers.
+    pub(super) history: Rc<RefCell<History>>,
     /// Ends that have not been acknowledged.
     pub(super) unacknowledged: Vec<End>,
     /// A run has ended since the last poll, so the next one is replied to at once.
@@ -45,6 +62,14 @@
     pub(super) next_heartbeat: Option<u64>,
     /// The agent closed its connection to the owner, which has to dial again.
     pub(super) needs_dial: bool,
+    /// Frames between its agent and the owner are lost, and neither notices.
+    pub cut: bool,
+    /// Orders to its agent wait.
+    pub orders_wait: bool,
+    /// Orders that wait, with the connections on which they were sent.
+    pub(super) waiting_orders: Vec<(u64, Order)>,
+    /// Refusals of the next starts.
+    pub start_refusals: VecDeque<Refused>,
     /// How long after a failed connection its agent learns of it, in milliseconds.
     pub notice_delay: u64,
     /// Calls in flight: when their reply is due, and their ids.
@@ -67,7 +92,8 @@
 
 impl Node {
     /// Creates a healthy worker that has sent no heartbeat, and an agent without state.
-    pub(super) fn new() -> Node {
+    pub(super) fn new(history: Rc<RefCell<History>>) -> Node {
+        let process = history.borrow_mut().start_process();
         Node {
             behavior: Behavior::Healthy,
             renames: 0,
@@ -77,10 +103,18 @@
             runner: Runner::new(Settings::default()),
             running: Vec::new(),
             last_end: 0,
+            last_lapsed_end: 0,
+            lease_end: 0,
+            process,
+            history,
             unacknowledged: Vec::new(),
             poll_due: false,
             next_heartbeat: None,
             needs_dial: false,
+            cut: false,
+            orders_wait: false,
+            waiting_orders: Vec::new(),
+            start_refusals: VecDeque::new(),
             notice_delay: 0,
             calls: Vec::new(),
             delayed_starts: Vec::new(),
@@ -184,7 +218,35 @@
         first_clock(now) - self.clock_lag
     }
 
+    /// Ends all runs if the lease is over.
+    pub(super) fn expire_lease(&mut self, now: u64) {
+        if self.clock(now) < self.lease_end {
+            return;
+        }
+        self.last_lapsed_end = self.last_end;
+        for run in std::mem::take(&mut self.running) {
+            self.end_run(run, How::Lapsed);
+        }
+    }
+
+    /// Extends the lease, which is never shortened.
+    fn extend_lease(&mut self, end: u64, now: u64) {
+        self.lease_end = self.lease_end.max(end.min(self.clock(now) + MAX_LEASE_MS));
+    }
+
+    /// Ends the process with all its runs, and lets the next one begin.
+    pub(super) fn replace_process(&mut self) {
+        let mut history = self.history.borrow_mut();
+        for run in self.running.drain(..) {
+            history.end(&run.task, run.number, self.process, How::Stopped);
+        }
+        self.process = history.start_process();
+        self.last_lapsed_end = self.last_end;
+        self.lease_end = 0;
+    }
+
     pub(super) fn end_run(&mut self, run: Run, how: How) {
+        self.history.borrow_mut().end(&run.task, run.number, self.process, how);
         self.last_end += 1;
         let Run { task, number: run, saved, .. } = run;
         self.stopped.push((task.clone(), run));
@@ -193,13 +255,20 @@
 
     /// Carries out a call as a healthy worker does.
     pub(super) fn execute(&mut self, call: &Call, now: u64) -> Result<Reply, Fault> {
+        self.expire_lease(now);
         let clock = self.clock(now);
         if call.fencing_token < self.fencing_token {
             return Ok(Reply::Refused(Refused::Fence));
         }
         self.fencing_token = call.fencing_token;
         match &call.action {
-            Action::Start { task, run, .. } => {
+            Action::Start { task, run, lease_end, .. } => {
+                if *lease_end <= clock {
+                    return Ok(Reply::Refused(Refused::Lease));
+                }
+                if let Some(why) = self.start_refusals.pop_front() {
+                    return Ok(Reply::Refused(why));
+                }
                 if self.has_run(task, *run) {
                     return Ok(Reply::Done { clock });
                 }
@@ -207,6 +276,8 @@
                     return Ok(Reply::Refused(Refused::Old));
                 }
                 let saved = String::new();
+                self.extend_lease(*lease_end, now);
+                self.history.borrow_mut().start(task, *run, self.process);
                 self.started.push((task.clone(), *run, now));
                 self.prompt_starts.push((task.clone(), *run, now));
                 let run = Run { task: task.clone(), number: *run, saved, percent: 10, gauge: 0 };
@@ -214,16 +285,27 @@
             }
             Action::Stop { task, run } => {
                 self.stopped.push((task.clone(), *run));
-                self.running.retain(|known| known.task != *task || known.number > *run);
+                let stopped = |known: &mut Run| known.task == *task && known.number <= *run;
+                for known in self.running.extract_if(.., stopped) {
+                    let mut history = self.history.borrow_mut();
+                    history.end(&known.task, known.number, self.process, How::Stopped);
+                }
                 self.poll_due = true;
             }
             Action::Pace { .. } => {}
-            Action::Hold { acknowledged, .. } => {
+            Action::Hold { acknowledged, lease_end, .. } => {
+                if let Some(end) = lease_end {
+                    self.extend_lease(*end, now);
+                }
                 self.poll_due = false;
                 let forgotten =
                     self.unacknowledged.extract_if(.., |end| end.number <= *acknowledged);
-                self.acknowledged
-                    .extend(forgotten.filter(|end| end.how == How::Done).map(|end| end.task));
+                for end in forgotten.filter(|end| end.how == How::Done) {
+                    if end.number > self.last_lapsed_end {
+                        self.history.borrow_mut().acknowledge(&end.task, end.run, self.process);
+                    }
+                    self.acknowledged.push(end.task);
+                }
                 for run in &mut self.running {
                     run.percent = (run.percent + 1).min(99);
                 }
