--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -38,6 +38,7 @@
         if new_incarnation {
             // A machine list requested before this incarnation started cannot name it.
             agent.unresponsive_since = None;
+            agent.unverified = true;
             agent.last_end = 0;
             agent.acknowledged_end = 0;
             agent.consecutive_failures = 0;
@@ -60,6 +61,7 @@
         agent.worker = Some(worker);
         agent.fenced = fenced;
         agent.reconciled |= fenced;
+        let verified = fenced && std::mem::take(&mut agent.unverified);
         agent.listed_runs = running.iter().map(|run| (run.task.clone(), run.number)).collect();
         self.replan |= !std::mem::take(&mut agent.strays).is_empty();
         // A worker that broke its connections is schedulable again once it answers.
@@ -68,7 +70,7 @@
             self.replan = true;
         }
         previous.iter().for_each(|worker| self.forget_worker(worker));
-        if new_incarnation {
+        if verified {
             self.remove_previous_runs(name, &from, now);
         }
         for end in ended {
@@ -80,15 +82,16 @@
         if fenced {
             self.clear_suspects(name, &from, running, stamp);
             self.throttle(name, running);
-            self.remove_missing_runs(name, running, now);
             self.stop_stalled_runs(name, now);
         }
         if first_answer {
+            self.resend_acknowledgement(name, &from);
             self.resend_orders(name, &from, now);
         }
     }
 
-    /// Drops the runs of the worker's previous incarnations, which ended with them.
+    /// Drops the runs of the worker's previous incarnations, which ended with them. Called once this
+    /// one has answered: a restarted agent may hear a delayed heartbeat of a former one first.
     ///
     /// Calls to a worker name it by id only. A start that the previous incarnation never listed
     /// may have reached the current one, or may still reach it. Its task would run twice if it
@@ -127,9 +130,23 @@
         self.forget_worker(from);
         let ended = self.runs_where(|placed| placed.agent == name && placed.worker == *from);
         let lease = self.lease_detail(name, now);
+        let follows = self.follows_owner(name, now);
         for (job, key) in ended {
             self.log("run lost", &job, format!("{key:?}: worker at {name} {how}{lease}"));
-            self.remove_run(&job, key);
+            match follows {
+                true => self.remove_run(&job, key),
+                false => self.assume_over(&job, key, now),
+            }
+        }
+    }
+
+    /// Sends the last acknowledgement of ends again after a reconnect, since it may have been lost
+    /// with the previous connection.
+    fn resend_acknowledgement(&mut self, name: &str, from: &Incarnation) {
+        let Some(agent) = self.agents.get(name) else { return };
+        let (worker, number) = (from.clone(), agent.acknowledged_end);
+        if number > 0 {
+            self.send_to_agent(name, Order::Seen { worker, number });
         }
     }
 
@@ -255,30 +272,6 @@
         self.send_to_agent(name, Order::Stop { worker: from.clone(), task: task.clone(), run });
     }
 
-    /// Drops runs that the worker has not listed for `missing_timeout`.
-    fn remove_missing_runs(&mut self, name: &str, running: &[Run], now: u64) {
-        let bound = self.settings.missing_timeout;
-        let Some(agent) = self.agents.get_mut(name) else { return };
-        // The scan covers all runs and statuses arrive with each end, so it is rate-limited.
-        if now < agent.missing_checked_at + bound / 10 {
-            return;
-        }
-        agent.missing_checked_at = now;
-        let overdue = self.runs_where(|placed| {
-            placed.agent == name
-                && placed.phase != Phase::Starting
-                && now >= placed.updated_at + bound
-        });
-        for (job, key) in overdue {
-            let listed = running.iter().any(|run| run.task == task(&job, key));
-            if !listed {
-                let detail = format!("{key:?} at {name}{}", self.lease_detail(name, now));
-                self.log("run missing", &job, detail);
-                self.remove_run(&job, key);
-            }
-        }
-    }
-
     /// Applies one end that a worker lists. Ends are numbered; each is applied once.
     fn on_end(&mut self, name: &str, from: &Incarnation, end: &End, now: u64) {
         let Some(agent) = self.agents.get_mut(name) else { return };
--- a/crates/runner/tests/deployment/mod.rs
+++ b/crates/runner/tests/deployment/mod.rs
@@ -748,7 +748,7 @@
         let due = |(at, _, _): &mut (u64, u64, Vec<Machine>)| *at <= now;
         let lists: Vec<_> = self.lists.extract_if(.., due).collect();
         for (_, sent, machines) in lists {
-            self.owner.on_machines(machines, true, 1, sent);
+            self.owner.on_machines(machines, true, 1, (sent, now));
         }
     }
 
--- a/crates/runner/tests/restarted_agents.rs
+++ b/crates/runner/tests/restarted_agents.rs
@@ -1,4 +1,4 @@
-//! Heartbeats of former incarnations that reach an agent whose process has restarted.
+//! Agents whose processes restart while their workers run on.
 
 mod simulation;
 
@@ -36,7 +36,7 @@
 #[test]
 fn a_stale_heartbeat_to_a_restarted_agent_does_not_end_the_runs_of_the_present_incarnation() {
     let mut sim = replaced_worker();
-    sim.replace_agent(0);
+    sim.forget_agent_state(0);
     sim.deliver_stale_heartbeat(0);
     sim.connect(0);
     assert_runs_once(sim);
@@ -47,9 +47,23 @@
 #[test]
 fn a_stale_heartbeat_does_not_replace_an_incarnation_that_has_not_replied_yet() {
     let mut sim = replaced_worker();
-    sim.replace_agent(0);
+    sim.forget_agent_state(0);
     sim.send_heartbeat(0);
     sim.deliver_stale_heartbeat(0);
     sim.connect(0);
     assert_runs_once(sim);
 }
+
+// A restarted agent reports for seconds that it has no worker, loses its connection, and only then
+// hears of its worker and extends its lease.
+#[test]
+fn a_worker_that_its_agent_finds_while_disconnected_keeps_its_runs() {
+    let mut sim = replaced_worker();
+    sim.forget_agent_state(0);
+    sim.stop_heartbeats(0);
+    sim.connect(0);
+    sim.advance(5000);
+    sim.owner.on_disconnected(0);
+    sim.send_heartbeat(0);
+    assert_runs_once(sim);
+}
--- a/crates/runner/tests/simulation/mod.rs
+++ b/crates/runner/tests/simulation/mod.rs
@@ -206,20 +206,20 @@
         self.owner.on_connected(&format!("w{number}"), number as u64, self.now);
     }
 
-    /// Restarts an agent's process while its worker runs on. It has received no heartbeat yet.
-    pub fn replace_agent(&mut self, number: usize) {
-        self.nodes[number].runner = Runner::new(Settings::default());
-        self.nodes[number].calls.clear();
-        self.owner.on_disconnected(number as u64);
-    }
-
-    /// Restarts an agent's process while its worker runs on, and connects it.
+    /// Restarts an agent's process while its worker runs on.
     pub fn restart_agent(&mut self, number: usize) {
-        self.replace_agent(number);
+        self.forget_agent_state(number);
         self.send_heartbeat(number);
         self.connect(number);
     }
 
+    /// Restarts an agent's process, which has heard no heartbeat and has no connection yet.
+    pub fn forget_agent_state(&mut self, number: usize) {
+        self.nodes[number].runner = Runner::new(Settings::default());
+        self.nodes[number].calls.clear();
+        self.owner.on_disconnected(number as u64);
+    }
+
     /// The current runs of all workers, one line each.
     pub fn running(&self) -> Vec<String> {
         let nodes = self.nodes.iter().enumerate();
--- a/crates/runner/tests/simulation/node.rs
+++ b/crates/runner/tests/simulation/node.rs
@@ -27,6 +27,8 @@
     DelaysStarts(u64),
     /// Polls get no reply, and are not carried out; other calls are carried out at once.
     SilentPolls,
+    /// Polls get no reply, although they are carried out; other calls are carried out at once.
+    LosesPollReplies,
     /// Its process has ended: it accepts no connections and sends no heartbeats.
     Down,
 }
@@ -40,6 +42,8 @@
     pub(super) born: u64,
     /// The highest fencing token that it has seen.
     pub(super) fencing_token: u64,
+    /// When its lease ends, on its own clock.
+    pub lease_end: u64,
     /// How far its clock is behind that of its first incarnation, in milliseconds.
     pub(super) clock_lag: u64,
     pub(super) runner: Runner,
@@ -48,8 +52,6 @@
     pub(super) last_end: u64,
     /// Number of the last end after which the lease has lapsed.
     pub(super) last_lapsed_end: u64,
-    /// When its lease ends, on its own clock.
-    pub(super) lease_end: u64,
     /// Number of its process in the history.
     pub(super) process: usize,
     /// The starts and ends of all workers.
@@ -99,12 +101,12 @@
             renames: 0,
             born: 0,
             fencing_token: 0,
+            lease_end: 0,
             clock_lag: 0,
             runner: Runner::new(Settings::default()),
             running: Vec::new(),
             last_end: 0,
             last_lapsed_end: 0,
-            lease_end: 0,
             process,
             history,
             unacknowledged: Vec::new(),
@@ -131,7 +133,9 @@
     /// it or is down.
     pub(super) fn reply_time(&self, call: &Call, now: u64) -> u64 {
         match (&call.action, self.behavior) {
-            (Action::Hold { .. }, Behavior::SilentPolls) => now + call.timeout,
+            (Action::Hold { .. }, Behavior::SilentPolls | Behavior::LosesPollReplies) => {
+                now + call.timeout
+            }
             (Action::Hold { .. }, _) if self.poll_due => now,
             (
                 Action::Hold { wait, .. },
@@ -155,7 +159,11 @@
             Behavior::SilentPolls if is_poll => {
                 return Err(Fault::Unclear { closed: false, detail: "no reply".into() });
             }
-            Behavior::SilentPolls => {}
+            Behavior::LosesPollReplies if is_poll => {
+                _ = self.execute(call, now);
+                return Err(Fault::Unclear { closed: false, detail: "no reply".into() });
+            }
+            Behavior::SilentPolls | Behavior::LosesPollReplies => {}
             Behavior::Down => return Err(Fault::Unsent { detail: "refused".into() }),
             Behavior::DelaysStarts(delay) if matches!(call.action, Action::Start { .. }) => {
                 self.delayed_starts.push((now + delay, call.clone()));
@@ -214,7 +222,7 @@
     }
 
     /// The clock of the current incarnation.
-    pub(super) fn clock(&self, now: u64) -> u64 {
+    pub fn clock(&self, now: u64) -> u64 {
         first_clock(now) - self.clock_lag
     }
 
@@ -261,6 +269,11 @@
             return Ok(Reply::Refused(Refused::Fence));
         }
         self.fencing_token = call.fencing_token;
+        if let Action::Start { lease_end, .. } | Action::Hold { lease_end: Some(lease_end), .. } =
+            &call.action
+        {
+            self.extend_lease(*lease_end, now);
+        }
         match &call.action {
             Action::Start { task, run, lease_end, .. } => {
                 if *lease_end <= clock {
@@ -276,7 +289,6 @@
                     return Ok(Reply::Refused(Refused::Old));
                 }
                 let saved = String::new();
-                self.extend_lease(*lease_end, now);
                 self.history.borrow_mut().start(task, *run, self.process);
                 self.started.push((task.clone(), *run, now));
                 self.prompt_starts.push((task.clone(), *run, now));
@@ -293,10 +305,7 @@
                 self.poll_due = true;
             }
             Action::Pace { .. } => {}
-            Action::Hold { acknowledged, lease_end, .. } => {
-                if let Some(end) = lease_end {
-                    self.extend_lease(*end, now);
-                }
+            Action::Hold { acknowledged, .. } => {
                 self.poll_due = false;
                 let forgotten =
                     self.unacknowledged.extract_if(.., |end| end.number <= *acknowledged);
