Keep runs of an agent without a worker until its lease ends

What callers saw: a task started a second time 3.8 s after its agent had lost its connection; its first run had ended as done, and the end was acknowledged (TWICE).

Cause: an agent that restarts reports that it has no worker until it hears a heartbeat. The owner dropped the runs there a lease after the first such report, but went on granting leases to the agent. It lost its connection, heard its worker, and used the last grant: the lease lasted for 3 s longer than the owner reckoned with.

Change: an agent that reports no worker is granted nothing, and its runs are kept until the leases that were granted before have ended, too.

--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -130,8 +130,11 @@
         let bound = self.settings.lease + self.settings.lease_margin;
         let mut unresponsive = Vec::new();
         for (name, agent) in &self.agents {
-            let disconnected = agent.link.is_none() && now >= agent.leases_expire_at;
-            let without_worker = agent.no_worker_since.is_some_and(|since| now >= since + bound);
+            let expired = now >= agent.leases_expire_at;
+            let disconnected = agent.link.is_none() && expired;
+            // The agent may have found its worker while disconnected, and have used its last grant.
+            let without_worker =
+                expired && agent.no_worker_since.is_some_and(|since| now >= since + bound);
             if disconnected || without_worker || agent.silent_ms >= bound {
                 unresponsive.push(name.clone());
             }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -334,7 +334,11 @@
             Notice::Superseded { epoch } => self.outputs.push(Output::Deposed { epoch }),
             Notice::Ping { stamp, silent } => {
                 self.update_silence(&name, silent);
-                self.grant_lease(&name, link, stamp, silent, now);
+                // An agent without a worker could use the lease for one that it finds later, when it
+                // has no connection.
+                if self.agents.get(&name).is_some_and(|agent| agent.no_worker_since.is_none()) {
+                    self.grant_lease(&name, link, stamp, silent, now);
+                }
             }
             Notice::Left { worker } => self.on_left(&name, &worker, now),
             Notice::Broke { worker, starts: likely, possible } => {
@@ -342,7 +346,9 @@
                 self.on_connections_broken(&name, crash)
             }
             Notice::Status { stamp, worker, fenced, listed_at, running, ended } => {
-                self.grant_lease(&name, link, stamp, 0, now);
+                if worker.is_some() {
+                    self.grant_lease(&name, link, stamp, 0, now);
+                }
                 let age = listed_at.map_or(0, |at| stamp.saturating_sub(at));
                 let list =
                     List { running: &running, ended: &ended, at: stamp.saturating_sub(age), age };
