Stop a run whose repeated start was refused

What callers saw: two runs of a task at once, or a second start after the first run had ended as done and the end was acknowledged (TWICE).

Cause: an agent reconnects while a start is on its way. The owner orders the start again; the agent's refusal of the first order crosses it. The owner frees the task and starts it elsewhere, while the agent, which no longer knows of the start, carries out the repeated one.

Change: a refused start that was ordered more than once is stopped, and its task is free once the stop is confirmed. Stops and starts keep their order on a connection.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -82,6 +82,8 @@
     pub confirmed_at: Option<u64>,
     /// Id of the unit of runs that can only be stopped together: a gang, or one run.
     pub unit: u64,
+    /// Whether its start was ordered more than once.
+    pub start_repeated: bool,
     /// Progress, from 0 to 100.
     pub percent: u32,
     /// When the progress last changed.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -424,6 +424,7 @@
                 updated_at: now,
                 started_at: now,
                 unit,
+                start_repeated: false,
                 percent: 0,
                 confirmed_at: None,
                 progressed_at: now,
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -160,8 +160,8 @@
     fn resend_orders(&mut self, name: &str, from: &Incarnation, now: u64) {
         let evacuated = self.agents.get(name).is_some_and(|agent| agent.zone_evacuated);
         for (job, key) in self.runs_where(|placed| placed.agent == name && placed.worker == *from) {
-            let Some(entry) = self.jobs.get(&job) else { continue };
-            let Some(placed) = entry.runs.get(&key) else { continue };
+            let Some(entry) = self.jobs.get_mut(&job) else { continue };
+            let Some(placed) = entry.runs.get_mut(&key) else { continue };
             if placed.phase == Phase::Starting && evacuated {
                 // The worker has answered and does not list the run. The start may still be
                 // in flight and must not take effect in an evacuated zone.
@@ -170,6 +170,7 @@
                 continue;
             }
             let (worker, run) = (from.clone(), placed.run);
+            placed.start_repeated |= placed.phase == Phase::Starting;
             let order = match placed.phase {
                 Phase::Running => continue,
                 Phase::Stopping => Order::Stop { worker, task: task(&job, key), run },
@@ -239,6 +240,7 @@
                     started_at: now,
                     confirmed_at: Some(now),
                     unit,
+                    start_repeated: false,
                     percent: run.percent,
                     progressed_at: now,
                     pace: 100,
@@ -457,17 +459,21 @@
     ) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let key = task_key(task);
-        if entry.runs.get(&key).is_none_or(|placed| placed.run != run) {
-            return;
-        }
-        let worker = entry.runs.remove(&key).map(|placed| placed.worker).unwrap_or_default();
+        let Some(placed) = entry.runs.get(&key).filter(|placed| placed.run == run) else { return };
+        let (worker, repeated) = (placed.worker.clone(), placed.start_repeated);
         if let Some(clearance) = entry.clearances.get_mut(&(key.0, key.1))
             && why == Refused::Ticket
         {
             clearance.drop_ticket(&worker);
         }
-        self.replan = true;
         self.log("start refused", &task.job, format!("{task} run {run} {why:?} at {name}"));
+        if repeated {
+            // The agent may have refused the first order before it received the repeated one, which
+            // it then carries out.
+            self.stop_run(&task.job, key, now);
+        } else {
+            self.remove_run(&task.job, key);
+        }
         let worker_not_at_fault = matches!(
             why,
             Refused::Leaving | Refused::Old | Refused::Lease | Refused::Fence | Refused::Ticket
