Count a silence as over once the worker has answered

What callers saw: two runs of a task at once (TWICE).

Cause: how long a worker has owed a reply reaches the owner with a ping, up to a second late. A worker that had been silent for a whole lease answered, its start was ordered again and carried out; the owner still had the old silence, and the run was as old as its first order, so it was dropped as lapsed and its task started elsewhere.

Change: an answer to a poll that a status tells of, and a confirmed start, end the silence. An answer whose time the agent does not say does not, so an agent that announces itself again with an old answer still gets its worker no work.

--- a/crates/dispatch/src/list.rs
+++ b/crates/dispatch/src/list.rs
@@ -9,6 +9,6 @@
     pub ended: &'a [End],
     /// When the worker listed them, by the agent's clock in milliseconds.
     pub at: u64,
-    /// How old the list was when the agent sent it, in milliseconds.
-    pub age: u64,
+    /// How old the list was when the agent sent it, in milliseconds; none if the agent did not say.
+    pub age: Option<u64>,
 }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -349,9 +349,9 @@
                 if worker.is_some() {
                     self.grant_lease(&name, link, stamp, 0, now);
                 }
-                let age = listed_at.map_or(0, |at| stamp.saturating_sub(at));
-                let list =
-                    List { running: &running, ended: &ended, at: stamp.saturating_sub(age), age };
+                let age = listed_at.map(|at| stamp.saturating_sub(at));
+                let at = listed_at.unwrap_or(stamp);
+                let list = List { running: &running, ended: &ended, at, age };
                 self.on_status(&name, worker, fenced, &list, now);
             }
             Notice::Survived { task, run } => self.on_survived(&task, run),
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -20,7 +20,7 @@
         now: u64,
     ) {
         let List { running, ended, at, age } = *list;
-        let listed_at = now.saturating_sub(age);
+        let listed_at = now.saturating_sub(age.unwrap_or(0));
         let crashed = |worker: &Worker| self.follows_crash(name, &worker.incarnation());
         if worker.as_ref().is_some_and(crashed) {
             self.attribute_crash(name);
@@ -66,6 +66,8 @@
         let verified = fenced && std::mem::take(&mut agent.unverified);
         if fenced {
             agent.listed_at = listed_at;
+            // The worker has answered since it was last reported as silent.
+            agent.silent_ms = age.map_or(agent.silent_ms, |age| agent.silent_ms.min(age));
         }
         agent.listed_runs = running.iter().map(|run| (run.task.clone(), run.number)).collect();
         self.replan |= !std::mem::take(&mut agent.strays).is_empty();
@@ -438,6 +440,7 @@
             placed.phase = Phase::Running;
         }
         if let Some(agent) = self.agents.get_mut(&placed.agent) {
+            agent.silent_ms = 0;
             // An accepted start ends the worker's backoff early.
             self.replan |= agent.refusals.until > 0;
             agent.refusals = Refusals::default();
