Play random courses with changes of owner and troubles that overlap

The simulation of changes of owner had scripted courses only. A plan now draws 30 to 60 s of troubles that come in series and overlap: entries suspended, also between deciding and sending, killed, shut down, cut off from the table, from agents and from other entries, one way too; agents suspended or restarted; workers whose calls or replies are lost, late or broken, that hang, crash, drain and leave; the table silent, slow, refusing, losing replies; the feed stalled; history discarded; processes without processor time. Jobs arrive all the time. Checked are the rule at the workers, and that all jobs end within 60 s of the last trouble.

For this the worker has processes with ids of their own, stops that take time, heartbeats and notices that arrive late, and calls that fail. Frames of several connections reach an owner in any order, as in the entry, where each connection is read by a task of its own. The entry writes its row at once while the owner needs to be confirmed, as site/record.rs does.

--- /dev/null
+++ b/crates/runner/tests/owner_change_courses.rs
@@ -0,0 +1,67 @@
+//! Random courses with changes of owner and troubles that overlap: no task runs twice at the same
+//! time, or again after an end that is noted, and every job ends.
+
+mod succession;
+
+use succession::trouble::Plan;
+
+/// Removes events from a course that fails, as long as it fails in the same way.
+fn shrink(mut plan: Plan) -> Plan {
+    let kind = |report: &str| report.starts_with("jobs that");
+    let wanted = kind(&plan.play());
+    let mut size = plan.events.len() / 2;
+    while size > 0 {
+        let mut first = 0;
+        while first < plan.events.len() {
+            let mut shorter = plan.clone();
+            let last = (first + size).min(plan.events.len());
+            shorter.events.drain(first..last);
+            let report = shorter.play();
+            if report.is_empty() || kind(&report) != wanted {
+                first += size;
+            } else {
+                plan = shorter;
+            }
+        }
+        size /= 2;
+    }
+    plan
+}
+
+// Guards against a second run of a task, and against jobs that never end, when troubles of owners,
+// agents, workers and the table overlap.
+#[test]
+fn no_task_runs_twice_in_courses_with_overlapping_troubles() {
+    for seed in 0..12 {
+        let plan = Plan { stale_versions: 0, ..Plan::draw(seed) };
+        let report = plan.play();
+        assert!(report.is_empty(), "seed {seed}\n{report}");
+    }
+}
+
+/// Plays the seeds from `FIRST` to before `LAST`, and prints those that fail. With `SHRINK`, prints
+/// the shortened courses and their logs.
+#[test]
+#[ignore = "plays as many courses as its environment says"]
+fn hunt() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|value| value.parse().ok());
+    let (first, last) = (number("FIRST").unwrap_or(0), number("LAST").unwrap_or(100));
+    let mut failed = 0;
+    for seed in first..last {
+        let mut plan = Plan::draw(seed);
+        if std::env::var("STALE").is_err() {
+            plan.stale_versions = 0;
+        }
+        let report = plan.play();
+        if report.is_empty() {
+            continue;
+        }
+        failed += 1;
+        println!("seed {seed}: {}", report.lines().next().unwrap_or_default());
+        if std::env::var("SHRINK").is_ok() {
+            let plan = shrink(plan);
+            println!("{plan:#?}\n{}", plan.play());
+        }
+    }
+    println!("{failed} of {} courses failed", last - first);
+}
--- a/crates/runner/tests/succession/mod.rs
+++ b/crates/runner/tests/succession/mod.rs
@@ -8,6 +8,7 @@
 mod link;
 mod ownership;
 mod table;
+pub mod trouble;
 mod worker;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,7 @@
 use quincewheel_store::{Changes, Commit, Put};
 use quincewheel_wire::Notice;
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
 use audit::Audit;
@@ -43,6 +45,8 @@
 const IDLE_POLL_INTERVAL_MS: u64 = 200;
 const PAGE_TIMEOUT_MS: u64 = 1500;
 const SUBMISSION_TIMEOUT_MS: u64 = 1200;
+/// Below [`PAGE_TIMEOUT_MS`], so that the read succeeds.
+pub const SLOW_READ_MS: u64 = 1400;
 
 /// How the table treats the calls of one entry, each until a time.
 #[derive(Clone, Copy, Default)]
@@ -52,6 +56,8 @@
     pub slow_until: u64,
     pub loses_replies_until: u64,
     pub feed_stalled_until: u64,
+    /// A read of all rows takes [`SLOW_READ_MS`].
+    pub reads_slow_until: u64,
 }
 
 /// The whole system.
@@ -66,7 +72,11 @@
     links: Vec<Link>,
     /// Until when an entry and a process are cut off from each other.
     cuts: BTreeMap<(usize, String), u64>,
+    /// The same for one direction; true for that to the entry.
+    one_way_cuts: BTreeMap<(usize, String, bool), u64>,
     pub troubles: [TableTrouble; ENTRIES],
+    /// Processes are suspended for short times until then.
+    pub starved_until: u64,
     /// The table answers nobody until then.
     pub silent_until: u64,
     /// A read of all rows returns rows that are up to this many versions old.
@@ -90,10 +100,12 @@
             calls: Vec::new(),
             next_id: 1,
             entries: (0..ENTRIES).map(|number| Entry::new(number, 1)).collect(),
-            nodes: (0..NODES).map(Node::new).collect(),
+            nodes: (0..NODES).map(|number| Node::new(number, seed)).collect(),
             links: Vec::new(),
             cuts: BTreeMap::new(),
+            one_way_cuts: BTreeMap::new(),
             troubles: [TableTrouble::default(); ENTRIES],
+            starved_until: 0,
             silent_until: 0,
             stale_versions: 0,
             audit: Audit::default(),
@@ -121,9 +133,25 @@
         }
     }
 
+    /// Lets time pass until a condition holds, which must be within a minute.
+    pub fn run_until(&mut self, holds: impl Fn(&Course) -> bool) {
+        let limit = self.now + 60_000;
+        while !holds(self) {
+            assert!(self.now < limit, "{}", self.lines.join("\n"));
+            self.step();
+        }
+    }
+
+    /// Lets time pass until an entry logs a line that contains `text`.
+    pub fn run_until_logged(&mut self, text: &str) {
+        let known = self.lines.len();
+        self.run_until(|course| course.lines[known..].iter().any(|line| line.contains(text)));
+    }
+
     fn step(&mut self) {
         self.now += STEP_MS;
         self.apply_table_calls();
+        self.starve();
         for number in 0..ENTRIES {
             self.step_entry(number);
         }
@@ -136,6 +164,35 @@
         });
     }
 
+    /// Suspends processes that are without processor time.
+    fn starve(&mut self) {
+        if self.now >= self.starved_until {
+            return;
+        }
+        for number in 0..ENTRIES {
+            if self.rng.random_bool(0.02) {
+                let until = self.now + self.rng.random_range(20..1200);
+                let frozen_until = &mut self.entries[number].frozen_until;
+                *frozen_until = until.max(*frozen_until);
+            }
+        }
+        for number in 0..NODES {
+            if self.rng.random_bool(0.02) {
+                let until = self.now + self.rng.random_range(20..1200);
+                let frozen_until = &mut self.nodes[number].frozen_until;
+                *frozen_until = until.max(*frozen_until);
+            }
+        }
+    }
+
+    /// Discards the table's history before the entry has read the end of it.
+    pub fn discard_unread_history(&mut self, entry: usize) {
+        self.run_until(|course| {
+            course.entries[entry].feed.version.is_some_and(|read| read < course.table.version)
+        });
+        self.table.compacted = self.table.version;
+    }
+
     /// The entry that owns, by its own account.
     pub fn owners(&self) -> Vec<usize> {
         (0..ENTRIES).filter(|&number| self.entries[number].owner.is_some()).collect()
@@ -155,11 +212,16 @@
 
     /// Stores a job through an entry.
     pub fn submit(&mut self, entry: usize, count: u32, accelerators: u64) {
+        self.submit_step(entry, count, accelerators, false);
+    }
+
+    /// Stores a job of one step, which is a gang or not, through an entry.
+    pub fn submit_step(&mut self, entry: usize, count: u32, accelerators: u64, gang: bool) {
         self.jobs += 1;
         let id = format!("{:016x}", self.jobs);
         let queue = Queue { name: "q".into(), pool: "p".into(), attempts: 3, ..Queue::default() };
         let need = Resources { cpu: 1000, memory: 1000, accelerators };
-        let step = Step { count, need, estimate: 1000, ..Step::default() };
+        let step = Step { count, need, estimate: 1000, gang, ..Step::default() };
         let job = Job {
             team: "t".into(),
             queue,
@@ -189,6 +251,18 @@
         self.cuts.get(&(entry, name.to_owned())).is_some_and(|until| self.now < *until)
     }
 
+    /// Holds frames of one direction back between an entry and a process that it has dialled.
+    pub fn cut_one_way(&mut self, entry: usize, name: &str, to_entry: bool, until: u64) {
+        let known = self.one_way_cuts.entry((entry, name.to_owned(), to_entry)).or_default();
+        *known = until.max(*known);
+    }
+
+    /// Whether frames of one direction are held back.
+    fn is_held_back(&self, entry: usize, name: &str, to_entry: bool) -> bool {
+        let until = self.one_way_cuts.get(&(entry, name.to_owned(), to_entry));
+        self.is_cut(entry, name) || until.is_some_and(|until| self.now < *until)
+    }
+
     /// Suspends an entry's process; with `decides`, after the owner has decided and before it sends
     /// what it decided.
     pub fn freeze_entry(&mut self, number: usize, ms: u64, decides: bool) {
@@ -237,7 +311,11 @@
         let base = self.rng.random_range(3..20);
         let slow = now < trouble.slow_until;
         let latency = if slow { self.rng.random_range(80..220) } else { base };
-        let latency = if matches!(request, Request::ReadAll) { latency * 3 } else { latency };
+        let latency = match request {
+            Request::ReadAll if now < trouble.reads_slow_until => SLOW_READ_MS / 2,
+            Request::ReadAll => latency * 3,
+            _ => latency,
+        };
         let late = self.rng.random_range(500..4000);
         let mut apply_at = Some(now + latency);
         let mut reply_lost = false;
@@ -434,6 +512,9 @@
             Some((_, version)) => entry.election.observe_row(*version, now),
             None => entry.election.on_unowned(now),
         }
+        if complete {
+            self.log(format!("e{number} has read all rows as of version {}", changes.version));
+        }
         for event in events {
             self.notify_owner(number, event);
         }
@@ -516,7 +597,7 @@
         let mut events = Vec::new();
         for index in 0..self.links.len() {
             let link = &self.links[index];
-            if link.entry == number && !self.is_cut(number, &peer_name(link.peer)) {
+            if link.entry == number && !self.is_held_back(number, &peer_name(link.peer), true) {
                 let link = &mut self.links[index];
                 while link.to_owner.front().is_some_and(|(at, _)| *at <= now) {
                     let Some((at, frame)) = link.to_owner.pop_front() else { break };
@@ -526,7 +607,8 @@
                 }
             }
             let link = &self.links[index];
-            if link.peer == Peer::Entry(number) && !self.is_cut(link.entry, &format!("e{number}")) {
+            let name = format!("e{number}");
+            if link.peer == Peer::Entry(number) && !self.is_held_back(link.entry, &name, false) {
                 let (id, owner) = (link.id, link.entry);
                 let mut frames = Vec::new();
                 let link = &mut self.links[index];
@@ -538,7 +620,7 @@
                 }
             }
         }
-        events.sort_by_key(|(at, id, _, _)| (*at, *id));
+        self.order_events(&mut events);
         for (index, (_, id, peer, frame)) in events.into_iter().enumerate() {
             if index % MAX_EVENTS == MAX_EVENTS - 1 {
                 self.tick_owner(number);
@@ -550,6 +632,26 @@
         }
     }
 
+    /// Orders frames that wait: by arrival, connection by connection, or mixed at random. Frames of
+    /// one connection stay in order.
+    fn order_events(&mut self, events: &mut Vec<(u64, u64, Peer, ToOwner)>) {
+        let mut links: Vec<u64> = events.iter().map(|(_, id, _, _)| *id).collect();
+        let by_arrival = events.len() < 2 || self.rng.random_bool(0.4);
+        if by_arrival {
+            return events.sort_by_key(|(at, id, _, _)| (*at, *id));
+        }
+        links.shuffle(&mut self.rng);
+        if self.rng.random_bool(0.5) {
+            links.sort_by_key(|id| id.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        }
+        let mut ordered = Vec::new();
+        for link in links {
+            let position = events.iter().position(|(_, id, _, _)| *id == link);
+            ordered.extend(position.map(|position| events.remove(position)));
+        }
+        *events = ordered;
+    }
+
     fn on_event(&mut self, number: usize, id: u64, peer: Peer, frame: ToOwner) {
         let now = self.now;
         let name = peer_name(peer);
@@ -677,7 +779,8 @@
                 Peer::Entry(index) => self.entries[index].is_up(now),
                 Peer::Node(index) => now >= self.nodes[index].frozen_until,
             };
-            if !up || self.is_cut(number, &name) {
+            let reachable = [true, false].iter().all(|to| !self.is_held_back(number, &name, *to));
+            if !up || !reachable {
                 continue;
             }
             let id = self.next_id;
@@ -721,7 +824,8 @@
         let mut frames = Vec::new();
         for index in 0..self.links.len() {
             let link = &self.links[index];
-            if link.peer != Peer::Node(number) || self.is_cut(link.entry, &format!("w{number}")) {
+            let name = format!("w{number}");
+            if link.peer != Peer::Node(number) || self.is_held_back(link.entry, &name, false) {
                 continue;
             }
             let link = &mut self.links[index];
@@ -754,7 +858,7 @@
         for output in self.nodes[number].runner.take_outputs() {
             match output {
                 AgentOutput::Call { id, call } => {
-                    self.nodes[number].send_call(id, call, &mut self.audit, now);
+                    self.nodes[number].send_call(id, call, now);
                 }
                 AgentOutput::Send { link, notice } => {
                     let at = self.arrival();
--- a/crates/runner/tests/succession/ownership.rs
+++ b/crates/runner/tests/succession/ownership.rs
@@ -174,6 +174,7 @@
         let entry = &mut self.entries[number];
         let Some(owner) = entry.owner.as_mut() else { return };
         let due = !entry.unconfirmed.is_empty()
+            || owner.needs_confirmation()
             || owner.has_urgent_changes()
             || (owner.has_unrecorded() && now >= entry.last_write_at + BATCH_DELAY_MS)
             || now >= entry.last_write_at + RENEWAL_INTERVAL_MS;
--- a/crates/runner/tests/succession/table.rs
+++ b/crates/runner/tests/succession/table.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use quincewheel_dispatch::rows;
+use quincewheel_job::Progress;
 use quincewheel_store::{Change, Changes, Commit};
 
 /// The rows and their history.
@@ -78,6 +80,22 @@
         Changes { rows, version: jobs.min(main) }
     }
 
+    /// Jobs whose recorded progress is not final.
+    pub fn open_jobs(&self) -> Vec<String> {
+        let rows = self.read_all(self.version).rows;
+        let is_over = |id: &str| {
+            let key = rows::progress_key(id);
+            let row = rows.iter().find(|row| row.key == key);
+            let progress = row.and_then(|row| row.value.as_ref()).map(|value| {
+                serde_json::from_str::<Progress>(value).expect("the owner writes progress")
+            });
+            progress.is_some_and(|progress| progress.state.is_final())
+        };
+        let jobs = (1..=rows.len()).map(|number| format!("{number:016x}"));
+        let stored = |id: &String| rows.iter().any(|row| row.key == rows::job_key(id));
+        jobs.filter(|id| stored(id) && !is_over(id)).collect()
+    }
+
     fn read_all(&self, version: u64) -> Changes {
         let mut rows: BTreeMap<&str, &Change> = BTreeMap::new();
         for change in self.history.iter().filter(|change| change.version <= version) {
