Show an owner using an agent whose row is gone

The former owner had ordered work at w0 although the table had no row of w0's agent, and a new owner waits only for agents that have rows.

The course: the table discards its history, and the owner reads all rows. While the reply is on its way, a worker leaves, and the owner deletes the row of its agent; another process of the worker reports to that agent meanwhile. The deletion is confirmed, and the owner dismisses the agent. The reply then arrives. Its version is older than the deletion, and Mirror::reload takes over the agent's row and returns NodeAnnounced; add_agent readmits the agent, which is dialled and gets work some 40 ms later. The agent does not announce itself before 2 s without an owner.

The deletion follows with the feed 40 ms later, and the agent is dismissed again, but its run goes on until its lease ends: a change of owner within that time starts the task a second time. If the history is discarded again before, the second read of all rows lacks the row, and Mirror::reload returns no NodeRemoved for it, so the owner keeps the agent for good.

Both tests fail now.

--- a/crates/runner/tests/owner_changes.rs
+++ b/crates/runner/tests/owner_changes.rs
@@ -2,7 +2,7 @@
 
 mod succession;
 
-use succession::{Course, ENTRIES, NODES};
+use succession::{Course, ENTRIES, NODES, SLOW_READ_MS};
 
 /// A deployment with an owner that has settled, and no jobs.
 fn settled(seed: u64) -> Course {
@@ -56,3 +56,55 @@
     let report = split(4000, 13_000);
     assert!(report.is_empty(), "{report}");
 }
+
+/// Lets the worker w0 leave and come back while a read of all rows is in flight at the owner. The
+/// read still has the row of w0's agent, and the owner deletes that row before the reply arrives.
+/// A task of 12 s waits for a worker then. With `discarded`, the table discards the change that deletes the row before
+/// the owner has read it. The owner is killed `ms` after the reply. Returns the violations, and the
+/// log.
+fn departure_during_a_read(discarded: bool, ms: u64) -> String {
+    let mut course = settled(1);
+    let owner = course.owners()[0];
+    course.troubles[owner].reads_slow_until = course.now + 1000;
+    course.discard_unread_history(owner);
+    course.run(SLOW_READ_MS / 2 + 100);
+    course.troubles[owner].slow_until = course.now + 1000;
+    let now = course.now;
+    course.nodes[0].drain_worker(10, 10_000, now);
+    course.run_until(|course| {
+        let write = course.entries[owner].write.as_ref();
+        write.is_some_and(|write| !write.batch.departed.is_empty())
+    });
+    let now = course.now;
+    course.nodes[0].start_worker(now);
+    course.run_until_logged("agent dismissed w0");
+    course.troubles[owner].slow_until = 0;
+    course.run_until_logged(&format!("e{owner} has read all rows"));
+    course.durations = (300, 300);
+    course.submit(owner, NODES as u32, 8);
+    course.run_until(|course| course.audit.starts == NODES - 1);
+    course.durations = (12_000, 12_000);
+    if discarded {
+        course.discard_unread_history(owner);
+    }
+    course.run(ms);
+    course.kill_entry(owner, 20_000);
+    course.run(15_000);
+    course.report()
+}
+
+// Guards against two runs of a task at once: an owner that read all rows took back an agent whose
+// row it had deleted since the read, and its successor did not know of the runs there.
+#[test]
+fn agent_whose_row_is_deleted_during_a_read_of_all_rows_gets_no_run() {
+    let report = departure_during_a_read(false, 60);
+    assert!(report.is_empty(), "{report}");
+}
+
+// Guards against two runs of a task at once: an owner that read all rows did not notice that an
+// agent's row was gone, and its successor did not know of the runs there.
+#[test]
+fn agent_whose_row_is_missing_from_all_rows_gets_no_run() {
+    let report = departure_during_a_read(true, 1500);
+    assert!(report.is_empty(), "{report}");
+}
