Show a suspended owner granting leases that its successor does not allow for

The course: an owner is suspended for 3.7 s. Another entry takes over after 1.3 s; it reaches three of six agents, which is enough for majority_since, and takes leases of its predecessor for over 7.7 s after its claim. The first owner wakes, closes its connections, which are silent, and dials all agents again. Owner::on_connected sets last_notice_at and the link of each, so that all six count toward the quorum in Owner::grant_lease, also those that follow the successor and are about to refuse the claim. The other three accept the claim, since they have not heard of the successor, and report; the first of these reports is granted a lease. The lease ends 6 s after the owner woke, which is 0.5 to 2 s after the successor has started older jobs. Grants are also sent after a Superseded notice of the same batch of events, until the next tick.

They play twenty seeds each, since the fault depends on the order in which the owner processes what agents send.

--- a/crates/runner/tests/owner_changes.rs
+++ b/crates/runner/tests/owner_changes.rs
@@ -108,3 +108,51 @@
     let report = departure_during_a_read(true, 1500);
     assert!(report.is_empty(), "{report}");
 }
+
+/// Starts a task that runs for `duration` at each of three workers. Then suspends the owner for
+/// `pause` ms, and cuts the other entries off from these workers for `cut` ms. Returns the
+/// violations, and the log.
+fn suspended_owner(seed: u64, duration: u64, pause: u64, cut: u64) -> String {
+    let mut course = settled(seed);
+    let owner = course.owners()[0];
+    course.durations = (duration, duration);
+    for _ in 0..NODES / 2 {
+        course.submit(owner, 1, 8);
+    }
+    course.run_until(|course| course.audit.starts == NODES / 2);
+    let busy = (0..NODES).filter(|node| course.nodes[*node].worker.is_busy());
+    let busy: Vec<usize> = busy.collect();
+    course.freeze_entry(owner, pause, false);
+    let until = course.now + cut;
+    for other in (0..ENTRIES).filter(|other| *other != owner) {
+        for node in &busy {
+            course.cut(other, &format!("w{node}"), until);
+        }
+    }
+    course.run(20_000);
+    course.report()
+}
+
+/// Plays [`suspended_owner`] with twenty seeds, which differ in the order in which the owner
+/// processes what agents send. Returns the report of the first violation.
+fn suspended_owners(duration: u64, cut: u64) -> String {
+    let reports = (0..20).map(|seed| suspended_owner(seed, duration, 3700, cut));
+    reports.into_iter().find(|report| !report.is_empty()).unwrap_or_default()
+}
+
+// Guards against two runs of a task at once: an owner that had been suspended counted agents of its
+// successor toward its quorum because it had dialled them, and granted leases that the successor
+// did not allow for.
+#[test]
+fn suspended_owner_renews_no_lease_beyond_what_its_successor_allows_for() {
+    let report = suspended_owners(12_000, 9500);
+    assert!(report.is_empty(), "{report}");
+}
+
+// Guards against a start after an end as done: the same, with a run that ended while the owner was
+// suspended, and whose end is noted after the successor started its task elsewhere.
+#[test]
+fn suspended_owner_keeps_no_end_from_lapsing_beyond_what_its_successor_allows_for() {
+    let report = suspended_owners(1000, 9000);
+    assert!(report.is_empty(), "{report}");
+}
