Show an owner counting agents by notices that waited while it was suspended

When the owner wakes and processes the frames that waited in its open connections before its next tick, Owner::on_notice sets last_notice_at to the present time for each. Pings that w3 to w5 sent before they followed the successor so count as new in Owner::grant_lease, and the quorum is reached, although the Superseded notices that come after them have been processed too: the links stay until the end of each connection is processed. The present pings of w0 to w2 are granted leases that end after the successor has settled.

--- a/crates/runner/tests/owner_changes.rs
+++ b/crates/runner/tests/owner_changes.rs
@@ -133,11 +133,11 @@
     course.report()
 }
 
-/// Plays [`suspended_owner`] with twenty seeds, which differ in the order in which the owner
+/// Plays [`suspended_owner`] with sixty seeds, which differ in the order in which the owner
 /// processes what agents send. Returns the report of the first violation.
-fn suspended_owners(duration: u64, cut: u64) -> String {
-    let reports = (0..20).map(|seed| suspended_owner(seed, duration, 3700, cut));
-    reports.into_iter().find(|report| !report.is_empty()).unwrap_or_default()
+fn suspended_owners(duration: u64, pause: u64, cut: u64) -> String {
+    let mut reports = (0..60).map(|seed| suspended_owner(seed, duration, pause, cut));
+    reports.find(|report| !report.is_empty()).unwrap_or_default()
 }
 
 // Guards against two runs of a task at once: an owner that had been suspended counted agents of its
@@ -145,7 +145,7 @@
 // did not allow for.
 #[test]
 fn suspended_owner_renews_no_lease_beyond_what_its_successor_allows_for() {
-    let report = suspended_owners(12_000, 9500);
+    let report = suspended_owners(12_000, 3700, 9500);
     assert!(report.is_empty(), "{report}");
 }
 
@@ -153,6 +153,14 @@
 // suspended, and whose end is noted after the successor started its task elsewhere.
 #[test]
 fn suspended_owner_keeps_no_end_from_lapsing_beyond_what_its_successor_allows_for() {
-    let report = suspended_owners(1000, 9000);
+    let report = suspended_owners(1000, 3700, 9000);
+    assert!(report.is_empty(), "{report}");
+}
+
+// Guards against a start after an end as done: an owner that had been suspended counted agents
+// toward its quorum by notices that had waited since before they followed its successor.
+#[test]
+fn suspended_owner_counts_no_agent_by_notices_that_waited() {
+    let report = suspended_owners(1000, 3000, 8500);
     assert!(report.is_empty(), "{report}");
 }
