Use no agent whose row was deleted while all rows were read

Cause: when the table has discarded its history, an owner reads all rows. The read may be older than a row's deletion that the owner has written itself; it then took the agent back, which has no row, and gave it work. And rows that are gone by such a read were not reported, so their agents stayed for good. A successor waits only for agents that have rows, and started the tasks again.

Change: the replica keeps the version of the last write or deletion of each process's row, ignores older ones, and reports rows that a read of all rows lacks.

--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -19,6 +19,9 @@
     pub jobs: BTreeMap<Id, JobView>,
     /// Agents by name.
     pub nodes: BTreeMap<String, Node>,
+    /// The versions at which rows of processes were last written or deleted. A read of all rows may
+    /// be older.
+    node_versions: BTreeMap<String, u64>,
     /// The ownership row and its version; none if there was never an owner.
     pub owner: Option<(Ownership, u64)>,
     /// The entry that owned last, also after it handed over.
@@ -99,8 +102,22 @@
     pub fn reload(&mut self, changes: &[Change], version: u64) -> Vec<RowEvent> {
         let known = std::mem::take(&mut self.jobs);
         let (owner, last_owner) = (self.owner.take(), self.last_owner.take());
-        *self = Mirror { owner, last_owner, version, ..Mirror::default() };
-        let events = changes.iter().filter_map(|change| self.apply(change)).collect();
+        let node_versions = std::mem::take(&mut self.node_versions);
+        let nodes = std::mem::take(&mut self.nodes);
+        *self = Mirror { owner, last_owner, version, node_versions, ..Mirror::default() };
+        let mut events: Vec<RowEvent> =
+            changes.iter().filter_map(|change| self.apply(change)).collect();
+        for (name, node) in nodes {
+            if self.nodes.contains_key(&name) {
+                continue;
+            }
+            // Written since the rows were read.
+            if self.node_versions.get(&name).is_some_and(|written| *written > version) {
+                self.nodes.insert(name, node);
+            } else {
+                events.push(RowEvent::NodeRemoved(name));
+            }
+        }
         for (id, view) in known {
             let later = view.job.as_ref().is_some_and(|(_, stored)| *stored > version);
             if view.progress_version > version
@@ -142,8 +159,11 @@
             _ => {}
         }
         let (kind, name) = change.key.split_once('/')?;
+        if kind == "node" && self.node_versions.get(name).is_some_and(|at| *at > change.version) {
+            return None;
+        }
         let Some(value) = &change.value else {
-            self.remove_row(kind, name);
+            self.remove_row(kind, name, change.version);
             return (kind == "node").then(|| RowEvent::NodeRemoved(name.to_owned()));
         };
         let read = match kind {
@@ -240,6 +260,7 @@
             }
             Ok(node) => {
                 self.nodes.insert(name.to_owned(), node);
+                self.node_versions.insert(name.to_owned(), change.version);
                 RowEvent::NodeAnnounced(name.to_owned())
             }
         }
@@ -268,14 +289,18 @@
         }
     }
 
-    fn remove_row(&mut self, kind: &str, name: &str) {
+    /// Removes the row of a process that was deleted at this version of the table.
+    pub fn remove_node(&mut self, name: &str, version: u64) {
+        self.nodes.remove(name);
+        self.node_versions.insert(name.to_owned(), version);
+    }
+
+    fn remove_row(&mut self, kind: &str, name: &str, version: u64) {
         match kind {
             "job" => {
                 self.jobs.remove(name);
             }
-            "node" => {
-                self.nodes.remove(name);
-            }
+            "node" => self.remove_node(name, version),
             _ => {}
         }
     }
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -167,7 +167,7 @@
     shared.record_done.notify_waiters();
     for name in batch.departed.iter().filter(|name| owner.is_dismissed(name)) {
         // Prevents the member from being dialled before the feed delivers a new row of it.
-        mirror.nodes.remove(name);
+        mirror.remove_node(name, version);
     }
     for (id, progress) in &batch.jobs {
         // The owner's own clients see the progress without waiting for the feed.
--- a/crates/runner/tests/succession/ownership.rs
+++ b/crates/runner/tests/succession/ownership.rs
@@ -274,7 +274,7 @@
         owner.confirm_ownership(write.sent_at);
         owner.on_recorded(&write.batch, true);
         for name in write.batch.departed.iter().filter(|name| owner.is_dismissed(name)) {
-            entry.mirror.nodes.remove(name);
+            entry.mirror.remove_node(name, version);
         }
         for (id, progress) in &write.batch.jobs {
             if let Some(view) = entry.mirror.jobs.get_mut(id) {
