Settle only on what is proved of an agent, and trust no older read or run

The review's finds, each with its test where one could be made: - TWICE: a new owner took an agent without a worker for clear of older runs while leases that it had granted itself still ran (unsettled_agents.rs, failed, passes). It waits for those, too. - TWICE: a worker that the platform's list lacks made its agent count as accounted for, although it was a stale incarnation and the present one, on the list, was not known (unsettled_agents.rs, failed, passes). That now takes a list on which every worker is reported by some agent. - An older run that was listed late set a task's run number back (run_numbers.rs, failed, passes). - By reading, without a test: a repeated start counts from when it was sent again against a silence; a write that turns out to have taken effect confirms the ownership from its first attempt, not its last; and a new owner takes no read of all rows that is older than its claim.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -114,9 +114,8 @@
         let expired = now >= last + lease;
         match (&self.worker, self.link) {
             _ if self.reconciled || !self.predecessor_leases => true,
-            (None, _) => expired,
             (Some(_), Some(_)) => self.silent_ms >= lease,
-            (Some(_), None) => expired && now >= self.leases_expire_at,
+            (None, _) | (Some(_), None) => expired && now >= self.leases_expire_at,
         }
     }
 
@@ -127,6 +126,11 @@
         now + settings.lease / 4 + settings.lease_margin < self.leases_expire_at
     }
 
+    /// Returns whether the agent reports a worker with this id.
+    pub fn reports_worker(&self, id: &str) -> bool {
+        self.worker.as_ref().is_some_and(|worker| worker.id == id)
+    }
+
     /// Returns whether runs may start there.
     pub fn accepts_runs(&self, settings: &Settings, now: u64) -> bool {
         CloseReason::of(self, settings, now).is_none()
--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -116,10 +116,17 @@
             .filter(|(_, worker)| confirmed(&worker.id))
             .map(|(name, worker)| (name.to_owned(), worker.incarnation()))
             .collect();
+        // A worker that no agent has reported may be the present incarnation of one that has ended, and
+        // have runs of a previous owner.
+        let known = |id: &&&str| self.agents.values().any(|agent| agent.reports_worker(id));
+        let all_known = listed.iter().filter(|id| !id.is_empty()).all(|id| known(&id));
         for (name, worker) in ended {
             self.log("worker gone", &name, format!("{worker} is not listed any more"));
             self.attribute_crash(&name);
             self.end_incarnation(&name, &worker, "is gone", now);
+            if let Some(agent) = self.agents.get_mut(&name) {
+                agent.reconciled |= all_known;
+            }
             self.replan = true;
         }
         if pages == 1 {
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -3,7 +3,7 @@
 use quincewheel_wire::{LinkId, Order};
 
 use crate::agent::Agent;
-use crate::entry::Placement;
+use crate::entry::{Phase, Placement};
 use crate::output::Output;
 use crate::owner::Owner;
 
@@ -146,8 +146,12 @@
         for name in unresponsive {
             self.attribute_crash(&name);
             // Runs that started later are not covered by this silence.
+            let ordered_at = |placed: &Placement| match placed.phase {
+                Phase::Starting => placed.updated_at,
+                Phase::Running | Phase::Stopping => placed.started_at,
+            };
             let covered =
-                |placed: &Placement| placed.agent == name && now >= placed.started_at + bound;
+                |placed: &Placement| placed.agent == name && now >= ordered_at(placed) + bound;
             let lease = self.lease_detail(&name, now);
             let follows = self.follows_owner(&name, now);
             for (id, key) in self.runs_where(covered) {
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -142,7 +142,7 @@
 
 /// A longer time without a tick or a notice means that the process was suspended. The owner ticks
 /// every 100 ms, and agents send pings every second.
-pub(crate) const MAX_TICK_GAP_MS: u64 = 400;
+pub(crate) const MAX_TICK_GAP_MS: u64 = 300;
 
 /// An owner cannot have been replaced within this time after it sent a successful write of its
 /// row. The 200 ms below the earliest takeover allow for clock drift.
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -125,13 +125,15 @@
     /// Handles a worker's notice that it is shutting down.
     pub(crate) fn on_left(&mut self, name: &str, from: &Incarnation, now: u64) {
         self.dismiss_crash(name);
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.reconciled = true;
+        }
         self.end_incarnation(name, from, "left", now);
     }
 
     /// Drops all runs of an incarnation of a worker that has ended. `how` is for the log.
     pub(crate) fn end_incarnation(&mut self, name: &str, from: &Incarnation, how: &str, now: u64) {
         if let Some(agent) = self.agents.get_mut(name) {
-            agent.reconciled = true;
             agent.worker_left = true;
         }
         self.forget_worker(from);
@@ -164,6 +166,10 @@
         for (job, key) in self.runs_where(|placed| placed.agent == name && placed.worker == *from) {
             let Some(entry) = self.jobs.get_mut(&job) else { continue };
             let Some(placed) = entry.runs.get_mut(&key) else { continue };
+            if placed.phase == Phase::Starting {
+                // The order may take effect only now.
+                placed.updated_at = now;
+            }
             if placed.phase == Phase::Starting && evacuated {
                 // The worker has answered and does not list the run. The start may still be
                 // in flight and must not take effect in an evacuated zone.
@@ -257,7 +263,8 @@
                 let unit = unit.map(|(_, other)| other.unit).next().filter(|_| gang);
                 let placed = Placement { unit: unit.unwrap_or(placed.unit), ..placed };
                 entry.runs.insert(key, placed);
-                entry.run_numbers.insert(slot, run.number);
+                let number = entry.run_numbers.entry(slot).or_default();
+                *number = run.number.max(*number);
                 entry.update_checkpoint(slot, &run.saved);
                 if entry.progress.state == State::Queued {
                     entry.progress.state = State::Running;
--- a/crates/entry/src/site/ownership.rs
+++ b/crates/entry/src/site/ownership.rs
@@ -124,7 +124,7 @@
     };
     let version = match catch_up(shared, claimed_version).await {
         Some(version) => Some(version),
-        None => read_all_rows(shared, sent_at + RENEWAL_INTERVAL_MS * 2).await,
+        None => read_all_rows(shared, claimed_version, sent_at + RENEWAL_INTERVAL_MS * 2).await,
     };
     // No complete set of rows in time: another entry may have taken over by now.
     let Some(version) = version else { return };
@@ -164,11 +164,16 @@
     shared.record_due.notify_one();
 }
 
-/// Reads all rows and returns their version, or `None` if that has not succeeded by `until`. Rows
-/// that the feed has delivered stay in the mirror, since a read may lag seconds behind it.
-async fn read_all_rows(shared: &Site, until: u64) -> Option<u64> {
+/// Reads all rows as of `min_version` or later and returns their version, or `None` if that has not
+/// succeeded by `until`. Rows that the feed has delivered stay in the mirror, since a read may lag
+/// seconds behind it; older ones than the claim could lack ends that a previous owner has recorded.
+async fn read_all_rows(shared: &Site, min_version: u64, until: u64) -> Option<u64> {
     loop {
         match read_all(&shared.table, Space::System).await {
+            Ok(all) if all.version < min_version => {
+                let version = all.version;
+                log::warn!(event = "takeover"; "rows of version {version}, before {min_version}");
+            }
             Ok(all) => {
                 let mut mirror = shared.mirror.borrow_mut();
                 for change in &all.rows {
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -101,6 +101,7 @@
     commit
         .put
         .extend(batch.jobs.iter().map(|(id, progress)| put(rows::progress_key(id), progress)));
+    let first_sent_at = quincewheel_clock::boot();
     loop {
         let sent_at = quincewheel_clock::boot();
         let mut commit_in_flight = pin!(shared.table.commit(&commit, COMMIT_TIMEOUT));
@@ -123,7 +124,7 @@
             Err(Error::Conflict { .. }) => match read_owner(shared).await {
                 Ok((found, found_version)) if found == mine => {
                     // An earlier attempt of this same write took effect.
-                    on_written(shared, batch, &mine, found_version, sent_at);
+                    on_written(shared, batch, &mine, found_version, first_sent_at);
                     return remove_expired(shared, &expired);
                 }
                 Ok((found, _)) => {
