Close an ended job whose last run ends during a write

Cause: a finished job is not closed while a batch is in flight, and the batch closes only jobs of its own.

Change: such a job goes into the next batch, which closes it.

--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -426,10 +426,13 @@
     fn close_if_finished(&mut self, id: &str) {
         let finished =
             |entry: &crate::entry::Entry| entry.progress.state.is_final() && entry.runs.is_empty();
-        if self.jobs.get(id).is_some_and(finished)
-            && !self.dirty.contains(id)
-            && !self.record_in_flight
-        {
+        if !self.jobs.get(id).is_some_and(finished) || self.dirty.contains(id) {
+            return;
+        }
+        if self.record_in_flight {
+            // The batch in flight may hold the job, or not: it is closed with the next one.
+            self.mark_dirty(id, false);
+        } else {
             self.close_job(id);
         }
     }
