Refuse polls, and kill agents beside delayed heartbeats, in the soak

Two directed runs of the real programs guard against second starts of a task whose first run goes on or has ended as done (TWICE):

- soak_refused_polls: workers refuse polls with 503 for 6 s, the longest lease, while they confirm starts, which extend the lease.
Half of the workers refuse at a time.
- soak_killed_agents: a worker restarts, its agent is killed 2 s later, and the restarted agent first hears a heartbeat of the worker's former incarnation; the current one's follows 300 ms later.

Each run also fails if it does not reach its case: no start at a refusing worker, or no heartbeat of a former incarnation arrived.

--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -249,6 +249,11 @@
         self.processes[process].signal(signal);
     }
 
+    /// Kills the agent of a worker, which is started again after `downtime`.
+    pub fn kill_agent(&mut self, worker: usize, downtime: Duration) {
+        self.kill(ENTRIES + worker, downtime.as_millis() as u64);
+    }
+
     /// Returns the current key.
     pub fn key(&self) -> String {
         self.keys.lock().unwrap().current.clone()
@@ -508,7 +513,7 @@
     }
 
     /// Repairs the faults that are due, or all.
-    fn repair(&mut self, all: bool) {
+    pub fn repair(&mut self, all: bool) {
         let now = Instant::now();
         let (due, later) =
             std::mem::take(&mut self.repairs).into_iter().partition(|(at, _)| all || *at <= now);
--- a/crates/stand-in/tests/soak/fleet.rs
+++ b/crates/stand-in/tests/soak/fleet.rs
@@ -110,6 +110,10 @@
     /// What these proxies do while their workers are up.
     pub link_modes: Vec<Mode>,
     pub log: WorkerLog,
+    /// The last heartbeat of each ended incarnation is delayed until a restarted agent listens.
+    pub delays_former_heartbeats: bool,
+    /// Number of these heartbeats that have arrived.
+    pub former_heartbeat_count: u64,
     kind: Kind,
     /// Availability zones under evacuation, with the time when it started.
     evacuated: BTreeMap<usize, u64>,
@@ -127,6 +131,8 @@
             proxies: Vec::new(),
             link_modes: vec![Mode::Pass; worker_count],
             log: WorkerLog::default(),
+            delays_former_heartbeats: false,
+            former_heartbeat_count: 0,
             kind,
             evacuated: BTreeMap::new(),
         }
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -26,13 +26,16 @@
 mod deployment;
 mod fault;
 mod fleet;
+mod former_heartbeat;
 mod keys;
+mod killed_agents;
 mod kind;
 mod machines;
 mod net;
 mod paused_agents;
 mod process;
 mod proxy;
+mod refused_polls;
 mod settings;
 mod table;
 mod worker;
@@ -87,6 +90,10 @@
 const CHECKER_TEST: &str = "soak_checker";
 /// Name of the run in which agents are paused for almost a lease.
 const PAUSED_AGENTS_TEST: &str = "soak_paused_agents";
+/// Name of the run in which agents are killed and hear delayed heartbeats.
+const KILLED_AGENTS_TEST: &str = "soak_killed_agents";
+/// Name of the run in which workers refuse polls while they confirm starts.
+const REFUSED_POLLS_TEST: &str = "soak_refused_polls";
 /// Seconds for which faults are injected unless an option sets it.
 const DEFAULT_SECONDS: u64 = 8;
 
@@ -160,6 +167,12 @@
     if runs_ci_seeds && chosen(PAUSED_AGENTS_TEST) {
         report(PAUSED_AGENTS_TEST, &paused_agents::run(logs.as_deref()), &mut failed);
     }
+    if runs_ci_seeds && chosen(KILLED_AGENTS_TEST) {
+        report(KILLED_AGENTS_TEST, &killed_agents::run(logs.as_deref()), &mut failed);
+    }
+    if runs_ci_seeds && chosen(REFUSED_POLLS_TEST) {
+        report(REFUSED_POLLS_TEST, &refused_polls::run(logs.as_deref()), &mut failed);
+    }
     for (seed, kind, usual_seconds) in seeds {
         let name = format!("soak_{}_seed_{seed}", kind.name());
         if chosen(&name) {
--- a/crates/stand-in/tests/soak/worker.rs
+++ b/crates/stand-in/tests/soak/worker.rs
@@ -9,6 +9,7 @@
 
 use crate::checker::Task;
 use crate::fleet::{Fleet, MAX_LEASE_MS};
+use crate::former_heartbeat::FormerHeartbeat;
 use crate::net::{Net, REPORTS, WORKER};
 
 /// Interval between two heartbeats of a worker.
@@ -51,16 +52,29 @@
         actix_rt::System::new().block_on(async move {
             let client = awc::Client::default();
             let mut seq = (0, 0);
+            let mut former = FormerHeartbeat::default();
+            let mut agent_is_down = false;
             loop {
                 tokio::time::sleep(HEARTBEAT_INTERVAL).await;
                 let Some((id, msg)) = report(net, host, index, &mut seq, &fleet) else { continue };
                 let url = format!("http://{}/v1/instances/{id}", net.own(host, REPORTS));
+                former.record(&url, &msg);
+                if agent_is_down && fleet.lock().unwrap().delays_former_heartbeats {
+                    let count = former.deliver(&client, HEARTBEAT_INTERVAL).await;
+                    fleet.lock().unwrap().former_heartbeat_count += count;
+                    // The agent knows only the former incarnation until the next heartbeat.
+                    if count > 0 {
+                        agent_is_down = false;
+                        continue;
+                    }
+                }
                 if leaves(&fleet, index) {
                     // The worker ends with or without a reply.
                     let _ = client.delete(url).timeout(HEARTBEAT_INTERVAL).send().await;
                     end_departure(&fleet, index, &id);
                 } else {
-                    let _ = client.put(url).timeout(HEARTBEAT_INTERVAL).send_json(&msg).await;
+                    let call = client.put(url).timeout(HEARTBEAT_INTERVAL).send_json(&msg);
+                    agent_is_down = call.await.is_err();
                 }
             }
         });
