--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -93,7 +93,7 @@
         };
         let quorum = self.agents.values().filter(reachable).count() * 2 > self.agents.len();
         let unconfirmed = now.saturating_sub(self.confirmed_at);
-        if !self.may_grant_leases()
+        if !self.trusts_notices()
             || unconfirmed > self.settings.grants_stop_after
             || (unconfirmed > self.settings.quorum_after && !quorum)
         {
@@ -178,7 +178,7 @@
         let told = |agent: &Agent| {
             agent.link.is_some() && now <= agent.last_notice_at + self.settings.quorum_age
         };
-        self.agents.get(name).is_some_and(told)
+        self.trusts_notices() && self.agents.get(name).is_some_and(told)
     }
 
     /// Returns whether the agent has an open connection.
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -331,9 +331,9 @@
         self.now = now;
     }
 
-    /// Returns whether the owner may grant leases although the table has not confirmed it lately: it
-    /// has not been suspended since, and no agent follows a later owner.
-    pub(crate) fn may_grant_leases(&self) -> bool {
+    /// Returns whether what agents send may be taken for news of this owner's time: it has not been
+    /// suspended since the table last confirmed it, and no agent follows a later owner.
+    pub(crate) fn trusts_notices(&self) -> bool {
         !self.superseded && self.confirmed_at >= self.resumed_at
     }
 
