Keep a course in which a suspended worker's lease outlasts its owner's reckoning

A worker is suspended and its steady clock stands still, as the platform says of suspended machines. Its lease, on that clock, ends later than its agent and its owner reckon with (2 % of lag). A run has ended as done meanwhile; the owner starts the task again, and the end is acknowledged.

--- a/crates/runner/tests/recorded_ends.rs
+++ b/crates/runner/tests/recorded_ends.rs
@@ -171,9 +171,18 @@
     KINDS.into_iter().filter(|kind| !named(kind)).collect()
 }
 
+// No task runs twice where workers are suspended for seconds and their clocks, and with them their
+// leases, stand still.
+#[test]
+fn seed_700020_clocks_of_suspended_workers_stand_still() {
+    let kinds = [&KINDS[..], &[Kind::WorkerSuspended]].concat();
+    assert_eq!(Course::draw_more(700_020, &kinds).violation(), None);
+}
+
 // No task runs twice, and all jobs end, in COUNT courses from SEED on, for hunts by hand. With MORE=1,
 // the courses have more kinds of trouble, and every other seed has workers that keep their ids. With
-// SUSPENDED=1, clocks of workers stand still at times. With TRACES, a folder, each violation is shrunk and its trace is written there.
+// SUSPENDED=1, clocks of workers stand still at times. With TRACES, a folder, each violation is
+// shrunk and its trace is written there.
 #[test]
 fn no_task_runs_twice_in_chosen_courses() {
     let (first, count) = (number("SEED", 0), number("COUNT", 10));
