--- a/review/standin.py
+++ b/review/standin.py
@@ -356,7 +356,9 @@
         self.world.record.add(f"worker {self.id} carries out late: start {call['task']} run {call['run']} -> {result}")
 
     async def handle(self, method, target, headers, body):
-        call = json.loads(body or b"{}")
+        call, boot = json.loads(body or b"{}"), self.booted
+        if self.left:
+            raise ConnectionError("the worker has left")
         while not self.up:
             await asyncio.sleep(0.05)
         if target == "/v1/run-start" and self.late_count > 0:
@@ -365,9 +367,9 @@
             self.world.tasks.append(asyncio.create_task(self.carry_out_late(call)))
             await asyncio.sleep(20)
             return 503, {}
-        if self.left or headers.get("x-quincewheel-expect-instance", self.id) != self.id:
-            return 421, {}
         clock = {"clockMs": self.clock()}
+        if headers.get("x-quincewheel-expect-instance", self.id) != self.id:
+            return 421, clock
         fence = call.get("fence", 0)
         if fence < self.fence:
             return 409, {**clock, "reason": "fence"}
@@ -400,6 +402,11 @@
                     await asyncio.wait_for(self.news.wait(), left)
                 except asyncio.TimeoutError:
                     pass
+            # A worker that has ended meanwhile answers nothing.
+            while not self.up:
+                await asyncio.sleep(0.05)
+            if self.left or self.booted != boot:
+                raise ConnectionError("the worker has ended")
             running = [[run.task, run.run, "", self.world.percent(run), 1] for run in self.running.values()]
             listed = self.ended[:MAX_LISTED_ENDS]
             if len(self.ended) > MAX_LISTED_ENDS:
@@ -420,6 +427,7 @@
         await asyncio.sleep(BOUNDS["drainMs"] / 1000 + 1)
         answer = await http(self.ip, REPORTS, "DELETE", f"/v1/instances/{self.id}", body=self.birth() or None, timeout=1.0)
         self.left = True
+        self.server.close()
         for run in self.running.values():
             run.timer.cancel()
         self.world.record.add(f"worker {self.id} leaves -> {answer and answer[0]}")
@@ -496,7 +504,8 @@
         for index, kind in enumerate(self.kinds):
             worker = Worker(self, index, self.ip(100 + index), kind)
             self.workers.append(worker)
-            self.servers.append(await serve_http(worker.ip, WORKER, worker.handle))
+            worker.server = await serve_http(worker.ip, WORKER, worker.handle)
+            self.servers.append(worker.server)
             self.tasks += [asyncio.create_task(worker.report()), asyncio.create_task(worker.watch_lease())]
         for index, name in enumerate(self.entries):
             self.write_settings(name, "front", self.ip(1 + index))
