Log the size of a failed write, and a worker's first list

When the table refuses a write of the owner, the log only said 'status 400' in a line about a lost table. That fits four causes: a row over rowBytes, over 100 entries, over 1 MB, or a table that is down. The first failure of a write, and each tenth, now says how many entries and bytes it has and which row is the largest (store::Size). The owner also logs how many runs and ends a worker lists in its first answer under that owner, which tells a list of exactly 500 ends from a shorter one.

--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -92,6 +92,8 @@
             self.stop_stalled_runs(name, (listed_at, now));
         }
         if first_answer {
+            let detail = format!("{from} lists {} runs and {} ends", running.len(), ended.len());
+            self.log("worker answered", name, detail);
             self.resend_acknowledgement(name, &from);
             self.resend_orders(name, &from, now);
         }
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -9,7 +9,7 @@
 use quincewheel_dispatch::{Batch, Owner};
 use quincewheel_job::Id;
 use quincewheel_platform::Space;
-use quincewheel_store::{Commit, Error, Expect, Read};
+use quincewheel_store::{Commit, Error, Expect, Read, Size};
 use tokio::time::timeout;
 
 use super::handover::hand_over_if_cut_off;
@@ -31,6 +31,8 @@
 /// Maximum number of jobs whose rows are deleted with one batch. A job has four rows, and a
 /// transaction takes 100.
 const MAX_EXPIRED_JOBS: usize = 5;
+/// Number of failures of one write between two log lines about it.
+const LOGGED_FAILURE_INTERVAL: u32 = 10;
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Interval at which the owner is checked for changes to record. Changes that clients wait for
@@ -102,6 +104,7 @@
         .put
         .extend(batch.jobs.iter().map(|(id, progress)| put(rows::progress_key(id), progress)));
     let first_sent_at = quincewheel_clock::boot();
+    let mut failures = 0u32;
     loop {
         let sent_at = quincewheel_clock::boot();
         let mut commit_in_flight = pin!(shared.table.commit(&commit, COMMIT_TIMEOUT));
@@ -132,7 +135,11 @@
                 }
                 Err(error) => shared.record_table_reply(Err(&error)),
             },
-            Err(error) => shared.record_table_reply(Err(&error)),
+            Err(error) => {
+                log_failed_write(&error, &commit, failures);
+                failures += 1;
+                shared.record_table_reply(Err(&error));
+            }
         }
         if shared.owner.borrow().is_none() || hand_over_if_cut_off(shared).await {
             return;
@@ -141,6 +148,15 @@
     }
 }
 
+/// Logs what a failed write holds, at its first failure and then at every
+/// [`LOGGED_FAILURE_INTERVAL`]th. The table's reply alone does not show which row it refuses.
+fn log_failed_write(error: &Error, commit: &Commit, earlier_failures: u32) {
+    if earlier_failures.is_multiple_of(LOGGED_FAILURE_INTERVAL) {
+        let attempt = earlier_failures + 1;
+        log::warn!(event = "write failed", attempt = attempt; "{error}: {}", Size::of(commit));
+    }
+}
+
 /// How long the rows of an ended job are kept, in milliseconds: one and a half times the period
 /// for which its state must be available. A client may repeat its submission that late, and
 /// without the row the job would run again.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,7 @@
 //! of the owner's row is enough to fence off a previous owner's writes.
 
 mod error;
+mod limits;
 mod objects;
 mod op;
 mod scan;
@@ -13,6 +14,7 @@
 mod table;
 
 pub use error::Error;
+pub use limits::{Excess, Limits, Size, entry_bytes};
 pub use objects::Objects;
 pub use op::{Change, Changes, Commit, Expect, Op, Page, Put, Read, Reply, Row};
 pub use scan::scan;
