--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -1,4 +1,5 @@
 use quincewheel_job::{Id, Incarnation, Progress};
+use quincewheel_store::{Commit, Excess, Limits, Put};
 
 use crate::checkpoints::Checkpoints;
 use crate::learned::Learned;
@@ -7,7 +8,9 @@
 /// State that the owner records in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Batch {
-    /// Jobs whose progress changed.
+    /// The rows of `jobs` and `checkpoints`.
+    pub rows: Vec<Put>,
+    /// Parts of the progress of jobs that changed.
     pub jobs: Vec<(Id, Progress)>,
     /// Ends that workers may forget once the batch is recorded.
     pub acknowledged: Vec<AcknowledgedEnds>,
@@ -15,12 +18,20 @@
     pub waves: Vec<(u64, rows::WaveRecord)>,
     /// Agents whose rows are deleted.
     pub departed: Vec<String>,
-    /// Checkpoints of jobs whose tasks have newer ones than recorded.
+    /// Parts of the checkpoints of jobs whose tasks have newer ones than recorded.
     pub checkpoints: Vec<(Id, Checkpoints)>,
     /// What was learned from runs since the last batch.
     pub learned: Learned,
 }
 
+impl Batch {
+    /// Checks that the table takes the batch. The error names the limit that it exceeds.
+    pub fn check(&self, limits: &Limits) -> Result<(), Excess> {
+        let delete = self.departed.iter().map(|name| rows::node_key(name)).collect();
+        limits.check(&Commit { put: self.rows.clone(), delete, ..Commit::default() })
+    }
+}
+
 /// The ends of one incarnation of a worker up to a number.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct AcknowledgedEnds {
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Id, Incarnation, Job, Progress, Step, Task};
+use quincewheel_job::{Id, Incarnation, Job, Layout, Progress, State, Step, Task};
 
 use crate::checkpoints::Checkpoints;
 use crate::clearance::Clearance;
@@ -20,6 +20,12 @@
     pub version: u64,
     /// Which tasks are done, and the job's state, as recorded or about to be.
     pub progress: Progress,
+    /// How the progress and the checkpoints are divided among rows.
+    pub layout: Layout,
+    /// Parts of the progress to be recorded.
+    pub unrecorded: BTreeSet<u32>,
+    /// The state that was last recorded; none if that is not known.
+    pub recorded_state: Option<State>,
     /// Runs that may exist, by task.
     pub runs: BTreeMap<Key, Placement>,
     /// When a run was last taken for over at an agent without a connection; 0 for never. Nothing of
@@ -29,8 +35,8 @@
     pub idle_since: Option<u64>,
     /// The newest checkpoint of each task. A gang has one, at index 0.
     pub checkpoints: BTreeMap<Key, String>,
-    /// Whether checkpoints have changed since they were last recorded.
-    pub checkpoints_dirty: bool,
+    /// Parts of the checkpoints that have changed since they were last recorded.
+    pub unrecorded_checkpoints: BTreeSet<u32>,
     /// When the checkpoints were last recorded.
     pub checkpoints_recorded_at: u64,
     /// The last run number used for each task. A gang has one, at index 0.
@@ -186,17 +192,43 @@
     /// Stores a task's checkpoint as reported by a worker. An empty one means there is none.
     pub fn update_checkpoint(&mut self, slot: Key, checkpoint: &str) {
         if !checkpoint.is_empty() {
-            self.checkpoints_dirty |=
-                self.checkpoints.get(&slot).is_none_or(|known| known != checkpoint);
+            if self.checkpoints.get(&slot).is_none_or(|known| known != checkpoint) {
+                self.unrecorded_checkpoints.insert(self.layout.part_of(slot));
+            }
             self.checkpoints.insert(slot, checkpoint.to_owned());
         }
     }
 
-    /// Returns the checkpoints to record: those of tasks that are not done.
-    pub fn open_checkpoints(&self, id: &str) -> Checkpoints {
-        let tasks =
-            self.checkpoints.iter().filter(|(key, _)| !self.progress.is_done(&task(id, **key)));
-        Checkpoints::new(tasks)
+    /// Returns the checkpoints of a part to record: those of tasks that are not done, as many as a
+    /// row of `row_bytes` takes.
+    pub fn open_checkpoints(&self, id: &str, part: u32, row_bytes: usize) -> Checkpoints {
+        let in_part = self.checkpoints.iter().filter(|(key, _)| self.layout.part_of(**key) == part);
+        let open = in_part.filter(|(key, _)| !self.progress.is_done(&task(id, **key)));
+        Checkpoints::new(part, open, row_bytes)
+    }
+
+    /// Adds the parts of the progress that have changed to those to be recorded; the first if none
+    /// has.
+    pub fn collect_unrecorded(&mut self) {
+        let changed = self.progress.take_changed();
+        self.unrecorded.extend(changed.into_iter().map(|slot| self.layout.part_of(slot)));
+        if self.unrecorded.is_empty() || self.recorded_state != Some(self.progress.state) {
+            self.unrecorded.insert(0);
+        }
+    }
+
+    /// Returns the next part of the progress to be recorded. The first part comes last: what it
+    /// says of the job as a whole holds only once the others are recorded.
+    pub fn next_unrecorded(&self) -> Option<u32> {
+        self.unrecorded.last().copied()
+    }
+
+    /// Removes a part from those to be recorded.
+    pub fn set_recorded(&mut self, part: u32) {
+        self.unrecorded.remove(&part);
+        if part == 0 {
+            self.recorded_state = Some(self.progress.state);
+        }
     }
 
     /// Returns the key under which a task's run numbers, checkpoint and failures are stored. All
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -1,5 +1,5 @@
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use quincewheel_job::{Id, Job, Progress, State};
@@ -9,7 +9,8 @@
 use crate::checkpoints::Checkpoints;
 use crate::learned::Learned;
 use crate::rows::{
-    Node, OWNER_KEY, Ownership, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY, WaveRecord,
+    self, Node, OWNER_KEY, Ownership, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY, WaveRecord,
+    split_part,
 };
 
 /// A process's in-memory replica of the system's rows.
@@ -41,16 +42,25 @@
 pub struct JobView {
     /// The job and its row's version; none if only its cancellation is known.
     pub job: Option<(Job, u64)>,
-    /// The job's recorded progress.
-    pub progress: Option<Progress>,
-    /// The version of the row that held the progress.
-    progress_version: u64,
-    /// Its recorded checkpoints.
-    pub checkpoints: Checkpoints,
+    /// The parts of the job's recorded progress, each with the version of its row.
+    progress: BTreeMap<u32, (Progress, u64)>,
+    /// The job's state as the owner reported it, and the version at which it was recorded.
+    reported_state: Option<(State, u64)>,
+    /// The parts of its recorded checkpoints.
+    pub checkpoints: BTreeMap<u32, Checkpoints>,
     /// Whether a client cancelled it.
     pub cancelled: bool,
 }
 
+/// Rows of expired jobs, to be deleted.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ExpiredRows {
+    /// Their keys.
+    pub keys: Vec<String>,
+    /// The jobs of which these are the last rows.
+    pub jobs: Vec<Id>,
+}
+
 /// A change of the rows that the process must act on.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RowEvent {
@@ -74,26 +84,48 @@
 }
 
 impl JobView {
-    /// Applies a job's progress, recorded at this version of its row. An older version is
+    /// Applies a part of a job's progress, recorded at this version of its row. An older version is
     /// ignored: a client that saw its job end must not see it running again.
-    pub fn update_progress(&mut self, progress: Progress, version: u64) {
-        if version >= self.progress_version {
-            self.progress = Some(progress);
-            self.progress_version = version;
+    pub fn update_progress(&mut self, part: Progress, version: u64) {
+        if self.progress.get(&part.part).is_none_or(|(_, known)| version >= *known) {
+            self.progress.insert(part.part, (part, version));
+        }
+    }
+
+    /// Applies the state of a job that was recorded at this version of its row.
+    pub fn update_state(&mut self, state: State, version: u64) {
+        if self.reported_state.is_none_or(|(_, known)| version >= known) {
+            self.reported_state = Some((state, version));
         }
     }
 
-    /// Returns the recorded progress and the version of its row.
-    pub fn recorded_progress(&self) -> Option<(Progress, u64)> {
-        self.progress.clone().map(|progress| (progress, self.progress_version))
+    /// Returns the recorded progress; none if there is none.
+    pub fn progress(&self) -> Option<Progress> {
+        let mut whole = Progress::default();
+        for (part, _) in self.progress.values() {
+            whole.merge(part.clone());
+        }
+        (!self.progress.is_empty()).then_some(whole)
+    }
+
+    /// Returns the recorded state and the version of its row; none if there is none.
+    pub fn recorded_state(&self) -> Option<(State, u64)> {
+        let recorded = self.progress.get(&0).map(|(progress, version)| (progress.state, *version));
+        recorded.into_iter().chain(self.reported_state).max_by_key(|(_, version)| *version)
     }
 
     /// Returns the job's state as shown to clients: a cancelled job that has not ended counts as
     /// cancelled.
     pub fn state(&self) -> State {
-        let state = self.progress.as_ref().map_or(State::Queued, |progress| progress.state);
+        let state = self.recorded_state().map_or(State::Queued, |(state, _)| state);
         if self.cancelled && !state.is_final() { State::Cancelled } else { state }
     }
+
+    /// Returns the numbers of the further parts of which there may be rows.
+    fn further_parts(&self) -> BTreeSet<u32> {
+        let parts = self.progress.keys().chain(self.checkpoints.keys());
+        parts.copied().filter(|&part| part > 0).collect()
+    }
 }
 
 impl Mirror {
@@ -120,11 +152,14 @@
         }
         for (id, view) in known {
             let later = view.job.as_ref().is_some_and(|(_, stored)| *stored > version);
-            if view.progress_version > version
-                && let (Some(progress), Some(current)) =
-                    (view.progress.clone(), self.jobs.get_mut(&id))
-            {
-                current.update_progress(progress, view.progress_version);
+            if let Some(current) = self.jobs.get_mut(&id) {
+                let newer = view.progress.values().filter(|(_, stored)| *stored > version);
+                for (part, stored) in newer {
+                    current.update_progress(part.clone(), *stored);
+                }
+                if let Some((state, stored)) = view.reported_state.filter(|(_, at)| *at > version) {
+                    current.update_state(state, stored);
+                }
             }
             // Stored since the rows were read.
             if later {
@@ -168,15 +203,18 @@
         };
         let read = match kind {
             "job" => return Some(self.apply_job(name, value, change)),
-            "run" => serde_json::from_str(value).map(|progress| {
-                let view = self.jobs.entry(name.to_owned()).or_default();
+            "run" => serde_json::from_str(value).map(|mut progress: Progress| {
+                let (id, part) = split_part(name);
+                progress.part = part;
+                let view = self.jobs.entry(id.to_owned()).or_default();
                 view.update_progress(progress, change.version);
                 None
             }),
             "save" => serde_json::from_str(value).map(|checkpoints| {
+                let (id, part) = split_part(name);
                 // The row may arrive after the job's rows were deleted.
-                if let Some(view) = self.jobs.get_mut(name) {
-                    view.checkpoints = checkpoints;
+                if let Some(view) = self.jobs.get_mut(id) {
+                    view.checkpoints.insert(part, checkpoints);
                 }
                 None
             }),
@@ -213,16 +251,36 @@
         before.count()
     }
 
-    /// Returns the jobs that ended at least `retention` milliseconds ago, at most `limit` of them.
-    /// Their rows are deleted, or the table and every process's memory would grow without bound.
-    pub fn expired_jobs(&mut self, now: u64, retention: u64, limit: usize) -> Vec<Id> {
+    /// Returns rows of jobs that ended at least `retention` milliseconds ago, at most `limit` of them.
+    /// They are deleted, or the table and every process's memory would grow without bound.
+    ///
+    /// The further parts of a job go before its other rows, perhaps in several transactions: what is
+    /// left shows until the end that the job has ended.
+    pub fn expired_rows(&mut self, now: u64, retention: u64, limit: usize) -> ExpiredRows {
         let Mirror { jobs, ended_at, .. } = self;
         ended_at.retain(|id, _| jobs.contains_key(id));
         for (id, _) in jobs.iter().filter(|(_, view)| view.state().is_final()) {
             ended_at.entry(id.clone()).or_insert(now);
         }
-        let expired = ended_at.iter().filter(|(_, since)| now >= **since + retention);
-        expired.take(limit).map(|(id, _)| id.clone()).collect()
+        let mut expired = ExpiredRows::default();
+        for (id, _) in ended_at.iter().filter(|(_, since)| now >= **since + retention) {
+            let parts = jobs.get(id).map(JobView::further_parts).unwrap_or_default();
+            for part in parts {
+                if expired.keys.len() + 2 > limit {
+                    return expired;
+                }
+                let keys =
+                    [rows::progress_part_key(id, part), rows::checkpoints_part_key(id, part)];
+                expired.keys.extend(keys);
+            }
+            let keys = rows::job_keys(id);
+            if expired.keys.len() + keys.len() > limit {
+                return expired;
+            }
+            expired.keys.extend(keys);
+            expired.jobs.push(id.clone());
+        }
+        expired
     }
 
     /// Returns the number of jobs of a queue of which no task has started.
@@ -300,6 +358,15 @@
             "job" => {
                 self.jobs.remove(name);
             }
+            "run" | "save" => {
+                let (id, part) = split_part(name);
+                if let Some(view) = self.jobs.get_mut(id).filter(|_| part > 0) {
+                    match kind {
+                        "run" => drop(view.progress.remove(&part)),
+                        _ => drop(view.checkpoints.remove(&part)),
+                    }
+                }
+            }
             "node" => self.remove_node(name, version),
             _ => {}
         }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Config, Id, Job, Progress, State, Task};
+use quincewheel_job::{Config, Id, Job, Layout, Progress, State, Task};
 use quincewheel_share::{Shares, Usage};
 use quincewheel_speed::Speed;
 use quincewheel_trust::Trust;
@@ -258,15 +258,30 @@
         if known || progress.as_ref().is_some_and(|p| p.state.is_final()) {
             return;
         }
+        let limits = &self.settings.limits;
+        let layout = Layout::of(&job, limits.row_bytes.min(limits.commit_bytes / 4));
+        let recorded_state = progress.as_ref().map(|progress| progress.state);
+        let mut whole = Progress::default();
+        progress.into_iter().for_each(|progress| whole.merge(progress));
+        let parts = if layout.is_listed() { 0 } else { layout.parts() };
+        let rewritten = recorded_state.is_some() && whole.parts != parts;
+        let unrecorded = match rewritten {
+            true => (0..whole.parts.max(1)).chain(whole.occupied_parts(&job, &layout)).collect(),
+            false => BTreeSet::new(),
+        };
+        let ended = whole.end_if_done(&job);
         let entry = Entry {
             job,
             version,
-            progress: progress.unwrap_or_default(),
+            progress: whole,
+            layout,
+            unrecorded,
+            recorded_state,
             runs: BTreeMap::new(),
             assumed_over_at: 0,
             idle_since: None,
             checkpoints: BTreeMap::new(),
-            checkpoints_dirty: false,
+            unrecorded_checkpoints: BTreeSet::new(),
             checkpoints_recorded_at: 0,
             run_numbers: BTreeMap::new(),
             step_durations: BTreeMap::new(),
@@ -281,6 +296,9 @@
         };
         self.jobs.insert(id.to_owned(), entry);
         self.replan = true;
+        if rewritten || ended {
+            self.mark_dirty(id, ended);
+        }
         if self.loaded_version > 0 {
             self.log("known", id, format!("version {version}"));
         }
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -5,38 +5,38 @@
 
 use std::collections::BTreeSet;
 
-use quincewheel_job::Id;
+use quincewheel_store::Put;
 use quincewheel_wire::Order;
+use serde::Serialize;
 
 use crate::agent::Agent;
 use crate::batch::{AcknowledgedEnds, Batch};
-use crate::checkpoints::Checkpoints;
 use crate::entry::Entry;
+use crate::learned::Learned;
 use crate::owner::Owner;
+use crate::room::Room;
+use crate::rows::{self, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY};
 
-/// Most jobs in one transaction. The table accepts 100 rows; the others are for the owner's row,
-/// checkpoints and deleted rows.
-const MAX_BATCH_JOBS: usize = 50;
+/// Most rows of progress in one transaction.
+const MAX_BATCH_PROGRESS_ROWS: usize = 50;
 /// Most jobs whose checkpoints are in one transaction.
 const MAX_BATCH_CHECKPOINT_JOBS: usize = 15;
 /// Most departed agents whose rows one transaction deletes.
 const MAX_BATCH_DEPARTED_AGENTS: usize = 8;
 
 impl Owner {
-    /// Returns the next batch to record; none while one is in flight. [`Owner::on_recorded`] must
-    /// follow.
+    /// Returns the next batch to record, which fits in one transaction; none while one is in flight.
+    /// [`Owner::on_recorded`] must follow.
+    ///
+    /// What does not fit is left for the next batch. The table would refuse a larger one each time,
+    /// from each owner, and nothing would be recorded for any job.
     pub fn next_batch(&mut self) -> Option<Batch> {
         if self.record_in_flight {
             return None;
         }
-        let ids: Vec<Id> = self.dirty.iter().take(MAX_BATCH_JOBS).cloned().collect();
-        let mut batch = Batch { learned: self.due_learned(), ..Batch::default() };
-        for id in ids {
-            self.dirty.remove(&id);
-            if let Some(entry) = self.jobs.get(&id) {
-                batch.jobs.push((id, entry.progress.clone()));
-            }
-        }
+        let mut batch = Batch::default();
+        let mut room = Room::of(&self.settings.limits);
+        self.add_progress(&mut batch, &mut room);
         if self.dirty.is_empty() {
             for (name, agent) in
                 self.agents.iter().filter(|(_, agent)| agent.last_end > agent.acknowledged_end)
@@ -50,28 +50,97 @@
         batch.departed =
             self.departed_agents().into_iter().take(MAX_BATCH_DEPARTED_AGENTS).collect();
         self.set_removal_pending(&batch.departed, true);
-        batch.checkpoints = self.due_checkpoints();
-        batch.waves = self.unrecorded_waves();
+        self.add_learned(&mut batch, &mut room);
+        self.add_waves(&mut batch, &mut room);
+        self.add_checkpoints(&mut batch, &mut room);
         self.record_in_flight = true;
         Some(batch)
     }
 
-    /// Returns the checkpoints that are due: each job's are recorded at most once per
+    /// Adds the changed parts of the progress of jobs. A job stays dirty until all are added.
+    fn add_progress(&mut self, batch: &mut Batch, room: &mut Room) {
+        while let Some(id) = self.dirty.first().cloned() {
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.collect_unrecorded();
+                while let Some(part) = entry.next_unrecorded() {
+                    let progress = entry.progress.part(&entry.layout, part);
+                    let row = row(rows::progress_part_key(&id, part), &progress);
+                    if batch.jobs.len() >= MAX_BATCH_PROGRESS_ROWS || !room.try_take(&row) {
+                        return;
+                    }
+                    entry.set_recorded(part);
+                    batch.rows.push(row);
+                    batch.jobs.push((id.clone(), progress));
+                }
+            }
+            self.dirty.remove(&id);
+        }
+    }
+
+    /// Adds learned state that is due. It only improves decisions, so a part that is too large for a
+    /// row is left out.
+    fn add_learned(&mut self, batch: &mut Batch, room: &mut Room) {
+        let mut learned = self.due_learned();
+        let mut found = Vec::new();
+        found.extend(learned.times.iter().map(|times| row(TIMES_KEY.to_owned(), times)));
+        found.extend(learned.trust.iter().map(|trust| row(TRUST_KEY.to_owned(), trust)));
+        found.extend(learned.speed.iter().map(|speed| row(SPEED_KEY.to_owned(), speed)));
+        found.extend(learned.usage.iter().map(|usage| row(USAGE_KEY.to_owned(), usage)));
+        let limit = self.settings.limits.row_bytes;
+        for row in &found {
+            if row.value.len() > limit {
+                let detail = format!("{} bytes, a row takes {limit}", row.value.len());
+                self.log("row too large", &row.key, detail);
+            }
+        }
+        found.retain(|row| row.value.len() <= limit);
+        let mut fitting = *room;
+        if found.iter().all(|row| fitting.try_take(row)) {
+            *room = fitting;
+            batch.rows.append(&mut found);
+        } else {
+            self.retry_learned(&learned);
+            learned = Learned::default();
+        }
+        batch.learned = learned;
+    }
+
+    /// Adds waves that are new or complete.
+    fn add_waves(&mut self, batch: &mut Batch, room: &mut Room) {
+        for (number, wave) in self.unrecorded_waves() {
+            let row = row(rows::wave_key(number), &wave);
+            if room.try_take(&row) {
+                batch.rows.push(row);
+                batch.waves.push((number, wave));
+            } else {
+                self.mark_unrecorded(number);
+            }
+        }
+    }
+
+    /// Adds the checkpoints that are due: each job's are recorded at most once per
     /// `checkpoint_interval`, along with other changes.
-    fn due_checkpoints(&mut self) -> Vec<(Id, Checkpoints)> {
+    fn add_checkpoints(&mut self, batch: &mut Batch, room: &mut Room) {
         let (now, interval) = (self.now, self.settings.checkpoint_interval);
+        let limit = self.settings.limits.row_bytes;
         let due = |entry: &&mut Entry| {
-            entry.checkpoints_dirty && now >= entry.checkpoints_recorded_at + interval
+            !entry.unrecorded_checkpoints.is_empty()
+                && now >= entry.checkpoints_recorded_at + interval
         };
-        let mut found = Vec::new();
-        for (id, entry) in self.jobs.iter_mut() {
-            if found.len() < MAX_BATCH_CHECKPOINT_JOBS && due(&entry) {
-                entry.checkpoints_dirty = false;
-                entry.checkpoints_recorded_at = now;
-                found.push((id.clone(), entry.open_checkpoints(id)));
+        let jobs = self.jobs.iter_mut();
+        for (id, entry) in jobs.filter(|(_, entry)| due(entry)).take(MAX_BATCH_CHECKPOINT_JOBS) {
+            while let Some(&part) = entry.unrecorded_checkpoints.first() {
+                let checkpoints = entry.open_checkpoints(id, part, limit);
+                let row = row(rows::checkpoints_part_key(id, part), &checkpoints);
+                if !room.try_take(&row) {
+                    return;
+                }
+                entry.unrecorded_checkpoints.remove(&part);
+                batch.rows.push(row);
+                batch.checkpoints.push((id.clone(), checkpoints));
             }
+            entry.checkpoints_recorded_at = now;
         }
-        found
     }
 
     /// Returns the agents whose rows are to be deleted: their worker has shut down, or there has
@@ -115,17 +184,20 @@
         self.record_in_flight = false;
         if !done {
             self.set_removal_pending(&batch.departed, false);
-            for (id, _) in &batch.jobs {
+            for (id, progress) in &batch.jobs {
                 self.dirty.insert(id.clone());
+                if let Some(entry) = self.jobs.get_mut(id) {
+                    entry.unrecorded.insert(progress.part);
+                }
             }
             self.dirty_urgent = true;
             self.retry_learned(&batch.learned);
             for (number, _) in &batch.waves {
                 self.mark_unrecorded(*number);
             }
-            for (id, _) in &batch.checkpoints {
+            for (id, checkpoints) in &batch.checkpoints {
                 if let Some(entry) = self.jobs.get_mut(id) {
-                    entry.checkpoints_dirty = true;
+                    entry.unrecorded_checkpoints.insert(checkpoints.part());
                     entry.checkpoints_recorded_at = 0;
                 }
             }
@@ -161,3 +233,8 @@
         }
     }
 }
+
+fn row(key: String, value: &impl Serialize) -> Put {
+    let value = serde_json::to_string(value).expect("rows are plain data");
+    Put { key, value }
+}
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -1,7 +1,8 @@
 //! The system's rows in the table: their keys and content.
 //!
 //! An entry writes `job/ID` when it accepts a job and `stop/ID` when a client cancels it. The
-//! owner writes `run/ID`, a job's progress; `save/ID`, its checkpoints; `times`, `trust`, `speed`
+//! owner writes `run/ID`, a job's progress; `save/ID`, its checkpoints; where these would outgrow a
+//! row, their further parts as `run/ID/PART` and `save/ID/PART`; `times`, `trust`, `speed`
 //! and `usage`, what it learned from runs; and `wave/N`, when it first saw a wave of maintenance. Every process writes
 //! `node/NAME`. The owner and the entry that replaces it write `owner`.
 
@@ -56,9 +57,14 @@
     format!("job/{id}")
 }
 
-/// Returns the key of the row that holds a job's progress.
+/// Returns the key of the row that holds a job's progress, or the first part of it.
 pub fn progress_key(id: &str) -> String {
-    format!("run/{id}")
+    progress_part_key(id, 0)
+}
+
+/// Returns the key of the row that holds a part of a job's progress.
+pub fn progress_part_key(id: &str, part: u32) -> String {
+    part_key("run", id, part)
 }
 
 /// Returns the key of the row that cancels a job. It is also written for an unknown job, so that a
@@ -67,9 +73,25 @@
     format!("stop/{id}")
 }
 
-/// Returns the key of the row that holds a job's checkpoints.
+/// Returns the key of the row that holds a job's checkpoints, or the first part of them.
 pub fn checkpoints_key(id: &str) -> String {
-    format!("save/{id}")
+    checkpoints_part_key(id, 0)
+}
+
+/// Returns the key of the row that holds a part of a job's checkpoints.
+pub fn checkpoints_part_key(id: &str, part: u32) -> String {
+    part_key("save", id, part)
+}
+
+fn part_key(kind: &str, id: &str, part: u32) -> String {
+    if part == 0 { format!("{kind}/{id}") } else { format!("{kind}/{id}/{part}") }
+}
+
+/// Splits the name of a row of a job into the job's id and the number of the part, 0 if there is
+/// none.
+pub(crate) fn split_part(name: &str) -> (&str, u32) {
+    let part = name.split_once('/').and_then(|(id, part)| Some((id, part.parse().ok()?)));
+    part.unwrap_or((name, 0))
 }
 
 /// Returns the key of a process's row.
@@ -147,7 +169,7 @@
     Commit { put: vec![Put { key: self::node_key(name), value }], ..Commit::default() }
 }
 
-/// Returns the keys of all rows of a job.
+/// Returns the keys of all rows of a job, but those of further parts.
 pub fn job_keys(id: &str) -> [String; 4] {
     [job_key(id), progress_key(id), cancellation_key(id), checkpoints_key(id)]
 }
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -1,3 +1,5 @@
+use quincewheel_store::Limits;
+
 /// Settings of an owner. Times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -66,6 +68,8 @@
     pub uneven_percent: u64,
     /// Time in which the recorded usage of a team halves; 0 for no shares.
     pub share_half_life: u64,
+    /// What the table accepts.
+    pub limits: Limits,
 }
 
 impl Default for Settings {
@@ -95,6 +99,7 @@
             doubt: 0,
             uneven_percent: 0,
             share_half_life: 0,
+            limits: Limits::default(),
         }
     }
 }
--- a/crates/dispatch/tests/crashing_pool/mod.rs
+++ b/crates/dispatch/tests/crashing_pool/mod.rs
@@ -6,6 +6,7 @@
 
 use quincewheel_dispatch::{Output, Owner, Settings};
 use quincewheel_job::{Id, Job, Machine, Progress, Run, Task, Worker};
+use quincewheel_store::Limits;
 use quincewheel_wire::{Notice, Order};
 
 use crate::harness::{self, CLAIM_VERSION, Harness};
@@ -148,6 +149,7 @@
             self.harness.owner.tick(now, now);
             self.execute_orders();
             if let Some(batch) = self.harness.owner.next_batch() {
+                batch.check(&Limits::default()).expect("the table takes each batch");
                 self.harness.owner.on_recorded(&batch, self.table_writable);
                 if self.table_writable {
                     self.recorded.extend(batch.jobs);
--- a/crates/dispatch/tests/harness/mod.rs
+++ b/crates/dispatch/tests/harness/mod.rs
@@ -5,6 +5,7 @@
 
 use quincewheel_dispatch::{Batch, ClearanceRequest, Output, Owner, Settings};
 use quincewheel_job::{End, How, Job, Queue, Resources, Run, Step, Task, Worker};
+use quincewheel_store::Limits;
 use quincewheel_wire::{LinkId, Notice, Order};
 
 /// An owner, the clock, and what the owner sent.
@@ -95,6 +96,7 @@
     /// Writes what the owner wants recorded, successfully, and returns it.
     pub fn record(&mut self) -> Batch {
         let batch = self.owner.next_batch().unwrap_or_default();
+        batch.check(&Limits::default()).expect("the table takes each batch");
         self.owner.on_recorded(&batch, true);
         self.collect_outputs();
         batch
--- a/crates/dispatch/tests/mirror.rs
+++ b/crates/dispatch/tests/mirror.rs
@@ -76,13 +76,13 @@
     mirror.apply(&put(rows::progress_key("a"), 2, &progress_in(State::Failed)));
     mirror.apply(&put(rows::cancellation_key("c"), 3, &()));
     let expired = [
-        mirror.expired_jobs(1000, 500, 5),
-        mirror.expired_jobs(1499, 500, 5),
-        mirror.expired_jobs(1500, 500, 5),
-        mirror.expired_jobs(1500, 500, 1),
+        mirror.expired_rows(1000, 500, 20).jobs,
+        mirror.expired_rows(1499, 500, 20).jobs,
+        mirror.expired_rows(1500, 500, 20).jobs,
+        mirror.expired_rows(1500, 500, 4).jobs,
     ];
     mirror.apply(&Change { key: rows::job_key("a"), version: 4, value: None });
-    assert_snapshot!(format!("{expired:?} {:?}", mirror.expired_jobs(9000, 500, 5)), @r#"[[], [], ["a", "c"], ["a"]] ["c"]"#);
+    assert_snapshot!(format!("{expired:?} {:?}", mirror.expired_rows(9000, 500, 20).jobs), @r#"[[], [], ["a", "c"], ["a"]] ["c"]"#);
 }
 
 // A client was answered that its job had ended, and then that it was running: all rows are read
--- a/crates/entry/src/site/follow.rs
+++ b/crates/entry/src/site/follow.rs
@@ -251,7 +251,7 @@
 pub(crate) fn add_job(owner: &mut Owner, mirror: &Mirror, id: &str, now: u64) {
     let Some(view) = mirror.jobs.get(id) else { return };
     let Some((job, version)) = &view.job else { return };
-    owner.add_job(id, job.clone(), *version, view.progress.clone());
+    owner.add_job(id, job.clone(), *version, view.progress());
     if view.cancelled {
         owner.cancel(id, now);
     }
--- a/crates/entry/src/site/job_state.rs
+++ b/crates/entry/src/site/job_state.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use quincewheel_job::{Id, Progress};
+use quincewheel_job::{Id, State};
 use quincewheel_peer::Command;
 use quincewheel_wire::{LinkId, Peer, Sent};
 use tokio::time::{Instant, timeout, timeout_at};
@@ -49,16 +49,16 @@
 /// Replies to another entry's query once the state of the job is recorded.
 pub(crate) async fn reply(shared: Shared, link: LinkId, number: u64, id: Id) {
     wait_recorded(&shared, &id).await;
-    let progress = shared.mirror.borrow().jobs.get(&id).and_then(|view| view.recorded_progress());
-    let frame = Sent::from(Peer::Found { number, id, progress });
+    let state = shared.mirror.borrow().jobs.get(&id).and_then(|view| view.recorded_state());
+    let frame = Sent::from(Peer::Found { number, id, progress: None, state });
     shared.hub.ask(Command::Send { link, frame });
 }
 
 /// Applies the owner's reply to the mirror.
-pub(crate) fn on_reply(shared: &Site, id: &str, progress: Option<(Progress, u64)>) {
+pub(crate) fn on_reply(shared: &Site, id: &str, state: Option<(State, u64)>) {
     let mut mirror = shared.mirror.borrow_mut();
-    if let (Some(view), Some((progress, version))) = (mirror.jobs.get_mut(id), progress) {
-        view.update_progress(progress, version);
+    if let (Some(view), Some((state, version))) = (mirror.jobs.get_mut(id), state) {
+        view.update_state(state, version);
     }
 }
 
--- a/crates/entry/src/site/links.rs
+++ b/crates/entry/src/site/links.rs
@@ -96,8 +96,9 @@
         Peer::Look { number, id } => {
             actix_rt::spawn(job_state::reply(Rc::clone(shared), link, number, id));
         }
-        Peer::Found { number, ref id, ref progress } => {
-            job_state::on_reply(shared, id, progress.clone());
+        Peer::Found { number, ref id, ref progress, state } => {
+            let recorded = progress.as_ref().map(|(progress, version)| (progress.state, *version));
+            job_state::on_reply(shared, id, state.or(recorded));
             shared.queries.borrow_mut().complete(number, peer);
         }
         Peer::Store { number, id, job } => {
--- a/crates/entry/src/site/ownership.rs
+++ b/crates/entry/src/site/ownership.rs
@@ -146,8 +146,8 @@
     owner.restore_learned(&mirror.learned);
     for (id, view) in &mirror.jobs {
         if let Some((job, version)) = &view.job {
-            owner.add_job(id, job.clone(), *version, view.progress.clone());
-            owner.restore_checkpoints(id, &view.checkpoints);
+            owner.add_job(id, job.clone(), *version, view.progress());
+            view.checkpoints.values().for_each(|part| owner.restore_checkpoints(id, part));
             if view.cancelled {
                 owner.cancel(id, now);
             }
@@ -203,6 +203,7 @@
         doubt: shared.scheduling.doubt,
         uneven_percent: shared.scheduling.uneven_percent,
         share_half_life: shared.scheduling.share_half_life,
+        limits: shared.settings.table_limits,
         lists_machines: shared.settings.machines_address.is_some(),
         ..Settings::default()
     }
--- a/crates/entry/src/site/record.rs
+++ b/crates/entry/src/site/record.rs
@@ -3,11 +3,8 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use quincewheel_dispatch::rows::{
-    self, OWNER_KEY, Ownership, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY,
-};
-use quincewheel_dispatch::{Batch, Owner};
-use quincewheel_job::Id;
+use quincewheel_dispatch::rows::{self, OWNER_KEY, Ownership};
+use quincewheel_dispatch::{Batch, ExpiredRows, Owner};
 use quincewheel_platform::Space;
 use quincewheel_store::{Commit, Error, Expect, Read, Size};
 use tokio::time::timeout;
@@ -28,9 +25,9 @@
 /// An owner checks whether it is cut off from the table after a write without a reply for this
 /// long, which is most of what a slow table takes.
 const CUT_OFF_CHECK_DELAY: Duration = Duration::from_millis(350);
-/// Maximum number of jobs whose rows are deleted with one batch. A job has four rows, and a
-/// transaction takes 100.
-const MAX_EXPIRED_JOBS: usize = 5;
+/// Maximum number of rows of expired jobs that are deleted with one batch, which leaves room for
+/// them.
+const MAX_EXPIRED_ROWS: usize = 20;
 /// Number of failures of one write between two log lines about it.
 const LOGGED_FAILURE_INTERVAL: u32 = 10;
 /// Delay after a failed write.
@@ -87,22 +84,10 @@
     };
     let now = quincewheel_clock::boot();
     let expired =
-        shared.mirror.borrow_mut().expired_jobs(now, retention_ms(shared), MAX_EXPIRED_JOBS);
-    commit.delete.extend(expired.iter().flat_map(|id| rows::job_keys(id)));
-    let learned = &batch.learned;
-    commit.put.extend(learned.times.iter().map(|times| put(TIMES_KEY.to_owned(), times)));
-    commit.put.extend(learned.trust.iter().map(|trust| put(TRUST_KEY.to_owned(), trust)));
-    commit.put.extend(learned.speed.iter().map(|speed| put(SPEED_KEY.to_owned(), speed)));
-    commit.put.extend(learned.usage.iter().map(|usage| put(USAGE_KEY.to_owned(), usage)));
-    commit
-        .put
-        .extend(batch.checkpoints.iter().map(|(id, saved)| put(rows::checkpoints_key(id), saved)));
-    let waves = batch.waves.iter().map(|(number, wave)| put(rows::wave_key(*number), wave));
-    commit.put.extend(waves);
+        shared.mirror.borrow_mut().expired_rows(now, retention_ms(shared), MAX_EXPIRED_ROWS);
+    commit.delete.extend(expired.keys.iter().cloned());
     commit.delete.extend(batch.departed.iter().map(|name| rows::node_key(name)));
-    commit
-        .put
-        .extend(batch.jobs.iter().map(|(id, progress)| put(rows::progress_key(id), progress)));
+    commit.put.extend(batch.rows.iter().cloned());
     let first_sent_at = quincewheel_clock::boot();
     let mut failures = 0u32;
     loop {
@@ -164,9 +149,9 @@
     shared.bounds.get().keep * 3 / 2
 }
 
-fn remove_expired(shared: &Site, expired: &[Id]) {
+fn remove_expired(shared: &Site, expired: &ExpiredRows) {
     if let Some(owner) = shared.owner.borrow_mut().as_mut() {
-        owner.remove_ended_jobs(expired);
+        owner.remove_ended_jobs(&expired.jobs);
     }
 }
 
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -3,8 +3,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::job::Job;
+use crate::job::{Job, MAX_TASKS};
+use crate::layout::Layout;
 use crate::run::Task;
+use crate::slots::{Slot, Slots};
 use crate::step::Step;
 
 /// The state of a job.
@@ -30,29 +32,64 @@
     }
 }
 
-/// Numbers of runs, by occurrence, step and task, or by gang under index 0.
-type Runs = BTreeMap<u32, BTreeMap<u32, BTreeMap<u32, BTreeSet<u64>>>>;
+/// Numbers of runs, by task, or by gang.
+type Runs = Slots<BTreeSet<u64>>;
 
-/// The progress of a job, which must survive a change of owner.
+/// Maximum number of runs of a task that are listed as failed. Earlier ones are counted, so that a
+/// queue with many attempts takes no more space. An owner learns of a failure within seconds, in
+/// which a task starts fewer times.
+pub(crate) const MAX_LISTED_FAILURES: usize = 32;
+/// Maximum number of runs of a task that are listed as likely causes of crashes, and as possible
+/// ones. A task is given up after fewer.
+pub(crate) const MAX_CRASHES: usize = 4;
+
+/// The progress of a job, or a part of it, which must survive a change of owner.
+///
+/// A job of which the progress may outgrow a row of the table is recorded in parts, as its
+/// [`Layout`] says, and only the parts that changed are written. [`Progress::merge`] joins them.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Progress {
-    /// The state of the job.
+    /// The state of the job, as recorded with the first part.
     pub state: State,
+    /// The number of this part; 0 for the first and for the whole.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub part: u32,
+    /// The number of parts, recorded with the first once all others are; 0 if the job is recorded as
+    /// by earlier versions, in one row.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub parts: u32,
     /// Tasks that are done, by occurrence and step.
     done: BTreeMap<u32, BTreeMap<u32, Vec<u32>>>,
+    /// The same as ranges with their first and last index, in parts that are recorded.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    done_ranges: BTreeMap<u32, BTreeMap<u32, Vec<(u32, u32)>>>,
     /// The runs of each unfinished task that failed, or of the gang under index 0.
     failed: Runs,
+    /// Failures that are not listed any more, by task.
+    #[serde(default, skip_serializing_if = "Slots::is_empty")]
+    earlier_failures: Slots<EarlierFailures>,
     /// The runs of each unfinished task, or gang, that probably crashed a worker, until the task is
     /// cleared.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    #[serde(default, skip_serializing_if = "Slots::is_empty")]
     crashed: Runs,
     /// Further runs that may have crashed a worker.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    #[serde(default, skip_serializing_if = "Slots::is_empty")]
     possibly_crashed: Runs,
     /// Runs that may be crashing a worker now. Recorded before that is known, as whoever learns of
     /// it may end before the crash is recorded.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    #[serde(default, skip_serializing_if = "Slots::is_empty")]
     unsettled: Runs,
+    /// Slots that have changed since [`Progress::take_changed`].
+    #[serde(skip)]
+    changed: BTreeSet<Slot>,
+}
+
+/// Failures of a task of which the runs are not listed: how many, and the highest run number.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct EarlierFailures(u32, u64);
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// How many runs of a task in a row may have crashed the workers that started them.
@@ -106,10 +143,26 @@
         } else if let Err(place) = tasks.binary_search(&task.index) {
             tasks.insert(place, task.index);
         }
+        let slot = slot_of(job, task);
+        self.changed.insert(slot);
+        self.failed.remove(slot);
+        self.earlier_failures.remove(slot);
         self.clear_crashes(job, task);
-        if (0..job.occurrences()).all(|occurrence| self.is_occurrence_done(job, occurrence)) {
+        self.end_if_done(job);
+    }
+
+    /// Sets the state if all tasks are done. Returns whether that changed it.
+    ///
+    /// The last tasks are recorded before the state if they are in other parts than the first, so a
+    /// new owner may find all tasks done and the job still running.
+    pub fn end_if_done(&mut self, job: &Job) -> bool {
+        let mut occurrences = 0..job.occurrences();
+        let ends = !self.state.is_final()
+            && occurrences.all(|occurrence| self.is_occurrence_done(job, occurrence));
+        if ends {
             self.state = State::Succeeded;
         }
+        ends
     }
 
     /// Records that a run failed, and returns the number of failures of its task or gang.
@@ -119,20 +172,38 @@
     /// identified by the number of the run. If one were counted twice, a job with attempts left
     /// could fail; if one were missed, a task could start once too often.
     pub fn record_failure(&mut self, job: &Job, task: &Task, run: u64) -> u32 {
-        count_run(&mut self.failed, &counted_task(job, task), run)
+        let slot = slot_of(job, task);
+        if !self.has_failed(job, task, run) {
+            self.changed.insert(slot);
+            self.failed.entry(slot).insert(run);
+            self.limit_failures(slot);
+        }
+        self.failures(slot)
+    }
+
+    /// Counts the earliest failures of a task where too many are listed.
+    fn limit_failures(&mut self, slot: Slot) {
+        let listed = self.failed.entry(slot);
+        while listed.len() > MAX_LISTED_FAILURES
+            && let Some(first) = listed.pop_first()
+        {
+            let earlier = self.earlier_failures.entry(slot);
+            *earlier = EarlierFailures(earlier.0 + 1, earlier.1.max(first));
+        }
     }
 
     /// The number of failures of the task with this occurrence, step and index; of a gang under
     /// index 0.
-    pub fn failures(&self, (occurrence, step, index): (u32, u32, u32)) -> u32 {
-        let steps = self.failed.get(&occurrence);
-        let runs = steps.and_then(|steps| steps.get(&step)?.get(&index));
-        runs.map_or(0, |runs| runs.len() as u32)
+    pub fn failures(&self, slot: Slot) -> u32 {
+        let listed = self.failed.get(slot).map_or(0, |runs| runs.len() as u32);
+        listed + self.earlier_failures.get(slot).map_or(0, |earlier| earlier.0)
     }
 
     /// True if a run of the task or its gang is known to have failed.
     pub fn has_failed(&self, job: &Job, task: &Task, run: u64) -> bool {
-        contains(&self.failed, &counted_task(job, task), run)
+        let slot = slot_of(job, task);
+        let earlier = self.earlier_failures.get(slot).is_some_and(|earlier| run <= earlier.1);
+        earlier || contains(&self.failed, slot, run)
     }
 
     /// True if any run of the job is known to have failed.
@@ -143,16 +214,21 @@
     /// Records that a run may have crashed its worker; `likely` if it is the probable cause.
     /// Returns whether that was not known.
     pub fn record_crash(&mut self, job: &Job, task: &Task, run: u64, likely: bool) -> bool {
-        let slot = counted_task(job, task);
-        let known = contains(&self.crashed, &slot, run)
-            || (!likely && contains(&self.possibly_crashed, &slot, run));
+        let slot = slot_of(job, task);
+        let known = contains(&self.crashed, slot, run)
+            || (!likely && contains(&self.possibly_crashed, slot, run));
         if known {
             return false;
         }
-        remove_run(&mut self.unsettled, &slot, run);
-        remove_run(&mut self.possibly_crashed, &slot, run);
+        self.changed.insert(slot);
+        remove_run(&mut self.unsettled, slot, run);
+        remove_run(&mut self.possibly_crashed, slot, run);
         let runs = if likely { &mut self.crashed } else { &mut self.possibly_crashed };
-        count_run(runs, &slot, run);
+        let runs = runs.entry(slot);
+        runs.insert(run);
+        if runs.len() > MAX_CRASHES {
+            runs.pop_first();
+        }
         true
     }
 
@@ -160,26 +236,28 @@
     /// [`Progress::withdraw`]. An earlier run of which neither became known counts as a possible
     /// crash. Returns whether anything changed.
     pub fn mark_unsettled(&mut self, job: &Job, task: &Task, run: u64) -> bool {
-        let slot = counted_task(job, task);
+        let slot = slot_of(job, task);
         if [&self.crashed, &self.possibly_crashed, &self.unsettled]
             .iter()
-            .any(|runs| contains(runs, &slot, run))
+            .any(|runs| contains(runs, slot, run))
         {
             return false;
         }
-        let earlier = runs_of(&self.unsettled, &slot).cloned().unwrap_or_default();
+        let earlier = self.unsettled.get(slot).cloned().unwrap_or_default();
         for run in earlier {
             self.record_crash(job, task, run, false);
         }
-        count_run(&mut self.unsettled, &slot, run);
+        self.unsettled.entry(slot).insert(run);
+        self.changed.insert(slot);
         true
     }
 
     /// Withdraws the mark of a run that has not crashed its worker. Returns whether there was one.
     pub fn withdraw(&mut self, job: &Job, task: &Task, run: u64) -> bool {
-        let slot = counted_task(job, task);
-        let marked = contains(&self.unsettled, &slot, run);
-        remove_run(&mut self.unsettled, &slot, run);
+        let slot = slot_of(job, task);
+        let marked = contains(&self.unsettled, slot, run);
+        remove_run(&mut self.unsettled, slot, run);
+        self.changed.extend(marked.then_some(slot));
         marked
     }
 
@@ -188,8 +266,8 @@
         if !self.has_suspects() {
             return CrashCount::default();
         }
-        let slot = counted_task(job, task);
-        let count = |runs: &Runs| runs_of(runs, &slot).map_or(0, |runs| runs.len() as u32);
+        let slot = slot_of(job, task);
+        let count = |runs: &Runs| runs.get(slot).map_or(0, |runs| runs.len() as u32);
         let likely = count(&self.crashed);
         let total = likely + count(&self.possibly_crashed) + count(&self.unsettled);
         CrashCount { likely, total }
@@ -197,15 +275,9 @@
 
     /// Occurrence, step and index of the tasks, or of the first members of gangs, that are
     /// suspected of crashing workers.
-    pub fn suspected_tasks(&self) -> BTreeSet<(u32, u32, u32)> {
-        let mut suspects = BTreeSet::new();
-        let all = self.crashed.iter().chain(&self.possibly_crashed).chain(&self.unsettled);
-        for (&occurrence, steps) in all {
-            for (&step, tasks) in steps {
-                suspects.extend(tasks.keys().map(|&index| (occurrence, step, index)));
-            }
-        }
-        suspects
+    pub fn suspected_tasks(&self) -> BTreeSet<Slot> {
+        let all = self.crashed.iter().chain(self.possibly_crashed.iter());
+        all.chain(self.unsettled.iter()).map(|(slot, _)| slot).collect()
     }
 
     /// True if any task of the job is suspected of crashing workers.
@@ -215,49 +287,122 @@
 
     /// Clears a task or gang of suspicion after one of its runs survived its start.
     pub fn clear_crashes(&mut self, job: &Job, task: &Task) {
-        let slot = counted_task(job, task);
-        remove_task(&mut self.crashed, &slot);
-        remove_task(&mut self.possibly_crashed, &slot);
-        remove_task(&mut self.unsettled, &slot);
+        let slot = slot_of(job, task);
+        for runs in [&mut self.crashed, &mut self.possibly_crashed, &mut self.unsettled] {
+            if runs.remove(slot).is_some() {
+                self.changed.insert(slot);
+            }
+        }
     }
-}
 
-/// The task under which runs are counted: for a gang, its first member.
-fn counted_task(job: &Job, task: &Task) -> Task {
-    let gang = job.steps.get(task.step as usize).is_some_and(|step| step.gang);
-    Task { index: if gang { 0 } else { task.index }, ..task.clone() }
-}
+    /// Returns the slots that have changed since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<Slot> {
+        std::mem::take(&mut self.changed)
+    }
 
-fn count_run(runs: &mut Runs, slot: &Task, run: u64) -> u32 {
-    let steps = runs.entry(slot.occurrence).or_default();
-    let runs = steps.entry(slot.step).or_default().entry(slot.index).or_default();
-    runs.insert(run);
-    runs.len() as u32
-}
+    /// Returns a part as it is recorded.
+    pub fn part(&self, layout: &Layout, part: u32) -> Progress {
+        if layout.is_listed() {
+            return Progress { part: 0, parts: 0, changed: BTreeSet::new(), ..self.clone() };
+        }
+        let mut done_ranges = BTreeMap::new();
+        for (&occurrence, steps) in self.done.range(layout.occurrences(part)) {
+            for (&step, tasks) in steps {
+                let indexes = layout.indexes(part, occurrence, step);
+                let first = tasks.partition_point(|&index| index < indexes.start);
+                let end = tasks.partition_point(|&index| index < indexes.end);
+                if first < end {
+                    let steps: &mut BTreeMap<_, _> = done_ranges.entry(occurrence).or_default();
+                    steps.insert(step, to_ranges(&tasks[first..end]));
+                }
+            }
+        }
+        Progress {
+            state: self.state,
+            part,
+            parts: if part == 0 { layout.parts() } else { 0 },
+            done: BTreeMap::new(),
+            done_ranges,
+            failed: self.failed.within(layout, part),
+            earlier_failures: self.earlier_failures.within(layout, part),
+            crashed: self.crashed.within(layout, part),
+            possibly_crashed: self.possibly_crashed.within(layout, part),
+            unsettled: self.unsettled.within(layout, part),
+            changed: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the parts that hold anything.
+    pub fn occupied_parts(&self, job: &Job, layout: &Layout) -> BTreeSet<u32> {
+        let mut slots = self.suspected_tasks();
+        slots.extend(self.failed.iter().map(|(slot, _)| slot));
+        for (&occurrence, steps) in &self.done {
+            for (&step, tasks) in steps {
+                let gang = job.steps.get(step as usize).is_some_and(|step| step.gang);
+                let first = tasks.iter().take(if gang { 1 } else { usize::MAX });
+                slots.extend(first.map(|&index| (occurrence, step, index)));
+            }
+        }
+        slots.into_iter().map(|slot| layout.part_of(slot)).collect()
+    }
 
-fn runs_of<'a>(runs: &'a Runs, slot: &Task) -> Option<&'a BTreeSet<u64>> {
-    runs.get(&slot.occurrence)?.get(&slot.step)?.get(&slot.index)
+    /// Adds a recorded part. A task that is done in either is done; otherwise, what the part holds of
+    /// a slot replaces what was known.
+    pub fn merge(&mut self, part: Progress) {
+        if part.part == 0 {
+            self.state = part.state;
+            self.parts = part.parts;
+        }
+        for (occurrence, steps) in part.done {
+            for (step, tasks) in steps {
+                self.add_done(occurrence, step, tasks);
+            }
+        }
+        for (occurrence, steps) in part.done_ranges {
+            for (step, ranges) in steps {
+                let tasks = ranges.into_iter().flat_map(|(first, last)| first..=last);
+                self.add_done(occurrence, step, tasks.take(MAX_TASKS as usize).collect());
+            }
+        }
+        let failed: Vec<Slot> = part.failed.iter().map(|(slot, _)| slot).collect();
+        self.failed.extend(part.failed);
+        self.earlier_failures.extend(part.earlier_failures);
+        failed.into_iter().for_each(|slot| self.limit_failures(slot));
+        self.crashed.extend(part.crashed);
+        self.possibly_crashed.extend(part.possibly_crashed);
+        self.unsettled.extend(part.unsettled);
+    }
+
+    fn add_done(&mut self, occurrence: u32, step: u32, mut tasks: Vec<u32>) {
+        let known = self.done.entry(occurrence).or_default().entry(step).or_default();
+        known.append(&mut tasks);
+        known.sort_unstable();
+        known.dedup();
+    }
 }
 
-fn contains(runs: &Runs, slot: &Task, run: u64) -> bool {
-    runs_of(runs, slot).is_some_and(|runs| runs.contains(&run))
+/// The slot under which runs are counted: for a gang, that of its first member.
+fn slot_of(job: &Job, task: &Task) -> Slot {
+    let gang = job.steps.get(task.step as usize).is_some_and(|step| step.gang);
+    (task.occurrence, task.step, if gang { 0 } else { task.index })
 }
 
-fn remove_run(runs: &mut Runs, slot: &Task, run: u64) {
-    let steps = runs.get_mut(&slot.occurrence).and_then(|steps| steps.get_mut(&slot.step));
-    let Some(known) = steps.and_then(|tasks| tasks.get_mut(&slot.index)) else { return };
-    known.remove(&run);
-    if known.is_empty() {
-        remove_task(runs, slot);
-    }
+fn contains(runs: &Runs, slot: Slot, run: u64) -> bool {
+    runs.get(slot).is_some_and(|runs| runs.contains(&run))
 }
 
-fn remove_task(runs: &mut Runs, slot: &Task) {
-    if let Some(steps) = runs.get_mut(&slot.occurrence) {
-        if let Some(tasks) = steps.get_mut(&slot.step) {
-            tasks.remove(&slot.index);
+fn remove_run(runs: &mut Runs, slot: Slot, run: u64) {
+    if contains(runs, slot, run) {
+        let known = runs.entry(slot);
+        known.remove(&run);
+        if known.is_empty() {
+            runs.remove(slot);
         }
-        steps.retain(|_, tasks| !tasks.is_empty());
     }
-    runs.retain(|_, steps| !steps.is_empty());
+}
+
+/// Returns sorted numbers as ranges with their first and last number.
+fn to_ranges(numbers: &[u32]) -> Vec<(u32, u32)> {
+    let adjacent = numbers.chunk_by(|earlier, later| earlier + 1 == *later);
+    adjacent.filter_map(|chunk| Some((*chunk.first()?, *chunk.last()?))).collect()
 }
--- a/crates/runner/tests/deployment/mod.rs
+++ b/crates/runner/tests/deployment/mod.rs
@@ -16,6 +16,7 @@
 use quincewheel_runner::{
     Action, Announcement, Fault as CallFault, Heartbeat, Output, Reply, Runner, Settings,
 };
+use quincewheel_store::Limits;
 use quincewheel_wire::Refused;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -907,6 +908,7 @@
     fn record(&mut self) {
         let now = self.now;
         if let Some((_, batch, recorded)) = self.batch.take_if(|(at, _, _)| *at <= now) {
+            batch.check(&Limits::default()).expect("the table takes each batch");
             self.owner.on_recorded(&batch, recorded);
             self.carry_out_owner();
         }
--- a/crates/runner/tests/simulation/mod.rs
+++ b/crates/runner/tests/simulation/mod.rs
@@ -14,6 +14,7 @@
     Evacuation, How, Job, Progress, Queue, Resources, Run, State, Step, Task, Worker,
 };
 use quincewheel_runner::{Call, Fault, Heartbeat, Output, Runner, Settings};
+use quincewheel_store::Limits;
 use quincewheel_wire::Order;
 
 use history::History;
@@ -249,6 +250,7 @@
             if self.accepts_records
                 && let Some(batch) = self.owner.next_batch()
             {
+                batch.check(&Limits::default()).expect("the table takes each batch");
                 self.owner.on_recorded(&batch, true);
                 self.recorded.extend(batch.jobs);
             }
--- a/crates/runner/tests/succession/mod.rs
+++ b/crates/runner/tests/succession/mod.rs
@@ -550,7 +550,7 @@
         let Some(owner) = entry.owner.as_mut() else { return };
         let Some(view) = entry.mirror.jobs.get(id) else { return };
         let Some((job, version)) = &view.job else { return };
-        owner.add_job(id, job.clone(), *version, view.progress.clone());
+        owner.add_job(id, job.clone(), *version, view.progress());
     }
 
     /// Handles a job that this entry has stored.
--- a/crates/runner/tests/succession/ownership.rs
+++ b/crates/runner/tests/succession/ownership.rs
@@ -129,8 +129,8 @@
         owner.restore_learned(&entry.mirror.learned);
         for (id, view) in &entry.mirror.jobs {
             if let Some((job, version)) = &view.job {
-                owner.add_job(id, job.clone(), *version, view.progress.clone());
-                owner.restore_checkpoints(id, &view.checkpoints);
+                owner.add_job(id, job.clone(), *version, view.progress());
+                view.checkpoints.values().for_each(|part| owner.restore_checkpoints(id, part));
             }
         }
         owner.jobs_loaded(read);
@@ -188,11 +188,7 @@
         mine.settled = owner.is_settled();
         let mut commit = owner_commit(&mine, version);
         commit.delete.extend(batch.departed.iter().map(|name| rows::node_key(name)));
-        let jobs = batch.jobs.iter().map(|(id, progress)| Put {
-            key: rows::progress_key(id),
-            value: serde_json::to_string(progress).expect("progress is plain data"),
-        });
-        commit.put.extend(jobs);
+        commit.put.extend(batch.rows.iter().cloned());
         let (call, sent_at, retry_at) = (None, now, now);
         entry.write = Some(Write { batch, mine, commit, sent_at, call, retry_at, checked: false });
         self.continue_write(number);
--- a/crates/runner/tests/succession/table.rs
+++ b/crates/runner/tests/succession/table.rs
@@ -4,7 +4,7 @@
 
 use quincewheel_dispatch::rows;
 use quincewheel_job::Progress;
-use quincewheel_store::{Change, Changes, Commit};
+use quincewheel_store::{Change, Changes, Commit, Limits};
 
 /// The rows and their history.
 #[derive(Default)]
@@ -41,8 +41,10 @@
 }
 
 impl Table {
-    /// Carries out a transaction, or returns none on a conflict.
+    /// Carries out a transaction, or returns none on a conflict. No transaction may exceed the limits
+    /// of the table.
     pub fn commit(&mut self, commit: &Commit) -> Option<u64> {
+        Limits::default().check(commit).expect("the table takes each transaction");
         let current = |key: &String| self.rows.get(key).copied().unwrap_or_default();
         if commit.expect.iter().any(|expect| current(&expect.key) != expect.version) {
             return None;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,4 +1,4 @@
-use quincewheel_job::{Id, Job, Progress};
+use quincewheel_job::{Id, Job, Progress, State};
 use serde::{Deserialize, Serialize};
 
 /// The result of a request to another entry to store a row.
@@ -86,14 +86,18 @@
         /// The job.
         id: Id,
     },
-    /// From the owner: reply to `Look`, read from the job's row in the table.
+    /// From the owner: reply to `Look`, read from the job's rows in the table.
     Found {
         /// Id of the request.
         number: u64,
         /// The job.
         id: Id,
-        /// The progress in the row and the row's version, or `None` if there is no
-        /// such row.
+        /// The progress in the row and the row's version. Sent by earlier versions
+        /// only: it may take more than a frame.
         progress: Option<(Progress, u64)>,
+        /// The state in the row and the row's version, or `None` if there is no such
+        /// row.
+        #[serde(default)]
+        state: Option<(State, u64)>,
     },
 }
