Conclude nothing from a list of ends that may be truncated

Cause: a worker lists 500 ends at a time, and nothing in its reply says that there are more. The agent passed the list on as complete, and the owner took a task that was neither running nor among the ends for one without a run.

Evidence: 'worker answered' shows 0 runs and 500 ends at the takeover.

Until then the owner does not count the worker as reconciled, takes no run for missing and judges no unlisted run as stalled, and the agent holds back reports of confirmed stops.

Why it works: each of these places asked whether a run is on the list; now they wait for a list that is complete, which follows as ends are acknowledged, 500 at a time. The new owner records and acknowledges ends before it is settled.

Random courses with lists of two ends. The simulated workers list 500 ends at most. Tests that build statuses and replies name the new field; nothing else in them changed.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -18,7 +18,7 @@
     /// The worker, if the agent has one.
     pub worker: Option<Worker>,
     /// Whether every run there that a previous owner may have started is accounted for: the
-    /// worker has answered under this owner's epoch, or is known to have ended.
+    /// worker has listed all its runs and ends under this owner's epoch, or is known to have ended.
     pub reconciled: bool,
     /// Whether the worker has answered under this owner's epoch on the open connection.
     pub fenced: bool,
@@ -61,6 +61,8 @@
     pub listed_at: u64,
     /// The runs that the worker listed in its last status.
     pub listed_runs: Vec<(Task, u64)>,
+    /// Whether it may have had further ends to list then.
+    pub list_truncated: bool,
     /// Listed runs that belong to no job's current state, and are being stopped.
     pub strays: Vec<Task>,
     /// Number of the last end that was processed.
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -393,13 +393,13 @@
                 let crash = SuspectedCrash { worker, likely, possible };
                 self.on_connections_broken(&name, crash)
             }
-            Notice::Status { stamp, worker, fenced, listed_at, running, ended } => {
+            Notice::Status { stamp, worker, fenced, listed_at, running, ended, truncated } => {
                 if worker.is_some() {
                     self.grant_lease(&name, link, stamp, 0, now);
                 }
                 let age = listed_at.map(|at| stamp.saturating_sub(at));
                 let at = listed_at.unwrap_or(stamp);
-                let list = List { running: &running, ended: &ended, at, age };
+                let list = List { running: &running, ended: &ended, truncated, at, age };
                 self.on_status(&name, worker, fenced, &list, now);
             }
             Notice::Survived { task, run } => self.on_survived(&task, run),
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -19,7 +19,7 @@
         list: &List<'_>,
         now: u64,
     ) {
-        let List { running, ended, at, age } = *list;
+        let List { running, ended, truncated, at, age } = *list;
         let listed_at = now.saturating_sub(age.unwrap_or(0));
         let crashed = |worker: &Worker| self.follows_crash(name, &worker.incarnation());
         if worker.as_ref().is_some_and(crashed) {
@@ -62,13 +62,14 @@
         agent.worker_left = false;
         agent.worker = Some(worker);
         agent.fenced = fenced;
-        agent.reconciled |= fenced;
+        agent.reconciled |= fenced && !truncated;
         let verified = fenced && std::mem::take(&mut agent.unverified);
         if fenced {
             agent.listed_at = listed_at;
             // The worker has answered since it was last reported as silent.
             agent.silent_ms = age.map_or(agent.silent_ms, |age| agent.silent_ms.min(age));
         }
+        agent.list_truncated = truncated;
         agent.listed_runs = running.iter().map(|run| (run.task.clone(), run.number)).collect();
         self.replan |= !std::mem::take(&mut agent.strays).is_empty();
         // A worker that broke its connections is schedulable again once it answers.
@@ -92,7 +93,9 @@
             self.stop_stalled_runs(name, (listed_at, now));
         }
         if first_answer {
-            let detail = format!("{from} lists {} runs and {} ends", running.len(), ended.len());
+            let more = if truncated { ", and may have more" } else { "" };
+            let detail =
+                format!("{from} lists {} runs and {} ends{more}", running.len(), ended.len());
             self.log("worker answered", name, detail);
             self.resend_acknowledgement(name, &from);
             self.resend_orders(name, &from, now);
--- a/crates/dispatch/src/stalled_runs.rs
+++ b/crates/dispatch/src/stalled_runs.rs
@@ -10,12 +10,14 @@
 
 impl Owner {
     /// Stops runs on a worker that had stalled when it listed them at `listed_at`, so that they start
-    /// elsewhere, and prefers other workers for a while.
+    /// elsewhere, and prefers other workers for a while. What it did not list then may have ended.
     pub(crate) fn stop_stalled_runs(&mut self, name: &str, (listed_at, now): (u64, u64)) {
         let mut found = Vec::new();
         for (id, entry) in &self.jobs {
             for (key, placed) in entry.runs.iter().filter(|(_, placed)| placed.agent == name) {
-                let Some(step) = entry.step(*key) else { continue };
+                let Some(step) = entry.step(*key).filter(|_| placed.updated_at >= listed_at) else {
+                    continue;
+                };
                 let progressed_at = entry.unit_progressed_at(placed);
                 if is_stalled(step, placed, progressed_at, listed_at) {
                     found.push((id.clone(), *key));
--- a/crates/dispatch/src/unlisted_runs.rs
+++ b/crates/dispatch/src/unlisted_runs.rs
@@ -47,13 +47,15 @@
     }
 
     /// Returns whether the run's worker answers, and has listed its runs without this one since the
-    /// last sign of it. A list that an agent sends again may be older than the run.
+    /// last sign of it. A list that an agent sends again may be older than the run, and of a run that is
+    /// missing from a truncated one the worker may yet list the end.
     fn is_unlisted(&self, id: &str, key: Key, placed: &Placement) -> bool {
         let Some(agent) = self.agents.get(&placed.agent) else { return false };
         let current =
             agent.worker.as_ref().is_some_and(|worker| worker.is_incarnation(&placed.worker));
         let run = (task(id, key), placed.run);
         let listed_since = agent.fenced && placed.updated_at <= agent.listed_at;
-        current && agent.link.is_some() && listed_since && !agent.listed_runs.contains(&run)
+        let complete = listed_since && !agent.list_truncated;
+        current && agent.link.is_some() && complete && !agent.listed_runs.contains(&run)
     }
 }
--- a/crates/dispatch/tests/capacity.rs
+++ b/crates/dispatch/tests/capacity.rs
@@ -14,7 +14,15 @@
     let (stamp, running, ended) = (harness.now, running.to_vec(), Vec::new());
     harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: true,
+            running,
+            ended,
+            truncated: false,
+        },
     );
 }
 
@@ -55,7 +63,15 @@
     let (running, ended) = (runs[1..].to_vec(), ended.to_vec());
     harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: true,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     assert_snapshot!(format!("{before_end}\n{}", harness.take_orders()), @r"
     nothing
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -171,6 +171,7 @@
         fenced: true,
         running,
         ended: Vec::new(),
+        truncated: false,
     };
     pool.silent.push(0);
     pool.harness.deliver(0, notice);
--- a/crates/dispatch/tests/crash_reports.rs
+++ b/crates/dispatch/tests/crash_reports.rs
@@ -74,7 +74,15 @@
     let worker = Some(Worker { id: "i0-2".into(), ..harness::worker(0) });
     harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     assert_snapshot!(format!("{suspected:?}\n{}", harness.take_logs()), @r"
     [2, 1]
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -195,7 +195,15 @@
     let (stamp, running, ended) = (pool.harness.now, Vec::new(), Vec::new());
     pool.harness.deliver(
         number,
-        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     assert_snapshot!(pool.harness.take_logs(), @"nothing");
 }
@@ -215,13 +223,29 @@
     let (stamp, running, ended) = (harness.now, Vec::new(), Vec::new());
     harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker: None, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker: None,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     let worker = Some(Worker { id: "i0-2".into(), ..harness::worker(0) });
     let (running, ended) = (Vec::new(), Vec::new());
     harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     assert_snapshot!(
         harness.take_logs(),
@@ -351,7 +375,15 @@
     let other = Some(Worker { id: "i0-2".into(), ..harness::worker(0) });
     harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker: other, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker: other,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     for _ in 0..3 {
         harness.advance(1000);
@@ -363,7 +395,15 @@
     let other = Some(Worker { id: "i1-2".into(), ..harness::worker(1) });
     harness.deliver(
         1,
-        Notice::Status { listed_at: None, stamp, worker: other, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker: other,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     assert_snapshot!(
         harness.take_logs(),
--- a/crates/dispatch/tests/crashing_pool/mod.rs
+++ b/crates/dispatch/tests/crashing_pool/mod.rs
@@ -95,6 +95,7 @@
             fenced: true,
             running,
             ended: Vec::new(),
+            truncated: false,
         };
         self.harness.owner.on_notice(number, notice, self.harness.now);
     }
@@ -234,8 +235,15 @@
         let (stamp, running) =
             (self.harness.now, std::mem::take(&mut self.running[number as usize]));
         let (worker, ended) = (Some(worker), Vec::new());
-        let notice =
-            Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended };
+        let notice = Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        };
         self.harness.owner.on_notice(number, notice, self.harness.now);
     }
 
--- a/crates/dispatch/tests/dismissal_late_answer.rs
+++ b/crates/dispatch/tests/dismissal_late_answer.rs
@@ -19,8 +19,15 @@
 fn member_that_registered_again_is_not_dismissed_by_a_late_answer() {
     let mut harness = Harness::new(1, 2).with_idle_workers(2);
     let (running, ended) = (Vec::new(), Vec::new());
-    let no_worker =
-        Notice::Status { listed_at: None, stamp: 0, worker: None, fenced: false, running, ended };
+    let no_worker = Notice::Status {
+        listed_at: None,
+        stamp: 0,
+        worker: None,
+        fenced: false,
+        running,
+        ended,
+        truncated: false,
+    };
     harness.deliver(1, Notice::Left { worker: "i1".into() });
     harness.deliver(1, no_worker);
     let batch = harness.owner.next_batch().unwrap_or_default();
@@ -36,6 +43,7 @@
         fenced: true,
         running: running.to_vec(),
         ended: Vec::new(),
+        truncated: false,
     };
     harness.deliver(2, status(&[], harness.now));
     harness.owner.add_job("a", job(1, vec![step(2, 8)]), 150, None);
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -38,7 +38,15 @@
     let (stamp, running, ended) = (harness.now, running.to_vec(), Vec::new());
     harness.deliver(
         number,
-        Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: true,
+            running,
+            ended,
+            truncated: false,
+        },
     );
 }
 
--- a/crates/dispatch/tests/harness/mod.rs
+++ b/crates/dispatch/tests/harness/mod.rs
@@ -70,6 +70,7 @@
                 fenced: true,
                 running: running.to_vec(),
                 ended: ended.to_vec(),
+                truncated: false,
             },
         );
     }
--- a/crates/dispatch/tests/machine_list.rs
+++ b/crates/dispatch/tests/machine_list.rs
@@ -40,7 +40,15 @@
     let (stamp, ended) = (harness.now, Vec::new());
     harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
 }
 
@@ -217,7 +225,15 @@
     let worker = Some(quincewheel_job::Worker { id: "j0".into(), ..harness::worker(0) });
     harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     harness.take_orders();
     harness.owner.on_machines(machines(&["", "i1"]), true, 1, (requested_at, harness.now));
@@ -242,7 +258,15 @@
     let worker = Some(harness::worker(0));
     harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     harness.report_status(1, &[run(task("old", 0, 0), 2)], &[]);
     harness.report_status(2, &[], &[]);
--- a/crates/dispatch/tests/members.rs
+++ b/crates/dispatch/tests/members.rs
@@ -55,8 +55,15 @@
 fn agent_without_a_worker_is_dropped_and_its_connection_closed() {
     let mut harness = Harness::new(1, 2).with_idle_workers(2);
     let (running, ended) = (Vec::new(), Vec::new());
-    let no_worker =
-        Notice::Status { listed_at: None, stamp: 0, worker: None, fenced: false, running, ended };
+    let no_worker = Notice::Status {
+        listed_at: None,
+        stamp: 0,
+        worker: None,
+        fenced: false,
+        running,
+        ended,
+        truncated: false,
+    };
     harness.deliver(1, no_worker);
     advance(&mut harness, 9000, &[0, 1]);
     let batch = harness.record();
@@ -114,8 +121,15 @@
     // The agent has just started and has not polled its worker yet.
     let (running, ended) = (Vec::new(), Vec::new());
     let worker = Some(harness::worker(1));
-    let unfenced =
-        Notice::Status { listed_at: None, stamp: 0, worker, fenced: false, running, ended };
+    let unfenced = Notice::Status {
+        listed_at: None,
+        stamp: 0,
+        worker,
+        fenced: false,
+        running,
+        ended,
+        truncated: false,
+    };
     harness.deliver(1, unfenced);
     for silent in [2000, 4000, 6000] {
         harness.advance(2000);
--- a/crates/dispatch/tests/paused_owner_leases.rs
+++ b/crates/dispatch/tests/paused_owner_leases.rs
@@ -83,5 +83,13 @@
 fn status(number: u64, stamp: u64, running: &[Run]) -> Notice {
     let worker = Some(harness::worker(number));
     let (running, ended) = (running.to_vec(), Vec::new());
-    Notice::Status { stamp, worker, fenced: true, listed_at: None, running, ended }
+    Notice::Status {
+        stamp,
+        worker,
+        fenced: true,
+        listed_at: None,
+        running,
+        ended,
+        truncated: false,
+    }
 }
--- a/crates/dispatch/tests/previous_owner_leases.rs
+++ b/crates/dispatch/tests/previous_owner_leases.rs
@@ -142,5 +142,6 @@
         fenced: true,
         running: running.to_vec(),
         ended: Vec::new(),
+        truncated: false,
     }
 }
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -20,6 +20,7 @@
             fenced: true,
             running,
             ended,
+            truncated: false,
         },
     );
 }
@@ -109,6 +110,7 @@
             fenced: true,
             running,
             ended: Vec::new(),
+            truncated: false,
         };
         harness.deliver(0, status);
     }
--- a/crates/dispatch/tests/run_numbers.rs
+++ b/crates/dispatch/tests/run_numbers.rs
@@ -41,5 +41,13 @@
 
 fn status(number: u64, stamp: u64, running: Vec<Run>, ended: Vec<End>) -> Notice {
     let worker = Some(harness::worker(number));
-    Notice::Status { stamp, worker, fenced: true, listed_at: Some(1), running, ended }
+    Notice::Status {
+        stamp,
+        worker,
+        fenced: true,
+        listed_at: Some(1),
+        running,
+        ended,
+        truncated: false,
+    }
 }
--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -58,8 +58,15 @@
     harness.report_status(0, &[], &[]);
     harness.connect(1);
     let (running, ended) = (Vec::new(), Vec::new());
-    let no_worker =
-        Notice::Status { listed_at: None, stamp: 0, worker: None, fenced: false, running, ended };
+    let no_worker = Notice::Status {
+        listed_at: None,
+        stamp: 0,
+        worker: None,
+        fenced: false,
+        running,
+        ended,
+        truncated: false,
+    };
     harness.deliver(1, no_worker);
     let before = harness.take_orders();
     harness.deliver(1, Notice::Left { worker: "i1".into() });
--- a/crates/dispatch/tests/trust.rs
+++ b/crates/dispatch/tests/trust.rs
@@ -384,7 +384,15 @@
     let stamp = site.harness.now;
     site.harness.deliver(
         0,
-        Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp,
+            worker,
+            fenced: true,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     assert_snapshot!(format!("{before}\n{}", site.grades()), @r"
     0 sound, 0 unknown, 1 doubtful
--- a/crates/dispatch/tests/unready_workers.rs
+++ b/crates/dispatch/tests/unready_workers.rs
@@ -40,7 +40,15 @@
         let worker = Some(worker);
         harness.deliver(
             0,
-            Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+            Notice::Status {
+                listed_at: None,
+                stamp,
+                worker,
+                fenced: true,
+                running,
+                ended,
+                truncated: false,
+            },
         );
     };
     report_worker(&mut harness, cold(800));
--- a/crates/dispatch/tests/waits.rs
+++ b/crates/dispatch/tests/waits.rs
@@ -70,7 +70,15 @@
         let worker = Some(worker);
         harness.deliver(
             number,
-            Notice::Status { listed_at: None, stamp, worker, fenced: true, running, ended },
+            Notice::Status {
+                listed_at: None,
+                stamp,
+                worker,
+                fenced: true,
+                running,
+                ended,
+                truncated: false,
+            },
         );
     }
     add_job(&mut harness, "c", 152, job(1, vec![step(1, 8)]));
@@ -203,6 +211,7 @@
             fenced: true,
             running,
             ended,
+            truncated: false,
         },
     );
     harness.advance_with_pings(2000, 1);
@@ -316,13 +325,29 @@
     let (running, ended) = (Vec::new(), Vec::new());
     harness.deliver(
         2,
-        Notice::Status { listed_at: None, stamp: 0, worker: None, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp: 0,
+            worker: None,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     let (running, ended) = (Vec::new(), Vec::new());
     let worker = Some(harness::worker(3));
     harness.deliver(
         3,
-        Notice::Status { listed_at: None, stamp: 0, worker, fenced: false, running, ended },
+        Notice::Status {
+            listed_at: None,
+            stamp: 0,
+            worker,
+            fenced: false,
+            running,
+            ended,
+            truncated: false,
+        },
     );
     harness.advance_with_pings(900, 4);
     let before = harness.take_logs();
--- a/crates/dispatch/tests/worker_shutdown.rs
+++ b/crates/dispatch/tests/worker_shutdown.rs
@@ -30,6 +30,7 @@
             fenced: false,
             running,
             ended,
+            truncated: false,
         },
     );
     for _ in 0..6 {
--- a/crates/runner/src/call.rs
+++ b/crates/runner/src/call.rs
@@ -79,8 +79,11 @@
         clock: u64,
         /// All runs in progress.
         running: Vec<Run>,
-        /// All ends that have not been acknowledged.
+        /// Ends that have not been acknowledged, from the one with the lowest number on.
         ended: Vec<End>,
+        /// There may be further ends. A run that is not listed may then have ended, and is not known
+        /// to have never been there.
+        truncated: bool,
     },
     /// The worker refused the call and did nothing.
     Refused(Refused),
--- a/crates/runner/src/polls.rs
+++ b/crates/runner/src/polls.rs
@@ -21,13 +21,14 @@
             Ok(Reply::Held { born, running, .. }) if born != session.worker.born => {
                 self.on_other_incarnation(born, &running, now)
             }
-            Ok(Reply::Held { clock, running, ended, .. }) => {
+            Ok(Reply::Held { clock, running, ended, truncated, .. }) => {
                 session.no_failed_calls = true;
                 session.fenced = session.fenced.max(epoch);
                 session.acknowledged = session.acknowledged.max(session.sent_acknowledgement);
                 session.listed_at = Some(now);
                 session.running = running;
                 session.ended = ended;
+                session.truncated = truncated;
                 let recorded = session.recorded;
                 session.ended.retain(|end| end.number > recorded);
                 session.next_poll =
@@ -39,7 +40,7 @@
                 let reports = std::mem::take(&mut session.stop_reports);
                 let (due, held_back) = reports
                     .into_iter()
-                    .partition(|stop| stop.min_poll <= id && !stop.still_runs(&session.running));
+                    .partition(|stop| stop.min_poll <= id && !session.may_list(stop));
                 session.stop_reports = held_back;
                 if let Some(stale) = self.candidate.take() {
                     self.mark_ended(stale.worker.incarnation());
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -360,6 +360,7 @@
                 listed_at: None,
                 running: Vec::new(),
                 ended: Vec::new(),
+                truncated: false,
             },
             Some(session) => Notice::Status {
                 stamp: now,
@@ -369,6 +370,7 @@
                 listed_at: session.listed_at,
                 running: session.running.clone(),
                 ended: session.ended.clone(),
+                truncated: session.truncated,
             },
         };
         self.notify_owner(notice);
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -20,6 +20,8 @@
     pub listed_at: Option<u64>,
     pub running: Vec<Run>,
     pub ended: Vec<End>,
+    /// The last list was truncated, so that further runs may have ended.
+    pub truncated: bool,
     /// The owner has recorded all ends up to this number.
     pub recorded: u64,
     /// The worker has received the acknowledgement of all ends up to this number.
@@ -73,6 +75,7 @@
             listed_at: None,
             running: Vec::new(),
             ended: Vec::new(),
+            truncated: false,
             recorded: 0,
             acknowledged: 0,
             sent_acknowledgement: 0,
@@ -99,6 +102,12 @@
         self.worker.is_incarnation(&worker.incarnation())
     }
 
+    /// True if the run of a confirmed stop goes on, or the worker may yet list how it has ended: if it
+    /// has ended as done, its task must not start again.
+    pub fn may_list(&self, stop: &StopReport) -> bool {
+        self.truncated || stop.still_runs(&self.running)
+    }
+
     /// The number up to which the next poll acknowledges ends; 0 if it acknowledges none.
     ///
     /// A call names the worker by its id only, and a restarted worker numbers its ends from 1. If
@@ -258,12 +267,13 @@
     }
 
     /// True if the worker has to be polled: it is not fenced under this epoch, has runs, has ends
-    /// that are not acknowledged, or may have changed since the last poll.
+    /// that are not acknowledged or not listed, or may have changed since the last poll.
     pub fn needs_poll(&self, epoch: u64) -> bool {
         epoch > 0
             && (self.fenced < epoch
                 || !self.running.is_empty()
                 || !self.ended.is_empty()
+                || self.truncated
                 || self.acknowledged < self.recorded
                 || self.changed
                 || !self.stop_reports.is_empty()
--- a/crates/runner/tests/announcement.rs
+++ b/crates/runner/tests/announcement.rs
@@ -30,6 +30,7 @@
             clock: 51_000,
             running: Vec::new(),
             ended: Vec::new(),
+            truncated: false,
         }));
         harness.written.clear();
         harness
--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -223,7 +223,10 @@
     let (poll, clock) = (harness.poll, 50_000 + harness.now);
     harness.advance(400);
     let running = vec![listed(0)];
-    harness.reply(poll, Ok(Reply::Held { born: 0, clock, running, ended: Vec::new() }));
+    harness.reply(
+        poll,
+        Ok(Reply::Held { born: 0, clock, running, ended: Vec::new(), truncated: false }),
+    );
     harness.reply(harness.poll, closed());
     assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1, perhaps");
 }
@@ -260,7 +263,7 @@
     harness.order_start(0);
     harness.confirm_start();
     let running = vec![listed(0)];
-    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new() };
+    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new(), truncated: false };
     harness.reply(harness.poll, Ok(held));
     assert_snapshot!(harness.breaks.join("\n"), @"");
 }
--- a/crates/runner/tests/connections/mod.rs
+++ b/crates/runner/tests/connections/mod.rs
@@ -80,7 +80,13 @@
     /// Replies to a poll or probe.
     pub fn list(&mut self, id: u64, running: &[u32]) {
         let running = running.iter().copied().map(listed).collect();
-        let held = Reply::Held { born: 0, clock: 50_000 + self.now, running, ended: Vec::new() };
+        let held = Reply::Held {
+            born: 0,
+            clock: 50_000 + self.now,
+            running,
+            ended: Vec::new(),
+            truncated: false,
+        };
         self.reply(id, Ok(held));
     }
 
--- a/crates/runner/tests/deployment/mod.rs
+++ b/crates/runner/tests/deployment/mod.rs
@@ -39,6 +39,8 @@
 const MAX_STOP_MS: u64 = 200;
 /// Most notices that the owner handles before it decides.
 const MAX_NOTICES: usize = 64;
+/// The most ends that a worker lists at a time, unless a course sets another number.
+const MAX_LISTED_ENDS: usize = 500;
 /// The accelerators of a worker.
 const ACCELERATORS: u64 = 8;
 
@@ -63,6 +65,8 @@
     faults: Vec<Fault>,
     /// Workers keep their ids when they restart.
     keeps_ids: bool,
+    /// The most ends that a worker lists at a time.
+    pub max_listed_ends: usize,
     accepts_jobs: bool,
     random: StdRng,
     pub history: History,
@@ -100,6 +104,7 @@
             lists: Vec::new(),
             faults,
             keeps_ids: false,
+            max_listed_ends: MAX_LISTED_ENDS,
             accepts_jobs: true,
             random,
             history: History::default(),
@@ -353,6 +358,7 @@
             heartbeats: 0,
             next_heartbeat: now,
             has_news: false,
+            max_listed_ends: self.max_listed_ends,
         });
         self.log(|| format!("w{number} process {serial} starts"));
     }
--- a/crates/runner/tests/deployment/process.rs
+++ b/crates/runner/tests/deployment/process.rs
@@ -57,6 +57,8 @@
     pub next_heartbeat: u64,
     /// A run has ended since the last poll was answered.
     pub has_news: bool,
+    /// The most ends that it lists at a time: those with the lowest numbers.
+    pub max_listed_ends: usize,
 }
 
 impl Process {
@@ -173,8 +175,15 @@
     /// The reply to a poll.
     pub fn list(&self, now: u64) -> Reply {
         let running = self.running.iter().map(|active| active.run.clone()).collect();
-        let ended = self.ended.iter().map(|ended| ended.end.clone()).collect();
-        Reply::Held { born: self.reported_birth, clock: self.clock(now), running, ended }
+        let listed = self.ended.iter().take(self.max_listed_ends);
+        let ended = listed.map(|ended| ended.end.clone()).collect();
+        Reply::Held {
+            born: self.reported_birth,
+            clock: self.clock(now),
+            running,
+            ended,
+            truncated: self.ended.len() >= self.max_listed_ends,
+        }
     }
 
     pub fn resources(&self) -> Resources {
--- a/crates/runner/tests/owner_change_courses.rs
+++ b/crates/runner/tests/owner_change_courses.rs
@@ -39,7 +39,18 @@
     }
 }
 
-// The same in the courses from `FIRST` to before `LAST`, for hunts by hand. With `SHRINK`, prints
+// The same where workers list two ends at a time, so that a new owner misses most of those that were
+// not acknowledged.
+#[test]
+fn no_task_runs_twice_in_courses_with_truncated_lists() {
+    for seed in 100..108 {
+        let plan = Plan { stale_versions: 0, max_listed_ends: Some(2), ..Plan::draw(seed) };
+        let report = plan.play();
+        assert!(report.is_empty(), "seed {seed}\n{report}");
+    }
+}
+
+// The same in the courses from `FIRST` to before `LAST`, for hunts by hand. With `LISTED`, workers list so many ends at a time. With `SHRINK`, prints
 // the shortened courses that fail, and their logs.
 #[test]
 fn no_task_runs_twice_in_chosen_courses() {
@@ -51,6 +62,7 @@
         if std::env::var("STALE").is_err() {
             plan.stale_versions = 0;
         }
+        plan.max_listed_ends = number("LISTED").map(|count: u64| count as usize);
         let report = plan.play();
         if report.is_empty() {
             continue;
--- a/crates/runner/tests/recorded_ends.rs
+++ b/crates/runner/tests/recorded_ends.rs
@@ -23,12 +23,14 @@
     keeps_ids: bool,
     /// It goes on after the last trouble, until all jobs have ended.
     recovers: bool,
+    /// The most ends that a worker lists at a time; as the platform's if none.
+    max_listed_ends: Option<usize>,
 }
 
 impl Course {
     fn draw(seed: u64, kinds: &[Kind]) -> Course {
         let faults = deployment::draw(seed, HOSTS, DURATION_MS - 2000, kinds);
-        Course { seed, faults, keeps_ids: false, recovers: false }
+        Course { seed, faults, keeps_ids: false, recovers: false, max_listed_ends: None }
     }
 
     /// A course that also has the kinds of trouble of [`MORE_KINDS`], and restarts in which workers
@@ -44,6 +46,9 @@
         if self.keeps_ids {
             deployment.keep_ids();
         }
+        if let Some(count) = self.max_listed_ends {
+            deployment.max_listed_ends = count;
+        }
         deployment.run(DURATION_MS);
         let active = if self.recovers { self.recover(&mut deployment) } else { Vec::new() };
         let violation = match deployment.history.violations.first() {
@@ -136,6 +141,14 @@
     assert_eq!(violations(courses), Vec::<String>::new());
 }
 
+// No task runs twice, and all jobs end, where workers list two ends at a time, so that most of the ends
+// during an outage of the table are not listed.
+#[test]
+fn no_task_runs_twice_where_lists_of_ends_are_truncated() {
+    let course = |seed| Course { max_listed_ends: Some(2), ..Course::draw_more(seed, &KINDS) };
+    assert_eq!(violations((1300..1330).map(course)), Vec::<String>::new());
+}
+
 // An agent restarts while heartbeats are repeated and delayed and workers are replaced.
 #[test]
 fn seed_202501_agents_restart_among_stale_heartbeats() {
@@ -181,7 +194,7 @@
 
 // No task runs twice, and all jobs end, in COUNT courses from SEED on, for hunts by hand. With MORE=1,
 // the courses have more kinds of trouble, and every other seed has workers that keep their ids. With
-// SUSPENDED=1, clocks of workers stand still at times. With TRACES, a folder, each violation is
+// SUSPENDED=1, clocks of workers stand still at times. With LISTED=n, workers list n ends at a time. With TRACES, a folder, each violation is
 // shrunk and its trace is written there.
 #[test]
 fn no_task_runs_twice_in_chosen_courses() {
@@ -195,7 +208,9 @@
     for seed in first..first + count {
         let course =
             if more { Course::draw_more(seed, &kinds) } else { Course::draw(seed, &kinds) };
-        let course = Course { recovers: true, ..course };
+        let listed = number("LISTED", 0) as usize;
+        let max_listed_ends = (listed > 0).then_some(listed);
+        let course = Course { recovers: true, max_listed_ends, ..course };
         let Some(violation) = course.violation() else { continue };
         found += 1;
         println!("seed {seed}: {violation}");
--- a/crates/runner/tests/restarts.rs
+++ b/crates/runner/tests/restarts.rs
@@ -355,7 +355,8 @@
         let calls: Vec<(u64, Action)> = self.calls.extract_if(.., |call| is_poll(call)).collect();
         for (id, _) in calls {
             let (running, ended) = (Vec::new(), Vec::new());
-            let held = Reply::Held { born, clock: self.clock(born), running, ended };
+            let held =
+                Reply::Held { born, clock: self.clock(born), running, ended, truncated: false };
             self.runner.on_reply(id, Ok(held), self.now);
         }
         self.collect_outputs();
--- a/crates/runner/tests/silent_owner.rs
+++ b/crates/runner/tests/silent_owner.rs
@@ -30,7 +30,13 @@
                     let (running, ended) = (Vec::new(), Vec::new());
                     runner.on_reply(
                         id,
-                        Ok(Reply::Held { born: 0, clock: 49_000 + now, running, ended }),
+                        Ok(Reply::Held {
+                            born: 0,
+                            clock: 49_000 + now,
+                            running,
+                            ended,
+                            truncated: false,
+                        }),
                         now,
                     );
                 }
--- a/crates/runner/tests/simulation/node.rs
+++ b/crates/runner/tests/simulation/node.rs
@@ -13,6 +13,9 @@
 /// The longest lease that a worker accepts, in milliseconds on its own clock.
 const MAX_LEASE_MS: u64 = 6000;
 
+/// The most ends that a worker lists at a time: those with the lowest numbers.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// How a worker replies to calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behavior {
@@ -326,8 +329,10 @@
     }
 
     fn list(&self, clock: u64) -> Reply {
-        let (running, ended) = (self.running.clone(), self.unacknowledged.clone());
-        Reply::Held { born: self.born, clock, running, ended }
+        let listed = self.unacknowledged.iter().take(MAX_LISTED_ENDS);
+        let (running, ended) = (self.running.clone(), listed.cloned().collect());
+        let truncated = self.unacknowledged.len() >= MAX_LISTED_ENDS;
+        Reply::Held { born: self.born, clock, running, ended, truncated }
     }
 }
 
--- a/crates/runner/tests/stale_heartbeats.rs
+++ b/crates/runner/tests/stale_heartbeats.rs
@@ -26,7 +26,13 @@
             && matches!(call.action, Action::Hold { .. })
         {
             let run = Run { task: task.clone(), number: 1, saved: "".into(), percent: 1, gauge: 0 };
-            let held = Reply::Held { born: 0, clock: 110, running: vec![run], ended: Vec::new() };
+            let held = Reply::Held {
+                born: 0,
+                clock: 110,
+                running: vec![run],
+                ended: Vec::new(),
+                truncated: false,
+            };
             runner.on_reply(id, Ok(held), 1510);
         }
     }
@@ -75,7 +81,13 @@
         if let Output::Call { id, call } = output
             && call.worker == "i2"
         {
-            let held = Reply::Held { born: 0, clock: 110, running: Vec::new(), ended: Vec::new() };
+            let held = Reply::Held {
+                born: 0,
+                clock: 110,
+                running: Vec::new(),
+                ended: Vec::new(),
+                truncated: false,
+            };
             runner.on_reply(id, Ok(held), 1510);
         }
     }
--- a/crates/runner/tests/starts.rs
+++ b/crates/runner/tests/starts.rs
@@ -81,7 +81,11 @@
         let (id, _) = self.calls.remove(place);
         let clock = 50_000 + self.now;
         let (running, ended) = (running.to_vec(), ended.to_vec());
-        self.runner.on_reply(id, Ok(Reply::Held { born: 0, clock, running, ended }), self.now);
+        self.runner.on_reply(
+            id,
+            Ok(Reply::Held { born: 0, clock, running, ended, truncated: false }),
+            self.now,
+        );
         self.collect_outputs();
     }
 
--- a/crates/runner/tests/succession/trouble.rs
+++ b/crates/runner/tests/succession/trouble.rs
@@ -19,6 +19,8 @@
     pub end: u64,
     /// Reads of all rows return rows that are up to this many versions old.
     pub stale_versions: u64,
+    /// The most ends that a worker lists at a time; as the platform's if none.
+    pub max_listed_ends: Option<usize>,
 }
 
 /// The entry that owns at that time, or one entry.
@@ -155,7 +157,7 @@
         }
         events.sort_by_key(|(at, _)| *at);
         let stale_versions = if rng.random_bool(0.2) { rng.random_range(1..40) } else { 0 };
-        Plan { seed, events, end: length + 10_000, stale_versions }
+        Plan { seed, events, end: length + 10_000, stale_versions, max_listed_ends: None }
     }
 
     /// Plays the course. Returns violations of the rule and jobs that have not ended, with the log;
@@ -163,6 +165,11 @@
     pub fn play(&self) -> String {
         let mut course = Course::new(self.seed);
         course.stale_versions = self.stale_versions;
+        for node in &mut course.nodes {
+            if let Some(count) = self.max_listed_ends {
+                node.worker.max_listed_ends = count;
+            }
+        }
         let start = course.now;
         let mut kills: Vec<(u64, usize, u64)> = Vec::new();
         let mut events = self.events.iter().peekable();
--- a/crates/runner/tests/succession/worker.rs
+++ b/crates/runner/tests/succession/worker.rs
@@ -10,6 +10,8 @@
 
 /// Time between heartbeats of a worker.
 const HEARTBEAT_INTERVAL_MS: u64 = 1500;
+/// The most ends that a worker lists at a time, unless a course sets another number.
+const MAX_LISTED_ENDS: usize = 500;
 /// The slowest clock of a worker, in thousandths of true time.
 const SLOWEST_CLOCK: u64 = 980;
 
@@ -30,6 +32,8 @@
     /// A run has ended since the last poll.
     changed: bool,
     draining: bool,
+    /// The most ends that it lists at a time: those with the lowest numbers.
+    pub max_listed_ends: usize,
 }
 
 /// A run in progress.
@@ -122,6 +126,7 @@
             stopped: Vec::new(),
             changed: false,
             draining: false,
+            max_listed_ends: MAX_LISTED_ENDS,
         }
     }
 
@@ -190,8 +195,10 @@
         let running = self.running.iter();
         let running = running.map(|known| Run { percent: percent(known), ..known.run.clone() });
         let running = running.collect();
-        let ended = self.ends.iter().map(|(end, _, _)| end.clone()).collect();
-        Reply::Held { born: 0, clock: self.clock(now), running, ended }
+        let listed = self.ends.iter().take(self.max_listed_ends);
+        let ended = listed.map(|(end, _, _)| end.clone()).collect();
+        let truncated = self.ends.len() >= self.max_listed_ends;
+        Reply::Held { born: 0, clock: self.clock(now), running, ended, truncated }
     }
 
     /// Carries out a call. A run that it starts takes the first of `durations`, and a run that it
@@ -396,7 +403,9 @@
     /// Starts and ends the worker's process, and its runs.
     fn step_process(&mut self, audit: &mut Audit, now: u64) {
         if self.worker_restart_at.take_if(|at| *at <= now).is_some() {
-            self.worker = Worker::new(self.worker.number, self.worker.process + 1);
+            let max_listed_ends = self.worker.max_listed_ends;
+            let next = Worker::new(self.worker.number, self.worker.process + 1);
+            self.worker = Worker { max_listed_ends, ..next };
             self.next_heartbeat_at = now;
         }
         if self.worker_restart_at.is_some() {
--- a/crates/runner/tests/undelivered_starts.rs
+++ b/crates/runner/tests/undelivered_starts.rs
@@ -80,7 +80,7 @@
     harness.confirm_start();
     harness.reply(harness.poll, closed());
     let running = vec![listed(0)];
-    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new() };
+    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new(), truncated: false };
     harness.reply(harness.poll, Ok(held));
     harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
     harness.collect_outputs();
@@ -99,7 +99,7 @@
     harness.reply(harness.start, closed());
     harness.confirm_start();
     let running = vec![listed(0)];
-    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new() };
+    let held = Reply::Held { born: 7, clock: 5, running, ended: Vec::new(), truncated: false };
     harness.reply(harness.poll, Ok(held));
     harness.runner.on_order(2, Order::Claim { epoch: 2 }, harness.now);
     harness.collect_outputs();
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -52,6 +52,10 @@
         running: Vec<Run>,
         /// Ends of runs that the owner has not acknowledged as recorded.
         ended: Vec<End>,
+        /// Whether the worker may have further ends, which it lists once these are acknowledged. A run
+        /// that is not listed may then have ended.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        truncated: bool,
     },
     /// A start took effect.
     Started {
