Reject a job that takes more than a row when it is submitted

What callers saw: a job whose steps or spec make its row larger than the table takes was answered 504 (unclear) each time, for as long as the client repeated it.

Cause: the checks of a submission bound the spec, the number of steps and of tasks, but no label, rack, image or list of steps; the table's refusal has a status that counts as a lost answer.

Evidence: the soak's table now refuses what the platform's does (rows over 65,536 bytes, more than 100 entries, more than 1 MB, pages of 500 rows or 1 MB), its workers list 500 ends at a time, and each run submits a job with a label of 66,000 bytes to each entry.

Change: the size of the row is checked before anything is sent; the answer is 400 and names the field that takes the most. Table::commit sends no write beyond the limits (Error::Oversized), and an oversized write is not repeated nor counted against the table.

Why it works: the check does not depend on the table's answer, so the job is rejected at once, also while the table is down.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -165,7 +165,7 @@
             log::warn!(event = "entry left out", list = list, untold = suppressed; "{detail}");
         }
     };
-    let table = Table::new(&config.table_address, Rc::new(skip));
+    let table = Table::new(&config.table_address, config.table_limits, Rc::new(skip));
     let log_failure = |error: &Error| log::warn!(event = "table"; "{error}");
     let mut announcement = Announcement::unwritten();
     loop {
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -109,6 +109,9 @@
     if let Some(answer) = find_accepted(shared, target, id) {
         return answer;
     }
+    if let Err(excess) = shared.settings.table_limits.check(&forward::job_commit(id, &job)) {
+        return Answer::Invalid(format!("{} must be smaller: {excess}", largest_field(&job)));
+    }
     let started_at = quincewheel_clock::boot();
     match store(shared, id, &job).await {
         Ok(stored) => {
@@ -125,6 +128,13 @@
     }
 }
 
+/// Returns the field of a job that takes the most space in its row.
+fn largest_field(job: &Job) -> &'static str {
+    let bytes = |text: serde_json::Result<String>| text.map_or(0, |text| text.len());
+    let steps = bytes(serde_json::to_string(&job.steps));
+    if bytes(serde_json::to_string(&job.spec)) > steps { "spec" } else { "steps" }
+}
+
 /// Which entry stored a job.
 #[derive(Clone, Copy)]
 enum Stored {
--- a/crates/entry/src/site/forward.rs
+++ b/crates/entry/src/site/forward.rs
@@ -91,7 +91,7 @@
             job_events::notify_accepted(shared, id, job, version);
             Verdict::Stored(version)
         }
-        Err(Error::Refused { .. }) => Verdict::Refused,
+        Err(Error::Refused { .. } | Error::Oversized(_)) => Verdict::Refused,
         Err(Error::Conflict { .. }) => existing_verdict(shared, id, &job).await,
         Err(_) => Verdict::Unclear,
     }
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -117,8 +117,16 @@
         let on_skipped = skipped::handler(Arc::clone(&metrics));
         Site {
             scheduling,
-            table: Table::new(&settings.table_address, Rc::clone(&on_skipped)),
-            feed: Table::new(&settings.table_address, Rc::clone(&on_skipped)),
+            table: Table::new(
+                &settings.table_address,
+                settings.table_limits,
+                Rc::clone(&on_skipped),
+            ),
+            feed: Table::new(
+                &settings.table_address,
+                settings.table_limits,
+                Rc::clone(&on_skipped),
+            ),
             on_skipped,
             election: RefCell::new(Election::new(
                 &settings.name,
@@ -182,6 +190,10 @@
     /// lost reply is no outage; a table that answers fewer than every other call counts as lost.
     pub fn record_table_reply(&self, reply: Result<(), &Error>) {
         let now = quincewheel_clock::boot();
+        // Not sent, so it shows nothing about the table.
+        if matches!(reply, Err(Error::Oversized(_))) {
+            return;
+        }
         let Err(error) = reply else {
             self.consecutive_failures.set(0);
             if let Some(since) = self.table_lost_since.take() {
--- a/crates/stand-in/tests/soak/bad_calls.rs
+++ b/crates/stand-in/tests/soak/bad_calls.rs
@@ -55,12 +55,16 @@
     let path = "/calm/00000000000000ff";
     let itself = json!({ "steps": [{ "count": 1, "after": [0] }] });
     let mine = json!({ "queue": "calm", "id": id, "steps": [{ "count": 1, "after": [0] }] });
+    // The table takes rows of 64 KiB.
+    let label = "l".repeat(66_000);
+    let large = json!({ "steps": [{ "count": 1, "requiredLabel": label }] });
     let elsewhere = json!({ "queue": "none", "id": id });
     let short = json!({ "queue": "calm", "id": "ff", "steps": [{ "count": 1 }] });
     let (token, bearer) = (format!("Token {key}"), format!("Bearer {key}"));
     let no_procedure = "/quincewheel.jobs.v1.Jobs/No";
     let cases = [
         ("a step after itself", path, token.as_str(), &itself, 400),
+        ("a label larger than a row", path, &token, &large, 400),
         ("a short name", "/calm/ff", &token, &itself, 400),
         ("no such queue", "/none/00000000000000ff", &token, &itself, 404),
         ("an unknown key", path, "Token x", &itself, 401),
--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -111,6 +111,10 @@
         if checker.starts == 0 {
             violations.push("nothing was served".to_owned());
         }
+        let refused = deployment.table.lock().unwrap().refused;
+        if refused > 0 {
+            violations.push(format!("{refused} writes that the table does not take"));
+        }
         let _ = fs::remove_dir_all(&folder);
         Outcome { violations, line }
     }
--- a/crates/stand-in/tests/soak/fleet.rs
+++ b/crates/stand-in/tests/soak/fleet.rs
@@ -27,6 +27,8 @@
 const WORKERS_PER_ZONE: usize = 3;
 /// Nothing starts in an evacuated availability zone after this time, in milliseconds.
 pub const EVACUATION_DEADLINE_MS: u64 = 5000;
+/// The most ends that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
 /// Longest lease, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 6000;
 
@@ -277,13 +279,14 @@
 
     /// Returns the ends that a reply to a poll lists.
     pub fn list_ends(&mut self, index: usize) -> &[End] {
-        for end in self.workers[index].ended.iter_mut().filter(|end| !end.listed) {
+        let count = self.workers[index].ended.len().min(MAX_LISTED_ENDS);
+        for end in self.workers[index].ended[..count].iter_mut().filter(|end| !end.listed) {
             end.listed = true;
             if end.how == "failed" {
                 self.checker.on_failure_listed(&end.task);
             }
         }
-        &self.workers[index].ended
+        &self.workers[index].ended[..count]
     }
 
     /// Handles the acknowledgement of all ends up to `seen` as recorded.
--- a/crates/stand-in/tests/soak/table.rs
+++ b/crates/stand-in/tests/soak/table.rs
@@ -40,6 +40,8 @@
     forgotten: u64,
     pub fault: TableFault,
     writes: u64,
+    /// Transactions that were refused as not allowed.
+    pub refused: u64,
     /// Replaces addresses in rows that are read by those of proxies.
     net: Option<Net>,
 }
@@ -69,16 +71,35 @@
 }
 
 impl Transaction {
-    /// Returns whether all its rows are in one part, or it is marked as crossing parts.
-    fn is_allowed(&self) -> bool {
+    /// Returns whether the platform's table would take it: its rows are in one part, or it is marked as
+    /// crossing parts, and neither a row nor the whole is too large.
+    fn is_allowed(&self, bytes: usize) -> bool {
+        let entries = self.expected.len() + self.set.len() + self.delete.len();
+        let row_bytes =
+            |row: &NamedRow| STANDARD.decode(&row.value).map_or(usize::MAX, |v| v.len());
+        let fits = bytes <= MAX_TRANSACTION_BYTES
+            && entries <= MAX_TRANSACTION_ENTRIES
+            && self.set.iter().all(|row| row_bytes(row) <= MAX_ROW_BYTES);
+        fits && self.is_in_one_part()
+    }
+
+    fn is_in_one_part(&self) -> bool {
         let mut named = self.expected.iter().chain(&self.set).chain(&self.delete);
         let first = named.next().map(|named| named.part.as_str());
         self.across || named.all(|named| Some(named.part.as_str()) == first)
     }
 }
 
-/// Maximum number of rows in one reply, unless the call sets it.
-const DEFAULT_PAGE_SIZE: usize = 500;
+/// Maximum number of rows in one reply.
+const MAX_PAGE_ROWS: usize = 500;
+/// Maximum size of the values in one reply, in bytes; one row is always returned.
+const MAX_PAGE_BYTES: usize = 1_000_000;
+/// Maximum size of a row's value, in bytes.
+const MAX_ROW_BYTES: usize = 65_536;
+/// Maximum number of rows that a transaction names.
+const MAX_TRANSACTION_ENTRIES: usize = 100;
+/// Maximum size of a transaction, in bytes.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
 /// Maximum number of changes in the history.
 const MAX_CHANGES: usize = 20_000;
 /// How often a call that waits for a change checks for one.
@@ -130,12 +151,13 @@
         }
     }
 
-    fn commit(&mut self, transaction: &Transaction) -> (u16, Value) {
+    fn commit(&mut self, transaction: &Transaction, bytes: usize) -> (u16, Value) {
         let holds = |named: &NamedRow| {
             let row = self.rows.get(&(named.table.clone(), named.part.clone(), named.key.clone()));
             row.map_or(0, |(version, _)| *version) == named.ver
         };
-        if !transaction.is_allowed() {
+        if !transaction.is_allowed(bytes) {
+            self.refused += 1;
             return (400, json!({}));
         }
         if !transaction.expected.iter().all(holds) {
@@ -155,17 +177,23 @@
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
         let (table, part) = (text("table"), text("part"));
         let (from, to) = (text("from"), text("to"));
-        let limit =
-            query.get("limit").and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_PAGE_SIZE);
+        let limit = query.get("limit").and_then(|text| text.parse().ok());
+        let limit = limit.unwrap_or(MAX_PAGE_ROWS).min(MAX_PAGE_ROWS);
+        let mut bytes = 0;
         let inside = |key: &str| key >= from.as_str() && (to.is_empty() || key < to.as_str());
         let mut found: Vec<Value> = self
             .rows
             .iter()
             .filter(|((known, within, key), _)| *known == table && *within == part && inside(key))
             .take(limit + 1)
+            .take_while(|((_, _, key), (_, value))| {
+                let first = bytes == 0;
+                bytes += key.len() + value.len();
+                first || bytes <= MAX_PAGE_BYTES
+            })
             .map(|((_, _, key), (version, value))| self.row(key, *version, Some(value)))
             .collect();
-        let more = found.len() > limit;
+        let more = found.len() > limit || bytes > MAX_PAGE_BYTES;
         found.truncate(limit);
         json!({ "rows": found, "hasMore": more, "ver": self.version, "nowMs": 0 })
     }
@@ -237,7 +265,7 @@
     if lost && fault == TableFault::RepliesLostWritesDelayed {
         tokio::time::sleep(Duration::from_secs(1)).await;
     }
-    let (status, value_read) = table.lock().unwrap().commit(&transaction);
+    let (status, value_read) = table.lock().unwrap().commit(&transaction, body.len());
     if lost {
         tokio::time::sleep(HOLD_TIME).await;
     }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -1,5 +1,7 @@
 use std::fmt;
 
+use crate::limits::Excess;
+
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Error {
@@ -17,6 +19,8 @@
         /// The service's error message.
         detail: String,
     },
+    /// The transaction is beyond the limits of the table, and was not sent.
+    Oversized(Excess),
     /// The requested changes have been compacted; all rows must be read again.
     Compacted,
     /// No reply arrived, or none that shows whether the call took effect.
@@ -35,6 +39,7 @@
         match self {
             Error::Conflict { key } => write!(f, "commit: {key} has another version"),
             Error::Refused { step, peer, detail } => write!(f, "{step} at {peer}: {detail}"),
+            Error::Oversized(excess) => write!(f, "commit: {excess}"),
             Error::Compacted => f.write_str(
                 "follow changes: the requested changes have been compacted; read all rows again",
             ),
