Forget the run times of queues that are idle for longest

Not seen on a deployment.

Cause: same class as the record of a large job: nothing bounded the row.

Change: at most 48 KiB of queues are kept, those of which a step was counted last.

Evidence: the new test in dispatch/tests/run_times.rs, with 3,001 queues whose names need escapes, failed on ('fits false') and passes now. Rows of earlier versions are read; their queues count as idle until a step is counted.

--- a/crates/dispatch/src/times.rs
+++ b/crates/dispatch/src/times.rs
@@ -13,6 +13,9 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Times {
     queues: BTreeMap<String, Sums>,
+    /// Number of steps counted so far, in all queues.
+    #[serde(default)]
+    steps: u64,
 }
 
 /// Sums over the logarithms of one queue's run times. Run times spread over more than a decade,
@@ -25,8 +28,15 @@
     /// Sum of the logarithms of the ratio of run time to estimate.
     ratio: f64,
     ratio_squares: f64,
+    /// The value of [`Times::steps`] when a step of the queue was last counted.
+    #[serde(default)]
+    last: u64,
 }
 
+/// Most bytes of the row. The table takes 64 KiB.
+const MAX_ROW_BYTES: usize = 48 * 1024;
+/// Most bytes of a queue in the row beside its name: field names, and numbers of up to 24 bytes.
+const SUMS_BYTES: usize = 240;
 /// Number of completed steps below which a queue's estimates are used unchanged.
 const MIN_STEP_COUNT: f64 = 3.0;
 /// When this many steps are counted, the weight of all of them is halved, so that the estimates
@@ -50,6 +60,20 @@
         sums.time_squares += time * time;
         sums.ratio += ratio;
         sums.ratio_squares += ratio * ratio;
+        self.steps += 1;
+        sums.last = self.steps;
+        self.limit_queues();
+    }
+
+    /// Forgets the queues that were idle for longest where the row would become too large. Operators
+    /// add and remove queues all the time, and a removed one is never used again.
+    fn limit_queues(&mut self) {
+        let bytes = |name: &String| SUMS_BYTES + serde_json::to_string(name).map_or(0, |n| n.len());
+        while self.queues.keys().map(bytes).sum::<usize>() > MAX_ROW_BYTES {
+            let idle = self.queues.iter().min_by_key(|(_, sums)| sums.last);
+            let Some(idle) = idle.map(|(name, _)| name.clone()) else { return };
+            self.queues.remove(&idle);
+        }
     }
 
     /// Returns the expected run time of a step of the queue, given the client's estimate, both in
--- a/crates/dispatch/tests/run_times.rs
+++ b/crates/dispatch/tests/run_times.rs
@@ -35,3 +35,18 @@
     let after = [(1000, 4000); 100];
     assert_snapshot!(expected_after(&[before.as_slice(), after.as_slice()].concat()), @"1871 3416 7640");
 }
+
+// Guards against a row that the table refuses: operators had added and removed thousands of queues, and
+// the run times of each were kept.
+#[test]
+fn run_times_of_queues_that_are_idle_for_longest_are_forgotten() {
+    let mut times = Times::default();
+    for number in 0..3000 {
+        times.record("kept", 1000, 2000);
+        times.record(&format!("queue \"{number}\""), 1000, 3000 + number);
+    }
+    let row = serde_json::to_string(&times).unwrap();
+    let known = |queue: &str| row.contains(&format!("{queue}\":{{"));
+    let kept = ["kept", r#"2999\""#, r#"2950\""#, r#"100\""#].map(known);
+    assert_snapshot!(format!("fits {}, kept {kept:?}", row.len() <= 65_536), @"fits true, kept [true, true, true, false]");
+}
