Keep a connection open through a burst of orders

Cause: a connection held 1,024 queued frames; the owner orders all starts of a worker in one round, so the queue was full at once and the connection counted as one whose peer does not read. After each reconnect the owner sends all its pending orders again. The queue of commands (8,192) did the same for all workers together.

Evidence: 'send queue full; connection closed' 54 times with 5,000 tasks, 5 times with 1,900, each followed by 'agent lost'. Ruled out: agent and worker, which answered each time.

Change: a connection is closed when its peer has taken no frame for a second while 1,024 are queued, or when 65,536 are. Orders for which the hub has no room wait in the owner, in order, for 2 ms (was: the connection was dropped).

Why it works: a burst no longer counts as a peer that is slow; a peer that takes nothing is still dropped after a second.

--- a/crates/entry/src/site/ownership.rs
+++ b/crates/entry/src/site/ownership.rs
@@ -1,5 +1,6 @@
 //! Ownership: claiming it, running the owner while it is held, and giving it up.
 
+use std::collections::VecDeque;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,10 +35,13 @@
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time in which the hub takes thousands of commands.
+const DEFERRAL: Duration = Duration::from_millis(2);
 
 /// Claims the ownership when due, and runs the owner while this entry holds it.
 pub(crate) async fn run(shared: Shared) {
     actix_rt::spawn(record_changes(Rc::clone(&shared)));
+    actix_rt::spawn(resume_outputs(Rc::clone(&shared)));
     let mut last_dial_at = 0;
     let mut last_heartbeat_at = 0;
     loop {
@@ -254,13 +258,18 @@
         shared.record_due.notify_one();
     }
     let mut deposed = None;
-    for output in current_owner.take_outputs() {
+    let mut outputs: VecDeque<Output> = shared.unsent.take();
+    outputs.extend(current_owner.take_outputs());
+    while let Some(output) = outputs.pop_front() {
         match output {
             Output::Send { link, order } => {
-                if !shared.hub.ask(Command::Send { link, frame: Sent::Order(order) }) {
-                    log::warn!(event = "hub full", link = link; "send queue full; closing the connection");
-                    current_owner.on_disconnected(link);
-                    shared.hub.ask(Command::Close { link, reason: "send queue full" });
+                let command = Command::Send { link, frame: Sent::Order(order) };
+                if let Err(Command::Send { link, frame: Sent::Order(order) }) =
+                    shared.hub.try_ask(command)
+                {
+                    outputs.push_front(Output::Send { link, order });
+                    defer_outputs(shared, outputs);
+                    break;
                 }
             }
             Output::RequestClearance { request } => {
@@ -290,6 +299,22 @@
     }
 }
 
+/// Keeps outputs, in their order, until the hub has taken those before them. The orders about thousands
+/// of tasks come at once.
+fn defer_outputs(shared: &Site, outputs: VecDeque<Output>) {
+    *shared.unsent.borrow_mut() = outputs;
+    shared.outputs_deferred.notify_one();
+}
+
+/// Runs the owner's loop again soon after outputs were deferred.
+pub(crate) async fn resume_outputs(shared: Shared) {
+    loop {
+        shared.outputs_deferred.notified().await;
+        tokio::time::sleep(DEFERRAL).await;
+        shared.wake.notify_one();
+    }
+}
+
 /// Passes waves that the owner does not have yet, each with the time at which it was first seen,
 /// so that a new owner does not restart the wave's duration.
 fn add_waves(shared: &Site, owner: &mut Owner) {
@@ -327,6 +352,7 @@
     let Some(owner) = shared.owner.borrow_mut().take() else { return };
     log::info!(event = "deposed", epoch = owner.epoch(); "{reason}");
     *shared.ownership.borrow_mut() = None;
+    shared.unsent.borrow_mut().clear();
     shared.unconfirmed_jobs.borrow_mut().clear();
     let entries = std::mem::take(&mut *shared.entry_links.borrow_mut());
     for link in owner.links().into_iter().chain(entries.into_values()) {
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -1,11 +1,11 @@
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use quincewheel_dispatch::rows::Ownership;
 use quincewheel_dispatch::{
-    ClearanceRequest, Election, Mirror, Owner, UnansweredWrites, UnconfirmedJobs,
+    ClearanceRequest, Election, Mirror, Output, Owner, UnansweredWrites, UnconfirmedJobs,
 };
 use quincewheel_job::{Config, Evacuation, Wave};
 use quincewheel_peer::Hub;
@@ -102,6 +102,10 @@
     pub record_due: Notify,
     /// Notified when a batch has been recorded.
     pub record_done: Notify,
+    /// The owner's outputs that wait for room at the hub.
+    pub unsent: RefCell<VecDeque<Output>>,
+    /// Notified when outputs were added to them.
+    pub outputs_deferred: Notify,
     /// Notified when the owner's loop should run.
     pub wake: Notify,
 }
@@ -163,6 +167,8 @@
             owner_disconnected: Notify::new(),
             record_due: Notify::new(),
             record_done: Notify::new(),
+            unsent: RefCell::default(),
+            outputs_deferred: Notify::new(),
             wake: Notify::new(),
         }
     }
--- a/crates/peer/src/hub.rs
+++ b/crates/peer/src/hub.rs
@@ -4,12 +4,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use quincewheel_ring as ring;
 use quincewheel_wire::{Error, Hello, Key, Link, LinkId};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
 
 use crate::traffic::Traffic;
 
@@ -77,8 +79,13 @@
     traffic: Arc<Traffic>,
 }
 
-/// Maximum number of frames queued on one connection.
-const MAX_QUEUED_FRAMES: usize = 1024;
+/// Number of frames queued on one connection from which on the peer must keep reading.
+const MAX_UNREAD_FRAMES: usize = 1024;
+/// Time within which such a peer must take another frame.
+const MAX_STALL: Duration = Duration::from_secs(1);
+/// Maximum number of frames queued on one connection. The orders about thousands of tasks on one
+/// worker come at once, and would come again after each reconnect.
+const MAX_QUEUED_FRAMES: usize = 65_536;
 /// Maximum number of commands queued for the hub.
 const MAX_QUEUED_COMMANDS: usize = 8192;
 /// Maximum number of open connections.
@@ -133,7 +140,14 @@
     /// Queues a command without waiting. Returns false if the queue is full; the
     /// caller then treats the connection concerned as closed.
     pub fn ask(&self, command: Command<S>) -> bool {
-        self.commands.try_send(command).is_ok()
+        self.try_ask(command).is_ok()
+    }
+
+    /// Queues a command without waiting, or returns it if the queue is full.
+    pub fn try_ask(&self, command: Command<S>) -> Result<(), Command<S>> {
+        self.commands.try_send(command).map_err(|error| match error {
+            ring::Error::Full(command) | ring::Error::Closed(command) => command,
+        })
     }
 }
 
@@ -148,11 +162,43 @@
 }
 
 struct Outgoing<S> {
-    frames: mpsc::Sender<S>,
+    frames: mpsc::UnboundedSender<S>,
+    backlog: Rc<Backlog>,
     /// Closes the connection at once, without sending the queued frames.
     abort: Rc<Notify>,
 }
 
+/// The frames that are queued on a connection.
+struct Backlog {
+    count: Cell<usize>,
+    /// When the peer last took a frame, or the first one was queued.
+    progressed_at: Cell<Instant>,
+}
+
+impl Backlog {
+    fn new() -> Backlog {
+        Backlog { count: Cell::new(0), progressed_at: Cell::new(Instant::now()) }
+    }
+
+    fn add(&self) {
+        if self.count.get() == 0 {
+            self.progressed_at.set(Instant::now());
+        }
+        self.count.set(self.count.get() + 1);
+    }
+
+    fn remove(&self) {
+        self.count.set(self.count.get() - 1);
+        self.progressed_at.set(Instant::now());
+    }
+
+    /// Returns whether the peer reads too slowly for what is queued.
+    fn is_stalled(&self) -> bool {
+        let stalled = self.progressed_at.get().elapsed() > MAX_STALL;
+        self.count.get() >= MAX_QUEUED_FRAMES || (stalled && self.count.get() >= MAX_UNREAD_FRAMES)
+    }
+}
+
 impl<T: 'static, S, R> State<T, S, R> {
     async fn report(&self, event: Event<R>) {
         self.events.send((self.wrap)(event)).await;
@@ -202,16 +248,20 @@
     }
 }
 
-/// Queues a frame on a connection. If the queue is full because the peer reads too
-/// slowly, closes the connection: dropping the queue's sender ends it.
+/// Queues a frame on a connection. If many are queued and the peer takes none, closes
+/// the connection: dropping the queue's sender ends it.
 fn send<T, S, R>(state: &State<T, S, R>, link: LinkId, frame: S) {
     let mut links = state.links.borrow_mut();
     let Some(outgoing) = links.get(&link) else { return };
-    if outgoing.frames.try_send(frame).is_err() {
+    if outgoing.backlog.is_stalled() {
         log::warn!(step = "send", peer = link; "send queue full; connection closed");
         outgoing.abort.notify_one();
         links.remove(&link);
+        return;
     }
+    outgoing.backlog.add();
+    // The receiver lives until the connection is removed.
+    let _ = outgoing.frames.send(frame);
 }
 
 fn record_rejected<T, S, R>(state: &State<T, S, R>, step: &str, error: &Error) {
@@ -240,9 +290,10 @@
 ) {
     let id = state.next_id.get();
     state.next_id.set(id + 1);
-    let (frames, mut queue) = mpsc::channel::<S>(MAX_QUEUED_FRAMES);
-    let abort = Rc::new(Notify::new());
-    state.links.borrow_mut().insert(id, Outgoing { frames, abort: Rc::clone(&abort) });
+    let (frames, mut queue) = mpsc::unbounded_channel::<S>();
+    let (abort, backlog) = (Rc::new(Notify::new()), Rc::new(Backlog::new()));
+    let outgoing = Outgoing { frames, backlog: Rc::clone(&backlog), abort: Rc::clone(&abort) };
+    state.links.borrow_mut().insert(id, outgoing);
     let hello = link.hello().clone();
     let name = hello.name.clone();
     state.report(Event::Connected { link: id, hello, dialled }).await;
@@ -250,7 +301,10 @@
     let writing = async {
         while let Some(frame) = queue.recv().await {
             match sender.send(&frame).await {
-                Ok(bytes) => state.traffic.add_sent(bytes),
+                Ok(bytes) => {
+                    backlog.remove();
+                    state.traffic.add_sent(bytes);
+                }
                 Err(error) => return log::info!(step = "send", peer = name.as_str(); "{error}"),
             }
         }
