Record no failures of a task that is done

What callers would see: a worker lists failures of a task after its end as done (a copy of it, or ends listed again), and the job fails although the task is done.

Cause: on_failed counted failures of tasks that are done.

Change: they are ignored.

Evidence: the new test in dispatch/tests/row_limits.rs fails with the condition taken out (the job's state is Failed) and passes with it.

--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -416,7 +416,8 @@
         self.record_avoidance(name, task, now);
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let perpetual = entry.step(task_key(task)).is_some_and(|step| step.perpetual);
-        if entry.progress.state.is_final() || perpetual {
+        // The failures of a task that is done were dropped with its record.
+        if entry.progress.state.is_final() || perpetual || entry.progress.is_done(task) {
             return;
         }
         let failures = entry.progress.record_failure(&entry.job, task, run);
--- a/crates/dispatch/tests/row_limits.rs
+++ b/crates/dispatch/tests/row_limits.rs
@@ -217,6 +217,16 @@
     assert_snapshot!(format!("{} {progress} {checkpoints}", record.outcome()), @r#"refused writes: 0; last acknowledgement: Some("w0 seen 24000") 180 100"#);
 }
 
+// Guards against a record that grows again, and a job that fails although its tasks are done: a worker
+// lists failures of a task after its end as done.
+#[test]
+fn failures_of_a_task_that_is_done_are_not_recorded() {
+    let mut record = Record::new(&[("a", &job(1, vec![step(2, 0)]))]);
+    let ends = [(1, How::Done), (2, How::Failed), (3, How::Failed), (4, How::Failed)];
+    record.report_ends(ends.map(|(run, how)| (task("a", 0, 0), run, how)).to_vec());
+    assert_snapshot!(record.rows["run/a"], @r#"{"state":"Queued","done":{"0":{"0":[0]}},"failed":{}}"#);
+}
+
 // Guards against a record that is rewritten as a whole at each end of a run.
 #[test]
 fn an_end_writes_no_more_of_a_large_job_than_one_part() {
