Record changes in rounds, so that busy jobs hold up no others

What callers would see: while 50 jobs or more change between two writes, jobs whose ids come last are not recorded, no end is acknowledged, and a change of owner or a worker that leaves makes done tasks run again.

Cause: a batch took the first 50 of the changed jobs by id, and ends were acknowledged only in a batch after which nothing was left.

Change: what has changed when a round begins is recorded in as many batches as it takes; the ends known then are acknowledged with its last batch. What changes meanwhile belongs to the next round, but is written along where its part is still to come.

Entry::is_recorded counts slots that have changed since.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -217,20 +217,22 @@
         }
     }
 
-    /// Returns the next part of the progress to be recorded. The first part comes last: what it
-    /// says of the job as a whole holds only once the others are recorded.
-    pub fn next_unrecorded(&self) -> Option<u32> {
-        self.unrecorded.last().copied()
-    }
-
-    /// Removes a part from those to be recorded.
+    /// Removes a part, which is being recorded as it is now, from those to be recorded.
     pub fn set_recorded(&mut self, part: u32) {
         self.unrecorded.remove(&part);
+        self.progress.clear_changes(&self.layout, part);
         if part == 0 {
             self.recorded_state = Some(self.progress.state);
         }
     }
 
+    /// Returns whether all of the progress is recorded, or is being recorded.
+    pub fn is_recorded(&self) -> bool {
+        self.unrecorded.is_empty()
+            && !self.progress.has_changes()
+            && self.recorded_state == Some(self.progress.state)
+    }
+
     /// Returns the key under which a task's run numbers, checkpoint and failures are stored. All
     /// members of a gang share the one with index 0.
     pub fn slot(&self, (occurrence, step, index): Key) -> Key {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -39,6 +39,7 @@
 mod reports;
 mod review;
 mod room;
+mod round;
 pub mod rows;
 mod settings;
 mod settlement;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -20,6 +20,7 @@
 use crate::output::Output;
 use crate::persisted::Persisted;
 use crate::review::Review;
+use crate::round::Round;
 use crate::settings::Settings;
 use crate::settlement::SettlementLog;
 use crate::speeds::Speeds;
@@ -70,6 +71,8 @@
     pub(crate) assumed_over_at: u64,
     /// Jobs whose progress has changed since it was last recorded.
     pub(crate) dirty: BTreeSet<Id>,
+    /// What is being recorded of them.
+    pub(crate) round: Round,
     /// Whether the dirty jobs include a change of state that clients wait for.
     pub(crate) dirty_urgent: bool,
     /// Run times of completed steps, used for estimates.
@@ -173,6 +176,7 @@
             stray_stops: BTreeMap::new(),
             assumed_over_at: 0,
             dirty: BTreeSet::new(),
+            round: Round::default(),
             dirty_urgent: false,
             times: Persisted::new(0),
             trust: Persisted::new(TRUST_RECORD_INTERVAL_MS),
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -37,16 +37,7 @@
         let mut batch = Batch::default();
         let mut room = Room::of(&self.settings.limits);
         self.add_progress(&mut batch, &mut room);
-        if self.dirty.is_empty() {
-            for (name, agent) in
-                self.agents.iter().filter(|(_, agent)| agent.last_end > agent.acknowledged_end)
-            {
-                let Some(worker) = &agent.worker else { continue };
-                let (agent, worker, number) = (name.clone(), worker.incarnation(), agent.last_end);
-                batch.acknowledged.push(AcknowledgedEnds { agent, worker, number });
-            }
-            self.dirty_urgent = false;
-        }
+        self.dirty_urgent &= !self.dirty.is_empty();
         batch.departed =
             self.departed_agents().into_iter().take(MAX_BATCH_DEPARTED_AGENTS).collect();
         self.set_removal_pending(&batch.departed, true);
@@ -57,24 +48,50 @@
         Some(batch)
     }
 
-    /// Adds the changed parts of the progress of jobs. A job stays dirty until all are added.
+    /// Adds changed parts of the progress of jobs, and the ends that workers may forget with them.
+    ///
+    /// What has changed is recorded in rounds, each of which takes as many batches as it needs. Without
+    /// them, a few busy jobs could fill each batch, and the others would never be recorded.
     fn add_progress(&mut self, batch: &mut Batch, room: &mut Room) {
-        while let Some(id) = self.dirty.first().cloned() {
-            if let Some(entry) = self.jobs.get_mut(&id) {
-                entry.collect_unrecorded();
-                while let Some(part) = entry.next_unrecorded() {
-                    let progress = entry.progress.part(&entry.layout, part);
-                    let row = row(rows::progress_part_key(&id, part), &progress);
-                    if batch.jobs.len() >= MAX_BATCH_PROGRESS_ROWS || !room.try_take(&row) {
-                        return;
-                    }
-                    entry.set_recorded(part);
-                    batch.rows.push(row);
-                    batch.jobs.push((id.clone(), progress));
-                }
+        if self.round.is_empty() {
+            self.begin_round();
+        }
+        while let Some((id, part)) = self.round.next() {
+            let Some(entry) = self.jobs.get_mut(&id) else {
+                self.round.remove(&id, part);
+                continue;
+            };
+            let progress = entry.progress.part(&entry.layout, part);
+            let row = row(rows::progress_part_key(&id, part), &progress);
+            if batch.jobs.len() >= MAX_BATCH_PROGRESS_ROWS || !room.try_take(&row) {
+                return;
             }
-            self.dirty.remove(&id);
+            self.round.remove(&id, part);
+            entry.set_recorded(part);
+            if entry.is_recorded() {
+                self.dirty.remove(&id);
+            }
+            batch.rows.push(row);
+            batch.jobs.push((id, progress));
+        }
+        batch.acknowledged = self.round.take_ends();
+    }
+
+    /// Begins a round with all that has changed, and the ends that have led to it.
+    fn begin_round(&mut self) {
+        let jobs = &mut self.jobs;
+        self.dirty.retain(|id| jobs.contains_key(id));
+        for id in &self.dirty {
+            let Some(entry) = jobs.get_mut(id) else { continue };
+            entry.collect_unrecorded();
+            entry.unrecorded.iter().for_each(|part| self.round.add(id, *part));
         }
+        let ended = self.agents.iter().filter(|(_, a)| a.last_end > a.acknowledged_end);
+        let ends = ended.filter_map(|(name, agent)| {
+            let worker = agent.worker.as_ref()?.incarnation();
+            Some(AcknowledgedEnds { agent: name.clone(), worker, number: agent.last_end })
+        });
+        self.round.set_ends(ends.collect());
     }
 
     /// Adds learned state that is due. It only improves decisions, so a part that is too large for a
@@ -189,6 +206,7 @@
                 if let Some(entry) = self.jobs.get_mut(id) {
                     entry.unrecorded.insert(progress.part);
                 }
+                self.round.add(id, progress.part);
             }
             self.dirty_urgent = true;
             self.retry_learned(&batch.learned);
--- a/crates/dispatch/tests/row_limits.rs
+++ b/crates/dispatch/tests/row_limits.rs
@@ -46,20 +46,27 @@
 
     /// Writes until there is nothing to record, or the table refuses a write.
     fn write_all(&mut self) {
-        while self.harness.owner.has_unrecorded() {
-            let Some(batch) = self.harness.owner.next_batch() else { return };
-            let accepted = batch.check(&Limits::default()).is_ok();
-            self.harness.owner.on_recorded(&batch, accepted);
-            self.harness.collect_outputs();
-            if !accepted {
-                self.refused += 1;
-                return;
-            }
-            self.written += batch.rows.iter().map(|row| row.value.len()).sum::<usize>();
-            self.rows.extend(batch.rows.into_iter().map(|row| (row.key, row.value)));
+        while self.harness.owner.has_unrecorded() && self.refused == 0 {
+            self.write_once();
         }
     }
 
+    /// Writes one batch, and returns the number of rows that the table has taken.
+    fn write_once(&mut self) -> usize {
+        let Some(batch) = self.harness.owner.next_batch() else { return 0 };
+        let accepted = batch.check(&Limits::default()).is_ok();
+        self.harness.owner.on_recorded(&batch, accepted);
+        self.harness.collect_outputs();
+        if !accepted {
+            self.refused += 1;
+            return 0;
+        }
+        let rows = batch.rows.len();
+        self.written += batch.rows.iter().map(|row| row.value.len()).sum::<usize>();
+        self.rows.extend(batch.rows.into_iter().map(|row| (row.key, row.value)));
+        rows
+    }
+
     /// Returns an owner that has read the rows, as a mirror does.
     fn take_over(&self, id: &str, job: &Job) -> Harness {
         let mut mirror = Mirror::default();
@@ -227,6 +234,65 @@
     assert_snapshot!(record.rows["run/a"], @r#"{"state":"Queued","done":{"0":{"0":[0]}},"failed":{}}"#);
 }
 
+// Guards against ends that are never acknowledged: busy jobs filled each batch, and the others were not
+// recorded for as long as that went on.
+#[test]
+fn busy_jobs_do_not_hold_up_the_record_of_others() {
+    let ids: Vec<String> = (0..80).map(|number| format!("busy{number:02}")).collect();
+    let (busy, last) = (job(1, vec![step(40, 0)]), job(1, vec![step(1, 0)]));
+    let mut jobs: Vec<(&str, &Job)> = ids.iter().map(|id| (id.as_str(), &busy)).collect();
+    jobs.push(("last", &last));
+    let mut harness = Record::new(&jobs).harness;
+    let mut number = 0;
+    let mut recorded_after = None;
+    for index in 0..30 {
+        // A task of each busy job ends between two writes.
+        let mut ends: Vec<Task> = ids.iter().map(|id| task(id, 0, index)).collect();
+        ends.extend((index == 0).then(|| task("last", 0, 0)));
+        let ends: Vec<End> = ends
+            .into_iter()
+            .map(|task| {
+                number += 1;
+                end(number, task, 1, How::Done)
+            })
+            .collect();
+        harness.report_status(0, &[], &ends);
+        let batch = harness.record();
+        let recorded = batch.jobs.iter().any(|(id, _)| id == "last");
+        recorded_after = recorded_after.or(recorded.then_some(index + 1));
+    }
+    let orders = harness.take_orders();
+    let first = orders.lines().find(|line| line.contains("seen"));
+    assert_snapshot!(format!("recorded with write {recorded_after:?}, first {first:?}"), @r#"recorded with write Some(2), first Some("w0 seen 81")"#);
+}
+
+// Guards against an end that is acknowledged and not recorded: it changed a part of a job that had been
+// written already while further parts were left for the next batch.
+#[test]
+fn a_part_that_changes_again_while_others_are_recorded_is_recorded_again() {
+    let wide = job(1, vec![step(10_000, 0)]);
+    let mut record = Record::new(&[("wide", &wide)]);
+    let spread: Vec<u32> = (0..10_000).step_by(100).collect();
+    let ends = (1..).zip(&spread).map(|(n, index)| end(n, task("wide", 0, *index), 1, How::Done));
+    let ends: Vec<End> = ends.collect();
+    record.harness.report_status(0, &[], &ends);
+    let first = record.write_once();
+    // The part with the highest indexes is written first.
+    let later = end(ends.len() as u64 + 1, task("wide", 0, 9999), 1, How::Done);
+    record.harness.report_status(0, &[], &[later]);
+    record.write_all();
+    let mut next = record.take_over("wide", &wide);
+    next.tick();
+    let again = next.take_orders().contains("wide.0.0.9999 ");
+    let left = 10_000 - spread.len() - 1;
+    let mut whole = Progress::default();
+    for (_, row) in record.rows.iter().filter(|(key, _)| key.starts_with("run/wide")) {
+        whole.merge(serde_json::from_str(row).unwrap());
+    }
+    let open = (0..10_000).filter(|index| !whole.is_done(&task("wide", 0, *index))).count();
+    assert_snapshot!(format!("{first} rows first, {open} of {left} left, again {again}"), @"50 rows first, 9899 of 9899 left, again false");
+}
+
 // Guards against a record that is rewritten as a whole at each end of a run.
 #[test]
 fn an_end_writes_no_more_of_a_large_job_than_one_part() {
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -300,6 +300,16 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Returns whether slots have changed that were neither taken nor recorded.
+    pub fn has_changes(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// Forgets that slots of a part have changed, which is being recorded.
+    pub fn clear_changes(&mut self, layout: &Layout, part: u32) {
+        self.changed.retain(|slot| layout.part_of(*slot) != part);
+    }
+
     /// Returns a part as it is recorded.
     pub fn part(&self, layout: &Layout, part: u32) -> Progress {
         if layout.is_listed() {
