--- a/crates/job/src/layout.rs
+++ b/crates/job/src/layout.rs
@@ -37,7 +37,7 @@
 /// Bytes of a count and the number of a run, with brackets and separators.
 const COUNTED_FAILURES_BYTES: u64 = 36;
 /// Maps that may each name a slot.
-const MAPS: u64 = 6;
+const SLOT_MAP_COUNT: u64 = 6;
 
 impl Layout {
     /// Returns how the progress of a job is divided if a row takes `row_bytes`.
@@ -110,7 +110,7 @@
     let failures = (job.queue.attempts.max(1) as usize).min(MAX_LISTED_FAILURES);
     let runs = (failures + 2 * MAX_CRASHES + 1) as u64 * RUN_BYTES;
     let range = 2 * u64::from(digits(widest)) + 4;
-    names.iter().sum::<u64>() * MAPS + runs + COUNTED_FAILURES_BYTES + range
+    names.iter().sum::<u64>() * SLOT_MAP_COUNT + runs + COUNTED_FAILURES_BYTES + range
 }
 
 /// Most bytes of a numbered entry of a map, without its value: quotes, colon, brackets, separator.
