--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{Id, Incarnation, Job, Layout, Progress, State, Step, Task};
+use quincewheel_store::Limits;
 
 use crate::checkpoints::Checkpoints;
 use crate::clearance::Clearance;
@@ -188,7 +189,51 @@
     pub task: u32,
 }
 
+/// A row of a job takes no more than this share of a transaction, so that one always fits.
+const MAX_ROWS_PER_COMMIT: usize = 4;
+
 impl Entry {
+    /// Creates the state of a job that was accepted at `version`, with its recorded progress.
+    pub fn new(job: Job, version: u64, recorded: Option<Progress>, limits: &Limits) -> Entry {
+        let row_bytes = limits.row_bytes.min(limits.commit_bytes / MAX_ROWS_PER_COMMIT);
+        let layout = Layout::of(&job, row_bytes);
+        let recorded_state = recorded.as_ref().map(|progress| progress.state);
+        let mut progress = Progress::default();
+        recorded.into_iter().for_each(|recorded| progress.merge(recorded));
+        let unrecorded = match recorded_state {
+            Some(_) if progress.parts != layout.recorded_parts() => {
+                let recorded = 0..progress.parts.max(1);
+                recorded.chain(progress.occupied_parts(&job, &layout)).collect()
+            }
+            _ => BTreeSet::new(),
+        };
+        progress.end_if_done(&job);
+        Entry {
+            job,
+            version,
+            progress,
+            layout,
+            unrecorded,
+            recorded_state,
+            runs: BTreeMap::new(),
+            assumed_over_at: 0,
+            idle_since: None,
+            checkpoints: BTreeMap::new(),
+            unrecorded_checkpoints: BTreeSet::new(),
+            checkpoints_recorded_at: 0,
+            run_numbers: BTreeMap::new(),
+            step_durations: BTreeMap::new(),
+            avoided_workers: BTreeMap::new(),
+            clearances: BTreeMap::new(),
+            has_begun: false,
+            guarantee_preempted: false,
+            reservations: BTreeMap::new(),
+            survived_start: BTreeMap::new(),
+            exonerated: BTreeSet::new(),
+            crash_unrecorded: false,
+        }
+    }
+
     /// Stores a task's checkpoint as reported by a worker. An empty one means there is none.
     pub fn update_checkpoint(&mut self, slot: Key, checkpoint: &str) {
         if !checkpoint.is_empty() {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod diagnosis;
 mod dismissal;
 mod election;
+mod ends;
 mod entry;
 mod estimator;
 mod evacuation;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Config, Id, Job, Layout, Progress, State, Task};
+use quincewheel_job::{Config, Id, Job, Progress, State, Task};
 use quincewheel_share::{Shares, Usage};
 use quincewheel_speed::Speed;
 use quincewheel_trust::Trust;
@@ -262,45 +262,14 @@
         if known || progress.as_ref().is_some_and(|p| p.state.is_final()) {
             return;
         }
-        let limits = &self.settings.limits;
-        let layout = Layout::of(&job, limits.row_bytes.min(limits.commit_bytes / 4));
         let recorded_state = progress.as_ref().map(|progress| progress.state);
-        let mut whole = Progress::default();
-        progress.into_iter().for_each(|progress| whole.merge(progress));
-        let parts = if layout.is_listed() { 0 } else { layout.parts() };
-        let rewritten = recorded_state.is_some() && whole.parts != parts;
-        let unrecorded = match rewritten {
-            true => (0..whole.parts.max(1)).chain(whole.occupied_parts(&job, &layout)).collect(),
-            false => BTreeSet::new(),
-        };
-        let ended = whole.end_if_done(&job);
-        let entry = Entry {
-            job,
-            version,
-            progress: whole,
-            layout,
-            unrecorded,
-            recorded_state,
-            runs: BTreeMap::new(),
-            assumed_over_at: 0,
-            idle_since: None,
-            checkpoints: BTreeMap::new(),
-            unrecorded_checkpoints: BTreeSet::new(),
-            checkpoints_recorded_at: 0,
-            run_numbers: BTreeMap::new(),
-            step_durations: BTreeMap::new(),
-            avoided_workers: BTreeMap::new(),
-            clearances: BTreeMap::new(),
-            has_begun: false,
-            guarantee_preempted: false,
-            reservations: BTreeMap::new(),
-            survived_start: BTreeMap::new(),
-            exonerated: BTreeSet::new(),
-            crash_unrecorded: false,
-        };
+        let entry = Entry::new(job, version, progress, &self.settings.limits);
+        // An earlier version recorded it in another form, or its last tasks, but not its end.
+        let ended = entry.progress.state.is_final();
+        let changed = !entry.unrecorded.is_empty() || (ended && recorded_state.is_some());
         self.jobs.insert(id.to_owned(), entry);
         self.replan = true;
-        if rewritten || ended {
+        if changed {
             self.mark_dirty(id, ended);
         }
         if self.loaded_version > 0 {
--- a/crates/job/src/layout.rs
+++ b/crates/job/src/layout.rs
@@ -71,6 +71,11 @@
         self.parts
     }
 
+    /// Returns the number of parts as the first one names it: 0 if the job is [`Layout::is_listed`].
+    pub fn recorded_parts(&self) -> u32 {
+        if self.listed { 0 } else { self.parts }
+    }
+
     /// Returns the part that holds a slot.
     pub fn part_of(&self, (occurrence, step, index): Slot) -> u32 {
         let first = self.steps.get(step as usize).map_or(0, |step| step.first);
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -330,7 +330,7 @@
         Progress {
             state: self.state,
             part,
-            parts: if part == 0 { layout.parts() } else { 0 },
+            parts: if part == 0 { layout.recorded_parts() } else { 0 },
             done: BTreeMap::new(),
             done_ranges,
             failed: self.failed.within(layout, part),
