Keep a course in which a late notice of leaving ends runs of the next process

Trace (of the shrunk course): w2's process 6 leaves at 27.6 s and its next process starts at 28.1 s under the same id. Polls get no reply and heartbeats are late, so the agent still takes process 6 for current at 31.4 s; starts name the worker by its id, and process 8 carries them out and confirms them. At 31.8 s the notice of process 6 arrives, and the owner starts the tasks elsewhere beside the runs at process 8.

Open: a reply to a start doesn't say which process carried it out.

--- a/crates/runner/tests/recorded_ends.rs
+++ b/crates/runner/tests/recorded_ends.rs
@@ -192,6 +192,14 @@
     assert_eq!(Course::draw_more(700_020, &kinds).violation(), None);
 }
 
+// A worker restarts under its id, and its agent hears neither a heartbeat nor a list of the next process
+// for seconds. The former process's notice of leaving arrives when the next one runs what was ordered since.
+#[test]
+fn seed_941949_a_late_notice_of_leaving_ends_runs_of_the_next_process() {
+    let course = Course::draw_more(941_949, &KINDS);
+    assert_eq!(Course { max_listed_ends: Some(3), ..course }.violation(), None);
+}
+
 // No task runs twice, and all jobs end, in COUNT courses from SEED on, for hunts by hand. With MORE=1,
 // the courses have more kinds of trouble, and every other seed has workers that keep their ids. With
 // SUSPENDED=1, clocks of workers stand still at times. With LISTED=n, workers list n ends at a time. With TRACES, a folder, each violation is
