--- a/crates/dispatch/src/batch.rs
+++ b/crates/dispatch/src/batch.rs
@@ -8,7 +8,7 @@
 /// State that the owner records in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Batch {
-    /// The rows of `jobs` and `checkpoints`.
+    /// All rows that it writes.
     pub rows: Vec<Put>,
     /// Parts of the progress of jobs that changed.
     pub jobs: Vec<(Id, Progress)>,
