Tell why an accepted job stands beside free workers

Cause of the silence: waits are recorded by rounds of planning only, and only of steps that a round finds. A job that is left out of the rounds (its ownership not confirmed, a crash not recorded, a suspect of it first) or that meets no round (planning paused) leaves no line, and a line that is there tells neither whether the pool is half empty nor when the next round comes.

The owner now scans once a second, by its monotonic clock, for jobs without runs for 3 s of which a ready step would fit twice on open workers of a pool that is less than half in use (of accelerators, processors or memory; of a step that is no gang one task must fit twice). It logs `stands` with cause, pool and plan, `stood` when that ends, and counts them in quincewheel_entry_standing_jobs{cause}. Five causes are new, four of them for `waits` too. `explain` ends with the reason why an unfinished job does not run.

No decision changes: the age that claims go by counts from when a round finds a step, as before (Waits::planned_since), and causes of the new kind are no lack of room.

--- a/crates/dispatch/src/cause.rs
+++ b/crates/dispatch/src/cause.rs
@@ -36,11 +36,21 @@
     Apart,
     /// Other work takes the capacity, and work of teams that use less of the pool comes first.
     Share,
+    /// A run of the job was taken for over, and the table has not confirmed the ownership since.
+    Unconfirmed,
+    /// A crash that one of the job's tasks may have caused is not recorded yet.
+    Unrecorded,
+    /// Another task of the job, which may crash workers, must outlive its start first.
+    Suspect,
+    /// The owner plans nothing: it has not read the operators' rows, or a later owner exists.
+    Paused,
+    /// No round of planning has found them since they are ready.
+    Unplanned,
 }
 
 impl Cause {
     /// All causes, in the order of their declaration.
-    pub const ALL: [Cause; 17] = [
+    pub const ALL: [Cause; 22] = [
         Cause::Unsettled,
         Cause::Remains,
         Cause::Unconfigured,
@@ -58,8 +68,20 @@
         Cause::Doubted,
         Cause::Apart,
         Cause::Share,
+        Cause::Unconfirmed,
+        Cause::Unrecorded,
+        Cause::Suspect,
+        Cause::Paused,
+        Cause::Unplanned,
     ];
 
+    /// Returns whether the tasks have been left out of the rounds of planning, so that their wait
+    /// for a turn there has not begun.
+    pub(crate) fn precedes_planning(self) -> bool {
+        let causes = [Cause::Unconfirmed, Cause::Unrecorded, Cause::Suspect, Cause::Paused];
+        causes.contains(&self) || self == Cause::Unplanned
+    }
+
     /// Returns whether a change of the workers alone may change the cause.
     pub(crate) fn depends_on_workers(self) -> bool {
         self == Cause::Unconfigured || self.is_lack_of_room() || self.is_lack_of_workers()
@@ -95,6 +117,44 @@
             Cause::Doubted => "waits for a sound worker",
             Cause::Apart => "kept apart after a crash",
             Cause::Share => "team over its share",
+            Cause::Unconfirmed => "ownership not confirmed",
+            Cause::Unrecorded => "crash not recorded",
+            Cause::Suspect => "a suspect starts first",
+            Cause::Paused => "planning paused",
+            Cause::Unplanned => "not planned",
+        }
+    }
+
+    /// Returns the cause with this name, if there is one.
+    pub fn named(name: &str) -> Option<Cause> {
+        Cause::ALL.into_iter().find(|cause| cause.name() == name)
+    }
+
+    /// Returns what ends the wait, in words that follow "ends when".
+    pub fn ends_when(self) -> &'static str {
+        match self {
+            Cause::Unsettled => "all agents have reported or their leases have expired",
+            Cause::Remains => "the runs of the former start have ended",
+            Cause::Unconfigured => "a configuration is in force or other work ends",
+            Cause::Pool => "a worker of the pool reports",
+            Cause::Label => "a worker with the label reports",
+            Cause::Closed => "the workers named open again",
+            Cause::Few => "more workers report or open",
+            Cause::Room => "other work ends or makes room",
+            Cause::Spared => "the job's time presses or more workers are free",
+            Cause::Claimed => "the gang named has started or given up its claim",
+            Cause::Rack => "one rack has room",
+            Cause::Reserved => "the work that makes room has stopped",
+            Cause::Clearance => "the step is cleared for a worker with room",
+            Cause::Avoided => "the workers named are no longer avoided or others have room",
+            Cause::Doubted => "a sound worker has room, a trial is due or 5 s have passed",
+            Cause::Apart => "the tasks that have just started there outlive their starts",
+            Cause::Share => "teams that use less have no work waiting or other work ends",
+            Cause::Unconfirmed => "the table confirms the ownership",
+            Cause::Unrecorded => "the table records the crash",
+            Cause::Suspect => "the suspect outlives its start or its job fails",
+            Cause::Paused => "the operators' rows are read again or another entry takes over",
+            Cause::Unplanned => "the next round of planning begins",
         }
     }
 }
--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -250,7 +250,7 @@
                 continue;
             }
             let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
-            let since = self.waits.waiting_since(&key).unwrap_or(now);
+            let since = self.waits.planned_since(&key).unwrap_or(now);
             let due = since + self.claim_delay(candidate);
             if due > now && self.claims.of(&key).is_none() {
                 self.schedule_replan(wall + due - now);
--- a/crates/dispatch/src/diagnosis.rs
+++ b/crates/dispatch/src/diagnosis.rs
@@ -15,6 +15,7 @@
 use crate::owner::Owner;
 use crate::plan::{pending_tasks, tasks_per_worker};
 use crate::snapshot::Snapshot;
+use crate::suspects::isolate_suspects;
 use crate::tally::{Restriction, Tally};
 use crate::waits::StepKey;
 
@@ -156,22 +157,22 @@
         held_back.len()
     }
 
-    /// Returns steps that wait because a previous owner may have started them, or because runs of
-    /// an earlier start of their gang may still exist.
+    /// Returns steps that a round of planning leaves out, or whose gang may still have runs of an
+    /// earlier start.
     fn held_back(&self, wall: u64) -> Vec<(StepKey, (usize, Cause))> {
         let mut found = Vec::new();
         for (id, entry) in self.jobs.iter().filter(|(_, entry)| !entry.progress.state.is_final()) {
-            let older = !self.settled && entry.version <= self.claim_version;
-            if !older && entry.runs.is_empty() {
+            let candidate = self.is_accounted_for(entry) && !entry.progress.has_suspects();
+            if candidate && entry.runs.is_empty() {
                 continue;
             }
             for (occurrence, number, step) in due_steps(entry, wall) {
-                let wait = match older {
-                    true => {
-                        let open = pending_tasks(entry, occurrence, number, step, id);
-                        (open.len(), Cause::Unsettled)
-                    }
-                    false => (remains(entry, occurrence, number, step), Cause::Remains),
+                let at = (occurrence, number);
+                let open = pending_tasks(entry, occurrence, number, step, id);
+                let count = open.len();
+                let wait = match self.held_cause(id, entry, at, open) {
+                    Some(cause) if count > 0 || cause == Cause::Unsettled => (count, cause),
+                    _ => (remains(entry, occurrence, number, step), Cause::Remains),
                 };
                 if wait.0 > 0 {
                     found.push(((id.clone(), occurrence, number), wait));
@@ -181,6 +182,46 @@
         found
     }
 
+    /// Returns why a round of planning leaves out these tasks of a step; none if it finds them.
+    pub(crate) fn held_cause(
+        &self,
+        id: &str,
+        entry: &Entry,
+        at: (u32, u32),
+        tasks: Vec<u32>,
+    ) -> Option<Cause> {
+        if !self.settled && entry.version <= self.claim_version {
+            return Some(Cause::Unsettled);
+        }
+        if !self.is_accounted_for(entry) {
+            return Some(Cause::Unconfirmed);
+        }
+        let held = !tasks.is_empty() && isolate_suspects(id, entry, at, tasks, self.now).is_empty();
+        held.then_some(if entry.crash_unrecorded { Cause::Unrecorded } else { Cause::Suspect })
+    }
+
+    /// Returns whether a round of planning is due and cannot begin.
+    pub(crate) fn is_planning_paused(&self, now: u64) -> bool {
+        self.replan && (self.superseded || self.operators_overdue(now).is_some())
+    }
+
+    /// Records the steps that have become ready since planning was paused.
+    pub(crate) fn record_paused(&mut self, now: u64, wall: u64) {
+        let mut found = Vec::new();
+        for (id, entry) in self.jobs.iter().filter(|(_, entry)| !entry.progress.state.is_final()) {
+            for (occurrence, number, step) in due_steps(entry, wall) {
+                let tasks = pending_tasks(entry, occurrence, number, step, id).len();
+                let step_key = (id.clone(), occurrence, number);
+                if tasks > 0 && self.waits.get(&step_key).is_none() {
+                    found.push((step_key, (tasks, Cause::Paused)));
+                }
+            }
+        }
+        for (step_key, wait) in found {
+            self.waits.record(step_key, wait, (0, 0), now);
+        }
+    }
+
     /// Returns why the open workers could not hold the tasks even if nothing else ran.
     fn closed_or_too_few(&self, request: &Request<'_>, tally: &Tally<'_>) -> Cause {
         let label = &request.step.label;
@@ -203,7 +244,7 @@
 }
 
 /// Returns the steps of all occurrences that are due.
-fn due_steps(entry: &Entry, wall: u64) -> impl Iterator<Item = (u32, u32, &Step)> {
+pub(crate) fn due_steps(entry: &Entry, wall: u64) -> impl Iterator<Item = (u32, u32, &Step)> {
     let schedule = entry.job.schedule;
     let due = move |occurrence: &u32| schedule.is_none_or(|s| s.due(*occurrence) <= wall);
     let steps = move |occurrence| {
--- a/crates/dispatch/src/ends.rs
+++ b/crates/dispatch/src/ends.rs
@@ -22,7 +22,7 @@
         let known = entry.runs.get(&key);
         let vacant = known.is_none();
         let current = known.is_some_and(|placed| placed.worker == *from && placed.run == end.run);
-        let run = current.then(|| entry.runs.remove(&key)).flatten();
+        let run = current.then(|| entry.remove_run(&key, now)).flatten();
         let later = entry.runs.get(&key).filter(|placed| placed.run > end.run);
         let later = later.map(|placed| format!("run {} at {}", placed.run, placed.agent));
         self.replan |= current;
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -32,8 +32,10 @@
     /// When a run was last taken for over at an agent without a connection; 0 for never. Nothing of
     /// the job starts before the table has confirmed the ownership since.
     pub assumed_over_at: u64,
-    /// Since when the job has had no runs; none while it has any.
+    /// Since when the job has had no runs, as of the last round of planning; none if it had any.
     pub idle_since: Option<u64>,
+    /// When its last run was removed, or when this owner learned of the job.
+    pub vacated_at: u64,
     /// The newest checkpoint of each task. A gang has one, at index 0.
     pub checkpoints: BTreeMap<Key, String>,
     /// Parts of the checkpoints that have changed since they were last recorded.
@@ -218,6 +220,7 @@
             runs: BTreeMap::new(),
             assumed_over_at: 0,
             idle_since: None,
+            vacated_at: 0,
             checkpoints: BTreeMap::new(),
             unrecorded_checkpoints: BTreeSet::new(),
             checkpoints_recorded_at: 0,
@@ -357,6 +360,13 @@
         self.has_begun = (0..step.count).all(begun);
     }
 
+    /// Removes a run that no longer exists.
+    pub fn remove_run(&mut self, key: &Key, now: u64) -> Option<Placement> {
+        let run = self.runs.remove(key)?;
+        self.vacated_at = now;
+        Some(run)
+    }
+
     /// Returns whether any run of the step may exist.
     pub fn has_runs(&self, occurrence: u32, step: u32) -> bool {
         let all = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -78,9 +78,11 @@
     /// Returns whether the operators' rows were not read for so long that any zone may be evacuated
     /// by now. Logs when that begins and ends.
     pub(crate) fn operators_unreachable(&mut self, now: u64) -> bool {
-        let Some(bound) = self.settings.evacuation_deadline else { return false };
+        if self.settings.evacuation_deadline.is_none() {
+            return false;
+        }
         let silent = now.saturating_sub(self.evacuation.last_read);
-        let unreachable = silent + START_CUTOFF_MS.min(bound / 3) > bound;
+        let unreachable = self.operators_overdue(now).is_some();
         if unreachable != self.evacuation.unreachable {
             self.evacuation.unreachable = unreachable;
             match unreachable {
@@ -91,6 +93,14 @@
         unreachable
     }
 
+    /// Returns for how long the operators' rows were not read, in milliseconds, if that is so long
+    /// that any zone may be evacuated by now.
+    pub(crate) fn operators_overdue(&self, now: u64) -> Option<u64> {
+        let bound = self.settings.evacuation_deadline?;
+        let silent = now.saturating_sub(self.evacuation.last_read);
+        (silent + START_CUTOFF_MS.min(bound / 3) > bound).then_some(silent)
+    }
+
     /// Returns the number of evacuated availability zones, and of those that may not be empty yet.
     pub fn evacuation_counts(&self) -> (usize, usize) {
         let zones = self.evacuation.zones.zones().count();
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -24,6 +24,7 @@
 use crate::settings::Settings;
 use crate::settlement::SettlementLog;
 use crate::speeds::Speeds;
+use crate::standstills::Standstills;
 use crate::times::Times;
 use crate::trust::Doubts;
 use crate::wait_detail::list;
@@ -112,6 +113,10 @@
     pub(crate) review: Review,
     /// Steps that wait for their start, and what has been logged about them.
     pub(crate) waits: Waits,
+    /// Jobs of which nothing runs beside free workers.
+    pub(crate) standstills: Standstills,
+    /// When the last round of planning began; none before the first.
+    pub(crate) planned_at: Option<u64>,
     /// Claims of waiting gangs on capacity.
     pub(crate) claims: Claims,
     /// Requests to the platform for its list of machines.
@@ -197,6 +202,8 @@
             settlement_log: SettlementLog::default(),
             review: Review::default(),
             waits: Waits::default(),
+            standstills: Standstills::default(),
+            planned_at: None,
             claims: Claims::default(),
             listing: Listing::default(),
             suspect_groups: Vec::new(),
@@ -263,7 +270,8 @@
             return;
         }
         let recorded_state = progress.as_ref().map(|progress| progress.state);
-        let entry = Entry::new(job, version, progress, &self.settings.limits);
+        let mut entry = Entry::new(job, version, progress, &self.settings.limits);
+        entry.vacated_at = self.now;
         // An earlier version recorded it in another form, or its last tasks, but not its end.
         let ended = entry.progress.state.is_final();
         let changed = !entry.unrecorded.is_empty() || (ended && recorded_state.is_some());
@@ -418,6 +426,7 @@
             self.replan = false;
             self.plan(now, wall);
         }
+        self.scan_standing(now, wall);
         self.log_waits(now, wall);
     }
 
@@ -517,7 +526,7 @@
     /// the last one.
     pub(crate) fn remove_run(&mut self, id: &str, key: Key) {
         if let Some(entry) = self.jobs.get_mut(id) {
-            entry.runs.remove(&key);
+            entry.remove_run(&key, self.now);
             self.replan = true;
             if entry.progress.state.is_final() && entry.runs.is_empty() && !self.dirty.contains(id)
             {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -22,6 +22,7 @@
     /// Runs one round of planning: starts what fits in order of rank, makes room where that is
     /// allowed, and records why the rest waits.
     pub(crate) fn plan(&mut self, now: u64, wall: u64) {
+        self.planned_at = Some(now);
         for (id, entry) in &mut self.jobs {
             if entry.job.queue.priority == 0 {
                 entry.update_has_begun(id);
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -218,7 +218,7 @@
         // agent of a lost worker still lists what ran there. Without this check the later,
         // live run would be stopped as a stray and its task started a second time.
         let has_earlier = entry.runs.get(&key).is_some_and(|placed| placed.run < run.number);
-        if has_earlier && let Some(earlier) = entry.runs.remove(&key) {
+        if has_earlier && let Some(earlier) = entry.remove_run(&key, now) {
             let detail =
                 format!("{key:?} run {} at {}: a later run is active", earlier.run, earlier.agent);
             self.log("run lost", &run.task.job, detail);
--- a/crates/dispatch/src/settlement.rs
+++ b/crates/dispatch/src/settlement.rs
@@ -46,7 +46,7 @@
 
     /// Returns the members that may still run tasks started by a previous owner, with the reason
     /// why each is closed.
-    fn awaited_members(&self, now: u64) -> Vec<(String, CloseReason)> {
+    pub(crate) fn awaited_members(&self, now: u64) -> Vec<(String, CloseReason)> {
         let (last, lease) = self.predecessor_grants();
         let agents = self
             .agents
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -185,7 +185,7 @@
     /// Returns a worker's capacity less that of its stray runs, which occupy it until they have
     /// stopped; none if the requirements of one of them are not known. A worker that does not
     /// check its capacity itself would otherwise be given more than fits.
-    fn capacity_without_strays(&self, agent: &Agent, capacity: Resources) -> Resources {
+    pub(crate) fn capacity_without_strays(&self, agent: &Agent, capacity: Resources) -> Resources {
         let mut left = capacity;
         for task in &agent.strays {
             let step = self.jobs.get(&task.job).and_then(|entry| entry.step(task_key(task)));
--- a/crates/dispatch/src/wait_detail.rs
+++ b/crates/dispatch/src/wait_detail.rs
@@ -5,7 +5,7 @@
 use crate::cause::Cause;
 use crate::close_reason::CloseReason;
 use crate::entry::Entry;
-use crate::owner::Owner;
+use crate::owner::{Owner, task};
 use crate::waits::{StepKey, Wait};
 
 /// Most names in one log line.
@@ -41,6 +41,16 @@
             Cause::Clearance => self.clearance_detail(entry, step_key, now),
             Cause::Doubted => self.doubted_detail(entry, step_key, now),
             Cause::Avoided => format!("failed at {}", list(self.failed_at(entry, step_key, now))),
+            Cause::Unconfirmed => format!(
+                "a run was taken for over {} ms ago, the table confirmed the ownership {} ms ago",
+                now.saturating_sub(entry.assumed_over_at),
+                now.saturating_sub(self.confirmed_at),
+            ),
+            Cause::Unrecorded | Cause::Suspect => {
+                format!("may have crashed workers: {}", list(suspects(entry, &step_key.0)))
+            }
+            Cause::Paused => self.pause_detail(now),
+            Cause::Unplanned => "no round has found the step".to_owned(),
         }
     }
 
@@ -72,6 +82,15 @@
         agents.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Formats why planning is paused.
+    fn pause_detail(&self, now: u64) -> String {
+        match self.operators_overdue(now) {
+            _ if self.superseded => "an agent follows a later owner".to_owned(),
+            Some(ms) => format!("operators not heard for {ms} ms"),
+            None => String::new(),
+        }
+    }
+
     /// Formats for how many workers the step is cleared, and whether a request is in flight.
     fn clearance_detail(&self, entry: &Entry, (_, occurrence, step): &StepKey, now: u64) -> String {
         let asking =
@@ -88,6 +107,12 @@
     entry.runs.range(tasks).map(|(_, placed)| placed.agent.clone()).collect()
 }
 
+/// Returns the tasks of the job that may have crashed workers.
+fn suspects(entry: &Entry, id: &str) -> Vec<String> {
+    let slots = entry.progress.suspected_tasks().into_iter();
+    slots.map(|slot| task(id, slot).to_string()).collect()
+}
+
 /// Formats where capacity is reserved for a step, and since when.
 fn reserved(entry: &Entry, (_, occurrence, step): &StepKey, now: u64) -> String {
     let Some(reservation) = entry.reservations.get(&(*occurrence, *step)) else {
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -25,6 +25,9 @@
 pub(crate) struct Wait {
     /// When a round of planning first left tasks of the step waiting.
     pub waiting_since: u64,
+    /// Since when rounds of planning have found the tasks and left them waiting; none while they
+    /// are kept out of the rounds.
+    planned_since: Option<u64>,
     /// Number of tasks that wait.
     pub tasks: usize,
     /// What they wait for.
@@ -72,31 +75,28 @@
         now: u64,
     ) {
         let round = self.round;
-        let spent = [0; Cause::ALL.len()];
-        let (updated_at, next) = (now, now + MIN_LOGGED_WAIT_MS);
-        let new = Wait {
-            waiting_since: now,
-            tasks,
-            cause,
-            room,
-            spent_ms: spent,
-            cause_updated_at: updated_at,
-            logged_cause: None,
-            next_line_at: next,
-            round,
-        };
+        let new = Wait { round, ..Wait::new((tasks, cause), room, now) };
         let wait = self.steps.entry(step).or_insert(new);
         wait.add_elapsed(now);
-        *wait = Wait { tasks, cause, room, round, ..*wait };
+        let planned_since = match cause.precedes_planning() {
+            true => None,
+            false => Some(wait.planned_since.unwrap_or(now)),
+        };
+        *wait = Wait { tasks, cause, room, round, planned_since, ..*wait };
         if wait.needs_line() {
             let next = wait.next_line_at;
             self.next_line_at = Some(self.next_line_at.map_or(next, |due| due.min(next)));
         }
     }
 
-    /// Returns since when a step has been waiting.
-    pub fn waiting_since(&self, step: &StepKey) -> Option<u64> {
-        self.steps.get(step).map(|wait| wait.waiting_since)
+    /// Returns since when rounds of planning have left a step waiting.
+    pub fn planned_since(&self, step: &StepKey) -> Option<u64> {
+        self.steps.get(step).and_then(|wait| wait.planned_since)
+    }
+
+    /// Returns the wait of a step, if one is known.
+    pub fn get(&self, step: &StepKey) -> Option<&Wait> {
+        self.steps.get(step)
     }
 
     /// Ends the round. Steps that were not recorded in it no longer wait; those that had waited
@@ -171,6 +171,22 @@
 }
 
 impl Wait {
+    /// Creates the wait of this number of tasks, which begins now.
+    pub fn new((tasks, cause): (usize, Cause), room: (u64, u64), now: u64) -> Wait {
+        Wait {
+            waiting_since: now,
+            planned_since: None,
+            tasks,
+            cause,
+            room,
+            spent_ms: [0; Cause::ALL.len()],
+            cause_updated_at: now,
+            logged_cause: None,
+            next_line_at: now + MIN_LOGGED_WAIT_MS,
+            round: 0,
+        }
+    }
+
     /// Returns whether the present cause has not been logged. Waits of unsettled jobs are logged
     /// by the owner in one line for all of them. Other teams' steps that come first may start and
     /// arrive several times a second, so the time between is not logged.
--- a/crates/dispatch/tests/crashing_pool/mod.rs
+++ b/crates/dispatch/tests/crashing_pool/mod.rs
@@ -1,6 +1,8 @@
 //! A pool of workers that crash when they start a task of certain jobs, and restart some time
 //! later.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
@@ -189,6 +191,9 @@
                 Output::Log { event: "crash suspected", detail, .. } => {
                     self.suspected_crashes.push(detail)
                 }
+                Output::Log { event, subject, detail } => {
+                    self.harness.log(event, &subject, &detail);
+                }
                 _ => {}
             }
         }
--- a/crates/dispatch/tests/harness/mod.rs
+++ b/crates/dispatch/tests/harness/mod.rs
@@ -125,14 +125,19 @@
                 Output::Close { link } => self.orders.push(format!("close {link}")),
                 Output::Deposed { epoch } => self.orders.push(format!("deposed by {epoch}")),
                 Output::Log { event, subject, detail } => {
-                    if self.logged_events.contains(&event) {
-                        self.logs.push(format!("{event} {subject}: {detail}"));
-                    }
+                    self.log(event, &subject, &detail);
                 }
             }
         }
     }
 
+    /// Collects a log line of the events that are to be logged.
+    pub fn log(&mut self, event: &'static str, subject: &str, detail: &str) {
+        if self.logged_events.contains(&event) {
+            self.logs.push(format!("{event} {subject}: {detail}"));
+        }
+    }
+
     /// Advances the clock by `ms` in steps of 100 ms, the owner's tick, while the first agents keep
     /// sending pings.
     pub fn advance_with_pings(&mut self, ms: u64, agents: u64) {
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -21,6 +21,7 @@
     latency: Histogram,
     decisions: Family<Decision, Counter>,
     waits: Family<Wait, Gauge>,
+    standing_jobs: Family<Wait, Gauge>,
     workers: Family<Trust, Gauge>,
     unlisted_runs: Gauge,
     claims: Gauge,
@@ -92,6 +93,7 @@
             latency: Histogram::new(exponential_buckets(smallest, 2.0, count)),
             decisions: Family::default(),
             waits: Family::default(),
+            standing_jobs: Family::default(),
             workers: Family::default(),
             unlisted_runs: Gauge::default(),
             claims: Gauge::default(),
@@ -124,6 +126,9 @@
         let help =
             "Steps whose turn came a second ago or more and that wait, by cause, at the owner";
         registry.register("waits", help, self.waits.clone());
+        let help = "Jobs of which nothing has run for 3 seconds or more beside free workers of a \
+                    pool that is less than half in use, by cause, at the owner";
+        registry.register("standing_jobs", help, self.standing_jobs.clone());
         let help = "Workers by what the ends of their runs say about them, at the owner";
         registry.register("workers", help, self.workers.clone());
         let help = "Entries of the platform's lists that could not be read and were left out";
@@ -207,6 +212,14 @@
         }
     }
 
+    /// Sets the number of jobs that stand beside free workers for each cause.
+    pub fn set_standing_jobs(&self, counts: &BTreeMap<Cause, usize>) {
+        for cause in Cause::ALL {
+            let count = counts.get(&cause).copied().unwrap_or(0);
+            self.standing_jobs.get_or_create(&Wait { cause: cause.name() }).set(count as i64);
+        }
+    }
+
     /// Sets the number of workers of each grade of trust.
     pub fn set_worker_grades(&self, counts: &BTreeMap<Grade, usize>) {
         for grade in Grade::ALL {
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -228,6 +228,8 @@
         self.metrics.epoch.set(owner.as_ref().map_or(0, |owner| owner.epoch() as i64));
         self.metrics.jobs.set(owner.as_ref().map_or(0, |owner| owner.active_jobs() as i64));
         self.metrics.set_waits(&owner.as_ref().map(Owner::long_waits).unwrap_or_default());
+        self.metrics
+            .set_standing_jobs(&owner.as_ref().map(Owner::standing_jobs).unwrap_or_default());
         self.metrics
             .set_worker_grades(&owner.as_ref().map(Owner::worker_grades).unwrap_or_default());
         self.metrics.set_teams(&owner.as_ref().map(Owner::team_accounts).unwrap_or_default());
--- a/crates/entry/tests/explain.rs
+++ b/crates/entry/tests/explain.rs
@@ -53,6 +53,7 @@
         2.500. e2                       owner epoch=2 jobs=3: took over
         3.500. e2                       unsettled: 1000 ms; 3 older steps wait for w1 no connection
         8.700. e2                       settled: 6200 ms; not heard: w1
+    aa.0.0 does not run, since 0.000 (told by e1 at 1.000): no room; ends when other work ends or makes room
     ");
 }
 
@@ -100,5 +101,37 @@
     --
         0.000  e1                       accepted: version 8 1x1
         1.000  e1                       waits: bb.0.0, 1 tasks, 1000 ms: room claimed by a gang: by aa.0.0, planned in 0 ms; room for 1 of 1, for 1 if nothing ran
+    bb.0.0 does not run, since 0.000 (told by e1 at 1.000): room claimed by a gang; ends when the gang named has started or given up its claim
+    ");
+}
+
+const STANDING: &str = r#"
+{"t":10.000,"process":"e1","event":"accepted","job":"aa","msg":"version 7 1x8"}
+{"t":10.010,"process":"e1","event":"start","job":"aa","msg":"aa.0.0.0 run 1 at w2"}
+{"t":12.010,"process":"e1","event":"run ended","job":"aa","msg":"aa.0.0.0 run 1 Failed at w2"}
+{"t":13.010,"process":"e1","event":"waits","job":"aa","msg":"aa.0.0, 1 tasks, 1000 ms: waits for a sound worker: 2 sound; doubtful: none"}
+{"t":15.010,"process":"e1","event":"stands","job":"aa","msg":"aa.0.0, 1 tasks, 3000 ms, 1 runs before: waits for a sound worker: 2 sound; doubtful: none; pool p: free 24 of 40 accelerators, 318 of 320 cores; 5 workers open; planned 500 ms ago, next round in 2000 ms by the time of day; settled"}
+"#;
+
+fn last_line(logs: &str) -> String {
+    let mut output = Vec::new();
+    explain("aa", logs.as_bytes(), &mut output).unwrap();
+    String::from_utf8(output).unwrap().lines().last().unwrap_or_default().to_owned()
+}
+
+// Guards against a history that ends with the last event and leaves open why nothing runs now: the
+// job stands beside free workers, starts again, and ends.
+#[test]
+fn history_ends_with_why_the_job_does_not_run() {
+    let started =
+        r#"{"t":17.010,"process":"e1","event":"start","job":"aa","msg":"aa.0.0.0 run 2 at w2"}"#;
+    let ended = r#"{"t":19.000,"process":"e1","event":"job ended","job":"aa","msg":"Cancelled"}"#;
+    let stands = last_line(STANDING);
+    let runs = last_line(&format!("{STANDING}{started}"));
+    let over = last_line(&format!("{STANDING}{ended}"));
+    assert_snapshot!(format!("{stands}\n{runs}\n{over}"), @r"
+    aa.0.0 does not run, since 2.010 (told by e1 at 5.010): waits for a sound worker; ends when a sound worker has room, a trial is due or 5 s have passed
+        7.010  e1                       start: aa.0.0.0 run 2 at w2
+        9.000  e1                       job ended: Cancelled
     ");
 }
