Test that a worker that opens causes a round of planning

All workers were closed when the job was accepted: silent for 3,000 ms, or draining. They opened again by a status, by a confirmed start, or by a status without the mark of draining, and the owner did not plan until some other event, which at the end of traffic does not come.

The three tests fail: the orders after the opening are "nothing".

--- /dev/null
+++ b/crates/dispatch/tests/openings.rs
@@ -0,0 +1,86 @@
+//! A worker that becomes schedulable causes a round of planning, whatever made it so.
+
+mod harness;
+
+use harness::{Harness, job, step, task, worker};
+use quincewheel_job::Worker;
+use quincewheel_wire::Notice;
+
+/// Time that the owner has to notice that a worker has opened: its check interval.
+const CHECK_MS: u64 = 20;
+
+/// Creates an owner with one idle worker that is settled.
+fn one_idle_worker() -> Harness {
+    let mut harness = Harness::new(1, 1).with_idle_workers(1);
+    harness.advance_with_pings(1000, 1);
+    harness
+}
+
+/// Adds a job of one task with this id.
+fn add_job(harness: &mut Harness, id: &str) {
+    harness.owner.add_job(id, job(1, vec![step(1, 8)]), 200, None);
+    harness.tick();
+}
+
+/// Sends a status of the first agent with this worker, whose list is as old as the status.
+fn answer(harness: &mut Harness, worker: Worker) {
+    let notice = Notice::Status {
+        stamp: harness.now,
+        worker: Some(worker),
+        fenced: true,
+        listed_at: Some(harness.now),
+        running: Vec::new(),
+        ended: Vec::new(),
+        truncated: false,
+    };
+    harness.deliver(0, notice);
+}
+
+/// Sends a ping of the first agent, whose worker owes an answer for this long.
+fn ping(harness: &mut Harness, silent: u64) {
+    harness.deliver(0, Notice::Ping { stamp: harness.now, silent });
+}
+
+// A job waited for 10 s and more on an empty pool: all workers were silent when it was accepted,
+// and their next lists opened them without a round of planning.
+#[test]
+fn job_starts_when_a_silent_worker_lists_its_runs_again() {
+    let mut harness = one_idle_worker();
+    ping(&mut harness, 3000);
+    add_job(&mut harness, "j");
+    harness.take_orders();
+    harness.advance(100);
+    answer(&mut harness, worker(0));
+    harness.advance(CHECK_MS);
+    assert_eq!(harness.take_orders(), "w0 start j.0.0.0 run 1 ");
+}
+
+// A job waited on an empty pool: its worker was silent when the job was accepted, and confirmed a
+// start that had been ordered before, which opened it without a round of planning.
+#[test]
+fn job_starts_when_a_silent_worker_confirms_a_start() {
+    let mut harness = one_idle_worker();
+    harness.owner.add_job("i", job(1, vec![step(1, 1)]), 200, None);
+    harness.tick();
+    ping(&mut harness, 3000);
+    harness.owner.add_job("j", job(1, vec![step(1, 1)]), 201, None);
+    harness.tick();
+    harness.take_orders();
+    harness.advance(100);
+    harness.deliver(0, Notice::Started { task: task("i", 0, 0), run: 1 });
+    harness.advance(CHECK_MS);
+    assert_eq!(harness.take_orders(), "w0 start j.0.0.0 run 1 ");
+}
+
+// A job waited on an empty pool: its worker stopped draining without a restart.
+#[test]
+fn job_starts_when_a_worker_stops_draining() {
+    let mut harness = one_idle_worker();
+    answer(&mut harness, Worker { draining: true, ..worker(0) });
+    add_job(&mut harness, "j");
+    harness.take_orders();
+    harness.advance(100);
+    answer(&mut harness, worker(0));
+    harness.advance(CHECK_MS);
+    assert_eq!(harness.take_orders(), "w0 start j.0.0.0 run 1 ");
+}
