Plan as soon as a worker becomes schedulable

Callers saw an accepted job stand for 10 s and more beside a pool on which nothing ran. A round of planning follows an event, and each path that opens a worker had to ask for one. Three did not: a status whose list lowers the time for which the worker has owed an answer (since; the ping after it finds nothing changed), a confirmed start that resets this time, and a status of the same incarnation that drains no more.

The flags of single paths stay: they plan earlier or for other reasons.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -75,6 +75,8 @@
     pub cold_until: u64,
     /// Number of runs that failed there in a row.
     pub consecutive_failures: u32,
+    /// Whether the last round of planning could start runs there.
+    pub planned_open: bool,
 }
 
 impl Agent {
@@ -137,4 +139,9 @@
     pub fn accepts_runs(&self, settings: &Settings, now: u64) -> bool {
         CloseReason::of(self, settings, now).is_none()
     }
+
+    /// Returns whether runs may start there that the last round of planning could not start.
+    pub fn has_opened(&self, settings: &Settings, now: u64) -> bool {
+        !self.planned_open && self.accepts_runs(settings, now)
+    }
 }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -386,6 +386,7 @@
         }
         if let Some(agent) = self.agents.get_mut(&name) {
             agent.update_liveness(&self.settings, now);
+            self.replan |= agent.has_opened(&self.settings, now);
         }
     }
 
@@ -425,6 +426,8 @@
     fn check_agents(&mut self, now: u64) {
         for agent in self.agents.values_mut() {
             agent.update_liveness(&self.settings, now);
+            // Whatever has opened a worker, no waiting task may miss it.
+            self.replan |= agent.has_opened(&self.settings, now);
         }
         self.close_silent_connections(now);
         self.expire_leases(now);
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -28,6 +28,9 @@
             }
             entry.idle_since = entry.runs.is_empty().then(|| entry.idle_since.unwrap_or(now));
         }
+        for agent in self.agents.values_mut() {
+            agent.planned_open = agent.accepts_runs(&self.settings, now);
+        }
         self.give_up_suspects();
         self.update_factors(now, wall);
         let mut snapshot = self.snapshot(now);
