Test that a worker that moves causes a round of planning

A worker that reports another pool or rack under the same incarnation is open all the while, so no opening marks the change; work that waited for it stands until some other event. Both tests fail: the orders are "nothing".

--- a/crates/dispatch/tests/openings.rs
+++ b/crates/dispatch/tests/openings.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::{Harness, job, step, task, worker};
-use quincewheel_job::Worker;
+use quincewheel_job::{Job, Step, Worker};
 use quincewheel_wire::Notice;
 
 /// Time that the owner has to notice that a worker has opened: its check interval.
@@ -84,3 +84,37 @@
     harness.advance(CHECK_MS);
     assert_eq!(harness.take_orders(), "w0 start j.0.0.0 run 1 ");
 }
+
+// A job waited on an empty pool: its worker was moved to the pool without a restart.
+#[test]
+fn job_starts_when_a_worker_joins_its_pool() {
+    let mut harness = one_idle_worker();
+    answer(&mut harness, Worker { pool: "other".into(), ..worker(0) });
+    add_job(&mut harness, "j");
+    harness.take_orders();
+    harness.advance(100);
+    answer(&mut harness, worker(0));
+    harness.advance(CHECK_MS);
+    assert_eq!(harness.take_orders(), "w0 start j.0.0.0 run 1 ");
+}
+
+// A gang waited for one rack on an empty pool until its wait had passed, although its workers had
+// been moved to one rack without a restart.
+#[test]
+fn gang_starts_when_a_worker_joins_its_rack() {
+    let mut harness = Harness::new(1, 3).with_idle_workers(3);
+    harness.advance_with_pings(1000, 3);
+    answer(&mut harness, Worker { draining: true, ..worker(0) });
+    add_job(&mut harness, "i");
+    answer(&mut harness, Worker { rack: "other".into(), ..worker(0) });
+    assert_eq!(harness.take_orders(), "w1 start i.0.0.0 run 1 ");
+    let gang = Step { gang: true, same_rack: true, ..step(2, 8) };
+    let accepted = harness.now;
+    harness.owner.add_job("j", Job { accepted, ..job(1, vec![gang]) }, 200, None);
+    harness.tick();
+    assert_eq!(harness.take_orders(), "nothing");
+    harness.advance(100);
+    answer(&mut harness, worker(0));
+    harness.advance(CHECK_MS);
+    assert_eq!(harness.take_orders(), "w0 start j.0.0.0 run 1 \nw2 start j.0.0.1 run 1 ");
+}
