Plan when a worker reports another pool or rack

Work stood beside an idle worker that had been moved to its pool or rack under the same incarnation: the comparison of two reports of an incarnation covered its capacity and labels only. It now covers its pool and its rack as well.

--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -44,6 +44,9 @@
 
     /// True if a later report of the same incarnation changes which tasks can run on it.
     pub fn eligibility_differs(&self, later: &Worker) -> bool {
-        self.capacity != later.capacity || self.labels != later.labels
+        self.capacity != later.capacity
+            || self.labels != later.labels
+            || self.pool != later.pool
+            || self.rack != later.rack
     }
 }
