Test that a machine of the last wave takes work again

A worker that outlives the maintenance of its machine stayed closed for good, once no wave was open: only a machine list lifts the mark of the shutdown, and lists are requested for open waves only. The test fails: nothing starts and no list is requested.

--- a/crates/dispatch/tests/openings.rs
+++ b/crates/dispatch/tests/openings.rs
@@ -3,7 +3,8 @@
 mod harness;
 
 use harness::{Harness, job, step, task, worker};
-use quincewheel_job::{Job, Step, Worker};
+use quincewheel_dispatch::TakeDownResult;
+use quincewheel_job::{Condition, Job, Machine, Step, Wave, Worker};
 use quincewheel_wire::Notice;
 
 /// Time that the owner has to notice that a worker has opened: its check interval.
@@ -118,3 +119,34 @@
     harness.advance(CHECK_MS);
     assert_eq!(harness.take_orders(), "w0 start j.0.0.0 run 1 \nw2 start j.0.0.1 run 1 ");
 }
+
+// A machine stayed closed for good after the last wave of maintenance: its worker outlived the
+// maintenance, and no machine list was requested any more that would have shown the machine up.
+#[test]
+fn machine_of_the_last_wave_takes_work_again_without_a_restart() {
+    let mut harness = one_idle_worker();
+    harness.advance_with_pings(2000, 1);
+    let wave = Wave { number: 1, machines: vec!["m0".into()], duration: 60_000, most: 1 };
+    harness.owner.add_wave(&wave, None, harness.now);
+    list_machine(&mut harness, Condition::Up);
+    harness.tick();
+    harness.owner.on_take_down(1, "m0", TakeDownResult::Begun, harness.now);
+    harness.advance_with_pings(100, 1);
+    list_machine(&mut harness, Condition::Maintained);
+    add_job(&mut harness, "j");
+    harness.advance_with_pings(3000, 1);
+    let orders = harness.take_orders();
+    assert!(orders.contains("wave 1 done true") && !orders.contains("start"), "{orders}");
+    harness.advance_with_pings(1000, 1);
+    if harness.take_orders().contains("list") {
+        list_machine(&mut harness, Condition::Up);
+    }
+    harness.advance(CHECK_MS);
+    assert_eq!(harness.take_orders(), "w0 start j.0.0.0 run 1 ");
+}
+
+/// Sends a machine list with the first worker's machine in this condition.
+fn list_machine(harness: &mut Harness, condition: Condition) {
+    let machine = Machine { name: "m0".into(), condition, worker: "i0".into() };
+    harness.owner.on_machines(vec![machine], true, 1, (harness.now, harness.now));
+}
