Request machine lists until the machines of the last wave are back

A worker that outlives the maintenance of its machine, or whose shutdown the platform calls off, kept the mark of the shutdown for good once the last wave was complete: the mark ends with a new incarnation or with a machine list that shows the machine up, and lists were requested for open waves only. With few workers the pool stayed short until the next wave.

While a worker that answers has the mark, the owner now goes on requesting a list a second. A worker that is down does not answer, so no lists are requested for it.

--- a/crates/dispatch/src/maintenance.rs
+++ b/crates/dispatch/src/maintenance.rs
@@ -9,6 +9,7 @@
 
 use quincewheel_job::{Condition, Machine, Wave};
 
+use crate::agent::Agent;
 use crate::entry::Placement;
 use crate::output::Output;
 use crate::owner::Owner;
@@ -25,6 +26,8 @@
     list_partial: bool,
     /// When a list was last requested.
     requested_at: u64,
+    /// When the owner last checked, without an open wave, whether it needs a list.
+    checked_at: u64,
 }
 
 impl Maintenance {
@@ -210,6 +213,7 @@
         }
         let open = self.open_waves();
         if open.is_empty() {
+            self.await_machines(now);
             return;
         }
         if now >= self.maintenance.requested_at + MACHINE_LIST_INTERVAL_MS {
@@ -255,6 +259,21 @@
         }
     }
 
+    /// Requests lists after the last wave while workers that answer are closed because their
+    /// machines were taken down. If a worker has outlived that, only a list shows it.
+    fn await_machines(&mut self, now: u64) {
+        if now < self.maintenance.checked_at + MACHINE_LIST_INTERVAL_MS {
+            return;
+        }
+        self.maintenance.checked_at = now;
+        let closed = |agent: &Agent| {
+            agent.shutdown_requested && agent.link.is_some() && agent.fenced && !agent.worker_left
+        };
+        if self.agents.values().any(closed) {
+            self.outputs.push(Output::ListMachines);
+        }
+    }
+
     /// Returns the numbers of the waves that are not complete.
     fn open_waves(&self) -> Vec<u64> {
         let open = self.maintenance.waves.iter().filter(|(_, state)| !state.done);
