--- a/crates/dispatch/tests/harness/mod.rs
+++ b/crates/dispatch/tests/harness/mod.rs
@@ -13,6 +13,8 @@
     pub owner: Owner,
     /// Time in milliseconds, for the owner and its agents.
     pub now: u64,
+    /// How far the time of day is ahead of `now`, in milliseconds.
+    pub time_of_day_ahead: u64,
     /// Orders and requests of the owner, formatted, since the last `take_orders`.
     pub orders: Vec<String>,
     /// Clearance requests to the advice service that the test has not answered.
@@ -36,6 +38,7 @@
         Harness {
             owner,
             now: 10_000,
+            time_of_day_ahead: 0,
             orders: Vec::new(),
             advice_requests: Vec::new(),
             logged_events: Vec::new(),
@@ -90,10 +93,15 @@
     /// Runs the owner at the current time, with its ownership confirmed by the table.
     pub fn tick(&mut self) {
         self.owner.confirm_ownership(self.now);
-        self.owner.tick(self.now, self.now);
+        self.owner.tick(self.now, self.time_of_day());
         self.collect_outputs();
     }
 
+    /// Returns the time of day, in milliseconds since 1970.
+    pub fn time_of_day(&self) -> u64 {
+        self.now + self.time_of_day_ahead
+    }
+
     /// Writes what the owner wants recorded, successfully, and returns it.
     pub fn record(&mut self) -> Batch {
         let batch = self.owner.next_batch().unwrap_or_default();
