Keep an occurrence due once it has been

An occurrence of a schedule whose tasks were to be retried, or had not all started, was passed over after a step back of the time of day until the clock had caught up: whether it is due was compared with the time of day in each round. At a step back of 3,600 s it stood for that long.

Each job now keeps the occurrences that have been due. What has not been due yet still follows the time of day, which is the user's. The next due time is looked for at the beginning of a round, for jobs of a former owner as well, instead of while candidates are gathered, which passed over jobs not accounted for.

--- a/crates/dispatch/src/diagnosis.rs
+++ b/crates/dispatch/src/diagnosis.rs
@@ -98,8 +98,8 @@
     }
 
     /// Records waits of steps that are ready but are not candidates yet.
-    pub(crate) fn record_held_back(&mut self, now: u64, wall: u64) {
-        for (step_key, wait) in self.held_back(wall) {
+    pub(crate) fn record_held_back(&mut self, now: u64) {
+        for (step_key, wait) in self.held_back() {
             self.waits.record(step_key, wait, (0, 0), now);
         }
     }
@@ -120,8 +120,8 @@
     }
 
     /// Writes the log lines that are due.
-    pub(crate) fn log_waits(&mut self, now: u64, wall: u64) {
-        self.log_unsettled(now, wall);
+    pub(crate) fn log_waits(&mut self, now: u64) {
+        self.log_unsettled(now);
         self.review_waits(now);
         if !self.waits.has_due_lines(now) {
             return;
@@ -143,9 +143,9 @@
 
     /// Drops the waits of unsettled steps that have turned out to run. Returns how many steps are
     /// still unsettled.
-    pub(crate) fn prune_held_back(&mut self, wall: u64) -> usize {
+    pub(crate) fn prune_held_back(&mut self) -> usize {
         let held_back: BTreeSet<StepKey> = self
-            .held_back(wall)
+            .held_back()
             .into_iter()
             .filter(|(_, (_, cause))| *cause == Cause::Unsettled)
             .map(|(step_key, _)| step_key)
@@ -158,14 +158,14 @@
 
     /// Returns steps that wait because a previous owner may have started them, or because runs of
     /// an earlier start of their gang may still exist.
-    fn held_back(&self, wall: u64) -> Vec<(StepKey, (usize, Cause))> {
+    fn held_back(&self) -> Vec<(StepKey, (usize, Cause))> {
         let mut found = Vec::new();
         for (id, entry) in self.jobs.iter().filter(|(_, entry)| !entry.progress.state.is_final()) {
             let older = !self.settled && entry.version <= self.claim_version;
             if !older && entry.runs.is_empty() {
                 continue;
             }
-            for (occurrence, number, step) in due_steps(entry, wall) {
+            for (occurrence, number, step) in due_steps(entry) {
                 let wait = match older {
                     true => {
                         let open = pending_tasks(entry, occurrence, number, step, id);
@@ -203,14 +203,12 @@
 }
 
 /// Returns the steps of all occurrences that are due.
-fn due_steps(entry: &Entry, wall: u64) -> impl Iterator<Item = (u32, u32, &Step)> {
-    let schedule = entry.job.schedule;
-    let due = move |occurrence: &u32| schedule.is_none_or(|s| s.due(*occurrence) <= wall);
+fn due_steps(entry: &Entry) -> impl Iterator<Item = (u32, u32, &Step)> {
     let steps = move |occurrence| {
         let steps = (0u32..).zip(&entry.job.steps);
         steps.map(move |(number, step)| (occurrence, number, step))
     };
-    (0..entry.job.occurrences()).take_while(due).flat_map(steps)
+    (0..entry.due_occurrences()).flat_map(steps)
 }
 
 /// Returns the number of a gang's tasks that cannot start because other members may still run.
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -32,6 +32,8 @@
     /// When a run was last taken for over at an agent without a connection; 0 for never. Nothing of
     /// the job starts before the table has confirmed the ownership since.
     pub assumed_over_at: u64,
+    /// When each occurrence was due that has been, in their order. Empty without a schedule.
+    pub due_at: Vec<u64>,
     /// Since when the job has had no runs; none while it has any.
     pub idle_since: Option<u64>,
     /// The newest checkpoint of each task. A gang has one, at index 0.
@@ -217,6 +219,7 @@
             recorded_state,
             runs: BTreeMap::new(),
             assumed_over_at: 0,
+            due_at: Vec::new(),
             idle_since: None,
             checkpoints: BTreeMap::new(),
             unrecorded_checkpoints: BTreeSet::new(),
@@ -290,6 +293,31 @@
         self.clearances.get(&(key.0, key.1))?.ticket(worker, now)
     }
 
+    /// Marks the occurrences that are due at this time of day, and returns when the next one is. One
+    /// that has been due stays so if the time of day is set back: its tasks may be in the middle of
+    /// their attempts.
+    pub fn update_due(&mut self, time_of_day: u64) -> Option<u64> {
+        let schedule = self.job.schedule?;
+        let rest = self.due_occurrences()..schedule.times;
+        for due in rest.map(|occurrence| schedule.due(occurrence)) {
+            if due > time_of_day {
+                return Some(due);
+            }
+            self.due_at.push(due);
+        }
+        None
+    }
+
+    /// Returns the number of occurrences that are due or have been; 1 without a schedule.
+    pub fn due_occurrences(&self) -> u32 {
+        self.job.schedule.map_or(1, |_| self.due_at.len() as u32)
+    }
+
+    /// Returns when an occurrence was accepted or due.
+    pub fn begins_at(&self, occurrence: u32) -> u64 {
+        self.due_at.get(occurrence as usize).copied().unwrap_or(self.job.accepted)
+    }
+
     /// Returns the step of a task.
     pub fn step(&self, key: Key) -> Option<&Step> {
         self.job.steps.get(key.1 as usize)
--- a/crates/dispatch/src/estimator.rs
+++ b/crates/dispatch/src/estimator.rs
@@ -18,7 +18,7 @@
     /// Returns the objective of an occurrence of a job.
     pub fn objective_of(&self, entry: &Entry, occurrence: u32) -> Objective {
         let job = &entry.job;
-        let begin = job.schedule.map_or(job.accepted, |schedule| schedule.due(occurrence));
+        let begin = entry.begins_at(occurrence);
         if job.is_perpetual() {
             return Objective::perpetual(begin);
         }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -419,7 +419,7 @@
             self.replan = false;
             self.plan(now, wall);
         }
-        self.log_waits(now, wall);
+        self.log_waits(now);
     }
 
     /// Checks all timeouts that concern agents and their runs.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -31,6 +31,7 @@
         for agent in self.agents.values_mut() {
             agent.planned_open = agent.accepts_runs(&self.settings, now);
         }
+        self.replan_at = self.update_due(wall);
         self.give_up_suspects();
         self.update_factors(now, wall);
         let mut snapshot = self.snapshot(now);
@@ -52,17 +53,15 @@
         if snapshot.recent_starts.values().any(|start| *start == RecentStart::Suspect) {
             self.schedule_replan(wall + START_ISOLATION_MS);
         }
-        self.record_held_back(now, wall);
+        self.record_held_back(now);
         self.log_ended_waits(now);
         self.end_shares();
     }
 
-    /// Returns the tasks that could start now, grouped by step, and sets `replan_at` to when the
-    /// next scheduled occurrence is due.
-    fn candidates(&mut self, wall: u64) -> Vec<Candidate> {
+    /// Returns the tasks that could start now, grouped by step.
+    fn candidates(&self, wall: u64) -> Vec<Candidate> {
         let now = self.now;
         let mut guarantees = self.guaranteed_usage();
-        let mut next_due: Option<u64> = None;
         let mut found = Vec::new();
         let pools = self.pools();
         let estimator = Estimator { times: self.times.get(), pools: &pools };
@@ -72,14 +71,7 @@
             if entry.progress.state.is_final() || !self.is_accounted_for(entry) {
                 continue;
             }
-            for occurrence in 0..entry.job.occurrences() {
-                if let Some(schedule) = entry.job.schedule {
-                    let due = schedule.due(occurrence);
-                    if due > wall {
-                        next_due = Some(next_due.map_or(due, |known| known.min(due)));
-                        break;
-                    }
-                }
+            for occurrence in 0..entry.due_occurrences() {
                 let objective = estimator.objective_of(entry, occurrence);
                 for (number, step) in (0u32..).zip(&entry.job.steps) {
                     let tasks = pending_tasks(entry, occurrence, number, step, id);
@@ -113,11 +105,15 @@
                 }
             }
         }
-        drop(guarantees);
-        self.replan_at = next_due;
         found
     }
 
+    /// Marks the occurrences that are due, and returns when the next one is.
+    fn update_due(&mut self, time_of_day: u64) -> Option<u64> {
+        let open = self.jobs.values_mut().filter(|entry| !entry.progress.state.is_final());
+        open.filter_map(|entry| entry.update_due(time_of_day)).min()
+    }
+
     /// Returns whether all runs of a job are known. Tasks of older jobs may run already, started by a
     /// previous owner, which is known only once all agents have reported, or by a later one, until
     /// the table confirms that there is none.
@@ -302,7 +298,7 @@
         let tasks_by_worker =
             tasks_per_worker(entry, (candidate.occurrence, candidate.step), &snapshot.workers);
         let count = candidate.tasks.len() as u32;
-        let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
+        let begin = entry.begins_at(candidate.occurrence);
         let waits_for_rack = wall < begin + SINGLE_RACK_WAIT_MS;
         let request = Request {
             step,
--- a/crates/dispatch/src/preemption.rs
+++ b/crates/dispatch/src/preemption.rs
@@ -107,7 +107,7 @@
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let tasks_by_worker =
             tasks_per_worker(entry, (candidate.occurrence, candidate.step), &snapshot.workers);
-        let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
+        let begin = entry.begins_at(candidate.occurrence);
         let borrowed_at =
             borrowed_reclaim_at(begin, self.settings.reclaim_deadline, self.settings.stop_timeout);
         let guaranteed = candidate.guaranteed();
--- a/crates/dispatch/src/settlement.rs
+++ b/crates/dispatch/src/settlement.rs
@@ -22,7 +22,7 @@
 
 impl Owner {
     /// Logs which members older jobs wait for, and why: one line for all jobs.
-    pub(crate) fn log_unsettled(&mut self, now: u64, wall: u64) {
+    pub(crate) fn log_unsettled(&mut self, now: u64) {
         let waited = now - self.claimed_at;
         if self.settled || waited < MIN_LOGGED_WAIT_MS || now < self.settlement_log.next_scan_at {
             return;
@@ -33,7 +33,7 @@
             return;
         }
         self.settlement_log.next_scan_at = now + MEMBER_LOG_INTERVAL_MS;
-        let steps = self.prune_held_back(wall);
+        let steps = self.prune_held_back();
         if steps == 0 {
             return;
         }
