Count durations on the monotonic clock

Callers saw work start later by as much as the owner's time of day had been set back. Rounds of planning were scheduled by the time of day, although most waits are counted on the monotonic clock; the wait for a rack, deferral, objectives and the times of reclaims compared the owner's time of day with the acceptance of a job by another machine's clock, so that a clock that was ahead prolonged them as well. At the end of traffic no other event causes a round.

The owner now plans by a clock of its own: the time of day at its first tick, counted on by the monotonic clock. Where planning was passed the time of day it is passed this time, so claims, doubts, speeds and shares follow without a change. When a job was accepted is converted to this clock in the first tick after the owner learns of it, by the age that the time of day gives then: not below 0, and for a job that arrives under this owner not above 10 s, so that an owner whose clock is ahead does not take each new job for late. When an occurrence was due is converted when it is first found due, with an age of at most the time since it was last found not to be.

Two things still read the time of day: whether the next occurrence of a schedule is due, in each tick, and the deadlines of waves. A round when the time of day is set is not needed beside that.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -32,8 +32,14 @@
     /// When a run was last taken for over at an agent without a connection; 0 for never. Nothing of
     /// the job starts before the table has confirmed the ownership since.
     pub assumed_over_at: u64,
-    /// When each occurrence was due that has been, in their order. Empty without a schedule.
+    /// When the job was accepted, by the owner's clock; by that of the accepting entry until the
+    /// owner's next tick.
+    pub accepted_at: u64,
+    /// When each occurrence was due that has been, by the owner's clock, in their order. Empty
+    /// without a schedule.
     pub due_at: Vec<u64>,
+    /// When the next occurrence was last found not to be due, by the owner's clock.
+    not_due_at: Option<u64>,
     /// Since when the job has had no runs; none while it has any.
     pub idle_since: Option<u64>,
     /// The newest checkpoint of each task. A gang has one, at index 0.
@@ -210,6 +216,7 @@
             _ => BTreeSet::new(),
         };
         progress.end_if_done(&job);
+        let accepted_at = job.accepted;
         Entry {
             job,
             version,
@@ -219,7 +226,9 @@
             recorded_state,
             runs: BTreeMap::new(),
             assumed_over_at: 0,
+            accepted_at,
             due_at: Vec::new(),
+            not_due_at: None,
             idle_since: None,
             checkpoints: BTreeMap::new(),
             unrecorded_checkpoints: BTreeSet::new(),
@@ -293,17 +302,27 @@
         self.clearances.get(&(key.0, key.1))?.ticket(worker, now)
     }
 
+    /// Converts when the job was accepted, at most `max_age` ago, to the owner's clock, which shows
+    /// `wall`. The clock of the entry that accepted it may differ by any amount.
+    pub fn set_accepted(&mut self, max_age: u64, time_of_day: u64, wall: u64) {
+        let age = time_of_day.saturating_sub(self.job.accepted).min(max_age);
+        self.accepted_at = wall.saturating_sub(age);
+    }
+
     /// Marks the occurrences that are due at this time of day, and returns when the next one is. One
     /// that has been due stays so if the time of day is set back: its tasks may be in the middle of
-    /// their attempts.
-    pub fn update_due(&mut self, time_of_day: u64) -> Option<u64> {
+    /// their attempts. `wall` is the time by the owner's clock.
+    pub fn update_due(&mut self, time_of_day: u64, wall: u64) -> Option<u64> {
         let schedule = self.job.schedule?;
         let rest = self.due_occurrences()..schedule.times;
+        let max_age = self.not_due_at.map_or(u64::MAX, |at| wall.saturating_sub(at));
         for due in rest.map(|occurrence| schedule.due(occurrence)) {
             if due > time_of_day {
+                self.not_due_at = Some(wall);
                 return Some(due);
             }
-            self.due_at.push(due);
+            let age = (time_of_day - due).min(max_age);
+            self.due_at.push(wall.saturating_sub(age));
         }
         None
     }
@@ -313,9 +332,9 @@
         self.job.schedule.map_or(1, |_| self.due_at.len() as u32)
     }
 
-    /// Returns when an occurrence was accepted or due.
+    /// Returns when an occurrence was accepted or due, by the owner's clock.
     pub fn begins_at(&self, occurrence: u32) -> u64 {
-        self.due_at.get(occurrence as usize).copied().unwrap_or(self.job.accepted)
+        self.due_at.get(occurrence as usize).copied().unwrap_or(self.accepted_at)
     }
 
     /// Returns the step of a task.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod checkpoints;
 mod claims;
 mod clearance;
+mod clock;
 mod close_reason;
 mod crashes;
 mod diagnosis;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -8,6 +8,7 @@
 
 use crate::agent::Agent;
 use crate::claims::Claims;
+use crate::clock::Clock;
 use crate::crashes::SuspectedCrash;
 use crate::dismissal::Dismissal;
 use crate::election::OWNER_TIMEOUT_MS;
@@ -33,7 +34,8 @@
 ///
 /// Events are passed in through methods; whatever must be done in response is queued and
 /// returned by [`Owner::take_outputs`]. Fields and parameters named `now` are monotonic times,
-/// `wall` is the time of day, both in milliseconds.
+/// `wall` is the time by the owner's [`Clock`], which no step of the time of day changes, and
+/// `time_of_day` is that of the system, all in milliseconds.
 pub struct Owner {
     pub(crate) settings: Settings,
     pub(crate) epoch: u64,
@@ -124,8 +126,14 @@
     pub(crate) evacuation: EvacuationState,
     /// Id of the next unit of runs that stop together.
     pub(crate) next_unit: u64,
-    /// The next time of day at which the passage of time alone may let work start.
+    /// The owner's clock for durations.
+    pub(crate) clock: Clock,
+    /// The next time, by `clock`, at which the passage of time alone may let work start.
     pub(crate) replan_at: Option<u64>,
+    /// The time of day at which the next occurrence of a scheduled job is due.
+    next_due: Option<u64>,
+    /// Jobs that were added since the last tick, and how long ago they were accepted at most.
+    added_jobs: Vec<(Id, u64)>,
     /// Actions for the caller to carry out.
     pub(crate) outputs: Vec<Output>,
 }
@@ -138,6 +146,10 @@
 /// Shortest time between two records of the usage of teams, which decays over several seconds.
 const USAGE_RECORD_INTERVAL_MS: u64 = 2000;
 
+/// Age of a job that arrives under this owner, at most: longer than one takes to reach the owner. To
+/// an owner whose clock is far ahead, the objective of each new job would seem missed.
+const MAX_ARRIVAL_AGE_MS: u64 = 10_000;
+
 /// Time between two checks of all agents. The owner ticks with each report, and 160 agents
 /// cause 600 ticks a second, while each check goes through all agents and runs. The shortest
 /// timeout that is checked is 50 ms.
@@ -203,7 +215,10 @@
             maintenance: Maintenance::default(),
             evacuation: EvacuationState::default(),
             next_unit: 1,
+            clock: Clock::default(),
             replan_at: None,
+            next_due: None,
+            added_jobs: Vec::new(),
             outputs: Vec::new(),
         }
     }
@@ -268,6 +283,8 @@
         let ended = entry.progress.state.is_final();
         let changed = !entry.unrecorded.is_empty() || (ended && recorded_state.is_some());
         self.jobs.insert(id.to_owned(), entry);
+        let max_age = if self.loaded_version > 0 { MAX_ARRIVAL_AGE_MS } else { u64::MAX };
+        self.added_jobs.push((id.to_owned(), max_age));
         self.replan = true;
         if changed {
             self.mark_dirty(id, ended);
@@ -391,8 +408,10 @@
     }
 
     /// Expires leases and timeouts, starts what may start, and logs what waits.
-    pub fn tick(&mut self, now: u64, wall: u64) {
+    pub fn tick(&mut self, now: u64, time_of_day: u64) {
         self.detect_suspension(now);
+        let wall = self.clock.tick(now, time_of_day);
+        self.set_accepted(time_of_day, wall);
         if now >= self.agents_checked_at + AGENT_CHECK_INTERVAL_MS {
             self.agents_checked_at = now;
             self.check_agents(now);
@@ -407,21 +426,38 @@
             self.log("settled", "", detail);
         }
         self.poll_machines(now);
-        self.advance_waves(now, wall);
+        self.advance_waves(now, time_of_day);
         // Without this, a job whose reserved capacity did not become free would wait next to idle
         // workers until some other event caused a plan.
         self.replan |= self.reservation_ends_at.take_if(|at| *at <= now).is_some();
-        let due = self.replan_at.is_some_and(|due| due <= wall);
+        let due = self.replan_at.is_some_and(|due| due <= wall)
+            || self.next_due.is_some_and(|due| due <= time_of_day);
         if due || self.clearance_retry_at.take_if(|at| *at <= now).is_some() {
             self.replan = true;
         }
         if self.replan && !self.superseded && !self.operators_unreachable(now) {
             self.replan = false;
+            self.next_due = self.update_due(time_of_day, wall);
             self.plan(now, wall);
         }
         self.log_waits(now);
     }
 
+    /// Converts when the jobs that were added since the last tick were accepted to the owner's clock.
+    fn set_accepted(&mut self, time_of_day: u64, wall: u64) {
+        for (id, max_age) in std::mem::take(&mut self.added_jobs) {
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.set_accepted(max_age, time_of_day, wall);
+            }
+        }
+    }
+
+    /// Marks the occurrences that are due, and returns when the next one is.
+    fn update_due(&mut self, time_of_day: u64, wall: u64) -> Option<u64> {
+        let open = self.jobs.values_mut().filter(|entry| !entry.progress.state.is_final());
+        open.filter_map(|entry| entry.update_due(time_of_day, wall)).min()
+    }
+
     /// Checks all timeouts that concern agents and their runs.
     fn check_agents(&mut self, now: u64) {
         for agent in self.agents.values_mut() {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -31,7 +31,7 @@
         for agent in self.agents.values_mut() {
             agent.planned_open = agent.accepts_runs(&self.settings, now);
         }
-        self.replan_at = self.update_due(wall);
+        self.replan_at = None;
         self.give_up_suspects();
         self.update_factors(now, wall);
         let mut snapshot = self.snapshot(now);
@@ -108,12 +108,6 @@
         found
     }
 
-    /// Marks the occurrences that are due, and returns when the next one is.
-    fn update_due(&mut self, time_of_day: u64) -> Option<u64> {
-        let open = self.jobs.values_mut().filter(|entry| !entry.progress.state.is_final());
-        open.filter_map(|entry| entry.update_due(time_of_day)).min()
-    }
-
     /// Returns whether all runs of a job are known. Tasks of older jobs may run already, started by a
     /// previous owner, which is known only once all agents have reported, or by a later one, until
     /// the table confirms that there is none.
@@ -363,7 +357,7 @@
         }
     }
 
-    /// Ensures that the next round of planning is no later than `at`, a time of day.
+    /// Ensures that the next round of planning is no later than `at`, by the owner's clock.
     pub(crate) fn schedule_replan(&mut self, at: u64) {
         self.replan_at = Some(self.replan_at.map_or(at, |due| due.min(at)));
     }
