Test that waits for a suspect end without another event

Other steps of an idle job wait up to 1.5 s for a task that may have crashed a worker, and tasks of any job wait until a retried suspect has run for 300 ms. Both tests fail: nothing starts, beside three idle workers.

--- /dev/null
+++ b/crates/dispatch/tests/suspect_waits.rs
@@ -0,0 +1,90 @@
+//! Waits for a task that is suspected of crashing workers end by the passing of time alone.
+
+mod harness;
+
+use harness::{Harness, job, run, step, task, worker};
+use quincewheel_job::{Step, Worker};
+use quincewheel_wire::Notice;
+
+/// Longest time that other steps of an idle job wait for a suspect.
+const OTHER_STEPS_DELAY_MS: u64 = 1500;
+/// Time for which a suspect keeps the other tasks of its job waiting after its start.
+const START_ISOLATION_MS: u64 = 300;
+/// Time between two ticks.
+const TICK_MS: u64 = 100;
+
+/// Reports a worker of this agent.
+fn report(harness: &mut Harness, number: u64, worker: Worker) {
+    let notice = Notice::Status {
+        stamp: harness.now,
+        worker: Some(worker),
+        fenced: true,
+        listed_at: Some(harness.now),
+        running: Vec::new(),
+        ended: Vec::new(),
+        truncated: false,
+    };
+    harness.deliver(number, notice);
+}
+
+/// The worker of the second rack after its crash.
+fn restarted() -> Worker {
+    Worker { id: "i3b".into(), ..worker(3) }
+}
+
+/// Creates an owner of a job `j` whose first step needs the second rack's only worker and has
+/// crashed it. The second step has not started. All workers drain.
+fn idle_job_with_a_suspect() -> Harness {
+    let mut harness = Harness::new(1, 4).with_idle_workers(4);
+    (0..3).for_each(|number| {
+        report(&mut harness, number, Worker { draining: true, ..worker(number) });
+    });
+    let suspect = Step { label: "r1".into(), ..step(1, 8) };
+    harness.owner.add_job("j", job(1, vec![suspect, step(1, 8)]), 200, None);
+    harness.tick();
+    harness.deliver(3, Notice::Started { task: task("j", 0, 0), run: 1 });
+    let starts = vec![(task("j", 0, 0), 1)];
+    let broke = worker(3).incarnation();
+    harness.deliver(3, Notice::Broke { worker: broke, starts, possible: Vec::new() });
+    report(&mut harness, 3, Worker { draining: true, ..restarted() });
+    harness.record();
+    harness.tick();
+    harness.take_orders();
+    harness
+}
+
+// The other steps of a job stood beside idle workers for good: no round of planning took place when
+// their wait for the suspect was over.
+#[test]
+fn other_steps_start_when_their_wait_for_a_suspect_is_over() {
+    let mut harness = idle_job_with_a_suspect();
+    (0..3).for_each(|number| report(&mut harness, number, worker(number)));
+    assert_eq!(harness.take_orders(), "nothing");
+    harness.advance_with_pings(OTHER_STEPS_DELAY_MS + TICK_MS, 4);
+    assert_eq!(harness.take_orders(), "w0 start j.0.1.0 run 1 ");
+}
+
+// The other tasks of a job stood beside idle workers: the worker at which the suspect was retried
+// had closed, and no round of planning took place when its start was long enough ago.
+#[test]
+fn other_steps_start_after_a_retry_at_a_worker_that_closes() {
+    let mut harness = idle_job_with_a_suspect();
+    report(&mut harness, 3, restarted());
+    assert_eq!(harness.take_orders(), "w3 start j.0.0.0 run 2 ");
+    harness.deliver(3, Notice::Started { task: task("j", 0, 0), run: 2 });
+    let running = vec![run(task("j", 0, 0), 2)];
+    let notice = Notice::Status {
+        stamp: harness.now,
+        worker: Some(Worker { draining: true, ..restarted() }),
+        fenced: true,
+        listed_at: Some(harness.now),
+        running,
+        ended: Vec::new(),
+        truncated: false,
+    };
+    harness.deliver(3, notice);
+    (0..3).for_each(|number| report(&mut harness, number, worker(number)));
+    harness.take_orders();
+    harness.advance_with_pings(2 * START_ISOLATION_MS + TICK_MS, 4);
+    assert_eq!(harness.take_orders(), "w0 start j.0.1.0 run 1 ");
+}
