Plan when a wait for a suspect is over

Callers saw tasks of a job with a suspect stand beside idle workers until some other event. isolate_suspects lets other steps of an idle job go after 1.5 s, and all others 300 ms after the start of a retried suspect was confirmed, and no round was scheduled for the first; for the second only while the worker of the suspect was open, since its recent start was looked up among open workers.

A round is now scheduled from the jobs that have suspects: for the end of the delay, and for a recent start of a suspect wherever it runs.

tests/suspect_waits.rs: both tests failed before and pass now; the other tests of the crate pass unchanged.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -49,10 +49,7 @@
             self.start_candidate(candidate, &mut snapshot, now, wall);
         }
         self.end_claims_round();
-        // No event marks the moment at which a suspected task has survived its start.
-        if snapshot.recent_starts.values().any(|start| *start == RecentStart::Suspect) {
-            self.schedule_replan(wall + START_ISOLATION_MS);
-        }
+        self.schedule_suspects(now, wall);
         self.record_held_back(now);
         self.log_ended_waits(now);
         self.end_shares();
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -88,6 +88,16 @@
         self.mark_dirty(&task.job, false);
     }
 
+    /// Schedules the rounds at which waits for suspects are over, since no event marks these times: a
+    /// suspect has survived its start, also at a worker that has closed since, or other steps of an
+    /// idle job have waited for long enough.
+    pub(crate) fn schedule_suspects(&mut self, now: u64, wall: u64) {
+        let ends = self.jobs.iter().filter_map(|(id, entry)| suspect_wait_ms(id, entry, now));
+        if let Some(ms) = ends.min() {
+            self.schedule_replan(wall + ms);
+        }
+    }
+
     /// Places a suspect where a crash loses the least work: on as few of the least used workers
     /// as can hold it. Returns the indexes of workers that it keeps free for other work.
     pub(crate) fn place_suspect(
@@ -219,6 +229,20 @@
     entry.progress.suspected_tasks().into_iter().filter(waiting).any(blocks)
 }
 
+/// Returns after how long tasks of a job that has suspects may wait for them no more.
+fn suspect_wait_ms(id: &str, entry: &Entry, now: u64) -> Option<u64> {
+    if !entry.progress.has_suspects() || entry.progress.state.is_final() {
+        return None;
+    }
+    let is_recent = |(key, placed): (&Key, &Placement)| {
+        RecentStart::of(id, entry, *key, placed, now) == Some(RecentStart::Suspect)
+    };
+    let isolation = entry.runs.iter().any(is_recent).then_some(START_ISOLATION_MS);
+    let delay = entry.idle_since.map(|since| since + OTHER_STEPS_DELAY_MS);
+    let delay = delay.filter(|until| *until > now).map(|until| until - now);
+    isolation.into_iter().chain(delay).min()
+}
+
 /// Longest time that other steps of an idle job wait until a suspect finds a worker. Without a
 /// bound a job could stall beside idle workers.
 const OTHER_STEPS_DELAY_MS: u64 = 1500;
