--- a/crates/dispatch/src/diagnosis.rs
+++ b/crates/dispatch/src/diagnosis.rs
@@ -99,8 +99,8 @@
     }
 
     /// Records waits of steps that are ready but are not candidates yet.
-    pub(crate) fn record_held_back(&mut self, now: u64, wall: u64) {
-        for (step_key, wait) in self.held_back(wall) {
+    pub(crate) fn record_held_back(&mut self, now: u64) {
+        for (step_key, wait) in self.held_back() {
             self.waits.record(step_key, wait, (0, 0), now);
         }
     }
@@ -121,8 +121,8 @@
     }
 
     /// Writes the log lines that are due.
-    pub(crate) fn log_waits(&mut self, now: u64, wall: u64) {
-        self.log_unsettled(now, wall);
+    pub(crate) fn log_waits(&mut self, now: u64) {
+        self.log_unsettled(now);
         self.review_waits(now);
         if !self.waits.has_due_lines(now) {
             return;
@@ -144,9 +144,9 @@
 
     /// Drops the waits of unsettled steps that have turned out to run. Returns how many steps are
     /// still unsettled.
-    pub(crate) fn prune_held_back(&mut self, wall: u64) -> usize {
+    pub(crate) fn prune_held_back(&mut self) -> usize {
         let held_back: BTreeSet<StepKey> = self
-            .held_back(wall)
+            .held_back()
             .into_iter()
             .filter(|(_, (_, cause))| *cause == Cause::Unsettled)
             .map(|(step_key, _)| step_key)
@@ -159,14 +159,14 @@
 
     /// Returns steps that a round of planning leaves out, or whose gang may still have runs of an
     /// earlier start.
-    fn held_back(&self, wall: u64) -> Vec<(StepKey, (usize, Cause))> {
+    fn held_back(&self) -> Vec<(StepKey, (usize, Cause))> {
         let mut found = Vec::new();
         for (id, entry) in self.jobs.iter().filter(|(_, entry)| !entry.progress.state.is_final()) {
             let candidate = self.is_accounted_for(entry) && !entry.progress.has_suspects();
             if candidate && entry.runs.is_empty() {
                 continue;
             }
-            for (occurrence, number, step) in due_steps(entry, wall) {
+            for (occurrence, number, step) in due_steps(entry) {
                 let at = (occurrence, number);
                 let open = pending_tasks(entry, occurrence, number, step, id);
                 let count = open.len();
@@ -206,10 +206,10 @@
     }
 
     /// Records the steps that have become ready since planning was paused.
-    pub(crate) fn record_paused(&mut self, now: u64, wall: u64) {
+    pub(crate) fn record_paused(&mut self, now: u64) {
         let mut found = Vec::new();
         for (id, entry) in self.jobs.iter().filter(|(_, entry)| !entry.progress.state.is_final()) {
-            for (occurrence, number, step) in due_steps(entry, wall) {
+            for (occurrence, number, step) in due_steps(entry) {
                 let tasks = pending_tasks(entry, occurrence, number, step, id).len();
                 let step_key = (id.clone(), occurrence, number);
                 if tasks > 0 && self.waits.get(&step_key).is_none() {
@@ -244,14 +244,12 @@
 }
 
 /// Returns the steps of all occurrences that are due.
-pub(crate) fn due_steps(entry: &Entry, wall: u64) -> impl Iterator<Item = (u32, u32, &Step)> {
-    let schedule = entry.job.schedule;
-    let due = move |occurrence: &u32| schedule.is_none_or(|s| s.due(*occurrence) <= wall);
+pub(crate) fn due_steps(entry: &Entry) -> impl Iterator<Item = (u32, u32, &Step)> {
     let steps = move |occurrence| {
         let steps = (0u32..).zip(&entry.job.steps);
         steps.map(move |(number, step)| (occurrence, number, step))
     };
-    (0..entry.job.occurrences()).take_while(due).flat_map(steps)
+    (0..entry.due_occurrences()).flat_map(steps)
 }
 
 /// Returns the number of a gang's tasks that cannot start because other members may still run.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -29,6 +29,10 @@
             }
             entry.idle_since = entry.runs.is_empty().then(|| entry.idle_since.unwrap_or(now));
         }
+        for agent in self.agents.values_mut() {
+            agent.planned_open = agent.accepts_runs(&self.settings, now);
+        }
+        self.replan_at = None;
         self.give_up_suspects();
         self.update_factors(now, wall);
         let mut snapshot = self.snapshot(now);
@@ -46,21 +50,16 @@
             self.start_candidate(candidate, &mut snapshot, now, wall);
         }
         self.end_claims_round();
-        // No event marks the moment at which a suspected task has survived its start.
-        if snapshot.recent_starts.values().any(|start| *start == RecentStart::Suspect) {
-            self.schedule_replan(wall + START_ISOLATION_MS);
-        }
-        self.record_held_back(now, wall);
+        self.schedule_suspects(now, wall);
+        self.record_held_back(now);
         self.log_ended_waits(now);
         self.end_shares();
     }
 
-    /// Returns the tasks that could start now, grouped by step, and sets `replan_at` to when the
-    /// next scheduled occurrence is due.
-    fn candidates(&mut self, wall: u64) -> Vec<Candidate> {
+    /// Returns the tasks that could start now, grouped by step.
+    fn candidates(&self, wall: u64) -> Vec<Candidate> {
         let now = self.now;
         let mut guarantees = self.guaranteed_usage();
-        let mut next_due: Option<u64> = None;
         let mut found = Vec::new();
         let pools = self.pools();
         let estimator = Estimator { times: self.times.get(), pools: &pools };
@@ -70,14 +69,7 @@
             if entry.progress.state.is_final() || !self.is_accounted_for(entry) {
                 continue;
             }
-            for occurrence in 0..entry.job.occurrences() {
-                if let Some(schedule) = entry.job.schedule {
-                    let due = schedule.due(occurrence);
-                    if due > wall {
-                        next_due = Some(next_due.map_or(due, |known| known.min(due)));
-                        break;
-                    }
-                }
+            for occurrence in 0..entry.due_occurrences() {
                 let objective = estimator.objective_of(entry, occurrence);
                 for (number, step) in (0u32..).zip(&entry.job.steps) {
                     let tasks = pending_tasks(entry, occurrence, number, step, id);
@@ -111,8 +103,6 @@
                 }
             }
         }
-        drop(guarantees);
-        self.replan_at = next_due;
         found
     }
 
@@ -300,7 +290,7 @@
         let tasks_by_worker =
             tasks_per_worker(entry, (candidate.occurrence, candidate.step), &snapshot.workers);
         let count = candidate.tasks.len() as u32;
-        let begin = entry.job.schedule.map_or(entry.job.accepted, |s| s.due(candidate.occurrence));
+        let begin = entry.begins_at(candidate.occurrence);
         let waits_for_rack = wall < begin + SINGLE_RACK_WAIT_MS;
         let request = Request {
             step,
@@ -365,7 +355,7 @@
         }
     }
 
-    /// Ensures that the next round of planning is no later than `at`, a time of day.
+    /// Ensures that the next round of planning is no later than `at`, by the owner's clock.
     pub(crate) fn schedule_replan(&mut self, at: u64) {
         self.replan_at = Some(self.replan_at.map_or(at, |due| due.min(at)));
     }
--- a/crates/dispatch/src/standing.rs
+++ b/crates/dispatch/src/standing.rs
@@ -30,12 +30,12 @@
 
     /// Looks for jobs of which nothing runs beside free workers, and logs when that begins, when
     /// its cause changes, and when it ends.
-    pub(crate) fn scan_standing(&mut self, now: u64, wall: u64) {
+    pub(crate) fn scan_standing(&mut self, now: u64, wall: u64, time_of_day: u64) {
         if !self.standstills.begin_scan(now) {
             return;
         }
         if self.is_planning_paused(now) {
-            self.record_paused(now, wall);
+            self.record_paused(now);
         }
         let idle = |entry: &Entry| {
             !entry.progress.state.is_final()
@@ -57,7 +57,7 @@
             }
         }
         for standstill in self.standstills.take_due_lines() {
-            let detail = self.standstill_detail(&standstill, &pools, (now, wall));
+            let detail = self.standstill_detail(&standstill, &pools, (now, wall, time_of_day));
             self.log("stands", &standstill.step.0, detail);
         }
     }
@@ -78,7 +78,7 @@
         let half_free = pools.get(&pool).filter(|occupancy| occupancy.is_half_free());
         let occupancy = half_free.ok_or(Resolution::PoolInUse)?;
         let mut resolution = Resolution::NotReady;
-        for (occurrence, number, step) in due_steps(entry, wall) {
+        for (occurrence, number, step) in due_steps(entry) {
             let tasks = pending_tasks(entry, occurrence, number, step, id);
             let since = ready_since(entry, occurrence, (now, wall));
             if tasks.is_empty() || now < since + MIN_STANDSTILL_MS {
@@ -139,7 +139,7 @@
         &self,
         standstill: &Standstill,
         pools: &BTreeMap<String, Occupancy>,
-        (now, wall): (u64, u64),
+        (now, wall, time_of_day): (u64, u64, u64),
     ) -> String {
         let Standstill { step, since, wait, .. } = standstill;
         let (id, occurrence, number) = step;
@@ -156,7 +156,7 @@
             now - since,
             self.run_count(entry),
             wait.cause.name(),
-            self.planning_detail(now, wall),
+            self.planning_detail(now, wall, time_of_day),
             self.ownership_detail(now),
         )
     }
@@ -175,15 +175,16 @@
     }
 
     /// Formats when the last round of planning began and when the next is due at the latest.
-    fn planning_detail(&self, now: u64, wall: u64) -> String {
+    fn planning_detail(&self, now: u64, wall: u64, time_of_day: u64) -> String {
         let last = match self.planned_at {
             Some(at) => format!("planned {} ms ago", now.saturating_sub(at)),
             None => "never planned".to_owned(),
         };
         let at = [self.avoidance_ends_at, self.reservation_ends_at, self.clearance_retry_at];
-        let monotonic = at.into_iter().flatten().min();
-        let monotonic = monotonic.map(|at| (at.saturating_sub(now), "monotonic clock"));
-        let by_day = self.replan_at.map(|at| (at.saturating_sub(wall), "time of day"));
+        let monotonic = at.into_iter().flatten().map(|at| at.saturating_sub(now));
+        let monotonic = monotonic.chain(self.replan_at.map(|at| at.saturating_sub(wall)));
+        let monotonic = monotonic.min().map(|ms| (ms, "monotonic clock"));
+        let by_day = self.next_due.map(|at| (at.saturating_sub(time_of_day), "time of day"));
         let next = match monotonic.into_iter().chain(by_day).min() {
             _ if self.replan => "next round is due".to_owned(),
             Some((ms, clock)) => format!("next round in {ms} ms by the {clock}"),
@@ -211,6 +212,6 @@
 
 /// Returns since when an occurrence of a job without runs has been due, by the monotonic clock.
 fn ready_since(entry: &Entry, occurrence: u32, (now, wall): (u64, u64)) -> u64 {
-    let overdue = entry.job.schedule.map(|schedule| wall.saturating_sub(schedule.due(occurrence)));
-    overdue.map_or(entry.vacated_at, |ms| entry.vacated_at.max(now.saturating_sub(ms)))
+    let overdue = wall.saturating_sub(entry.begins_at(occurrence));
+    entry.vacated_at.max(now.saturating_sub(overdue))
 }
