Bound the waits of an idle job while its pool is under half in use

The owner holds ready tasks back on purpose: for a sound worker, a trial of a doubtful one, a worker that is not avoided, a single rack, more urgent work, claims of a gang, or room that it is making. Each wait is bounded for itself or lasts until something ends; none looks at the pool as a whole, and they add up.

One rule now ends them together. If nothing of a job runs, and its tasks have waited for 1,500 ms while under half of the pool was in use, they are placed with the hard limits only: open workers, capacity, labels, limits per worker, clearance, and the isolation of suspects. Workers that are avoided or doubtful come last, and take one task if the tasks may start one by one, which is then the trial. A round of planning is scheduled for the moment at which the rule begins to apply. A reservation of the job itself does not prevent it.

In use is what the owner's books hold on all known workers, or on the open ones, whichever is less: accelerators for a step that needs any, else processors or memory. Counting processors for a step of accelerators would call most pools half empty whose accelerators are all in use, and would end the waits of the tests of trust, in which exactly half is in use.

--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -112,6 +112,8 @@
     pub(crate) review: Review,
     /// Steps that wait for their start, and what has been logged about them.
     pub(crate) waits: Waits,
+    /// Since when under half of each pool is in use: of its accelerators, or of the rest.
+    pub(crate) under_half_since: BTreeMap<(String, bool), u64>,
     /// Claims of waiting gangs on capacity.
     pub(crate) claims: Claims,
     /// Requests to the platform for its list of machines.
@@ -197,6 +199,7 @@
             settlement_log: SettlementLog::default(),
             review: Review::default(),
             waits: Waits::default(),
+            under_half_since: BTreeMap::new(),
             claims: Claims::default(),
             listing: Listing::default(),
             suspect_groups: Vec::new(),
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -14,6 +14,7 @@
 use crate::clearance::most_free;
 use crate::entry::{Entry, Phase, Placement, Reservation, Sampled};
 use crate::estimator::Estimator;
+use crate::idle_jobs::MAX_IDLE_WAIT_MS;
 use crate::owner::{MAX_TICK_GAP_MS, Owner, task};
 use crate::snapshot::{Exclusions, Snapshot};
 use crate::suspects::{RecentStart, isolate_suspects};
@@ -32,6 +33,7 @@
         self.update_factors(now, wall);
         let mut snapshot = self.snapshot(now);
         self.update_room(&snapshot);
+        self.update_under_half(&snapshot, now);
         self.prune_sound_waits();
         self.begin_shares(now, wall);
         let mut candidates = self.candidates(wall);
@@ -205,13 +207,16 @@
         let occurrence_step = (candidate.occurrence, candidate.step);
         let own = |reservation: &&Reservation| candidate.tasks.contains(&reservation.task);
         if let Some(reservation) = entry.reservations.get(&occurrence_step).filter(own).cloned() {
+            if self.start_idle_job(candidate, snapshot, (now, wall)) {
+                self.drop_reservation(candidate);
+                self.replan |= self.unplaced_tasks(candidate) > 0;
+                return;
+            }
             if self.use_reservation(candidate, &reservation, snapshot, now) {
                 self.record_reserved_wait(candidate, now);
                 return;
             }
-            if let Some(entry) = self.jobs.get_mut(&candidate.id) {
-                entry.reservations.remove(&occurrence_step);
-            }
+            self.drop_reservation(candidate);
         }
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let Some(step) = entry.job.steps.get(candidate.step as usize).cloned() else { return };
@@ -242,6 +247,12 @@
         };
         let claimed = self.return_claimed(candidate, withheld, snapshot);
         snapshot.lift_limits(limits);
+        if self.unplaced_tasks(candidate) > 0
+            && self.start_idle_job(candidate, snapshot, (now, wall))
+        {
+            // Nothing needs the room any more that the ordinary attempt may have begun to make.
+            self.drop_reservation(candidate);
+        }
         if self.unplaced_tasks(candidate) == 0 {
             return;
         }
@@ -262,6 +273,17 @@
         self.record_wait(candidate, snapshot, &restrictions, now);
     }
 
+    /// Drops the reservation for the candidate's tasks.
+    fn drop_reservation(&mut self, candidate: &Candidate) {
+        if let Some(entry) = self.jobs.get_mut(&candidate.id) {
+            let own = |reservation: &Reservation| candidate.tasks.contains(&reservation.task);
+            let step = (candidate.occurrence, candidate.step);
+            if entry.reservations.get(&step).is_some_and(own) {
+                entry.reservations.remove(&step);
+            }
+        }
+    }
+
     /// Starts as many of a candidate's tasks as it can on workers other than those at the
     /// `excluded` indexes. Returns the indexes of workers that it keeps free for other work.
     pub(crate) fn place_excluding(
@@ -347,7 +369,7 @@
     /// since 1970; none if it may use them now.
     ///
     /// While half of the pool is free, a job of which nothing runs defers for
-    /// [`MAX_IDLE_DEFERRAL_MS`] at most. Urgent work finds capacity there anyway, and users would
+    /// [`MAX_IDLE_WAIT_MS`] at most. Urgent work finds capacity there anyway, and users would
     /// not understand a job that waits next to idle workers until its deadline is near.
     pub(crate) fn deferred_until(
         &self,
@@ -358,8 +380,8 @@
         let until = candidate.rank.yields_workers_until().filter(|&until| until > wall)?;
         let idle = self.jobs.get(&candidate.id).and_then(|entry| entry.idle_since);
         match idle.filter(|_| half_free) {
-            Some(since) if now >= since + MAX_IDLE_DEFERRAL_MS => None,
-            Some(since) => Some(until.min(wall + since + MAX_IDLE_DEFERRAL_MS - now)),
+            Some(since) if now >= since + MAX_IDLE_WAIT_MS => None,
+            Some(since) => Some(until.min(wall + since + MAX_IDLE_WAIT_MS - now)),
             None => Some(until),
         }
     }
@@ -391,8 +413,9 @@
         for &(index, worker_index) in pairs {
             let state = &mut snapshot.workers[worker_index];
             state.free.subtract(&need);
-            snapshot.actual_free[worker_index].subtract(&need);
             let name = state.name.clone();
+            snapshot.actual_free[worker_index].subtract(&need);
+            snapshot.record_use(worker_index, &need);
             let recent_start =
                 if candidate.suspect { RecentStart::Suspect } else { RecentStart::Any };
             recent_start.record(&mut snapshot.recent_starts, worker_index);
@@ -492,10 +515,6 @@
     tasks_by_worker
 }
 
-/// How long a job of which nothing runs leaves whole workers to urgent work while half of the
-/// pool is free.
-const MAX_IDLE_DEFERRAL_MS: u64 = 1500;
-
 /// How long a gang that prefers a single rack waits for one while half of the pool is free. A
 /// stop takes up to 900 ms, so capacity for the gang becomes free sooner.
 const SINGLE_RACK_WAIT_MS: u64 = 2000;
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -9,6 +9,7 @@
 
 use crate::agent::Agent;
 use crate::entry::{Key, Phase};
+use crate::occupancy::Occupancy;
 use crate::owner::Owner;
 use crate::reports::task_key;
 use crate::suspects::RecentStart;
@@ -29,6 +30,8 @@
     pub levels: Vec<i32>,
     /// The standing of each worker; empty while failures do not count against workers.
     pub standings: Vec<Standing>,
+    /// What is in use of each pool.
+    pub occupancy: BTreeMap<String, Occupancy>,
 }
 
 /// Indexes of workers that a step must not use, by reason.
@@ -67,6 +70,21 @@
         }
     }
 
+    /// Makes the workers at these indexes the last choice. Returns what they were, in this order.
+    pub fn deprioritize(&mut self, indexes: &[usize]) -> Vec<(usize, bool)> {
+        let set = |&index: &usize| {
+            (index, std::mem::replace(&mut self.workers[index].deprioritized, true))
+        };
+        indexes.iter().map(set).collect()
+    }
+
+    /// Counts what a task takes that was started on a worker.
+    pub fn record_use(&mut self, index: usize, need: &Resources) {
+        if let Some(occupancy) = self.occupancy.get_mut(&self.workers[index].pool) {
+            occupancy.add_run(need, true);
+        }
+    }
+
     /// Returns the indexes of all workers, those with the fewest accelerators and CPUs in use
     /// first.
     pub fn least_used(&self) -> Vec<usize> {
@@ -111,12 +129,14 @@
     pub(crate) fn snapshot(&self, now: u64) -> Snapshot {
         let mut workers: Vec<WorkerState> = Vec::new();
         let mut index_by_agent: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut occupancy: BTreeMap<String, Occupancy> = BTreeMap::new();
         for (name, agent) in &self.agents {
-            let Some(worker) =
-                agent.worker.as_ref().filter(|_| agent.accepts_runs(&self.settings, now))
-            else {
+            let Some(worker) = agent.worker.as_ref() else { continue };
+            let open = agent.accepts_runs(&self.settings, now);
+            occupancy.entry(worker.pool.clone()).or_default().add_worker(&worker.capacity, open);
+            if !open {
                 continue;
-            };
+            }
             index_by_agent.insert(name, workers.len());
             workers.push(WorkerState {
                 name: name.clone(),
@@ -142,8 +162,13 @@
             for (key, placed) in &entry.runs {
                 let Some(step) = entry.step(*key) else { continue };
                 units.entry(placed.unit).or_default().push((id.clone(), *key));
-                let Some(&index) = index_by_agent.get(placed.agent.as_str()) else { continue };
                 let need = step.resources();
+                let open = index_by_agent.get(placed.agent.as_str());
+                let pool = self.agents.get(&placed.agent).and_then(|agent| agent.worker.as_ref());
+                if let Some(pool) = pool.and_then(|worker| occupancy.get_mut(&worker.pool)) {
+                    pool.add_run(&need, open.is_some());
+                }
+                let Some(&index) = open else { continue };
                 workers[index].free.subtract(&need);
                 if let Some(started) = RecentStart::of(id, entry, *key, placed, now) {
                     started.record(&mut recent_starts, index);
@@ -179,7 +204,7 @@
         let actual_free = workers.iter().map(|worker| worker.free).collect();
         let levels = self.speed_levels(&workers);
         let standings = self.standings(&workers, now);
-        Snapshot { workers, actual_free, units, recent_starts, levels, standings }
+        Snapshot { workers, actual_free, units, recent_starts, levels, standings, occupancy }
     }
 
     /// Returns a worker's capacity less that of its stray runs, which occupy it until they have
