Request clearance first for a step for which there is room

The service answers one request at a time, for twelve workers at most, and each round asked for the first candidate in the order of ranks that had uncleared workers left. A gang for which there was no room asked for all of its pool that way, 14 requests of 220 ms for 160 workers, and began again as the first tickets expired: with three such gangs nothing behind them was ever cleared.

The request of a round is now chosen at its end, when it is known what each step waits for: the first candidate for which there would be room with a clearance, else the first as before.

--- a/crates/dispatch/src/cause.rs
+++ b/crates/dispatch/src/cause.rs
@@ -75,6 +75,11 @@
         [Cause::Pool, Cause::Label, Cause::Closed, Cause::Few].contains(&self)
     }
 
+    /// Returns whether the tasks would not fit either if nothing held them back on purpose.
+    pub(crate) fn is_lack_of_capacity(self) -> bool {
+        self.is_lack_of_workers() || [Cause::Room, Cause::Share].contains(&self)
+    }
+
     /// Returns the cause's name in the log and in metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/dispatch/src/clearance.rs
+++ b/crates/dispatch/src/clearance.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Id, Incarnation};
+use quincewheel_job::{Id, Incarnation, Step};
 use quincewheel_place::WorkerState;
 
 use crate::candidate::Candidate;
@@ -129,29 +129,45 @@
         }
     }
 
-    /// Requests clearance for the candidate's step, one request at a time. `workers` are ordered by
-    /// free capacity, the largest first.
-    pub(crate) fn request_clearance(
-        &mut self,
+    /// Notes the request that the candidate's step needs, for workers at these indexes. One request
+    /// is sent at a time, so a step for which there is room comes before all others: a gang that waits
+    /// for room may need clearance for more workers than can be requested before the first tickets
+    /// expire, and no other step would ever be cleared.
+    pub(crate) fn note_clearance_request(
+        &self,
         candidate: &Candidate,
-        workers: Vec<Incarnation>,
-        now: u64,
+        indexes: &[usize],
+        (step, pool): (&Step, &str),
+        snapshot: &mut Snapshot,
     ) {
-        if self.clearance_pending {
+        let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
+        let has_room = self.waits.cause(&key).is_some_and(|cause| !cause.is_lack_of_capacity());
+        let known = snapshot.clearance_request.as_ref().map(|(has_room, _)| *has_room);
+        if self.clearance_pending || known.is_some_and(|known| known || !has_room) {
             return;
         }
-        let Some(entry) = self.jobs.get_mut(&candidate.id) else { return };
-        let occurrence_step = (candidate.occurrence, candidate.step);
-        let clearance = entry.clearances.entry(occurrence_step).or_default();
-        let unknown = workers.into_iter().filter(|worker| clearance.needs_request(worker, now));
-        let workers: Vec<Incarnation> = unknown.take(MAX_REQUESTED_WORKERS).collect();
-        if workers.is_empty() {
-            return;
+        let Some(entry) = self.jobs.get(&candidate.id) else { return };
+        let clearance = entry.clearances.get(&(candidate.occurrence, candidate.step));
+        let needs_request = |worker: &Incarnation| {
+            clearance.is_none_or(|clearance| clearance.needs_request(worker, self.now))
+        };
+        // The workers with the most free capacity come first.
+        let workers = most_free(indexes, snapshot, pool, &step.label).into_iter();
+        let workers: Vec<Incarnation> =
+            workers.filter(needs_request).take(MAX_REQUESTED_WORKERS).collect();
+        if !workers.is_empty() {
+            let (job, occurrence, step) = key;
+            let request = ClearanceRequest { job, occurrence, step, workers };
+            snapshot.clearance_request = Some((has_room, request));
+        }
+    }
+
+    /// Sends the request that was noted in a round of planning.
+    pub(crate) fn request_clearance(&mut self, snapshot: &mut Snapshot) {
+        if let Some((_, request)) = snapshot.clearance_request.take() {
+            self.clearance_pending = true;
+            self.outputs.push(Output::RequestClearance { request });
         }
-        let (job, (occurrence, step)) = (candidate.id.clone(), occurrence_step);
-        let request = ClearanceRequest { job, occurrence, step, workers };
-        self.clearance_pending = true;
-        self.outputs.push(Output::RequestClearance { request });
     }
 
     /// Returns the indexes of workers that the step is not cleared for. Empty on a queue that needs
@@ -175,7 +191,7 @@
 
 /// Returns the workers at these indexes that could run a step, those with the most free
 /// accelerators first.
-pub(crate) fn most_free(
+fn most_free(
     indexes: &[usize],
     snapshot: &Snapshot,
     pool: &str,
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -11,7 +11,6 @@
 use quincewheel_wire::Order;
 
 use crate::candidate::Candidate;
-use crate::clearance::most_free;
 use crate::entry::{Entry, Phase, Placement, Reservation, Sampled};
 use crate::estimator::Estimator;
 use crate::idle_jobs::MAX_IDLE_WAIT_MS;
@@ -46,6 +45,7 @@
         for candidate in &candidates {
             self.start_candidate(candidate, &mut snapshot, now, wall);
         }
+        self.request_clearance(&mut snapshot);
         self.end_claims_round();
         // No event marks the moment at which a suspected task has survived its start.
         if snapshot.recent_starts.values().any(|start| *start == RecentStart::Suspect) {
@@ -262,15 +262,12 @@
         if !excluded.apart.is_empty() {
             self.schedule_replan(wall + START_ISOLATION_MS);
         }
-        if !excluded.uncleared.is_empty() {
-            self.request_clearance(
-                candidate,
-                most_free(&excluded.uncleared, snapshot, &pool, &step.label),
-                now,
-            );
-        }
         let restrictions = snapshot.restrictions((&kept_free, &claimed), &excluded);
         self.record_wait(candidate, snapshot, &restrictions, now);
+        if !excluded.uncleared.is_empty() {
+            let uncleared = &excluded.uncleared;
+            self.note_clearance_request(candidate, uncleared, (&step, &pool), snapshot);
+        }
     }
 
     /// Drops the reservation for the candidate's tasks.
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -8,6 +8,7 @@
 use quincewheel_trust::Standing;
 
 use crate::agent::Agent;
+use crate::clearance::ClearanceRequest;
 use crate::entry::{Key, Phase};
 use crate::occupancy::Occupancy;
 use crate::owner::Owner;
@@ -32,6 +33,8 @@
     pub standings: Vec<Standing>,
     /// What is in use of each pool.
     pub occupancy: BTreeMap<String, Occupancy>,
+    /// The clearance to request after this round, and whether there is room for its step.
+    pub clearance_request: Option<(bool, ClearanceRequest)>,
 }
 
 /// Indexes of workers that a step must not use, by reason.
@@ -204,7 +207,16 @@
         let actual_free = workers.iter().map(|worker| worker.free).collect();
         let levels = self.speed_levels(&workers);
         let standings = self.standings(&workers, now);
-        Snapshot { workers, actual_free, units, recent_starts, levels, standings, occupancy }
+        Snapshot {
+            workers,
+            actual_free,
+            units,
+            recent_starts,
+            levels,
+            standings,
+            occupancy,
+            clearance_request: None,
+        }
     }
 
     /// Returns a worker's capacity less that of its stray runs, which occupy it until they have
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -99,6 +99,11 @@
         self.steps.get(step).map(|wait| wait.waiting_since)
     }
 
+    /// Returns what a step waits for.
+    pub fn cause(&self, step: &StepKey) -> Option<Cause> {
+        self.steps.get(step).map(|wait| wait.cause)
+    }
+
     /// Ends the round. Steps that were not recorded in it no longer wait; those that had waited
     /// for at least [`MIN_LOGGED_ENDED_WAIT_MS`] are returned.
     pub fn end_round(&mut self, now: u64) -> Vec<(StepKey, Wait)> {
