Notice in each round and at each closing whether a pool is under half in use

A wait ended early in a pool of which half was in use for the last 500 ms: the round of planning that filled the pool had looked before its own starts, and no other round followed until a run ended. A pool is now looked at before and after the starts of each round.

Workers that close leave others of which under half is in use, but cause no round, so that nothing noticed. The review of waits, each second, now plans if other workers are closed than before and anything waits.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -45,6 +45,7 @@
         for candidate in &candidates {
             self.start_candidate(candidate, &mut snapshot, now, wall);
         }
+        self.update_under_half(&snapshot, now);
         self.request_clearance(&mut snapshot);
         self.end_claims_round();
         // No event marks the moment at which a suspected task has survived its start.
--- a/crates/dispatch/src/review.rs
+++ b/crates/dispatch/src/review.rs
@@ -34,8 +34,9 @@
             return;
         }
         self.review.closed_agents = closed;
-        // Claims on a worker that has closed move to others.
-        self.replan |= !self.claims.is_empty();
+        // Claims on a worker that has closed move to others, and of those that are left under half
+        // may be in use.
+        self.replan |= !self.claims.is_empty() || !self.waits.is_empty();
         let waits = self.waits.waiting_for_workers();
         if waits.is_empty() {
             return;
--- a/crates/dispatch/tests/half_empty_pool.rs
+++ b/crates/dispatch/tests/half_empty_pool.rs
@@ -43,9 +43,15 @@
 }
 
 /// Creates a site of ten workers of which this one is doubtful: three trials have failed there, so
-/// that the next one is due after 4 s.
+/// that the next one is due after 2 to 4 s.
 fn with_doubtful(worker: u64, rack: &str) -> Site {
     let mut site = Site::new(1, 10);
+    fail_three(&mut site, worker, rack);
+    site
+}
+
+/// Lets three trials fail on a worker.
+fn fail_three(site: &mut Site, worker: u64, rack: &str) {
     for name in ["x", "y", "z"] {
         // Other tasks of the rack run on the other workers of it.
         site.add(name, labelled(rack, 1, whole(1)));
@@ -55,7 +61,6 @@
         }
         site.end(worker, How::Failed);
     }
-    site
 }
 
 // A job stood beside idle workers of which nothing is known, since two other ones are sound.
@@ -322,6 +327,54 @@
     job
 }
 
+/// Creates a site of ten workers on which a task has failed late at the only worker of its label, and
+/// other work has used this many of the other workers since 600 ms ago.
+fn with_other_work(used: u32) -> Site {
+    let mut site = Site::new(1, 10);
+    site.add("a", labelled("r3", 2, whole(1)));
+    site.pass(2000);
+    site.end(9, How::Failed);
+    site.pass(600);
+    site.add("long", job(1, vec![whole(used)]));
+    site
+}
+
+// The bound of a half-empty pool ended waits in a pool of which half is in use, and of one that had
+// been full until just before.
+#[test]
+fn half_empty_bound_applies_only_once_under_half_was_in_use_for_as_long() {
+    let mut half = with_other_work(5);
+    let mut before = with_other_work(5);
+    before.pass(500);
+    before.end(0, How::Done);
+    let starts = [start_of(&mut half, "a"), start_of(&mut before, "a")];
+    assert_snapshot!(starts.join("\n"), @r"
+    after 1900 ms a.0.0.0 at w9
+    after 1400 ms a.0.0.0 at w9
+    ");
+}
+
+// Work on workers that have closed hid that most of the open ones are idle.
+#[test]
+fn half_empty_open_workers_alone_end_waits() {
+    let mut site = Site::new(1, 10);
+    site.add("long", job(1, vec![whole(6)]));
+    fail_three(&mut site, 9, "r3");
+    site.add("a", labelled("r3", 3, whole(1)));
+    // Until the former tasks no longer avoid the worker, which causes a round.
+    site.pass(600);
+    (0..6).for_each(|number| site.harness.owner.on_disconnected(number));
+    let before = site.harness.now;
+    let mut starts = site.take_starts();
+    while !starts.contains("a.") && site.harness.now < before + 5000 {
+        site.harness.advance(100);
+        (6..10).for_each(|number| site.harness.report_status(number, &[], &[]));
+        starts = site.take_starts();
+    }
+    let waited = site.harness.now - before;
+    assert_snapshot!(format!("after {waited} ms {starts}"), @"after 1900 ms a.0.0.0 at w9");
+}
+
 // A job had no clearance for 3 s, since an earlier gang, for which there was no room, requested it for
 // 160 workers, twelve at a time.
 #[test]
