--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -119,6 +119,8 @@
     pub(crate) standstills: Standstills,
     /// When the last round of planning began; none before the first.
     pub(crate) planned_at: Option<u64>,
+    /// Since when under half of each pool is in use: of its accelerators, or of the rest.
+    pub(crate) under_half_since: BTreeMap<(String, bool), u64>,
     /// Claims of waiting gangs on capacity.
     pub(crate) claims: Claims,
     /// Requests to the platform for its list of machines.
@@ -216,6 +218,7 @@
             waits: Waits::default(),
             standstills: Standstills::default(),
             planned_at: None,
+            under_half_since: BTreeMap::new(),
             claims: Claims::default(),
             listing: Listing::default(),
             suspect_groups: Vec::new(),
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -99,6 +99,21 @@
         self.steps.get(step)
     }
 
+    /// Returns whether no step waits.
+    pub fn is_empty(&self) -> bool {
+        self.steps.is_empty()
+    }
+
+    /// Returns since when a step has been waiting.
+    pub fn waiting_since(&self, step: &StepKey) -> Option<u64> {
+        self.steps.get(step).map(|wait| wait.waiting_since)
+    }
+
+    /// Returns what a step waits for.
+    pub fn cause(&self, step: &StepKey) -> Option<Cause> {
+        self.steps.get(step).map(|wait| wait.cause)
+    }
+
     /// Ends the round. Steps that were not recorded in it no longer wait; those that had waited
     /// for at least [`MIN_LOGGED_ENDED_WAIT_MS`] are returned.
     pub fn end_round(&mut self, now: u64) -> Vec<(StepKey, Wait)> {
