Bound the scan for standing jobs and its lines

Checks of equal demands are shared and no more than 300,000 workers are gone through in a scan of a pool, oldest waits first; beyond that a job does not count as standing. At most ten lines `stood` come with a scan, and the rest as a number.

`stands` tells the end of a worker's backoff as the next round, and `next round when settled`.

--- a/crates/dispatch/src/cause.rs
+++ b/crates/dispatch/src/cause.rs
@@ -147,7 +147,7 @@
             Cause::Reserved => "the work that makes room has stopped",
             Cause::Clearance => "the step is cleared for a worker with room",
             Cause::Avoided => "the workers named are no longer avoided or others have room",
-            Cause::Doubted => "a sound worker has room, a trial is due or 5 s have passed",
+            Cause::Doubted => "a sound worker has room, a trial is due or its wait for one is over",
             Cause::Apart => "the tasks that have just started there outlive their starts",
             Cause::Share => "teams that use less have no work waiting or other work ends",
             Cause::Unconfirmed => "the table confirms the ownership",
--- a/crates/dispatch/src/occupancy.rs
+++ b/crates/dispatch/src/occupancy.rs
@@ -22,8 +22,22 @@
     largest: Resources,
     /// Number of closed workers by reason.
     closed: BTreeMap<&'static str, usize>,
+    /// Whether demands that were checked fit. Many jobs have the same.
+    checked: Vec<(Demand, bool)>,
 }
 
+/// What tasks of a step need together.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Demand {
+    label: String,
+    need: Resources,
+    per_worker: u32,
+    tasks: u32,
+}
+
+/// Most workers that are gone through for the demands of one scan. Each takes some 100 ns.
+const MAX_CHECKED_WORKERS: usize = 300_000;
+
 impl Occupancy {
     /// Returns whether less than half of the accelerators, processors or memory is in use.
     pub fn is_half_free(&self) -> bool {
@@ -34,12 +48,26 @@
     }
 
     /// Returns whether this number of tasks would fit twice on the free capacity of the open
-    /// workers, wherever the step prefers to run.
-    pub fn fits_twice(&self, step: &Step, pool: &str, tasks: u32) -> bool {
-        if !step.resources().fits(&self.largest) {
+    /// workers, wherever the step prefers to run. False if too many demands were checked before.
+    pub fn fits_twice(&mut self, step: &Step, pool: &str, tasks: u32) -> bool {
+        let (need, label) = (step.resources(), step.label.clone());
+        if !need.fits(&self.largest) {
             return false;
         }
-        let count = tasks * 2;
+        let demand = Demand { label, need, per_worker: step.per_worker, tasks };
+        if let Some((_, fits)) = self.checked.iter().find(|(known, _)| *known == demand) {
+            return *fits;
+        }
+        if self.checked.len() * self.open.len() > MAX_CHECKED_WORKERS {
+            return false;
+        }
+        let fits = self.holds(step, pool, tasks.saturating_mul(2));
+        self.checked.push((demand, fits));
+        fits
+    }
+
+    /// Returns whether the free capacity of the open workers holds this number of tasks.
+    fn holds(&self, step: &Step, pool: &str, count: u32) -> bool {
         let request = Request {
             step,
             pool,
@@ -51,7 +79,10 @@
         };
         let mut left = u64::from(count);
         for (index, worker) in self.open.iter().enumerate() {
-            if left > 0 && request.is_eligible(worker) {
+            if left == 0 {
+                break;
+            }
+            if request.is_eligible(worker) {
                 left = left.saturating_sub(request.max_tasks(index, &worker.free));
             }
         }
--- a/crates/dispatch/src/standing.rs
+++ b/crates/dispatch/src/standing.rs
@@ -16,6 +16,7 @@
 use crate::plan::{RUNS_PER_EPOCH, pending_tasks};
 use crate::resolution::Resolution;
 use crate::standstill::Standstill;
+use crate::standstills::MAX_LINES_PER_SCAN;
 use crate::wait_detail::list;
 use crate::waits::{StepKey, Wait};
 
@@ -42,19 +43,29 @@
                 && entry.runs.is_empty()
                 && now >= entry.vacated_at + MIN_STANDSTILL_MS
         };
-        let ids: Vec<Id> =
-            self.jobs.iter().filter(|(_, entry)| idle(entry)).map(|(id, _)| id.clone()).collect();
+        let mut idle: Vec<(u64, &Id)> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| idle(entry))
+            .map(|(id, entry)| (entry.vacated_at, id))
+            .collect();
+        idle.sort_unstable();
+        let ids: Vec<Id> = idle.into_iter().map(|(_, id)| id.clone()).collect();
         if ids.is_empty() && self.standstills.is_empty() {
             return;
         }
-        let pools = self.occupancies(now);
-        let find = |id: Id| Some((id.clone(), self.standstill(&id, &pools, (now, wall)).ok()?));
+        let mut pools = self.occupancies(now);
+        let find = |id: Id| Some((id.clone(), self.standstill(&id, &mut pools, (now, wall)).ok()?));
         let found: BTreeMap<Id, Standstill> = ids.into_iter().filter_map(find).collect();
-        for (id, standstill) in self.standstills.replace(found) {
-            if standstill.logged_cause.is_some() {
-                let resolution = self.standstill(&id, &pools, (now, wall)).err();
-                self.log_stood(&id, &standstill, resolution, now);
-            }
+        let mut ended = self.standstills.replace(found);
+        ended.retain(|_, standstill| standstill.logged_cause.is_some());
+        for (id, standstill) in ended.iter().take(MAX_LINES_PER_SCAN) {
+            let resolution = self.standstill(id, &mut pools, (now, wall)).err();
+            self.log_stood(id, standstill, resolution, now);
+        }
+        if ended.len() > MAX_LINES_PER_SCAN {
+            let more = ended.len() - MAX_LINES_PER_SCAN;
+            self.log("stood", "", format!("{more} more no longer stand"));
         }
         for standstill in self.standstills.take_due_lines() {
             let detail = self.standstill_detail(&standstill, &pools, (now, wall));
@@ -66,7 +77,7 @@
     fn standstill(
         &self,
         id: &Id,
-        pools: &BTreeMap<String, Occupancy>,
+        pools: &mut BTreeMap<String, Occupancy>,
         (now, wall): (u64, u64),
     ) -> Result<Standstill, Resolution> {
         let open = self.jobs.get(id).filter(|entry| !entry.progress.state.is_final());
@@ -75,7 +86,7 @@
             return Err(Resolution::Started);
         }
         let pool = self.pool_of(entry);
-        let half_free = pools.get(&pool).filter(|occupancy| occupancy.is_half_free());
+        let half_free = pools.get_mut(&pool).filter(|occupancy| occupancy.is_half_free());
         let occupancy = half_free.ok_or(Resolution::PoolInUse)?;
         let mut resolution = Resolution::NotReady;
         for (occurrence, number, step) in due_steps(entry, wall) {
@@ -181,11 +192,14 @@
             None => "never planned".to_owned(),
         };
         let at = [self.avoidance_ends_at, self.reservation_ends_at, self.clearance_retry_at];
-        let monotonic = at.into_iter().flatten().min();
+        let refusals = self.agents.values().map(|agent| agent.refusals.until);
+        let refusals = refusals.filter(|until| *until > 0);
+        let monotonic = at.into_iter().flatten().chain(refusals).min();
         let monotonic = monotonic.map(|at| (at.saturating_sub(now), "monotonic clock"));
         let by_day = self.replan_at.map(|at| (at.saturating_sub(wall), "time of day"));
         let next = match monotonic.into_iter().chain(by_day).min() {
             _ if self.replan => "next round is due".to_owned(),
+            None if !self.settled => "next round when settled".to_owned(),
             Some((ms, clock)) => format!("next round in {ms} ms by the {clock}"),
             None => "no next round".to_owned(),
         };
--- a/crates/dispatch/src/standstills.rs
+++ b/crates/dispatch/src/standstills.rs
@@ -7,8 +7,8 @@
 
 /// Time between two scans for jobs of which nothing runs. A scan covers all jobs and workers.
 const SCAN_INTERVAL_MS: u64 = 1000;
-/// Most lines of one scan, so that a reader can follow them.
-const MAX_LINES_PER_SCAN: usize = 10;
+/// Most lines of either kind of one scan, so that a reader can follow them.
+pub(crate) const MAX_LINES_PER_SCAN: usize = 10;
 
 /// The jobs of which nothing runs beside free workers, as of the last scan.
 #[derive(Debug, Default)]
--- a/crates/dispatch/tests/standing.rs
+++ b/crates/dispatch/tests/standing.rs
@@ -7,7 +7,7 @@
 use harness::{Harness, end, job, run, step, task};
 use insta::assert_snapshot;
 use quincewheel_dispatch::Settings;
-use quincewheel_job::{Evacuation, How, Job, Machine, Schedule, Step};
+use quincewheel_job::{Advice, Evacuation, How, Job, Machine, Schedule, Step};
 use quincewheel_wire::Notice;
 
 const EVENTS: [&str; 3] = ["waits", "stands", "stood"];
@@ -120,7 +120,7 @@
     }
     harness.advance_with_pings(9000, 4);
     assert_snapshot!(harness.take_logs(), @r"
-    stands old: old.0.0, 1 tasks, 3000 ms, 0 runs before: unsettled: for w4 no connection; pool p: free 32 of 32 accelerators, 256 of 256 cores; 4 workers open; planned 3000 ms ago, no next round; not settled
+    stands old: old.0.0, 1 tasks, 3000 ms, 0 runs before: unsettled: for w4 no connection; pool p: free 32 of 32 accelerators, 256 of 256 cores; 4 workers open; planned 3000 ms ago, next round when settled; not settled
     stood old: old.0.0, 7700 ms: started; before: unsettled
     ");
 }
@@ -234,3 +234,61 @@
     waits bad: bad.0.0, 2 tasks, 2900 ms: a suspect starts first: may have crashed workers: bad.0.0.0, bad.0.0.1, bad.0.0.2
     ");
 }
+
+// Guards against a cause that is told once and is another one for the rest of the wait.
+#[test]
+fn job_that_stands_is_logged_again_with_another_cause() {
+    let mut harness = idle_owner(5);
+    harness
+        .owner
+        .update_settings(Settings { evacuation_deadline: Some(9000), ..Settings::default() });
+    harness.owner.set_evacuation(&Evacuation::default(), harness.now);
+    let mut cleared = job(1, vec![step(1, 8)]);
+    cleared.queue.advice = Some(Advice { decide: 100, each: 10, valid: 5000 });
+    add_job(&mut harness, "a", 150, cleared);
+    harness.advance_with_pings(8000, 5);
+    add_job(&mut harness, "b", 151, job(1, vec![step(1, 8)]));
+    harness.advance_with_pings(2000, 5);
+    assert_snapshot!(harness.take_logs(), @r"
+    waits a: a.0.0, 1 tasks, 1000 ms: no clearance: a question is out; may not run at 0, cleared for 0
+    stands a: a.0.0, 1 tasks, 3000 ms, 0 runs before: no clearance: a question is out; may not run at 0, cleared for 0; pool p: free 40 of 40 accelerators, 320 of 320 cores; 5 workers open; planned 1000 ms ago, no next round; settled
+    stands a: a.0.0, 1 tasks, 9000 ms, 0 runs before: planning paused: operators not heard for 9000 ms; pool p: free 40 of 40 accelerators, 320 of 320 cores; 5 workers open; planned 7000 ms ago, next round is due; settled, operators not heard for 9000 ms
+    waits b: b.0.0, 1 tasks, 1000 ms: planning paused: operators not heard for 10000 ms
+    ");
+}
+
+// Guards against a log that is flooded by thousands of jobs that stand and start again together.
+#[test]
+fn lines_about_standing_jobs_are_limited_per_second() {
+    let mut harness = idle_owner(9);
+    harness.logged_events = vec!["stands", "stood"];
+    let settings = Settings { evacuation_deadline: Some(5000), ..Settings::default() };
+    harness.owner.update_settings(settings);
+    harness.owner.set_evacuation(&Evacuation::default(), harness.now);
+    harness.advance_with_pings(4000, 9);
+    for number in 10..25 {
+        harness.owner.add_job(&format!("a{number}"), job(1, vec![step(1, 1)]), 150 + number, None);
+    }
+    let mut seconds = Vec::new();
+    for second in 0..7 {
+        if second == 5 {
+            harness.owner.set_evacuation(&Evacuation::default(), harness.now);
+        }
+        harness.advance_with_pings(1000, 9);
+        let lines = harness.take_logs();
+        let jobs = |event: &str| lines.lines().filter(|line| line.starts_with(event)).count();
+        let rest = lines.lines().filter(|line| line.starts_with("stood :"));
+        let rest = rest.collect::<Vec<_>>().join("; ");
+        let counts = format!("{} stand, {} stood; {rest}", jobs("stands a"), jobs("stood a"));
+        seconds.push(counts.trim_end_matches("; ").to_owned());
+    }
+    assert_snapshot!(seconds.join("\n"), @r"
+    0 stand, 0 stood
+    0 stand, 0 stood
+    10 stand, 0 stood
+    5 stand, 0 stood
+    0 stand, 0 stood
+    0 stand, 10 stood; stood : 5 more no longer stand
+    0 stand, 0 stood
+    ");
+}
--- a/crates/entry/tests/explain.rs
+++ b/crates/entry/tests/explain.rs
@@ -130,7 +130,7 @@
     let runs = last_line(&format!("{STANDING}{started}"));
     let over = last_line(&format!("{STANDING}{ended}"));
     assert_snapshot!(format!("{stands}\n{runs}\n{over}"), @r"
-    aa.0.0 does not run, since 2.010 (told by e1 at 5.010): waits for a sound worker; ends when a sound worker has room, a trial is due or 5 s have passed
+    aa.0.0 does not run, since 2.010 (told by e1 at 5.010): waits for a sound worker; ends when a sound worker has room, a trial is due or its wait for one is over
         7.010  e1                       start: aa.0.0.0 run 2 at w2
         9.000  e1                       job ended: Cancelled
     ");
