Plan after the late end of a run that was taken for over

What callers saw: a job stood beside idle workers until some other event.

Cause: an end caused a round of planning only if its run was still in the owner's books. A run that its worker does not list is stopped and taken for over; if its worker then lists it as done, the task is marked done, and the job's next step is ready without a round.

Evidence: late_ends.rs; six of nine workers idle, nothing starts within 6 s. It passes with this change.

Why it works: the end of a run that is in no book now causes a round as well.

--- a/crates/dispatch/src/ends.rs
+++ b/crates/dispatch/src/ends.rs
@@ -25,7 +25,8 @@
         let run = current.then(|| entry.remove_run(&key, now)).flatten();
         let later = entry.runs.get(&key).filter(|placed| placed.run > end.run);
         let later = later.map(|placed| format!("run {} at {}", placed.run, placed.agent));
-        self.replan |= current;
+        // The end of a run that was taken for over may also be what later steps wait for.
+        self.replan |= current || vacant;
         if current || vacant {
             entry.update_checkpoint(slot, &end.saved);
         }
