Search light courses for jobs that stand beside free workers

What callers saw: an accepted job had nothing running for 3 s or more, although a task of it could run, there was capacity for it twice over, and less than half of the pool was in use.

--- a/crates/runner/tests/succession/audit.rs
+++ b/crates/runner/tests/succession/audit.rs
@@ -55,6 +55,16 @@
         }
     }
 
+    /// How many runs of the task have started.
+    pub fn start_count(&self, task: &Task) -> usize {
+        self.tasks.get(task).map_or(0, |history| history.starts.len())
+    }
+
+    /// Whether an end of the task as done has been acknowledged.
+    pub fn is_noted(&self, task: &Task) -> bool {
+        self.tasks.get(task).is_some_and(|history| !history.noted.is_empty())
+    }
+
     /// Records that an end as done was acknowledged, with no lapse since the end.
     pub fn on_noted(&mut self, worker: usize, task: &Task, (run, ended): (u64, u64), now: u64) {
         let history = self.tasks.entry(task.clone()).or_default();
--- a/crates/runner/tests/succession/mod.rs
+++ b/crates/runner/tests/succession/mod.rs
@@ -5,16 +5,19 @@
 
 mod audit;
 mod entry;
+pub mod light;
 mod link;
 mod ownership;
+pub mod shape;
+pub mod standing;
 mod table;
 pub mod trouble;
 mod worker;
 
 use std::collections::BTreeMap;
 
-use quincewheel_dispatch::{Output, RowEvent, rows};
-use quincewheel_job::{Job, Queue, Resources, Step};
+use quincewheel_dispatch::{Output, RowEvent, Settings, rows};
+use quincewheel_job::Job;
 use quincewheel_runner::Output as AgentOutput;
 use quincewheel_store::{Changes, Commit, Put};
 use quincewheel_wire::Notice;
@@ -26,6 +29,7 @@
 use entry::Entry;
 pub use link::Peer;
 use link::{Link, ToOwner, ToPeer};
+use shape::Shape;
 use table::{Reply, Request, Table, TableCall};
 use worker::Node;
 
@@ -89,10 +93,20 @@
     pub jobs: usize,
     /// Time from a start to the end as done: shortest and longest.
     pub durations: (u64, u64),
+    /// Of each owner.
+    pub settings: Settings,
+    /// Time of day at the start of the simulated clock.
+    pub wall_base: u64,
+    /// How far the time of day of each entry is ahead.
+    pub clock_offsets: [i64; ENTRIES],
 }
 
 impl Course {
     pub fn new(seed: u64) -> Course {
+        Course::with_nodes(seed, NODES)
+    }
+
+    pub fn with_nodes(seed: u64, nodes: usize) -> Course {
         let mut course = Course {
             now: START_MS,
             rng: StdRng::seed_from_u64(seed),
@@ -100,7 +114,7 @@
             calls: Vec::new(),
             next_id: 1,
             entries: (0..ENTRIES).map(|number| Entry::new(number, 1)).collect(),
-            nodes: (0..NODES).map(|number| Node::new(number, seed)).collect(),
+            nodes: (0..nodes).map(|number| Node::new(number, seed)).collect(),
             links: Vec::new(),
             cuts: BTreeMap::new(),
             one_way_cuts: BTreeMap::new(),
@@ -114,6 +128,9 @@
             hand_overs: BTreeMap::new(),
             jobs: 0,
             durations: (200, 6000),
+            settings: Settings::default(),
+            wall_base: 0,
+            clock_offsets: [0; ENTRIES],
         };
         for number in 0..ENTRIES {
             let node = rows::Node {
@@ -155,7 +172,7 @@
         for number in 0..ENTRIES {
             self.step_entry(number);
         }
-        for number in 0..NODES {
+        for number in 0..self.nodes.len() {
             self.step_node(number);
         }
         self.links.retain(|link| {
@@ -176,7 +193,7 @@
                 *frozen_until = until.max(*frozen_until);
             }
         }
-        for number in 0..NODES {
+        for number in 0..self.nodes.len() {
             if self.rng.random_bool(0.02) {
                 let until = self.now + self.rng.random_range(20..1200);
                 let frozen_until = &mut self.nodes[number].frozen_until;
@@ -217,19 +234,14 @@
 
     /// Stores a job of one step, which is a gang or not, through an entry.
     pub fn submit_step(&mut self, entry: usize, count: u32, accelerators: u64, gang: bool) {
+        self.submit_shape(entry, &Shape::of_step(count, accelerators, gang));
+    }
+
+    /// Stores a job of this shape through an entry.
+    pub fn submit_shape(&mut self, entry: usize, shape: &Shape) {
         self.jobs += 1;
         let id = format!("{:016x}", self.jobs);
-        let queue = Queue { name: "q".into(), pool: "p".into(), attempts: 3, ..Queue::default() };
-        let need = Resources { cpu: 1000, memory: 1000, accelerators };
-        let step = Step { count, need, estimate: 1000, gang, ..Step::default() };
-        let job = Job {
-            team: "t".into(),
-            queue,
-            spec: String::new(),
-            steps: vec![step],
-            schedule: None,
-            accepted: self.now,
-        };
+        let job = shape.job(self.wall(entry), self.true_time());
         let value = serde_json::to_string(&job).expect("a job is plain data");
         let put = vec![Put { key: rows::job_key(&id), value }];
         let commit = Commit { put, ..Commit::default() };
@@ -237,6 +249,16 @@
         self.submissions.insert(call, (id, job));
     }
 
+    /// The time of day.
+    pub fn true_time(&self) -> u64 {
+        self.wall_base + self.now
+    }
+
+    /// The time of day by an entry's clock.
+    fn wall(&self, entry: usize) -> u64 {
+        self.true_time().saturating_add_signed(self.clock_offsets[entry])
+    }
+
     /// Cuts an entry off from a process.
     pub fn cut(&mut self, entry: usize, name: &str, until: u64) {
         let known = self.cuts.entry((entry, name.to_owned())).or_default();
@@ -266,11 +288,11 @@
     /// Suspends an entry's process; with `decides`, after the owner has decided and before it sends
     /// what it decided.
     pub fn freeze_entry(&mut self, number: usize, ms: u64, decides: bool) {
-        let now = self.now;
+        let (now, wall) = (self.now, self.wall(number));
         let entry = &mut self.entries[number];
         entry.frozen_until = now + ms;
         if let Some(owner) = entry.owner.as_mut().filter(|_| decides) {
-            owner.tick(now, now);
+            owner.tick(now, wall);
             entry.held_outputs.extend(owner.take_outputs());
         }
         self.log(format!("e{number} is suspended for {ms} ms"));
@@ -595,9 +617,12 @@
     fn process_events(&mut self, number: usize) {
         let now = self.now;
         let mut events = Vec::new();
+        let name = format!("e{number}");
         for index in 0..self.links.len() {
             let link = &self.links[index];
-            if link.entry == number && !self.is_held_back(number, &peer_name(link.peer), true) {
+            let waits = link.to_owner.front().is_some_and(|(at, _)| *at <= now);
+            let held_back = || self.is_held_back(number, &peer_name(link.peer), true);
+            if link.entry == number && waits && !held_back() {
                 let link = &mut self.links[index];
                 while link.to_owner.front().is_some_and(|(at, _)| *at <= now) {
                     let Some((at, frame)) = link.to_owner.pop_front() else { break };
@@ -607,7 +632,6 @@
                 }
             }
             let link = &self.links[index];
-            let name = format!("e{number}");
             if link.peer == Peer::Entry(number) && !self.is_held_back(link.entry, &name, false) {
                 let (id, owner) = (link.id, link.entry);
                 let mut frames = Vec::new();
@@ -748,9 +772,9 @@
     }
 
     fn tick_owner(&mut self, number: usize) {
-        let now = self.now;
+        let (now, wall) = (self.now, self.wall(number));
         let Some(owner) = self.entries[number].owner.as_mut() else { return };
-        owner.tick(now, now);
+        owner.tick(now, wall);
         let outputs = owner.take_outputs();
         self.carry_out(number, outputs);
     }
@@ -822,9 +846,9 @@
             return;
         }
         let mut frames = Vec::new();
+        let name = format!("w{number}");
         for index in 0..self.links.len() {
             let link = &self.links[index];
-            let name = format!("w{number}");
             if link.peer != Peer::Node(number) || self.is_held_back(link.entry, &name, false) {
                 continue;
             }
--- a/crates/runner/tests/succession/ownership.rs
+++ b/crates/runner/tests/succession/ownership.rs
@@ -1,8 +1,8 @@
 //! Claims, records and hand-overs, as `site/ownership.rs`, `record.rs` and `handover.rs` of the
 //! entry perform them.
 
+use quincewheel_dispatch::Owner;
 use quincewheel_dispatch::rows::{self, OWNER_KEY, Ownership};
-use quincewheel_dispatch::{Owner, Settings};
 use quincewheel_store::{Change, Changes, Commit, Expect, Put};
 
 use super::entry::{Claim, ClaimPhase, Write};
@@ -116,10 +116,10 @@
 
     /// Sets up the owner once the rows as of the claim are known.
     fn finish_claim(&mut self, number: usize, claimed: u64, read: u64) {
-        let now = self.now;
+        let (now, settings) = (self.now, self.settings);
         let entry = &mut self.entries[number];
         let Some(claim) = entry.claim.take() else { return };
-        let mut owner = Owner::new(Settings::default(), claim.mine.epoch, claimed, now);
+        let mut owner = Owner::new(settings, claim.mine.epoch, claimed, now);
         if claim.grants_ended {
             owner.predecessor_ended();
         }
--- a/crates/runner/tests/succession/table.rs
+++ b/crates/runner/tests/succession/table.rs
@@ -82,6 +82,11 @@
         Changes { rows, version: jobs.min(main) }
     }
 
+    /// The changes of rows from the `first` on, in the order of their commits.
+    pub fn history_from(&self, first: usize) -> &[Change] {
+        &self.history[first..]
+    }
+
     /// Jobs whose recorded progress is not final.
     pub fn open_jobs(&self) -> Vec<String> {
         let rows = self.read_all(self.version).rows;
--- a/crates/runner/tests/succession/trouble.rs
+++ b/crates/runner/tests/succession/trouble.rs
@@ -3,12 +3,21 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::shape::Shape;
 use super::{Course, ENTRIES, NODES, Peer, peer_name};
 
 /// Time until an entry that hands over has ended.
 const SHUTDOWN_MS: u64 = 300;
 /// How long the system may take to end all jobs after the last trouble.
 const RECOVERY_MS: u64 = 60_000;
+/// Calls that are late reach a worker within this time.
+const LATE_CALL_MS: u64 = 5000;
+/// The same for calls of entries to the table, and for heartbeats.
+const LATE_MS: u64 = 4000;
+/// Longer than any course.
+const GONE_MS: u64 = 3_600_000;
+/// The longest suspension of a process that is without processor time.
+const STARVED_MS: u64 = 1200;
 
 /// A course: what happens, and when, from the start of the simulation.
 #[derive(Clone, Debug)]
@@ -133,6 +142,64 @@
         remaining: u64,
         ms: u64,
     },
+    /// A job of several shapes.
+    Submit {
+        entry: usize,
+        shape: Shape,
+    },
+    /// The worker refuses starts for want of room.
+    RefuseStarts {
+        node: usize,
+        ms: u64,
+    },
+    /// The worker that last started a run crashes.
+    CrashNewest {
+        ms: u64,
+    },
+    /// A worker and its agent are gone for good; their connections are closed or not.
+    Gone {
+        node: usize,
+        closes: bool,
+    },
+    /// The time of day of an entry steps by `ms`.
+    StepClock {
+        target: Target,
+        ms: i64,
+    },
+}
+
+impl Event {
+    /// For how long the event disturbs the system; none for jobs.
+    pub fn disturbance(&self) -> Option<u64> {
+        match *self {
+            Event::Job { .. } | Event::Submit { .. } => None,
+            Event::HistoryLost | Event::StepClock { .. } | Event::Gone { .. } => Some(0),
+            Event::Freeze { ms, .. }
+            | Event::Kill { ms, .. }
+            | Event::TableRefuses { ms, .. }
+            | Event::TableSlow { ms, .. }
+            | Event::FeedStalled { ms, .. }
+            | Event::Cut { ms, .. }
+            | Event::FreezeAgent { ms, .. }
+            | Event::RestartAgent { ms, .. }
+            | Event::CallsLost { ms, .. }
+            | Event::CallRepliesLost { ms, .. }
+            | Event::CallsBroken { ms, .. }
+            | Event::Busy { ms, .. }
+            | Event::Hang { ms, .. }
+            | Event::RefuseStarts { ms, .. }
+            | Event::Crash { ms, .. }
+            | Event::CrashNewest { ms } => Some(ms),
+            Event::ShutDown { ms, .. } => Some(SHUTDOWN_MS + ms),
+            Event::Starve { ms } => Some(ms + STARVED_MS),
+            Event::CallsLate { ms, .. } => Some(ms + LATE_CALL_MS),
+            Event::CutFromTable { ms, .. }
+            | Event::RepliesLost { ms, .. }
+            | Event::TableSilent { ms }
+            | Event::ReportsLate { ms, .. } => Some(ms + LATE_MS),
+            Event::Drain { remaining, ms, .. } => Some(remaining + ms),
+        }
+    }
 }
 
 impl Plan {
@@ -213,7 +280,7 @@
     Event::Job { entry, count, accelerators, gang, duration }
 }
 
-fn draw_target(rng: &mut StdRng) -> Target {
+pub fn draw_target(rng: &mut StdRng) -> Target {
     match rng.random_bool(0.6) {
         true => Target::Owner,
         false => Target::Entry(rng.random_range(0..ENTRIES)),
@@ -282,7 +349,7 @@
         }
     }
 
-    fn happen(&mut self, event: &Event, kills: &mut Vec<(u64, usize, u64)>) {
+    pub(super) fn happen(&mut self, event: &Event, kills: &mut Vec<(u64, usize, u64)>) {
         let now = self.now;
         match *event {
             Event::Job { entry, count, accelerators, gang, duration } => {
@@ -351,6 +418,28 @@
             Event::Drain { node, remaining, ms } => {
                 self.nodes[node].drain_worker(remaining, ms, now);
             }
+            Event::Submit { entry, ref shape } => {
+                if self.entries[entry].is_up(now) && !self.entries[entry].closing {
+                    self.submit_shape(entry, shape);
+                }
+            }
+            Event::RefuseStarts { node, ms } => {
+                self.nodes[node].trouble.refuses_starts_until = now + ms;
+            }
+            Event::CrashNewest { ms } => {
+                let newest = self.nodes.iter_mut().max_by_key(|node| node.worker.last_start_at());
+                if let Some(node) = newest {
+                    node.crash_worker(ms, &mut self.audit, now);
+                }
+            }
+            Event::Gone { node, closes } => {
+                if closes {
+                    self.restart_agent(node);
+                }
+                self.nodes[node].crash_worker(GONE_MS, &mut self.audit, now);
+                self.nodes[node].frozen_until = now + GONE_MS;
+            }
+            Event::StepClock { target, ms } => self.clock_offsets[self.resolve(target)] += ms,
         }
     }
 
--- a/crates/runner/tests/succession/worker.rs
+++ b/crates/runner/tests/succession/worker.rs
@@ -1,5 +1,7 @@
 //! One worker and the agent beside it.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use quincewheel_job::{End, How, Incarnation, Resources, Run, Task, Worker as Identity};
 use quincewheel_runner::{Action, Announcement, Call, Fault, Heartbeat, Reply, Runner, Settings};
 use quincewheel_wire::Refused;
@@ -14,6 +16,14 @@
 const MAX_LISTED_ENDS: usize = 500;
 /// The slowest clock of a worker, in thousandths of true time.
 const SLOWEST_CLOCK: u64 = 980;
+/// Number of speeds of clocks, up to the fastest that leases allow for.
+const CLOCK_RATES: u64 = 10;
+/// The label that few workers have.
+pub const RARE_LABEL: &str = "rare";
+/// One of so many workers has the rare label.
+const RARE_LABEL_INTERVAL: usize = 3;
+/// Workers in a rack.
+const RACK_SIZE: usize = 5;
 
 /// One process of a worker. It carries out calls, ends runs, and stops them when its lease is over.
 pub struct Worker {
@@ -34,6 +44,12 @@
     draining: bool,
     /// The most ends that it lists at a time: those with the lowest numbers.
     pub max_listed_ends: usize,
+    /// Share of the runs that fail, in percent.
+    pub failure_percent: u32,
+    /// Whether the workers are in several racks.
+    pub in_racks: bool,
+    /// When its process started.
+    pub started_at: u64,
 }
 
 /// A run in progress.
@@ -44,6 +60,8 @@
     done_at: u64,
     /// When its stop completes.
     stopped_at: Option<u64>,
+    /// It ends as failed in place of done.
+    fails: bool,
 }
 
 /// A call of an agent that has no reply.
@@ -86,6 +104,8 @@
     pub hung_until: u64,
     /// Heartbeats are late.
     pub late_reports_until: u64,
+    /// The worker refuses starts for want of room.
+    pub refuses_starts_until: u64,
 }
 
 /// The agent, its worker, and the calls between them.
@@ -117,7 +137,7 @@
         Worker {
             number,
             process,
-            clock_rate: SLOWEST_CLOCK + 4 * number as u64,
+            clock_rate: SLOWEST_CLOCK + 4 * (number as u64 % CLOCK_RATES),
             fencing_token: 0,
             lease_end: 0,
             running: Vec::new(),
@@ -127,6 +147,9 @@
             changed: false,
             draining: false,
             max_listed_ends: MAX_LISTED_ENDS,
+            failure_percent: 0,
+            in_racks: false,
+            started_at: 0,
         }
     }
 
@@ -143,7 +166,8 @@
             id: self.id(),
             pool: "p".into(),
             capacity: Resources { cpu: 64_000, memory: 262_144, accelerators: 8 },
-            rack: "r0".into(),
+            rack: format!("r{}", self.number / RACK_SIZE * usize::from(self.in_racks)),
+            labels: self.labels(),
             draining: self.draining,
             remaining: if self.draining { 1000 } else { 0 },
             ..Identity::default()
@@ -160,11 +184,12 @@
             lapsed || run.done_at <= now || run.stopped_at.is_some_and(|at| at <= now)
         };
         let ended: Vec<Running> = self.running.extract_if(.., due).collect();
-        for Running { run, done_at, .. } in ended {
+        for Running { run, done_at, fails, .. } in ended {
             self.changed = true;
             audit.on_over(self.number, &run.task, run.number);
             self.stopped.push((run.task.clone(), run.number));
             let how = match (done_at <= now, lapsed) {
+                (true, _) if fails => How::Failed,
                 (true, _) => How::Done,
                 (_, true) => How::Lapsed,
                 _ => continue,
@@ -187,6 +212,27 @@
         !self.running.is_empty()
     }
 
+    /// When the newest run there started; 0 if nothing runs.
+    pub fn last_start_at(&self) -> u64 {
+        self.running.iter().map(|known| known.started_at).max().unwrap_or_default()
+    }
+
+    /// The tasks that run there.
+    pub fn running_tasks(&self) -> impl Iterator<Item = &Task> {
+        self.running.iter().map(|known| &known.run.task)
+    }
+
+    /// The tasks that are done there, with ends that are not acknowledged and still count.
+    pub fn done_tasks(&self) -> impl Iterator<Item = &Task> {
+        let done = |(end, _, lapsed): &&(End, u64, bool)| end.how == How::Done && !lapsed;
+        self.ends.iter().filter(done).map(|(end, _, _)| &end.task)
+    }
+
+    fn labels(&self) -> Vec<String> {
+        let rare = self.number.is_multiple_of(RARE_LABEL_INTERVAL);
+        rare.then(|| RARE_LABEL.to_owned()).into_iter().collect()
+    }
+
     fn list(&self, now: u64) -> Reply {
         let percent = |run: &Running| {
             let duration = (run.done_at - run.started_at).max(1);
@@ -207,6 +253,7 @@
         &mut self,
         call: &Call,
         durations: (u64, u64),
+        refuses_starts: bool,
         audit: &mut Audit,
         now: u64,
     ) -> Reply {
@@ -228,6 +275,9 @@
                 if self.draining {
                     return Reply::Refused(Refused::Leaving);
                 }
+                if refuses_starts {
+                    return Reply::Refused(Refused::Room);
+                }
                 if *lease_end <= clock {
                     return Reply::Refused(Refused::Lease);
                 }
@@ -241,7 +291,9 @@
                     gauge: 0,
                 };
                 let done_at = now + durations.0;
-                self.running.push(Running { run, started_at: now, done_at, stopped_at: None });
+                let fails = fails(task, audit.start_count(task), self.failure_percent);
+                let (started_at, stopped_at) = (now, None);
+                self.running.push(Running { run, started_at, done_at, stopped_at, fails });
             }
             Action::Stop { task, run } => {
                 self.stopped.push((task.clone(), *run));
@@ -333,6 +385,16 @@
         }
     }
 
+    /// Whether the worker and its agent are up and take starts.
+    pub fn takes_starts(&self, now: u64) -> bool {
+        let trouble = &self.trouble;
+        let refuses = [trouble.busy_until, trouble.hung_until, trouble.refuses_starts_until];
+        self.worker_restart_at.is_none()
+            && !self.worker.draining
+            && now >= self.frozen_until
+            && refuses.into_iter().all(|until| now >= until)
+    }
+
     /// Starts the worker's next process now, if none runs.
     pub fn start_worker(&mut self, now: u64) {
         self.worker_restart_at = self.worker_restart_at.map(|_| now);
@@ -404,8 +466,10 @@
     fn step_process(&mut self, audit: &mut Audit, now: u64) {
         if self.worker_restart_at.take_if(|at| *at <= now).is_some() {
             let max_listed_ends = self.worker.max_listed_ends;
+            let Worker { failure_percent, in_racks, .. } = self.worker;
             let next = Worker::new(self.worker.number, self.worker.process + 1);
-            self.worker = Worker { max_listed_ends, ..next };
+            let started_at = now;
+            self.worker = Worker { max_listed_ends, failure_percent, in_racks, started_at, ..next };
             self.next_heartbeat_at = now;
         }
         if self.worker_restart_at.is_some() {
@@ -428,6 +492,7 @@
         if up && now < self.trouble.hung_until {
             return;
         }
+        let refuses_starts = now < self.trouble.refuses_starts_until;
         for index in 0..self.calls.len() {
             let pending = &mut self.calls[index];
             if pending.begin_at.take_if(|at| *at <= now).is_none() {
@@ -447,7 +512,7 @@
             } else {
                 let stop_duration = self.rng.random_range(0..700);
                 let durations = (duration, stop_duration);
-                Ok(self.worker.execute(&pending.call, durations, audit, now))
+                Ok(self.worker.execute(&pending.call, durations, refuses_starts, audit, now))
             };
             let pending = &mut self.calls[index];
             if !pending.reply_lost {
@@ -466,7 +531,7 @@
         let changed = self.worker.changed;
         let is_due = |call: &mut PendingCall| call.reply_at.is_some_and(|at| changed || at <= now);
         for mut call in self.calls.extract_if(.., is_due).collect::<Vec<_>>() {
-            let reply = self.worker.execute(&call.call, (0, 0), audit, now);
+            let reply = self.worker.execute(&call.call, (0, 0), false, audit, now);
             self.worker.changed = false;
             if !call.reply_lost {
                 self.replies.push((call.agent, call.id, Ok(reply)));
@@ -502,6 +567,14 @@
     }
 }
 
+/// Whether the run of a task that is its `start`th one fails. That depends on nothing else, so that
+/// it stays the same in a shortened course.
+fn fails(task: &Task, start: usize, percent: u32) -> bool {
+    let mut hasher = DefaultHasher::new();
+    (task.to_string(), start).hash(&mut hasher);
+    hasher.finish() % 100 < u64::from(percent)
+}
+
 fn unclear(closed: bool) -> Fault {
     Fault::Unclear { closed, detail: "no reply".into() }
 }
