Keep four courses in which jobs stand beside free workers

What callers saw: an accepted job has nothing running for 3 s and more although there is room for it twice over.

A start that is ordered to a worker that is gone is believed in for a lease from the order (expire_leases in members.rs), also where the leases there have ended before. After a change of owner all older jobs wait for one worker that is gone with its agent (check_settled in plan.rs). A gang uses no doubtful worker as long as sound ones would hold it if nothing ran there, whether they have room or not (Admission::decide).

--- a/crates/runner/tests/standing_jobs.rs
+++ b/crates/runner/tests/standing_jobs.rs
@@ -3,8 +3,10 @@
 
 mod succession;
 
-use succession::light::{Light, Without};
+use succession::light::{Judged, Light, Without};
+use succession::shape::Shape;
 use succession::standing::STANDING_LIMIT_MS;
+use succession::trouble::{Event, Target};
 
 /// Removes events from a course that fails, as long as it fails for the same cause.
 fn shrink(mut light: Light) -> Light {
@@ -70,3 +72,89 @@
     println!("{} s judged, {} s with open jobs, {starts} starts", judged_ms / 1000, busy_ms / 1000);
     assert_eq!(failed, 0, "of {} courses", last - first);
 }
+
+/// Seeds of each course whose events are given.
+const SEEDS: u64 = 8;
+
+/// A course of six workers in which nothing else happens.
+fn course(seed: u64, events: Vec<(u64, Event)>) -> Light {
+    Light {
+        seed,
+        nodes: 6,
+        judged: Judged::Always,
+        limit: STANDING_LIMIT_MS,
+        failure_percent: 0,
+        in_racks: false,
+        longest_run: 2000,
+        events,
+    }
+}
+
+fn submit(entry: usize, shape: Shape) -> Event {
+    Event::Submit { entry, shape }
+}
+
+/// Plays a course with each seed, and fails if a job stands in one.
+fn assert_no_job_stands(events: &[(u64, Event)]) {
+    for seed in 0..SEEDS {
+        let outcome = course(seed, events.to_vec()).play();
+        assert!(outcome.violation.is_none(), "seed {seed}\n{}", outcome.report());
+    }
+}
+
+/// Runs of two jobs that fail at a worker.
+fn failures(node: usize) -> Vec<(u64, Event)> {
+    let failing = Shape { rare: true, attempts: 1, ..Shape::of_step(1, 1, false) };
+    vec![
+        (1900, Event::Failures { node, percent: 100 }),
+        (2000, submit(0, failing.clone())),
+        (2100, submit(0, failing)),
+        (4500, Event::Failures { node, percent: 0 }),
+    ]
+}
+
+// Guards against jobs that wait for a lease from the last start at a worker that was gone by then,
+// although no lease there outlives the one that was granted before.
+#[test]
+fn a_job_started_at_a_worker_that_is_gone_starts_elsewhere_when_its_leases_end() {
+    let mut events = vec![(2000, submit(0, Shape::of_step(2, 2, false)))];
+    events.push((5000, Event::Gone { node: 0, closes: false }));
+    let later = [5500, 6000, 6500, 7000].map(|at| (at, submit(0, Shape::of_step(1, 1, false))));
+    events.extend(later);
+    assert_no_job_stands(&events);
+}
+
+// Guards against older jobs that all wait, after a change of owner, for one worker that is gone.
+#[test]
+fn jobs_of_a_former_owner_do_not_wait_for_a_worker_that_is_gone() {
+    let chain = Shape { steps: 6, ..Shape::of_step(1, 1, false) };
+    assert_no_job_stands(&[
+        (2000, submit(0, chain.clone())),
+        (3000, submit(1, chain)),
+        (5000, Event::Gone { node: 1, closes: true }),
+        (5200, Event::EntryGone { target: Target::Owner }),
+    ]);
+}
+
+// Guards against a gang that waits for sound workers which are full beside doubtful ones which are
+// idle.
+#[test]
+fn a_gang_uses_idle_doubtful_workers_while_the_sound_ones_are_full() {
+    let mut events = failures(0);
+    let chain = Shape { rare: true, steps: 12, attempts: 4, ..Shape::of_step(1, 1, false) };
+    events.extend((0..8).map(|_| (4500, submit(0, chain.clone()))));
+    let gang = Shape { rare: true, attempts: 4, ..Shape::of_step(2, 1, true) };
+    events.push((5500, submit(0, gang)));
+    assert_no_job_stands(&events);
+}
+
+// Guards against a gang that waits until a doubt ends, since a doubtful worker takes one task of it
+// and no other worker can hold the rest.
+#[test]
+fn a_gang_that_only_doubtful_workers_can_hold_does_not_wait_for_the_end_of_the_doubt() {
+    let mut events = vec![(1000, Event::Gone { node: 3, closes: true })];
+    events.extend(failures(0));
+    let gang = Shape { rare: true, attempts: 4, ..Shape::of_step(2, 1, true) };
+    events.push((5500, submit(0, gang)));
+    assert_no_job_stands(&events);
+}
--- a/crates/runner/tests/succession/trouble.rs
+++ b/crates/runner/tests/succession/trouble.rs
@@ -161,6 +161,15 @@
         node: usize,
         closes: bool,
     },
+    /// So many percent of the runs that start at the worker fail.
+    Failures {
+        node: usize,
+        percent: u32,
+    },
+    /// An entry is gone for good, with its connections open.
+    EntryGone {
+        target: Target,
+    },
     /// The time of day of an entry steps by `ms`.
     StepClock {
         target: Target,
@@ -169,11 +178,14 @@
 }
 
 impl Event {
-    /// For how long the event disturbs the system; none for jobs.
+    /// For how long the event disturbs the system; none for jobs and for tasks that fail.
     pub fn disturbance(&self) -> Option<u64> {
         match *self {
-            Event::Job { .. } | Event::Submit { .. } => None,
-            Event::HistoryLost | Event::StepClock { .. } | Event::Gone { .. } => Some(0),
+            Event::Job { .. } | Event::Submit { .. } | Event::Failures { .. } => None,
+            Event::HistoryLost
+            | Event::StepClock { .. }
+            | Event::Gone { .. }
+            | Event::EntryGone { .. } => Some(0),
             Event::Freeze { ms, .. }
             | Event::Kill { ms, .. }
             | Event::TableRefuses { ms, .. }
@@ -439,6 +451,13 @@
                 self.nodes[node].crash_worker(GONE_MS, &mut self.audit, now);
                 self.nodes[node].frozen_until = now + GONE_MS;
             }
+            Event::Failures { node, percent } => {
+                self.nodes[node].worker.failure_percent = percent;
+            }
+            Event::EntryGone { target } => {
+                let number = self.resolve(target);
+                self.freeze_entry(number, GONE_MS, true);
+            }
             Event::StepClock { target, ms } => self.clock_offsets[self.resolve(target)] += ms,
         }
     }
