--- a/crates/stand-in/tests/soak/checker.rs
+++ b/crates/stand-in/tests/soak/checker.rs
@@ -20,6 +20,10 @@
 /// A job, and the outcome of its submission.
 #[derive(Clone, Debug)]
 pub struct Job {
+    /// Its path at the entries.
+    pub path: String,
+    /// The key of its team; none for the current key of the team whose keys are rotated.
+    pub key: Option<&'static str>,
     pub spec: String,
     pub steps: Vec<Step>,
     pub submit_outcome: SubmitOutcome,
@@ -50,6 +54,11 @@
 const CRASH_LIMIT: usize = 3;
 const MAX_STARTS_AFTER_CRASHES: usize = 2;
 
+/// Returns whether a state that a client is shown is the last one.
+pub fn is_final(state: &str) -> bool {
+    matches!(state, "succeeded" | "failed" | "cancelled" | "gone")
+}
+
 /// A start of a task.
 struct Start {
     task: Task,
@@ -76,6 +85,8 @@
     recorded_done: BTreeSet<Task>,
     /// Indices of all tasks that ended as `done`, by job and step.
     finished: BTreeMap<(String, u32), BTreeSet<u32>>,
+    /// Jobs whose end a client was shown.
+    ended_jobs: BTreeSet<String>,
     /// Failures that were acknowledged as recorded.
     failed: BTreeMap<Task, u32>,
     /// Failures that workers have listed.
@@ -254,12 +265,11 @@
     /// Checks a state that a client received.
     pub fn check_state(&mut self, id: &str, state: &str) {
         let Some(job) = self.jobs.get(id) else { return };
-        let all = (0u32..).zip(&job.steps).all(|(number, step)| {
-            let ended = self.finished.get(&(id.to_owned(), number));
-            ended.map_or(0, BTreeSet::len) >= step.count as usize
-        });
-        let failures = self.listed_failures.iter().filter(|(task, _)| task.0 == id);
-        let failure_count = failures.map(|(_, count)| *count).max().unwrap_or(0);
+        if is_final(state) {
+            self.ended_jobs.insert(id.to_owned());
+        }
+        let all = (0u32..).zip(&job.steps).all(|(number, _)| self.is_done(id, number));
+        let failure_count = self.failure_count(id);
         let may_be_given_up =
             self.crashed.iter().any(|(task, (n, _))| task.0 == id && *n >= MIN_CRASHES_TO_FAIL);
         let (cancelled, accepted) = (job.cancelled, job.submit_outcome == SubmitOutcome::Accepted);
@@ -278,6 +288,36 @@
         }
     }
 
+    /// Returns whether all tasks of a step have ended as `done`.
+    fn is_done(&self, id: &str, number: u32) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let ended = self.finished.get(&(id.to_owned(), number));
+        ended.map_or(0, BTreeSet::len) >= job.steps[number as usize].count as usize
+    }
+
+    /// Returns the most failures of one task of a job that workers have listed.
+    fn failure_count(&self, id: &str) -> u32 {
+        let from = (id.to_owned(), 0, 0);
+        let failures = self.listed_failures.range(from..).take_while(|(task, _)| task.0 == id);
+        failures.map(|(_, count)| *count).max().unwrap_or(0)
+    }
+
+    /// Returns whether a step's turn has come, and tasks of it have not ended as `done`.
+    pub fn is_ready(&self, id: &str, number: u32) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let mut before = job.steps[number as usize].after.iter();
+        !self.is_done(id, number) && before.all(|before| self.is_done(id, *before))
+    }
+
+    /// Returns whether a job is accepted, and neither cancelled nor ended as far as clients and
+    /// workers see.
+    pub fn is_owed(&self, id: &str, job: &Job) -> bool {
+        job.submit_outcome == SubmitOutcome::Accepted
+            && !job.cancelled
+            && !self.ended_jobs.contains(id)
+            && self.failure_count(id) < MAX_FAILURES
+    }
+
     pub fn report(&mut self, violation: String) {
         self.violations.push(violation);
     }
--- a/crates/stand-in/tests/soak/checker_test.rs
+++ b/crates/stand-in/tests/soak/checker_test.rs
@@ -3,6 +3,7 @@
 use crate::checker::{Job, MAX_FAILURES, Step, SubmitOutcome, Task};
 use crate::fleet::{Fleet, MAX_LEASE_MS};
 use crate::kind::Kind;
+use crate::size::Size;
 
 const JOB: &str = "job";
 /// The worker whose ends are acknowledged late, and another one.
@@ -62,9 +63,11 @@
 
 /// Returns a fleet that knows a job of one task, which ends at the first tick.
 fn fleet(fail_interval: u64) -> Fleet {
-    let mut fleet = Fleet::new(2, Kind::Faults);
+    let mut fleet = Fleet::new(Size { entries: 1, workers: 2 }, Kind::Faults);
     let step = Step { count: 1, accelerators: 1, gang: false, after: Vec::new(), ms: 0 };
     let job = Job {
+        path: format!("/calm/{JOB}"),
+        key: None,
         spec: String::new(),
         steps: vec![step],
         submit_outcome: SubmitOutcome::Accepted,
--- a/crates/stand-in/tests/soak/client.rs
+++ b/crates/stand-in/tests/soak/client.rs
@@ -19,6 +19,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// One job in this many crashes workers, if any do.
 const CRASHING_JOB_RATIO: u64 = 12;
+/// Most accelerators of a task of a wide job; beyond this, larger jobs have longer tasks.
+const MAX_WIDE_ACCELERATORS: u64 = 4;
 /// Path of an entry's readiness check.
 const READY_PATH: &str = "/v1/readyz";
 
@@ -40,6 +42,8 @@
     crashing_jobs: bool,
     /// Steps are wide, and their tasks small and long.
     wide_steps: bool,
+    /// Factor of the tasks' durations.
+    duration_factor: u64,
 }
 
 impl Client {
@@ -51,6 +55,7 @@
             random: StdRng::seed_from_u64(seed),
             crashing_jobs: false,
             wide_steps: false,
+            duration_factor: 1,
         }
     }
 
@@ -59,28 +64,36 @@
         Client { wide_steps, ..self }
     }
 
+    /// Makes its tasks last so many times as long.
+    pub fn with_duration_factor(self, duration_factor: u64) -> Client {
+        Client { duration_factor, ..self }
+    }
+
     /// Makes one in [`CRASHING_JOB_RATIO`] of its jobs crash the workers that start it.
     pub fn with_crashing_jobs(self, crashing_jobs: bool) -> Client {
         Client { crashing_jobs, ..self }
     }
 
     /// Submits a wide job of short tasks to the queue that is not urgent, and records the outcome.
-    /// Returns the job if it was accepted.
+    /// Returns the job if it was accepted. `weight` is how much larger than usual the job is.
     pub async fn submit_wide(
         &mut self,
         fleet: &Mutex<Fleet>,
         key: &'static str,
+        weight: u64,
     ) -> Option<Accepted> {
         let id = format!("{:016x}", self.random.random::<u64>());
         let path = format!("/calm/{id}");
         let step = Step {
             count: self.random.random_range(8..=16),
-            accelerators: 1,
+            accelerators: weight.min(MAX_WIDE_ACCELERATORS),
             gang: false,
             after: Vec::new(),
-            ms: self.random.random_range(300..1200),
+            ms: self.random.random_range(300..1200) * weight.div_ceil(MAX_WIDE_ACCELERATORS),
         };
         let job = Job {
+            path: path.clone(),
+            key: Some(key),
             spec: format!("spec of {id}"),
             steps: vec![step],
             submit_outcome: SubmitOutcome::Unclear,
@@ -103,7 +116,8 @@
         let id = format!("{:016x}", self.random.random::<u64>());
         let queue = if self.random.random_bool(0.4) { "urgent" } else { "calm" };
         let path = format!("/{queue}/{id}");
-        let job = self.draw(&id);
+        let may_crash = !fleet.lock().unwrap().has_calmed;
+        let job = self.draw(&id, &path, may_crash);
         // Both interfaces lead to the same jobs.
         let (to, key_line, body) = match self.random.random_bool(0.3) {
             true => (SUBMIT_PATH.to_owned(), format!("Bearer {key}"), procedure(queue, &id, &job)),
@@ -203,15 +217,17 @@
         Some((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
     }
 
-    fn draw(&mut self, id: &str) -> Job {
+    fn draw(&mut self, id: &str, path: &str, may_crash: bool) -> Job {
         let count = self.random.random_range(1..=2);
         let steps = (0..count).map(|number| self.step(number)).collect();
         let fail_interval = if self.random.random_bool(0.2) { 4 } else { 0 };
         let (submit_outcome, cancelled) = (SubmitOutcome::Unclear, false);
         // Derived from the id, so that seeds draw the same jobs with and without crashes.
         let number = u64::from_str_radix(id, 16).unwrap_or_default();
-        let crashes = self.crashing_jobs && number.is_multiple_of(CRASHING_JOB_RATIO);
+        let crashes = self.crashing_jobs && may_crash && number.is_multiple_of(CRASHING_JOB_RATIO);
         Job {
+            path: path.to_owned(),
+            key: None,
             spec: format!("spec of {id}"),
             steps,
             submit_outcome,
@@ -229,7 +245,7 @@
                 accelerators: 1,
                 gang: self.random.random_bool(0.15),
                 after,
-                ms: self.random.random_range(500..4000),
+                ms: self.random.random_range(500..4000) * self.duration_factor,
             };
         }
         let gang = self.random.random_bool(0.4);
@@ -238,7 +254,7 @@
             accelerators: 1 << self.random.random_range(0..4),
             gang,
             after,
-            ms: self.random.random_range(200..1500),
+            ms: self.random.random_range(200..1500) * self.duration_factor,
         }
     }
 }
--- a/crates/stand-in/tests/soak/cut_off.rs
+++ b/crates/stand-in/tests/soak/cut_off.rs
@@ -14,6 +14,7 @@
 use crate::deployment::Deployment;
 use crate::kind::Kind;
 use crate::proxy::Mode;
+use crate::size::Size;
 
 /// Time within which the owner connects to the other entries: it dials within 0.4 s of
 /// reading their addresses.
@@ -28,7 +29,7 @@
 pub fn run() -> Vec<String> {
     let folder = std::env::temp_dir().join(format!("soak-{}-cut-off", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let deployment = Deployment::open(&folder, Kind::Faults, None);
+    let deployment = Deployment::open(&folder, Kind::Faults, Size::SMALL, None);
     let entries = deployment.entries();
     deployment.check_bad_calls(&entries);
     thread::sleep(CONNECT_TIME);
--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -4,13 +4,14 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 use std::{fs, thread};
 
 use crate::bad_calls;
-use crate::checker::Checker;
+use crate::checker::{self, Checker};
 use crate::client::{Accepted, Client};
-use crate::fault::{self, Fault};
+use crate::course::Course;
+use crate::fault::Fault;
 use crate::fleet::Fleet;
 use crate::keys::{FLOOD_KEY, Keys};
 use crate::kind::Kind;
@@ -19,17 +20,13 @@
 use crate::process::{Process, Signal};
 use crate::proxy::{Mode, Proxy};
 use crate::settings::{name, program, settings};
+use crate::size::Size;
 use crate::table::{self, Table, TableFault};
 use crate::worker;
 use crate::worker_log::WorkerLog;
 use futures_util::future::join_all;
 use quincewheel_http::Server;
 
-pub const ENTRIES: usize = 3;
-pub const WORKERS: usize = 6;
-/// Their availability zones.
-const ZONES: usize = 2;
-const CLIENTS: u64 = 4;
 /// Name of the table in which the processes keep their rows.
 const SYSTEM_TABLE: &str = "quincewheel";
 /// Host part of the table's address.
@@ -44,9 +41,11 @@
 /// Pause of the overloading team between two jobs. Its work alone then exceeds the workers'
 /// capacity.
 const FLOOD_INTERVAL: Duration = Duration::from_millis(200);
-/// Pause of a client between two jobs. Four clients then use about three quarters
-/// of the workers' capacity.
-const SUBMIT_INTERVAL: Duration = Duration::from_millis(1000);
+/// For how long clients go on after the last fault, unless the course is plain: long enough for all
+/// to count as calm and for jobs to stand too long.
+const CALM_TIME: Duration = Duration::from_secs(15);
+/// Interval between two looks for jobs that stand.
+const STANDING_INTERVAL: Duration = Duration::from_millis(200);
 /// Duration of the power loss at the end of a run, in milliseconds.
 const POWER_LOSS_MS: u64 = 1000;
 /// The power loss waits up to this time for the next accepted job.
@@ -64,6 +63,7 @@
 /// A running deployment.
 pub struct Deployment {
     net: Net,
+    size: Size,
     processes: Vec<Process>,
     to_table: Vec<Proxy>,
     to_peers: Vec<Proxy>,
@@ -72,6 +72,8 @@
     keys: Arc<Mutex<Keys>>,
     /// Repairs of active faults, with the times when they are due.
     repairs: Vec<(Instant, Repair)>,
+    /// The run is over.
+    stopped: Arc<AtomicBool>,
     _servers: Vec<Server>,
 }
 
@@ -91,23 +93,29 @@
 
 impl Deployment {
     /// Runs one seed.
-    pub fn run_seed(seed: u64, seconds: u64, kind: Kind, logs: Option<&Path>) -> Outcome {
+    pub fn run_course(course: Course, logs: Option<&Path>) -> Outcome {
+        let Course { seed, kind, size, .. } = course;
         let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
         let logs = logs.map(|logs| logs.join(seed.to_string()));
         if let Some(logs) = &logs {
             fs::create_dir_all(logs).unwrap();
         }
-        let mut deployment = Deployment::open(&folder, kind, logs.as_deref());
-        let jobs = deployment.run(seed, seconds, kind);
+        let wall_origin = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default().as_millis() as u64;
+        let mut deployment = Deployment::open(&folder, kind, size, logs.as_deref());
+        let watch = deployment.spawn_standing_watch();
+        let jobs = deployment.run(course);
         let accepted = jobs.len();
         deployment.wait_for_jobs(&jobs, seed);
         deployment.check_processes();
-        let checker = &mut deployment.fleet.lock().unwrap().checker;
+        deployment.stopped.store(true, Ordering::Relaxed);
+        watch.join().unwrap();
+        let Fleet { checker, standing, .. } = &mut *deployment.fleet.lock().unwrap();
         let Checker { starts, repeats, .. } = checker;
         let line =
             format!("{accepted} jobs accepted, {starts} starts, {repeats} of tasks that were done");
         let mut violations = std::mem::take(&mut checker.violations);
+        violations.extend(standing.violations(wall_origin, logs.as_deref()));
         if checker.starts == 0 {
             violations.push("nothing was served".to_owned());
         }
@@ -119,8 +127,8 @@
         Outcome { violations, line }
     }
 
-    pub fn open(folder: &Path, kind: Kind, logs: Option<&Path>) -> Deployment {
-        let mut fleet = Fleet::new(WORKERS, kind);
+    pub fn open(folder: &Path, kind: Kind, size: Size, logs: Option<&Path>) -> Deployment {
+        let mut fleet = Fleet::new(size, kind);
         if let Some(folder) = logs {
             fleet.log = WorkerLog::open(folder).unwrap();
         }
@@ -132,19 +140,21 @@
         let list = kind.harms_workers().then_some(list);
         let mut deployment = Deployment {
             net,
+            size,
             processes: Vec::new(),
             to_table: Vec::new(),
             to_peers: Vec::new(),
             table,
             fleet,
-            keys: Arc::new(Mutex::new(Keys::new(kind.overloads()))),
+            keys: Arc::new(Mutex::new(Keys::new(kind.overloads(), size))),
             repairs: Vec::new(),
+            stopped: Arc::default(),
             _servers: Vec::new(),
         };
         deployment.rotate_keys();
-        for index in 0..ENTRIES + WORKERS {
+        for index in 0..size.processes() {
             let host = 1 + index as u8;
-            if let Some(at) = index.checked_sub(ENTRIES) {
+            if let Some(at) = index.checked_sub(size.entries) {
                 if kind.harms_workers() {
                     let proxy = Proxy::bind(&net.to_worker(host), &net.own(host, net::WORKER));
                     deployment.fleet.lock().unwrap().proxies.push(proxy.unwrap());
@@ -152,8 +162,8 @@
                 let server = worker::spawn(net, host, at, Arc::clone(&deployment.fleet));
                 servers.push(server.unwrap());
             }
-            let file = folder.join(format!("{}.toml", name(index)));
-            fs::write(&file, settings(net, index, host, list.as_deref(), kind)).unwrap();
+            let file = folder.join(format!("{}.toml", name(index, size)));
+            fs::write(&file, settings(net, index, host, list.as_deref(), kind, size)).unwrap();
             deployment.add(net, index, host, &file, logs, &address);
         }
         deployment._servers = servers;
@@ -186,44 +196,33 @@
         self.to_table.push(Proxy::bind(&net.to_table(host), table).unwrap());
         let peers = net.own(host, net::PEERS);
         self.to_peers.push(Proxy::bind(&net.before(host), &peers).unwrap());
-        let program =
-            program(if index < ENTRIES { "quincewheel-entry" } else { "quincewheel-agent" });
-        self.processes.push(Process::spawn(&name(index), &program, settings, logs));
+        let program = program(if index < self.size.entries {
+            "quincewheel-entry"
+        } else {
+            "quincewheel-agent"
+        });
+        self.processes.push(Process::spawn(&name(index, self.size), &program, settings, logs));
     }
 
     /// Runs clients while faults are injected, and returns the paths of accepted jobs.
-    fn run(&mut self, seed: u64, seconds: u64, kind: Kind) -> Vec<Accepted> {
+    fn run(&mut self, course: Course) -> Vec<Accepted> {
+        let seed = course.seed;
         let entries = self.entries();
         self.check_bad_calls(&entries);
         let stop = Arc::new(AtomicBool::new(false));
         let ticking = self.spawn_clock(Arc::clone(&stop));
-        let clients: Vec<_> = (0..CLIENTS)
+        let client_count = course.clients() as u64;
+        let clients: Vec<_> = (0..client_count)
             .map(|number| {
-                self.spawn_client(&entries, seed ^ (number << 32), kind, Arc::clone(&stop))
+                self.spawn_client(&entries, seed ^ (number << 32), course, Arc::clone(&stop))
             })
             .collect();
-        let flood = kind
+        let flood = course
             .overloads()
-            .then(|| self.spawn_flood(&entries, seed ^ (CLIENTS << 32), Arc::clone(&stop)));
+            .then(|| self.spawn_flood(&entries, seed ^ (client_count << 32), Arc::clone(&stop)));
         let prober = self.spawn_key_prober(&entries, seed, Arc::clone(&stop));
         let begin = Instant::now();
-        let mut faults = match kind.departs() {
-            true => fault::draw_departures(seed, seconds, ENTRIES, WORKERS),
-            false => fault::draw(seed, seconds, ENTRIES + WORKERS, WORKERS),
-        };
-        if kind.harms_workers() {
-            faults.extend(fault::draw_shrinks(seed, seconds, WORKERS));
-        }
-        if kind.keeps_ids() {
-            faults.extend(fault::draw_restarts(seed, seconds, WORKERS));
-        }
-        if kind.evacuates() {
-            faults.extend(fault::draw_evacuations(seed, seconds, ZONES));
-        }
-        if kind.overloads() {
-            faults.extend(fault::draw_overload(seed, seconds, WORKERS));
-        }
-        faults.sort_by_key(|(at, _)| *at);
+        let faults = course.faults();
         for (at, fault) in faults {
             while begin.elapsed() < Duration::from_millis(at) {
                 self.repair(false);
@@ -231,10 +230,18 @@
             }
             self.inject(fault);
         }
-        if kind.keeps_ids() {
+        while !course.is_plain && !self.repairs.is_empty() {
+            self.repair(false);
+            thread::sleep(Duration::from_millis(10));
+        }
+        if course.loses_power {
             self.lose_power();
         }
         self.repair(true);
+        if !course.is_plain {
+            self.fleet.lock().unwrap().has_calmed = true;
+            thread::sleep(CALM_TIME);
+        }
         stop.store(true, Ordering::Relaxed);
         let jobs =
             clients.into_iter().chain(flood).flat_map(|client| client.join().unwrap()).collect();
@@ -255,7 +262,7 @@
 
     /// Kills the agent of a worker, which is started again after `downtime`.
     pub fn kill_agent(&mut self, worker: usize, downtime: Duration) {
-        self.kill(ENTRIES + worker, downtime.as_millis() as u64);
+        self.kill(self.size.entries + worker, downtime.as_millis() as u64);
     }
 
     /// Returns the current key.
@@ -264,7 +271,7 @@
     }
 
     pub fn entries(&self) -> Vec<String> {
-        (0..ENTRIES).map(|index| self.net.own(1 + index as u8, net::CLIENTS)).collect()
+        (0..self.size.entries).map(|index| self.net.own(1 + index as u8, net::CLIENTS)).collect()
     }
 
     /// Checks that each entry answers invalid calls correctly. All entries are checked
@@ -297,22 +304,25 @@
         &self,
         entries: &[String],
         seed: u64,
-        kind: Kind,
+        course: Course,
         stop: Arc<AtomicBool>,
     ) -> thread::JoinHandle<Vec<Accepted>> {
         let (entries, fleet, keys) =
             (entries.to_vec(), Arc::clone(&self.fleet), Arc::clone(&self.keys));
         thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
+                let kind = course.kind;
                 let crashing_jobs = kind.harms_workers();
                 let mut client = Client::new(&entries, seed)
                     .with_crashing_jobs(crashing_jobs)
-                    .with_wide_steps(kind.departs());
+                    .with_wide_steps(kind.departs())
+                    .with_duration_factor(course.duration_factor());
+                let interval = Duration::from_millis(course.submit_interval_ms());
                 let mut paths = Vec::new();
                 while !stop.load(Ordering::Relaxed) {
                     let key = keys.lock().unwrap().current.clone();
                     paths.extend(client.submit(&fleet, &key).await);
-                    tokio::time::sleep(SUBMIT_INTERVAL).await;
+                    tokio::time::sleep(interval).await;
                 }
                 paths
             })
@@ -327,12 +337,13 @@
         stop: Arc<AtomicBool>,
     ) -> thread::JoinHandle<Vec<Accepted>> {
         let (entries, fleet) = (entries.to_vec(), Arc::clone(&self.fleet));
+        let weight = self.size.weight() as u64;
         thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let mut client = Client::new(&entries, seed);
                 let mut paths = Vec::new();
-                while !stop.load(Ordering::Relaxed) {
-                    paths.extend(client.submit_wide(&fleet, FLOOD_KEY).await);
+                while !stop.load(Ordering::Relaxed) && !fleet.lock().unwrap().has_calmed {
+                    paths.extend(client.submit_wide(&fleet, FLOOD_KEY, weight).await);
                     tokio::time::sleep(FLOOD_INTERVAL).await;
                 }
                 paths
@@ -340,6 +351,35 @@
         })
     }
 
+    /// Asks for the state of each job that stands too long, and records those that have not ended.
+    fn spawn_standing_watch(&self) -> thread::JoinHandle<()> {
+        let (entries, fleet, keys) =
+            (self.entries(), Arc::clone(&self.fleet), Arc::clone(&self.keys));
+        let stopped = Arc::clone(&self.stopped);
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let mut client = Client::new(&entries, 0);
+                while !stopped.load(Ordering::Relaxed) {
+                    tokio::time::sleep(STANDING_INTERVAL).await;
+                    let overdue = fleet.lock().unwrap().standing.overdue();
+                    for id in overdue {
+                        let job = fleet.lock().unwrap().checker.jobs.get(&id).cloned();
+                        let Some(job) = job else { continue };
+                        let current = keys.lock().unwrap().current.clone();
+                        let state = client.state(&job.path, job.key.unwrap_or(&current)).await;
+                        let mut fleet = fleet.lock().unwrap();
+                        match state.as_deref() {
+                            Some(state) if checker::is_final(state) => {
+                                fleet.checker.check_state(&id, state)
+                            }
+                            _ => fleet.standing.confirm(&id),
+                        }
+                    }
+                }
+            });
+        })
+    }
+
     /// Checks that revoked keys are refused.
     fn spawn_key_prober(
         &self,
@@ -369,6 +409,7 @@
     }
 
     fn inject(&mut self, fault: Fault) {
+        self.disturb();
         let after = |ms: u64| Instant::now() + Duration::from_millis(ms);
         match fault {
             Fault::Kill { process, down } => self.kill(process, down),
@@ -417,6 +458,34 @@
                     self.kill(owner, down);
                 }
             }
+            Fault::PauseOwner { ms } => {
+                if let Some(process) = self.owner() {
+                    self.inject(Fault::Pause { process, ms });
+                }
+            }
+            Fault::PauseWorkers { share, ms } => {
+                let mut fleet = self.fleet.lock().unwrap();
+                share.workers(self.size).for_each(|worker| fleet.suspend(worker, ms));
+            }
+            Fault::PauseAgents { share, ms } => {
+                for worker in share.workers(self.size) {
+                    self.inject(Fault::Pause { process: self.size.entries + worker, ms });
+                }
+            }
+            Fault::FailMany { share, ms } => {
+                let mut fleet = self.fleet.lock().unwrap();
+                share.workers(self.size).for_each(|worker| fleet.fail_starts(worker, ms));
+            }
+            Fault::CutWorkers { share, mode, ms } => {
+                for worker in share.workers(self.size) {
+                    self.inject(Fault::WorkerLink { worker, mode, ms });
+                }
+            }
+            Fault::RestartMany { share, down } => {
+                for worker in share.workers(self.size) {
+                    self.inject(Fault::RestartWorker { worker, down });
+                }
+            }
             Fault::Drain { worker, serves, down } => {
                 self.fleet.lock().unwrap().drain(worker, serves, down)
             }
@@ -445,6 +514,13 @@
         }
     }
 
+    /// Records that a fault is injected now.
+    fn disturb(&self) {
+        let mut fleet = self.fleet.lock().unwrap();
+        let now = fleet.now();
+        fleet.standing.disturb(now);
+    }
+
     /// Removes a queue or adds it again, as operators do.
     fn set_queue_removed(&self, removed: bool) {
         let config = self.keys.lock().unwrap().set_queue_removed(removed);
@@ -454,7 +530,8 @@
     /// Returns the index of the entry that the table names as owner.
     fn owner(&self) -> Option<usize> {
         let row = self.table.lock().unwrap().value(SYSTEM_TABLE, "owner")?;
-        (0..ENTRIES).find(|&index| row.contains(&format!("\"{}\"", name(index))))
+        (0..self.size.entries)
+            .find(|&index| row.contains(&format!("\"{}\"", name(index, self.size))))
     }
 
     /// Starts or ends the evacuation of an availability zone, as operators do.
@@ -486,7 +563,7 @@
             self.kill(process, POWER_LOSS_MS);
         }
         let mut fleet = self.fleet.lock().unwrap();
-        (0..WORKERS).for_each(|worker| fleet.restart_worker(worker, POWER_LOSS_MS));
+        (0..self.size.workers).for_each(|worker| fleet.restart_worker(worker, POWER_LOSS_MS));
         drop(fleet);
         thread::sleep(Duration::from_millis(POWER_LOSS_MS));
     }
@@ -522,6 +599,13 @@
         let (due, later) =
             std::mem::take(&mut self.repairs).into_iter().partition(|(at, _)| all || *at <= now);
         self.repairs = later;
+        let mut fleet = self.fleet.lock().unwrap();
+        if !due.is_empty() {
+            let now = fleet.now();
+            fleet.standing.disturb(now);
+        }
+        fleet.standing.has_fault = !self.repairs.is_empty();
+        drop(fleet);
         for (at, repair) in due {
             if let Repair::Restarted(_) = repair {
                 // The process gets its whole shutdown grace.
@@ -580,10 +664,7 @@
                     if let Some(state) = &state {
                         fleet.lock().unwrap().checker.check_state(id, state);
                     }
-                    if !matches!(
-                        state.as_deref(),
-                        Some("succeeded" | "failed" | "cancelled" | "gone")
-                    ) {
+                    if !state.as_deref().is_some_and(checker::is_final) {
                         left.push(job);
                     }
                 }
--- a/crates/stand-in/tests/soak/fault.rs
+++ b/crates/stand-in/tests/soak/fault.rs
@@ -4,7 +4,9 @@
 use rand::{Rng, SeedableRng};
 
 use crate::proxy::Mode;
+use crate::size::Size;
 use crate::table::TableFault;
+use crate::trouble::Share;
 
 /// A fault to inject.
 #[derive(Clone, Copy, Debug)]
@@ -51,19 +53,31 @@
     DelayCalls { worker: usize, ms: u64 },
     /// Operators remove one of the two queues for `ms` milliseconds.
     RemoveQueue { ms: u64 },
+    /// The entry that owns the deployment is paused for `ms` milliseconds.
+    PauseOwner { ms: u64 },
+    /// Many workers are suspended for `ms` milliseconds at the same time.
+    PauseWorkers { share: Share, ms: u64 },
+    /// Many agents are paused for `ms` milliseconds at the same time.
+    PauseAgents { share: Share, ms: u64 },
+    /// Many workers fail all that they start for `ms` milliseconds.
+    FailMany { share: Share, ms: u64 },
+    /// The connections of many agents to their workers are disturbed.
+    CutWorkers { share: Share, mode: Mode, ms: u64 },
+    /// Many workers restart without their state.
+    RestartMany { share: Share, down: u64 },
     /// A worker loses `lost` accelerators for `ms` milliseconds.
     Shrink { worker: usize, lost: u64, ms: u64 },
 }
 
 /// Draws the losses of accelerators, independently of the other faults.
-pub fn draw_shrinks(seed: u64, seconds: u64, workers: usize) -> Vec<(u64, Fault)> {
+pub fn draw_shrinks(seed: u64, seconds: u64, size: Size) -> Vec<(u64, Fault)> {
     let mut random = StdRng::seed_from_u64(!seed);
     let shrink = |random: &mut StdRng| Fault::Shrink {
-        worker: random.random_range(0..workers),
+        worker: random.random_range(0..size.workers),
         lost: random.random_range(1..=8),
         ms: random.random_range(1000..8000),
     };
-    let times = (1000..seconds * 1000).step_by(1500);
+    let times = (1000..seconds * 1000).step_by(size.fault_interval(1500));
     times.map(|at| (at, shrink(&mut random))).collect()
 }
 
@@ -79,31 +93,31 @@
 }
 
 /// Draws failing workers and deaths of the owner, independently of the other faults.
-pub fn draw_overload(seed: u64, seconds: u64, workers: usize) -> Vec<(u64, Fault)> {
+pub fn draw_overload(seed: u64, seconds: u64, size: Size) -> Vec<(u64, Fault)> {
     let mut random = StdRng::seed_from_u64(seed.rotate_left(48) ^ !seed);
     let draw_one = |random: &mut StdRng| match random.random_range(0..3) {
         0 => Fault::KillOwner { down: random.random_range(100..1000) },
         _ => Fault::FailStarts {
-            worker: random.random_range(0..workers),
+            worker: random.random_range(0..size.workers),
             ms: random.random_range(1000..4000),
         },
     };
-    let times = (1000..seconds * 1000).step_by(1200);
+    let times = (1000..seconds * 1000).step_by(size.fault_interval(1200));
     times.map(|at| (at, draw_one(&mut random))).collect()
 }
 
 /// Draws restarts of workers, most with a short downtime, and delayed starts, independently of
 /// the other faults.
-pub fn draw_restarts(seed: u64, seconds: u64, workers: usize) -> Vec<(u64, Fault)> {
+pub fn draw_restarts(seed: u64, seconds: u64, size: Size) -> Vec<(u64, Fault)> {
     let mut random = StdRng::seed_from_u64(seed.rotate_left(32) ^ !seed);
     let draw_one = |random: &mut StdRng| {
-        let worker = random.random_range(0..workers);
+        let worker = random.random_range(0..size.workers);
         match random.random_range(0..3) {
             0 => Fault::DelayStarts { worker, ms: random.random_range(500..2000) },
             _ => Fault::RestartWorker { worker, down: random.random_range(20..700) },
         }
     };
-    let times = (700..seconds * 1000).step_by(600);
+    let times = (700..seconds * 1000).step_by(size.fault_interval(600));
     times.map(|at| (at, draw_one(&mut random))).collect()
 }
 
@@ -112,19 +126,15 @@
 
 /// Draws the faults of runs in which workers leave. About eight overlap in the densest runs, about
 /// three in the others.
-pub fn draw_departures(
-    seed: u64,
-    seconds: u64,
-    entries: usize,
-    workers: usize,
-) -> Vec<(u64, Fault)> {
+pub fn draw_departures(seed: u64, seconds: u64, size: Size) -> Vec<(u64, Fault)> {
     let mut random = StdRng::seed_from_u64(seed);
     let interval = [300, 450, 700, 1000][random.random_range(0..4)];
-    let times = (500..seconds * 1000).step_by(interval);
-    times.map(|at| (at, draw_departure(&mut random, entries, workers))).collect()
+    let times = (500..seconds * 1000).step_by(size.fault_interval(interval));
+    times.map(|at| (at, draw_departure(&mut random, size))).collect()
 }
 
-fn draw_departure(random: &mut StdRng, entries: usize, workers: usize) -> Fault {
+fn draw_departure(random: &mut StdRng, size: Size) -> Fault {
+    let Size { entries, workers } = size;
     let worker = random.random_range(0..workers);
     let process = random.random_range(0..entries + workers);
     let entry = random.random_range(0..entries);
--- a/crates/stand-in/tests/soak/fleet.rs
+++ b/crates/stand-in/tests/soak/fleet.rs
@@ -1,11 +1,13 @@
 //! The simulated workers of a run: the tasks that they run, and how those end.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::checker::{Checker, Task};
 use crate::kind::Kind;
 use crate::proxy::{Mode, Proxy};
+use crate::size::Size;
+use crate::standing::Standing;
 use crate::worker_log::WorkerLog;
 
 /// Accelerators of a worker.
@@ -23,8 +25,6 @@
 /// Reduced capacity is enforced only after this time, in milliseconds: the delay that the
 /// platform allows, and one heartbeat interval.
 const SHRINK_GRACE_MS: u64 = 3000 + 300;
-/// Workers of one rack, and of one availability zone.
-const WORKERS_PER_ZONE: usize = 3;
 /// Nothing starts in an evacuated availability zone after this time, in milliseconds.
 pub const EVACUATION_DEADLINE_MS: u64 = 5000;
 /// The most ends that a worker lists at a time.
@@ -81,6 +81,9 @@
     /// When it gives notice and ends, and for how long nothing is at its address then; only while
     /// it drains.
     pub departure: Option<(u64, u64)>,
+    /// Its process is suspended until then: it sends nothing, replies to nothing, and its runs
+    /// stand still.
+    pub suspended_until: u64,
     /// It refuses polls until then.
     pub refuses_polls_until: u64,
     /// It refuses other calls until then.
@@ -112,30 +115,38 @@
     /// What these proxies do while their workers are up.
     pub link_modes: Vec<Mode>,
     pub log: WorkerLog,
+    /// Jobs that stand beside idle workers.
+    pub standing: Standing,
+    /// All faults have ended while clients still submit jobs.
+    pub has_calmed: bool,
     /// The last heartbeat of each ended incarnation is delayed until a restarted agent listens.
     pub delays_former_heartbeats: bool,
     /// Number of these heartbeats that have arrived.
     pub former_heartbeat_count: u64,
     kind: Kind,
+    pub size: Size,
     /// Availability zones under evacuation, with the time when it started.
     evacuated: BTreeMap<usize, u64>,
 }
 
 impl Fleet {
-    pub fn new(worker_count: usize, kind: Kind) -> Fleet {
+    pub fn new(size: Size, kind: Kind) -> Fleet {
         let worker = |_| Worker { incarnation: 1, ..Worker::default() };
-        let workers = (0..worker_count).map(worker).collect();
+        let workers = (0..size.workers).map(worker).collect();
         let (created_at, checker) = (Instant::now(), Checker::default());
         Fleet {
             created_at,
             workers,
             checker,
             proxies: Vec::new(),
-            link_modes: vec![Mode::Pass; worker_count],
+            link_modes: vec![Mode::Pass; size.workers],
             log: WorkerLog::default(),
+            standing: Standing::default(),
+            has_calmed: false,
             delays_former_heartbeats: false,
             former_heartbeat_count: 0,
             kind,
+            size,
             evacuated: BTreeMap::new(),
         }
     }
@@ -171,6 +182,54 @@
         self.workers[index].fails_until = self.now() + ms;
     }
 
+    /// Suspends a worker's process for `ms` milliseconds.
+    pub fn suspend(&mut self, index: usize, ms: u64) {
+        self.workers[index].suspended_until = self.now() + ms;
+        self.log.write(index, "suspended", &format!("for {ms} ms"));
+    }
+
+    /// Returns how much longer a worker's process is suspended.
+    pub fn suspension(&self, index: usize) -> Duration {
+        let until = self.workers[index].suspended_until;
+        Duration::from_millis(until.saturating_sub(self.now()))
+    }
+
+    /// Returns whether a worker has a fault now that it or its clock ends.
+    pub fn is_disturbed(&self, now: u64) -> bool {
+        (0..self.workers.len()).any(|index| !self.takes_work(index, now))
+    }
+
+    /// Returns whether a worker is up, and takes and carries out what it is given.
+    fn takes_work(&self, index: usize, now: u64) -> bool {
+        let worker = &self.workers[index];
+        let faults = [
+            worker.unavailable_until,
+            worker.suspended_until,
+            worker.starts_delayed_until,
+            worker.calls_delayed_until,
+            worker.fails_until,
+            worker.refuses_polls_until,
+            worker.refuses_orders_until,
+        ];
+        worker.departure.is_none()
+            && self.link_modes[index] == Mode::Pass
+            && !self.evacuated.contains_key(&self.size.zone(index))
+            && faults.iter().all(|until| now >= *until)
+    }
+
+    /// Returns the free accelerators of each worker that takes work.
+    pub fn free_accelerators(&self, now: u64) -> impl Iterator<Item = u64> {
+        let takers = (0..self.workers.len()).filter(move |index| self.takes_work(*index, now));
+        takers.map(|index| self.workers[index].capacity().saturating_sub(self.used(index)))
+    }
+
+    /// Returns the accelerators in use, and all, of the workers that take work.
+    pub fn use_of_capacity(&self, now: u64) -> (u64, u64) {
+        let takers = || (0..self.workers.len()).filter(|index| self.takes_work(*index, now));
+        let used = takers().map(|index| self.used(index)).sum();
+        (used, takers().map(|index| self.workers[index].capacity()).sum())
+    }
+
     /// Lets a worker drain for `serves` milliseconds and end then, unless it drains already.
     pub fn drain(&mut self, index: usize, serves: u64, down_ms: u64) {
         let now = self.now();
@@ -227,11 +286,6 @@
         worker.lost_accelerators = lost;
     }
 
-    /// Returns the availability zone of a worker.
-    pub fn zone(index: usize) -> usize {
-        index / WORKERS_PER_ZONE
-    }
-
     /// Records that the evacuation of an availability zone starts or ends.
     pub fn evacuate(&mut self, zone: usize, begins: bool) {
         match begins {
@@ -248,7 +302,7 @@
     /// Starts a run; `on_time` is false for an order that is carried out late.
     pub fn start_run(&mut self, index: usize, task: Task, number: u64, spec: &str, on_time: bool) {
         let (now, incarnation) = (self.now(), self.workers[index].incarnation);
-        let since = self.evacuated.get(&Fleet::zone(index)).filter(|_| on_time);
+        let since = self.evacuated.get(&self.size.zone(index)).filter(|_| on_time);
         if let Some(ms) = since.map(|since| now - since).filter(|ms| *ms > EVACUATION_DEADLINE_MS) {
             self.checker.report(format!("EVAC {task:?}: {ms} ms after its zone was evacuated"));
         }
@@ -355,7 +409,13 @@
         let now = self.now();
         self.mark_complete_gangs(now);
         self.crash_workers(now);
+        let mut standing = std::mem::take(&mut self.standing);
+        standing.observe(self, now);
+        self.standing = standing;
         for index in 0..self.workers.len() {
+            if now < self.workers[index].suspended_until {
+                continue;
+            }
             self.apply_lapse(index);
             let runs: Vec<(Task, Run)> = self.workers[index]
                 .runs
@@ -388,6 +448,9 @@
                 .filter(crashing)
                 .map(|(task, _)| task.clone())
                 .collect();
+            if now < self.workers[index].suspended_until {
+                continue;
+            }
             if !crashing.is_empty() {
                 crashing.iter().for_each(|task| self.checker.on_crash(task));
                 self.restart_worker(index, CRASH_DOWNTIME_MS);
--- a/crates/stand-in/tests/soak/keys.rs
+++ b/crates/stand-in/tests/soak/keys.rs
@@ -5,9 +5,12 @@
 use serde_json::{Value, json};
 
 use crate::checker::MAX_FAILURES;
+use crate::size::Size;
 
 /// Key of the team that submits more work than fits.
 pub const FLOOD_KEY: &str = "flood-key";
+/// Accelerators that a team is guaranteed at the small size: a third of all.
+const GUARANTEED_PER_WEIGHT: usize = 16;
 
 /// The current key and the revoked ones.
 #[derive(Default)]
@@ -16,6 +19,8 @@
     has_flood: bool,
     /// The queue that is not urgent is removed.
     queue_removed: bool,
+    /// Accelerators that the team whose keys are rotated is guaranteed.
+    guaranteed: usize,
     version: u64,
     pub current: String,
     /// Revoked keys, with the time of the revocation.
@@ -23,8 +28,9 @@
 }
 
 impl Keys {
-    pub fn new(has_flood: bool) -> Keys {
-        Keys { has_flood, ..Keys::default() }
+    pub fn new(has_flood: bool, size: Size) -> Keys {
+        let guaranteed = GUARANTEED_PER_WEIGHT * size.weight();
+        Keys { has_flood, guaranteed, ..Keys::default() }
     }
 
     /// Replaces the current key. Returns the configuration to publish, and the revoked key.
@@ -63,8 +69,9 @@
     }
 
     fn teams(&self) -> Vec<Value> {
-        let team =
-            json!({ "name": "team", "apiKeys": [self.current], "guaranteed": { "gpu": 16 } });
+        let team = json!({
+            "name": "team", "apiKeys": [self.current], "guaranteed": { "gpu": self.guaranteed },
+        });
         let flood = json!({ "name": "flood", "apiKeys": [FLOOD_KEY] });
         if self.has_flood { vec![team, flood] } else { vec![team] }
     }
--- a/crates/stand-in/tests/soak/killed_agents.rs
+++ b/crates/stand-in/tests/soak/killed_agents.rs
@@ -11,8 +11,9 @@
 use std::time::{Duration, Instant};
 
 use crate::client::Client;
-use crate::deployment::{Deployment, WORKERS};
+use crate::deployment::Deployment;
 use crate::kind::Kind;
+use crate::size::Size;
 
 /// For how long jobs are submitted, and workers and agents are restarted.
 const SUBMIT_TIME: Duration = Duration::from_secs(7);
@@ -37,7 +38,7 @@
     if let Some(logs) = &logs {
         std::fs::create_dir_all(logs).unwrap();
     }
-    let mut deployment = Deployment::open(&folder, Kind::Departures, logs.as_deref());
+    let mut deployment = Deployment::open(&folder, Kind::Departures, Size::SMALL, logs.as_deref());
     deployment.fleet.lock().unwrap().delays_former_heartbeats = true;
     let entries = deployment.entries();
     deployment.check_bad_calls(&entries);
@@ -74,7 +75,7 @@
 fn kill_agents(deployment: &mut Deployment) {
     let began = Instant::now();
     let mut next_restart = Duration::ZERO;
-    let mut workers = (0..WORKERS).cycle();
+    let mut workers = (0..Size::SMALL.workers).cycle();
     // When each agent is killed, after the start of the run.
     let mut kills: Vec<(Duration, usize)> = Vec::new();
     while began.elapsed() < SUBMIT_TIME || !kills.is_empty() {
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -8,7 +8,11 @@
 //! the kinds with worker faults, tasks crash the workers that start them, and the
 //! platform lists machines. In one kind workers shut down gracefully. Faults overlap. Everything that clients and workers
 //! observe is checked during the run, and after the faults every accepted job
-//! must end.
+//! must end. While all is calm, no job may stand beside idle workers.
+//!
+//! Fresh seeds draw the number of processes and the load too, have troubles of many processes at
+//! the same time, and clients that go on after the faults. Plain courses, those of the CI seeds and
+//! of `--plain`, have three entries, six workers and only the faults of their kind.
 //!
 //! Without arguments it runs the CI seeds, some of which once failed, for a few
 //! seconds each. By hand:
@@ -16,12 +20,14 @@
 //! ```text
 //! cargo test -p quincewheel-stand-in --test soak -- --fresh 50 --seconds 15
 //! cargo test -p quincewheel-stand-in --test soak -- --seed 7 --logs /tmp/soak
+//! cargo test -p quincewheel-stand-in --test soak -- --fresh 3 --kind load --entries 12 --workers 80
 //! ```
 
 mod bad_calls;
 mod checker;
 mod checker_test;
 mod client;
+mod course;
 mod cut_off;
 mod deployment;
 mod fault;
@@ -37,7 +43,11 @@
 mod proxy;
 mod refused_polls;
 mod settings;
+mod size;
+mod standing;
+mod standing_test;
 mod table;
+mod trouble;
 mod worker;
 mod worker_log;
 
@@ -47,8 +57,10 @@
 use getopts::Options;
 use rand::random;
 
+use course::Course;
 use deployment::{Deployment, Outcome};
 use kind::Kind;
+use size::Size;
 
 /// Seeds of [`Kind::Faults`] that CI runs; both once failed.
 ///
@@ -108,6 +120,13 @@
         "K",
     );
     options.optopt("", "seconds", "how long faults come", "S");
+    options.optopt("", "entries", "how many entries; drawn by the seed unless set", "N");
+    options.optopt("", "workers", "how many workers; drawn by the seed unless set", "N");
+    options.optflag(
+        "",
+        "plain",
+        "only the faults of the kind, at 3 entries and 6 workers unless set, as CI plays its seeds",
+    );
     options.optopt("", "logs", "keep the processes' logs in this folder", "DIR");
     options.optmulti("", "skip", "leave out those whose names contain this", "NAME");
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -132,24 +151,26 @@
             return ExitCode::FAILURE;
         }
     };
-    let usual = |seed: u64, kind: Kind| (seed, kind, DEFAULT_SECONDS);
-    let seeds: Vec<(u64, Kind, u64)> = match (number("seed"), number("fresh")) {
-        (Some(seed), _) => vec![usual(seed, kind)],
-        (None, Some(count)) => {
-            (0..count).map(|_| usual(random::<u64>() % 1_000_000, kind)).collect()
-        }
-        (None, None) => {
-            let faults = FAULT_SEEDS.iter().map(|seed| usual(*seed, Kind::Faults));
-            let crashes = CRASH_SEEDS.iter().map(|seed| usual(*seed, Kind::Workers));
-            let restarts =
-                RESTART_SEEDS.iter().map(|(seed, seconds)| (*seed, Kind::Restarts, *seconds));
-            let zones = EVACUATION_SEEDS.iter().map(|seed| usual(*seed, Kind::Evacuations));
-            let load = LOAD_SEEDS.iter().map(|seed| usual(*seed, Kind::Load));
-            let departures = DEPARTURE_SEEDS.iter().map(|seed| usual(*seed, Kind::Departures));
-            let workers = crashes.chain(restarts).chain(zones).chain(load).chain(departures);
-            faults.chain(workers).collect()
-        }
+    let (entries, workers) = (number("entries"), number("workers"));
+    let by_hand = |seed: u64| {
+        let seconds = seconds.unwrap_or(DEFAULT_SECONDS);
+        let course = match matches.opt_present("plain") {
+            true => Course::plain(seed, kind, seconds),
+            false => Course::draw(seed, kind, seconds),
+        };
+        let entries = entries.map_or(course.size.entries, |entries| entries as usize);
+        let workers = workers.map_or(course.size.workers, |workers| workers as usize);
+        Course { size: Size { entries, workers }, ..course }
+    };
+    let courses: Vec<Course> = match (number("seed"), number("fresh")) {
+        (Some(seed), _) => vec![by_hand(seed)],
+        (None, Some(count)) => (0..count).map(|_| by_hand(random::<u64>() % 1_000_000)).collect(),
+        (None, None) => ci_courses(seconds),
     };
+    if courses.iter().any(|course| !course.size.is_possible()) {
+        eprintln!("there are too few or too many entries and workers");
+        return ExitCode::FAILURE;
+    }
     let runs_ci_seeds = number("seed").is_none() && number("fresh").is_none();
     // Filters as in libtest: names that contain any of the free arguments, without the skipped.
     let skipped = matches.opt_strs("skip");
@@ -159,7 +180,7 @@
     };
     let mut failed = Vec::new();
     if runs_ci_seeds && chosen(CHECKER_TEST) {
-        report(CHECKER_TEST, &checker_test::run(), &mut failed);
+        report(CHECKER_TEST, &[checker_test::run(), standing_test::run()].concat(), &mut failed);
     }
     if runs_ci_seeds && chosen(CUT_OFF_TEST) {
         report(CUT_OFF_TEST, &cut_off::run(), &mut failed);
@@ -173,12 +194,14 @@
     if runs_ci_seeds && chosen(REFUSED_POLLS_TEST) {
         report(REFUSED_POLLS_TEST, &refused_polls::run(logs.as_deref()), &mut failed);
     }
-    for (seed, kind, usual_seconds) in seeds {
+    for course in courses {
+        let Course { seed, kind, size, is_light, .. } = course;
         let name = format!("soak_{}_seed_{seed}", kind.name());
         if chosen(&name) {
-            let Outcome { violations, line } =
-                Deployment::run_seed(seed, seconds.unwrap_or(usual_seconds), kind, logs.as_deref());
-            println!("seed {seed}: {line}");
+            let Outcome { violations, line } = Deployment::run_course(course, logs.as_deref());
+            let (Size { entries, workers }, load) =
+                (size, if is_light { "light" } else { "usual" });
+            println!("seed {seed}: {entries} entries, {workers} workers, {load} load: {line}");
             report(&name, &violations, &mut failed);
         }
     }
@@ -186,6 +209,23 @@
     if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Returns the courses of the CI seeds, all of them plain: that is what they failed with.
+fn ci_courses(seconds: Option<u64>) -> Vec<Course> {
+    let plain = |seed: u64, kind: Kind, usual_seconds: u64| {
+        Course::plain(seed, kind, seconds.unwrap_or(usual_seconds))
+    };
+    let usual = |seed: u64, kind: Kind| plain(seed, kind, DEFAULT_SECONDS);
+    let faults = FAULT_SEEDS.iter().map(|seed| usual(*seed, Kind::Faults));
+    let crashes = CRASH_SEEDS.iter().map(|seed| usual(*seed, Kind::Workers));
+    let restarts =
+        RESTART_SEEDS.iter().map(|(seed, seconds)| plain(*seed, Kind::Restarts, *seconds));
+    let zones = EVACUATION_SEEDS.iter().map(|seed| usual(*seed, Kind::Evacuations));
+    let load = LOAD_SEEDS.iter().map(|seed| usual(*seed, Kind::Load));
+    let departures = DEPARTURE_SEEDS.iter().map(|seed| usual(*seed, Kind::Departures));
+    let workers = crashes.chain(restarts).chain(zones).chain(load).chain(departures);
+    faults.chain(workers).collect()
+}
+
 /// Prints the result of one run in libtest's format.
 fn report(name: &str, violations: &[String], failed: &mut Vec<String>) {
     let verdict = if violations.is_empty() { "ok" } else { "FAILED" };
--- a/crates/stand-in/tests/soak/paused_agents.rs
+++ b/crates/stand-in/tests/soak/paused_agents.rs
@@ -12,10 +12,11 @@
 use std::time::{Duration, Instant};
 
 use crate::client::Client;
-use crate::deployment::{Deployment, ENTRIES, WORKERS};
+use crate::deployment::Deployment;
 use crate::fleet::Fleet;
 use crate::kind::Kind;
 use crate::process::Signal;
+use crate::size::Size;
 
 /// For how long jobs are submitted and agents are paused.
 const SUBMIT_TIME: Duration = Duration::from_secs(12);
@@ -42,7 +43,7 @@
     if let Some(logs) = &logs {
         std::fs::create_dir_all(logs).unwrap();
     }
-    let deployment = Deployment::open(&folder, Kind::Departures, logs.as_deref());
+    let deployment = Deployment::open(&folder, Kind::Departures, Size::SMALL, logs.as_deref());
     let entries = deployment.entries();
     deployment.check_bad_calls(&entries);
     let stop = Arc::new(AtomicBool::new(false));
@@ -81,7 +82,7 @@
         let (now, starts) = unlisted_starts(&deployment.fleet.lock().unwrap());
         paused.retain(|worker, until| {
             if now >= *until {
-                deployment.signal(ENTRIES + *worker, Signal::Continue);
+                deployment.signal(Size::SMALL.entries + *worker, Signal::Continue);
             }
             now < *until
         });
@@ -91,7 +92,7 @@
         }
         for (worker, started_at) in starts {
             if paused.len() < MAX_PAUSED && !paused.contains_key(&worker) {
-                deployment.signal(ENTRIES + worker, Signal::Stop);
+                deployment.signal(Size::SMALL.entries + worker, Signal::Stop);
                 paused.insert(worker, started_at + CONTINUE_AFTER_MS);
                 pause_count += 1;
             }
@@ -105,7 +106,7 @@
 /// contain it.
 fn unlisted_starts(fleet: &Fleet) -> (u64, Vec<(usize, u64)>) {
     let start = |worker| Some((worker, unlisted_start(fleet, worker)?));
-    (fleet.now(), (0..WORKERS).filter_map(start).collect())
+    (fleet.now(), (0..Size::SMALL.workers).filter_map(start).collect())
 }
 
 /// Returns when the newest run of a worker started, if no reported list can contain it.
--- a/crates/stand-in/tests/soak/refused_polls.rs
+++ b/crates/stand-in/tests/soak/refused_polls.rs
@@ -12,9 +12,10 @@
 use std::time::{Duration, Instant};
 
 use crate::client::Client;
-use crate::deployment::{Deployment, WORKERS};
+use crate::deployment::Deployment;
 use crate::fleet::Fleet;
 use crate::kind::Kind;
+use crate::size::Size;
 
 /// For how long jobs are submitted and workers begin to refuse polls.
 const SUBMIT_TIME: Duration = Duration::from_secs(6);
@@ -36,7 +37,7 @@
     if let Some(logs) = &logs {
         std::fs::create_dir_all(logs).unwrap();
     }
-    let deployment = Deployment::open(&folder, Kind::Departures, logs.as_deref());
+    let deployment = Deployment::open(&folder, Kind::Departures, Size::SMALL, logs.as_deref());
     let entries = deployment.entries();
     deployment.check_bad_calls(&entries);
     let stop = Arc::new(AtomicBool::new(false));
@@ -70,7 +71,7 @@
 fn refuse_polls(deployment: &Deployment) -> usize {
     let began = Instant::now();
     let mut next_refusal = Duration::ZERO;
-    let mut workers = (0..WORKERS).cycle();
+    let mut workers = (0..Size::SMALL.workers).cycle();
     let mut started = BTreeSet::new();
     while began.elapsed() < SUBMIT_TIME {
         if began.elapsed() >= next_refusal {
@@ -94,5 +95,5 @@
             worker.runs.values().filter(move |run| refuses && run.started_at > refuses_since);
         runs.map(move |run| (index, run.started_at))
     };
-    (0..WORKERS).flat_map(starts).collect()
+    (0..Size::SMALL.workers).flat_map(starts).collect()
 }
--- a/crates/stand-in/tests/soak/settings.rs
+++ b/crates/stand-in/tests/soak/settings.rs
@@ -2,10 +2,11 @@
 
 use std::path::PathBuf;
 
-use crate::deployment::{ENTRIES, REVOCATION_DEADLINE, SHUTDOWN_GRACE_S};
+use crate::deployment::{REVOCATION_DEADLINE, SHUTDOWN_GRACE_S};
 use crate::fleet::EVACUATION_DEADLINE_MS;
 use crate::kind::Kind;
 use crate::net::{self, Net};
+use crate::size::Size;
 
 /// Returns the path of a program, in the folder of the test binary.
 pub fn program(name: &str) -> PathBuf {
@@ -18,8 +19,8 @@
 }
 
 /// Returns the name of a process.
-pub fn name(index: usize) -> String {
-    match index.checked_sub(ENTRIES) {
+pub fn name(index: usize, size: Size) -> String {
+    match index.checked_sub(size.entries) {
         None => format!("entry-{index}"),
         Some(agent) => format!("agent-{agent}"),
     }
@@ -33,8 +34,9 @@
     host: u8,
     machine_list: Option<&str>,
     kind: Kind,
+    size: Size,
 ) -> String {
-    let name = name(index);
+    let name = name(index, size);
     let cloud = machine_list
         .map(|machine_list| format!("[cloud]\naddress = \"{machine_list}\"\n"))
         .unwrap_or_default();
@@ -42,7 +44,7 @@
         true => format!("evacuateMs = {EVACUATION_DEADLINE_MS}\n"),
         false => String::new(),
     };
-    let listen = match index < ENTRIES {
+    let listen = match index < size.entries {
         true => format!(
             "front = \"{}\"\nready = \"{}\"",
             net.own(host, net::CLIENTS),
--- a/crates/stand-in/tests/soak/table.rs
+++ b/crates/stand-in/tests/soak/table.rs
@@ -217,8 +217,8 @@
         if after < self.forgotten {
             return None;
         }
-        let new =
-            self.changes.iter().filter(|(version, known, ..)| *version > after && known == table);
+        let first = self.changes.partition_point(|(version, ..)| *version <= after);
+        let new = self.changes.range(first..).filter(|(_, known, ..)| known == table);
         Some(new.map(|(version, _, key, value)| self.row(key, *version, value.as_ref())).collect())
     }
 }
--- a/crates/stand-in/tests/soak/worker.rs
+++ b/crates/stand-in/tests/soak/worker.rs
@@ -91,19 +91,19 @@
 ) -> Option<(String, Value)> {
     let fleet = fleet.lock().unwrap();
     let worker = &fleet.workers[index];
-    if fleet.now() < worker.unavailable_until {
+    if fleet.now() < worker.unavailable_until.max(worker.suspended_until) {
         return None;
     }
     *number = if *incarnation == worker.incarnation { *number + 1 } else { 1 };
     *incarnation = worker.incarnation;
-    let rack = format!("r{}", index / 3);
+    let rack = format!("r{}", fleet.size.rack(index));
     // With a proxy in front of the worker, the agent connects through it.
     let address = match fleet.proxies.is_empty() {
         true => net.own(host, WORKER),
         false => net.to_worker(host),
     };
     let mut body = json!({
-        "service": "pool", "address": address, "zone": format!("z{}", Fleet::zone(index)), "version": "v1",
+        "service": "pool", "address": address, "zone": format!("z{}", fleet.size.zone(index)), "version": "v1",
         "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": number, "clockMs": fleet.clock(index),
         "capacity": { "cpu": 64_000, "memMb": 262_144, "gpu": worker.capacity() },
         "labels": ["a", rack],
@@ -170,11 +170,13 @@
         (late, fleet.workers[index].incarnation)
     };
     if late {
-        // The caller has timed out by then. A restarted worker drops the call.
+        // The caller has timed out by then.
         tokio::time::sleep(LATE_CALL_DELAY).await;
-        if fleet.lock().unwrap().workers[index].incarnation != incarnation {
-            return reply(421, &json!({}));
-        }
+    }
+    let late = wait_while_suspended(&fleet, index).await || late;
+    // A restarted worker drops what its former incarnation received.
+    if fleet.lock().unwrap().workers[index].incarnation != incarnation {
+        return reply(421, &json!({}));
     }
     let (status, body) =
         handle(&mut fleet.lock().unwrap(), index, (&path, &expected_id), &call, !late);
@@ -188,6 +190,7 @@
         tokio::time::sleep(POLL_INTERVAL).await;
         waited += POLL_INTERVAL;
     }
+    wait_while_suspended(&fleet, index).await;
     let mut fleet = fleet.lock().unwrap();
     if fleet.workers[index].incarnation != incarnation {
         return reply(421, &json!({}));
@@ -195,6 +198,19 @@
     reply(200, &poll_reply(&mut fleet, index))
 }
 
+/// Waits until the worker's process is not suspended. Returns whether it was.
+async fn wait_while_suspended(fleet: &Mutex<Fleet>, index: usize) -> bool {
+    let mut waited = false;
+    loop {
+        let left = fleet.lock().unwrap().suspension(index);
+        if left.is_zero() {
+            return waited;
+        }
+        waited = true;
+        tokio::time::sleep(left).await;
+    }
+}
+
 /// Handles a call, unless it is for another incarnation or fenced off.
 fn handle(
     fleet: &mut Fleet,
