--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -112,8 +112,11 @@
         watch.join().unwrap();
         let Fleet { checker, standing, .. } = &mut *deployment.fleet.lock().unwrap();
         let Checker { starts, repeats, .. } = checker;
-        let line =
-            format!("{accepted} jobs accepted, {starts} starts, {repeats} of tasks that were done");
+        let (calm_ms, (longest_ms, id)) = (standing.calm_ms, &standing.longest);
+        let line = format!(
+            "{accepted} jobs accepted, {starts} starts, {repeats} of tasks that were done; calm for \
+             {calm_ms} ms, longest stand {longest_ms} ms {id}"
+        );
         let mut violations = std::mem::take(&mut checker.violations);
         violations.extend(standing.violations(wall_origin, logs.as_deref()));
         if checker.starts == 0 {
--- a/crates/stand-in/tests/soak/standing.rs
+++ b/crates/stand-in/tests/soak/standing.rs
@@ -39,6 +39,10 @@
     /// When a fault was last active.
     disturbed_at: u64,
     observed_at: u64,
+    /// How long stands could be observed, in milliseconds.
+    pub calm_ms: u64,
+    /// The longest stand, in milliseconds, and its job.
+    pub longest: (u64, String),
     /// The jobs that stand now.
     standing: BTreeMap<String, Stand>,
     found: BTreeMap<String, Stand>,
@@ -55,6 +59,7 @@
         if now < self.observed_at + OBSERVATION_INTERVAL_MS {
             return;
         }
+        let elapsed = now - self.observed_at;
         self.observed_at = now;
         if self.has_fault || fleet.is_disturbed(now) {
             self.disturbed_at = now;
@@ -62,12 +67,16 @@
         if now < self.disturbed_at + STABLE_WINDOW_MS + CALM_BEFORE_MS {
             return self.standing.clear();
         }
+        self.calm_ms += elapsed;
         let idle = idle_jobs(fleet, now);
         self.standing.retain(|id, _| idle.contains_key(id));
         for (id, detail) in idle {
             let stand = Stand { since: now, until: now, detail };
             let stand = self.standing.entry(id.clone()).or_insert(stand);
             stand.until = now;
+            if now - stand.since > self.longest.0 {
+                self.longest = (now - stand.since, id.clone());
+            }
             if let Some(found) = self.found.get_mut(&id).filter(|found| found.since == stand.since)
             {
                 found.until = now;
