--- a/crates/stand-in/tests/soak/checker.rs
+++ b/crates/stand-in/tests/soak/checker.rs
@@ -13,6 +13,8 @@
     pub count: u32,
     pub accelerators: u64,
     pub gang: bool,
+    /// Its tasks run slower when spread over racks.
+    pub same_rack: bool,
     pub after: Vec<u32>,
     pub ms: u64,
 }
@@ -30,6 +32,8 @@
     pub cancelled: bool,
     /// One run in this many of its tasks fails; 0 for none.
     pub fail_interval: u64,
+    /// So many first runs of each of its tasks fail.
+    pub failing_runs: u32,
     /// The first task of its first step crashes each worker that starts it.
     pub crashes: bool,
 }
@@ -89,6 +93,8 @@
     ended_jobs: BTreeSet<String>,
     /// Failures that were acknowledged as recorded.
     failed: BTreeMap<Task, u32>,
+    /// Runs that have ended as `failed`, noticed by any process or not.
+    failed_runs: BTreeMap<Task, u32>,
     /// Failures that workers have listed.
     listed_failures: BTreeMap<Task, u32>,
     /// Crashes of workers under each task, and its starts since [`CRASH_LIMIT`] was reached.
@@ -196,6 +202,18 @@
         self.finished.entry(step).or_default().insert(task.2);
     }
 
+    /// Records that a task ended as `failed`.
+    pub fn on_failed(&mut self, task: &Task) {
+        let slot = self.slot(task);
+        *self.failed_runs.entry(slot).or_default() += 1;
+    }
+
+    /// Returns whether the next run of a task fails since its job lets its first ones fail.
+    pub fn fails_at_first(&self, task: &Task) -> bool {
+        let failing = self.jobs.get(&task.0).map_or(0, |job| job.failing_runs);
+        failing > 0 && self.failed_runs.get(&self.slot(task)).copied().unwrap_or(0) < failing
+    }
+
     /// Records that an end was acknowledged to the worker as recorded.
     pub fn on_end_recorded(&mut self, end: &End) {
         if end.how == "done" {
--- a/crates/stand-in/tests/soak/checker_test.rs
+++ b/crates/stand-in/tests/soak/checker_test.rs
@@ -64,7 +64,8 @@
 /// Returns a fleet that knows a job of one task, which ends at the first tick.
 fn fleet(fail_interval: u64) -> Fleet {
     let mut fleet = Fleet::new(Size { entries: 1, workers: 2 }, Kind::Faults);
-    let step = Step { count: 1, accelerators: 1, gang: false, after: Vec::new(), ms: 0 };
+    let step =
+        Step { count: 1, accelerators: 1, gang: false, same_rack: false, after: Vec::new(), ms: 0 };
     let job = Job {
         path: format!("/calm/{JOB}"),
         key: None,
@@ -73,6 +74,7 @@
         submit_outcome: SubmitOutcome::Accepted,
         cancelled: false,
         fail_interval,
+        failing_runs: 0,
         crashes: false,
     };
     fleet.checker.jobs.insert(JOB.to_owned(), job);
--- a/crates/stand-in/tests/soak/client.rs
+++ b/crates/stand-in/tests/soak/client.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 
-use crate::checker::{Job, Step, SubmitOutcome};
+use crate::checker::{Job, MAX_FAILURES, Step, SubmitOutcome};
 use crate::fleet::Fleet;
 
 /// Number of attempts before a client gives up.
@@ -21,6 +21,10 @@
 const CRASHING_JOB_RATIO: u64 = 12;
 /// Most accelerators of a task of a wide job; beyond this, larger jobs have longer tasks.
 const MAX_WIDE_ACCELERATORS: u64 = 4;
+/// One job in this many has gangs that are slower over several racks, if any do.
+const RACK_JOB_RATIO: u64 = 3;
+/// One job in this many fails up to its last attempt, if any do.
+const FAILING_JOB_RATIO: u64 = 8;
 /// Path of an entry's readiness check.
 const READY_PATH: &str = "/v1/readyz";
 
@@ -44,6 +48,8 @@
     wide_steps: bool,
     /// Factor of the tasks' durations.
     duration_factor: u64,
+    /// Some jobs have gangs that are slower over several racks, and some fail at first.
+    varied_jobs: bool,
 }
 
 impl Client {
@@ -56,6 +62,7 @@
             crashing_jobs: false,
             wide_steps: false,
             duration_factor: 1,
+            varied_jobs: false,
         }
     }
 
@@ -64,6 +71,11 @@
         Client { wide_steps, ..self }
     }
 
+    /// Makes gangs of some of its jobs slower over several racks, and the first runs of some fail.
+    pub fn with_varied_jobs(self, varied_jobs: bool) -> Client {
+        Client { varied_jobs, ..self }
+    }
+
     /// Makes its tasks last so many times as long.
     pub fn with_duration_factor(self, duration_factor: u64) -> Client {
         Client { duration_factor, ..self }
@@ -88,6 +100,7 @@
             count: self.random.random_range(8..=16),
             accelerators: weight.min(MAX_WIDE_ACCELERATORS),
             gang: false,
+            same_rack: false,
             after: Vec::new(),
             ms: self.random.random_range(300..1200) * weight.div_ceil(MAX_WIDE_ACCELERATORS),
         };
@@ -99,6 +112,7 @@
             submit_outcome: SubmitOutcome::Unclear,
             cancelled: false,
             fail_interval: 0,
+            failing_runs: 0,
             crashes: false,
         };
         let body = encode(&job);
@@ -219,12 +233,15 @@
 
     fn draw(&mut self, id: &str, path: &str, may_crash: bool) -> Job {
         let count = self.random.random_range(1..=2);
-        let steps = (0..count).map(|number| self.step(number)).collect();
+        let mut steps: Vec<Step> = (0..count).map(|number| self.step(number)).collect();
         let fail_interval = if self.random.random_bool(0.2) { 4 } else { 0 };
         let (submit_outcome, cancelled) = (SubmitOutcome::Unclear, false);
         // Derived from the id, so that seeds draw the same jobs with and without crashes.
         let number = u64::from_str_radix(id, 16).unwrap_or_default();
         let crashes = self.crashing_jobs && may_crash && number.is_multiple_of(CRASHING_JOB_RATIO);
+        let same_rack = self.varied_jobs && number.is_multiple_of(RACK_JOB_RATIO);
+        steps.iter_mut().for_each(|step: &mut Step| step.same_rack = step.gang && same_rack);
+        let fails_first = self.varied_jobs && number % FAILING_JOB_RATIO == 1;
         Job {
             path: path.to_owned(),
             key: None,
@@ -233,6 +250,7 @@
             submit_outcome,
             cancelled,
             fail_interval,
+            failing_runs: if fails_first { MAX_FAILURES - 1 } else { 0 },
             crashes,
         }
     }
@@ -244,6 +262,7 @@
                 count: self.random.random_range(2..=5),
                 accelerators: 1,
                 gang: self.random.random_bool(0.15),
+                same_rack: false,
                 after,
                 ms: self.random.random_range(500..4000) * self.duration_factor,
             };
@@ -253,6 +272,7 @@
             count: self.random.random_range(1..=3),
             accelerators: 1 << self.random.random_range(0..4),
             gang,
+            same_rack: false,
             after,
             ms: self.random.random_range(200..1500) * self.duration_factor,
         }
@@ -266,6 +286,7 @@
     let step = |step: &Step| {
         json!({
             "count": step.count, "estimateMs": step.ms, "after": step.after, "gang": step.gang,
+            "sameRack": step.same_rack,
             "need": { "cpu": 1000, "memory": 1000, "accelerators": step.accelerators },
         })
     };
@@ -278,6 +299,7 @@
         json!({
             "count": step.count, "cpu": 1000, "memMb": 1000, "gpu": step.accelerators,
             "estimateMs": step.ms, "after": step.after, "gang": step.gang,
+            "sameRack": step.same_rack,
         })
     };
     let steps: Vec<Value> = job.steps.iter().map(step).collect();
--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -319,7 +319,8 @@
                 let mut client = Client::new(&entries, seed)
                     .with_crashing_jobs(crashing_jobs)
                     .with_wide_steps(kind.departs())
-                    .with_duration_factor(course.duration_factor());
+                    .with_duration_factor(course.duration_factor())
+                    .with_varied_jobs(!course.is_plain);
                 let interval = Duration::from_millis(course.submit_interval_ms());
                 let mut paths = Vec::new();
                 while !stop.load(Ordering::Relaxed) {
--- a/crates/stand-in/tests/soak/fleet.rs
+++ b/crates/stand-in/tests/soak/fleet.rs
@@ -483,6 +483,7 @@
         let step = &job.steps[task.1 as usize];
         let fails = job.fail_interval > 0
             && (run.number + u64::from(task.2)).is_multiple_of(job.fail_interval);
+        let fails = fails || self.checker.fails_at_first(task);
         match run.working_since {
             _ if run.stops_at.is_some_and(|at| now >= at) => Some("stopped"),
             None => (now >= run.started_at + GANG_TIMEOUT_MS).then_some("alone"),
@@ -548,8 +549,10 @@
         let highest = worker.highest_ended.entry(task.clone()).or_default();
         *highest = run.max(*highest);
         self.checker.on_run_over(index, incarnation, task, run);
-        if how == "done" {
-            self.checker.on_done(task);
+        match how {
+            "done" => self.checker.on_done(task),
+            "failed" => self.checker.on_failed(task),
+            _ => {}
         }
         true
     }
--- a/crates/stand-in/tests/soak/standing_test.rs
+++ b/crates/stand-in/tests/soak/standing_test.rs
@@ -185,7 +185,8 @@
 }
 
 fn job(accelerators: u64) -> Job {
-    let step = Step { count: 1, accelerators, gang: false, after: Vec::new(), ms: 0 };
+    let step =
+        Step { count: 1, accelerators, gang: false, same_rack: false, after: Vec::new(), ms: 0 };
     Job {
         path: format!("/calm/{JOB}"),
         key: None,
@@ -194,6 +195,7 @@
         submit_outcome: SubmitOutcome::Accepted,
         cancelled: false,
         fail_interval: 0,
+        failing_runs: 0,
         crashes: false,
     }
 }
