--- a/crates/stand-in/tests/soak/checker.rs
+++ b/crates/stand-in/tests/soak/checker.rs
@@ -328,10 +328,11 @@
     }
 
     /// Returns whether a job is accepted, and neither cancelled nor ended as far as clients and
-    /// workers see.
+    /// workers see, and can succeed.
     pub fn is_owed(&self, id: &str, job: &Job) -> bool {
         job.submit_outcome == SubmitOutcome::Accepted
             && !job.cancelled
+            && !job.crashes
             && !self.ended_jobs.contains(id)
             && self.failure_count(id) < MAX_FAILURES
     }
--- a/crates/stand-in/tests/soak/standing_test.rs
+++ b/crates/stand-in/tests/soak/standing_test.rs
@@ -22,6 +22,9 @@
         ("a job that stands for less", 0, found(&mut fleet(2), OVERDUE_AT_MS - 100)),
         ("a job that is not accepted", 0, unaccepted()),
         ("a cancelled job", 0, cancelled()),
+        ("a job that crashes its workers", 0, crashing()),
+        ("a job beside a worker that a task crashed", 1, beside_crashed_worker(3)),
+        ("a job that fits twice only at crashed workers", 0, beside_crashed_worker(2)),
         ("a job that is done", 0, done()),
         ("a job that has failed", 0, failed()),
         ("a job that a client was shown as ended", 0, shown_as_ended()),
@@ -57,6 +60,21 @@
     with_job(|job| job.cancelled = true)
 }
 
+/// Guards against reporting a job that is held back to protect the workers.
+fn crashing() -> usize {
+    with_job(|job| job.crashes = true)
+}
+
+/// Guards against taking one crash under a task for a fault of all, and against counting the room
+/// of the crashed worker.
+fn beside_crashed_worker(workers: usize) -> usize {
+    let mut fleet = fleet(workers);
+    fleet.checker.jobs.get_mut(JOB).unwrap().steps[0].accelerators = ACCELERATORS;
+    fleet.workers[0].unavailable_until = OVERDUE_AT_MS;
+    fleet.workers[0].recovers_until = 2 * OVERDUE_AT_MS;
+    found(&mut fleet, OVERDUE_AT_MS)
+}
+
 /// Guards against reporting a job that has nothing left to run.
 fn done() -> usize {
     let mut fleet = fleet(2);
