--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -122,6 +122,7 @@
     options.optopt("", "seconds", "how long faults come", "S");
     options.optopt("", "entries", "how many entries; drawn by the seed unless set", "N");
     options.optopt("", "workers", "how many workers; drawn by the seed unless set", "N");
+    options.optflag("", "light", "clients use under half of the capacity");
     options.optflag(
         "",
         "plain",
@@ -160,7 +161,8 @@
         };
         let entries = entries.map_or(course.size.entries, |entries| entries as usize);
         let workers = workers.map_or(course.size.workers, |workers| workers as usize);
-        Course { size: Size { entries, workers }, ..course }
+        let is_light = course.is_light || matches.opt_present("light");
+        Course { size: Size { entries, workers }, is_light, ..course }
     };
     let courses: Vec<Course> = match (number("seed"), number("fresh")) {
         (Some(seed), _) => vec![by_hand(seed)],
