Let last attempts in the soak need whole workers

With tasks of one accelerator a last attempt found room at a worker known to be sound at once, in the two jobs that were looked at (departures, 6 and 40, light load).

--- a/crates/stand-in/tests/soak/client.rs
+++ b/crates/stand-in/tests/soak/client.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 use crate::checker::{Job, MAX_FAILURES, Step, SubmitOutcome};
-use crate::fleet::Fleet;
+use crate::fleet::{ACCELERATORS, Fleet};
 
 /// Number of attempts before a client gives up.
 const MAX_TRIES: usize = 5;
@@ -25,6 +25,8 @@
 const RACK_JOB_RATIO: u64 = 3;
 /// One job in this many fails up to its last attempt, if any do.
 const FAILING_JOB_RATIO: u64 = 8;
+/// Of the jobs that fail up to their last attempt, the tasks of one in two need a whole worker.
+const WHOLE_WORKER_JOB_RATIO: u64 = 2 * FAILING_JOB_RATIO;
 /// Path of an entry's readiness check.
 const READY_PATH: &str = "/v1/readyz";
 
@@ -242,6 +244,9 @@
         let same_rack = self.varied_jobs && number.is_multiple_of(RACK_JOB_RATIO);
         steps.iter_mut().for_each(|step: &mut Step| step.same_rack = step.gang && same_rack);
         let fails_first = self.varied_jobs && number % FAILING_JOB_RATIO == 1;
+        if fails_first && number % WHOLE_WORKER_JOB_RATIO == 1 {
+            steps.iter_mut().for_each(|step| step.accelerators = ACCELERATORS);
+        }
         Job {
             path: path.to_owned(),
             key: None,
