--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -413,7 +413,7 @@
     }
 
     fn inject(&mut self, fault: Fault) {
-        self.disturb();
+        self.disturb(&fault);
         let after = |ms: u64| Instant::now() + Duration::from_millis(ms);
         match fault {
             Fault::Kill { process, down } => self.kill(process, down),
@@ -519,8 +519,9 @@
     }
 
     /// Records that a fault is injected now.
-    fn disturb(&self) {
+    fn disturb(&self, fault: &Fault) {
         let mut fleet = self.fleet.lock().unwrap();
+        fleet.log.write_fault("fault", &format!("{fault:?}"));
         let now = fleet.now();
         fleet.standing.disturb(now);
     }
@@ -620,6 +621,7 @@
     }
 
     fn end_fault(&mut self, repair: Repair) {
+        self.fleet.lock().unwrap().log.write_fault("fault ends", &format!("{repair:?}"));
         match repair {
             Repair::Start(process) => self.processes[process].start(),
             Repair::Continue(process) => self.processes[process].signal(Signal::Continue),
--- a/crates/stand-in/tests/soak/worker_log.rs
+++ b/crates/stand-in/tests/soak/worker_log.rs
@@ -1,4 +1,4 @@
-//! The log of what the simulated workers do, beside the logs of the processes.
+//! The log of what the simulated workers do and of the faults, beside the logs of the processes.
 
 use std::fs::File;
 use std::io::Write;
@@ -22,10 +22,19 @@
 
     /// Writes an event of a worker.
     pub fn write(&self, index: usize, event: &str, detail: &str) {
+        self.write_line(&format!("worker-{index}"), event, detail);
+    }
+
+    /// Writes that a fault begins or ends.
+    pub fn write_fault(&self, event: &str, detail: &str) {
+        self.write_line("soak", event, detail);
+    }
+
+    fn write_line(&self, process: &str, event: &str, detail: &str) {
         let Some(mut file) = self.file.as_ref() else { return };
         let since_epoch = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
         let line = json!({
-            "t": since_epoch.as_millis() as f64 / 1000.0, "process": format!("worker-{index}"),
+            "t": since_epoch.as_millis() as f64 / 1000.0, "process": process,
             "event": event, "msg": detail,
         });
         let _ = writeln!(file, "{line}");
