Show that one silent agent makes ready steps wait beside an idle pool

What callers see: after a change of the owner, accepted jobs have nothing running for up to 7.8 s although their next step is ready and almost the whole pool is idle.

Isolated: at 6 and 40 with only the owner killed it settles in 137 ms; with one of the 40 agents stopped a second before, in 7793 ms (owner killed) and 7920 ms (owner stopped). Three of the steps that waited became ready only when the new owner itself recorded the end of the step before; no earlier owner can have started them.

Cause: Owner::is_accounted_for holds back every job with a version up to that of the claim until check_settled, which asks for all agents; it looks at jobs, not at steps, and not at which agents are missing.

--- a/crates/stand-in/tests/soak/checker.rs
+++ b/crates/stand-in/tests/soak/checker.rs
@@ -327,6 +327,12 @@
         !self.is_done(id, number) && before.all(|before| self.is_done(id, *before))
     }
 
+    /// Returns whether a worker has started a task of a job.
+    pub fn has_started_at(&self, id: &str, worker: usize) -> bool {
+        let mut starts = self.all_starts.iter().filter(|(task, _)| task.0 == id);
+        starts.any(|(_, starts)| starts.iter().any(|start| start.location.0 == worker))
+    }
+
     /// Returns whether a job is accepted, and neither cancelled nor ended as far as clients and
     /// workers see, and can succeed.
     pub fn is_owed(&self, id: &str, job: &Job) -> bool {
--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -268,6 +268,15 @@
         self.kill(self.size.entries + worker, downtime.as_millis() as u64);
     }
 
+    /// Kills the owner, which is started again after `downtime`. Returns whether there was one.
+    pub fn kill_owner(&mut self, downtime: Duration) -> bool {
+        let owner = self.owner();
+        if let Some(owner) = owner {
+            self.kill(owner, downtime.as_millis() as u64);
+        }
+        owner.is_some()
+    }
+
     /// Returns the current key.
     pub fn key(&self) -> String {
         self.keys.lock().unwrap().current.clone()
@@ -366,7 +375,7 @@
                 while !stopped.load(Ordering::Relaxed) {
                     tokio::time::sleep(STANDING_INTERVAL).await;
                     let overdue = fleet.lock().unwrap().standing.overdue();
-                    for id in overdue {
+                    for (id, _) in overdue {
                         let job = fleet.lock().unwrap().checker.jobs.get(&id).cloned();
                         let Some(job) = job else { continue };
                         let current = keys.lock().unwrap().current.clone();
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -43,6 +43,7 @@
 mod proxy;
 mod refused_polls;
 mod settings;
+mod silent_agent;
 mod size;
 mod standing;
 mod standing_test;
@@ -106,6 +107,8 @@
 const KILLED_AGENTS_TEST: &str = "soak_killed_agents";
 /// Name of the run in which workers refuse polls while they confirm starts.
 const REFUSED_POLLS_TEST: &str = "soak_refused_polls";
+/// Name of the run in which an agent is suspended while the owner dies.
+const SILENT_AGENT_TEST: &str = "soak_silent_agent";
 /// Seconds for which faults are injected unless an option sets it.
 const DEFAULT_SECONDS: u64 = 8;
 
@@ -196,6 +199,9 @@
     if runs_ci_seeds && chosen(REFUSED_POLLS_TEST) {
         report(REFUSED_POLLS_TEST, &refused_polls::run(logs.as_deref()), &mut failed);
     }
+    if runs_ci_seeds && chosen(SILENT_AGENT_TEST) {
+        report(SILENT_AGENT_TEST, &silent_agent::run(logs.as_deref()), &mut failed);
+    }
     for course in courses {
         let Course { seed, kind, size, is_light, .. } = course;
         let name = format!("soak_{}_seed_{seed}", kind.name());
--- a/crates/stand-in/tests/soak/standing.rs
+++ b/crates/stand-in/tests/soak/standing.rs
@@ -84,12 +84,12 @@
         }
     }
 
-    /// Returns the jobs that stand for too long now and are not found yet.
-    pub fn overdue(&self) -> Vec<String> {
+    /// Returns the jobs that stand for too long now and are not found yet, and since when.
+    pub fn overdue(&self) -> Vec<(String, u64)> {
         let overdue = self.standing.iter().filter(|(id, stand)| {
             stand.until >= stand.since + MAX_STAND_MS && !self.found.contains_key(*id)
         });
-        overdue.map(|(id, _)| id.clone()).collect()
+        overdue.map(|(id, stand)| (id.clone(), stand.since)).collect()
     }
 
     /// Records that a job that stands has not ended.
@@ -151,13 +151,16 @@
     places >= ROOM_FACTOR * tasks
 }
 
-/// Returns the last log line of any entry about the wait of a job.
+/// Returns the last log line of any entry about the wait of a job, or of all older jobs.
 fn last_wait(folder: &Path, id: &str) -> Option<String> {
     let files = std::fs::read_dir(folder).ok()?.flatten();
     let entries = files.filter(|file| file.file_name().to_string_lossy().starts_with("entry-"));
     let texts = entries.filter_map(|file| std::fs::read_to_string(file.path()).ok());
     let last = texts.filter_map(|text| {
-        let line = text.lines().rfind(|line| line.contains("\"waits\"") && line.contains(id))?;
+        let is_about = |line: &&str| {
+            line.contains("\"unsettled\"") || (line.contains("\"waits\"") && line.contains(id))
+        };
+        let line = text.lines().rfind(is_about)?;
         let time = serde_json::from_str::<Value>(line).ok()?["t"].as_f64()?;
         Some((time, line.to_owned()))
     });
