Let late members of a failed gang break with it in the soak

A member whose start a suspended worker carried out after another member of the same run had failed failed by itself on a failing worker, and the checker, which counts failures of a gang by its members' ends, took that for a second run that had failed. Workers end the other members of a failed gang as broken; now also those that start later. The check stays as it is.

--- a/crates/stand-in/tests/soak/fleet.rs
+++ b/crates/stand-in/tests/soak/fleet.rs
@@ -1,6 +1,6 @@
 //! The simulated workers of a run: the tasks that they run, and how those end.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::checker::{Checker, Task};
@@ -125,6 +125,8 @@
     pub delays_former_heartbeats: bool,
     /// Number of these heartbeats that have arrived.
     pub former_heartbeat_count: u64,
+    /// Runs of gangs of which a member has failed: job, step, run.
+    failed_gangs: BTreeSet<(String, u32, u64)>,
     kind: Kind,
     pub size: Size,
     /// Availability zones under evacuation, with the time when it started.
@@ -147,6 +149,7 @@
             has_calmed: false,
             delays_former_heartbeats: false,
             former_heartbeat_count: 0,
+            failed_gangs: BTreeSet::new(),
             kind,
             size,
             evacuated: BTreeMap::new(),
@@ -432,6 +435,7 @@
                 let failing = run.started_at < self.workers[index].fails_until
                     && now >= run.started_at + FAILURE_DELAY_MS;
                 let how = match self.end_reason(&task, &run, now) {
+                    None if failing && self.has_failed(&task, run.number) => Some("broken"),
                     None if failing => Some("failed"),
                     how => how,
                 };
@@ -501,6 +505,11 @@
         }
     }
 
+    /// Returns whether a member of a gang's run has failed. One that starts later breaks with it.
+    fn has_failed(&self, task: &Task, run: u64) -> bool {
+        self.failed_gangs.contains(&(task.0.clone(), task.1, run))
+    }
+
     /// Ends a run, and with it the other members of its gang.
     fn end_run(&mut self, index: usize, task: &Task, number: u64, how: &'static str) {
         if !self.record_end(index, task, number, how) {
@@ -520,6 +529,9 @@
         if !gang {
             return;
         }
+        if how == "broken" {
+            self.failed_gangs.insert((task.0.clone(), task.1, number));
+        }
         let members: Vec<(usize, Task)> = (0..self.workers.len())
             .flat_map(|index| {
                 self.workers[index].runs.iter().map(move |(task, run)| (index, task, run))
