--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -137,8 +137,6 @@
     pub(crate) clock: Clock,
     /// The next time, by `clock`, at which the passage of time alone may let work start.
     pub(crate) replan_at: Option<u64>,
-    /// When the last round of planning was.
-    planned_at: u64,
     /// The time of day at which the next occurrence of a scheduled job is due.
     pub(crate) next_due: Option<u64>,
     /// Jobs that were added since the last tick, and how long ago they were accepted at most.
@@ -236,7 +234,6 @@
             next_unit: 1,
             clock: Clock::default(),
             replan_at: None,
-            planned_at: now,
             next_due: None,
             added_jobs: Vec::new(),
             outputs: Vec::new(),
@@ -451,15 +448,15 @@
         // Without this, a job whose reserved capacity did not become free would wait next to idle
         // workers until some other event caused a plan.
         self.replan |= self.reservation_ends_at.take_if(|at| *at <= now).is_some();
+        let planned_at = self.planned_at.unwrap_or(self.claimed_at);
         let due = self.replan_at.is_some_and(|due| due <= wall)
             || self.next_due.is_some_and(|due| due <= time_of_day)
-            || self.round_interval().is_some_and(|interval| now >= self.planned_at + interval);
+            || self.round_interval().is_some_and(|interval| now >= planned_at + interval);
         if due || self.clearance_retry_at.take_if(|at| *at <= now).is_some() {
             self.replan = true;
         }
         if self.replan && !self.superseded && !self.operators_unreachable(now) {
             self.replan = false;
-            self.planned_at = now;
             self.next_due = self.update_due(time_of_day, wall);
             self.plan(now, wall);
         }
