--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -466,7 +466,7 @@
 
     /// Returns the longest time between two rounds of planning; none while no step waits. An event
     /// that should have caused a round and did not then costs this time.
-    fn round_interval(&self) -> Option<u64> {
+    pub(crate) fn round_interval(&self) -> Option<u64> {
         let by_size = self.agents.len() as u64 * ROUND_INTERVAL_PER_AGENT_MS;
         let interval = by_size.clamp(MIN_ROUND_INTERVAL_MS, MAX_ROUND_INTERVAL_MS);
         (!self.waits.is_empty()).then_some(interval)
--- a/crates/dispatch/src/standing.rs
+++ b/crates/dispatch/src/standing.rs
@@ -196,6 +196,8 @@
         let refusals = refusals.filter(|until| *until > 0);
         let monotonic = at.into_iter().flatten().chain(refusals).map(|at| at.saturating_sub(now));
         let monotonic = monotonic.chain(self.replan_at.map(|at| at.saturating_sub(wall)));
+        let latest = self.round_interval().zip(self.planned_at).map(|(ms, at)| at + ms);
+        let monotonic = monotonic.chain(latest.map(|at| at.saturating_sub(now)));
         let monotonic = monotonic.min().map(|ms| (ms, "monotonic clock"));
         let by_day = self.next_due.map(|at| (at.saturating_sub(time_of_day), "time of day"));
         let next = match monotonic.into_iter().chain(by_day).min() {
