--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -35,7 +35,7 @@
 ///
 /// Events are passed in through methods; whatever must be done in response is queued and
 /// returned by [`Owner::take_outputs`]. Fields and parameters named `now` are monotonic times,
-/// `wall` is the time by the owner's [`Clock`], which no step of the time of day changes, and
+/// `wall` is the time by the owner's clock, which no step of the time of day changes, and
 /// `time_of_day` is that of the system, all in milliseconds.
 pub struct Owner {
     pub(crate) settings: Settings,
