Keep trials and claims while the waits of idle jobs are bounded

What callers would have seen: gangs that never start, and jobs that fail for want of attempts. Both are faults of the bound that this work added, found by its review before it landed.

A claim empties its pool below half. Jobs that had waited for 1,500 ms then took the claimed workers, and the claim moved, again and again: a gang of three workers beside small tasks of 4 s never started in 25 s, 5.6 s without the bound. Claimed workers are now left to the gang for 1,000 ms more, 2.5 s in all; the users' rule counts 3 s. Other idle workers are taken first: two tests of half_empty_pool.rs start on these after 1,500 ms, and the third, in which all idle workers are claimed, after 2,500 ms instead of 1,500. All idle jobs started at once on a doubtful worker that alone could hold them. A change of the settings, and an idle job of which only some tasks found room, cause a round.

Beside idle workers of another label, which keep the pool under half in use, the gang still starves: listed as known red.

--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -312,6 +312,13 @@
         withheld
     }
 
+    /// Returns the indexes of workers that gangs before the candidate have claimed.
+    pub(crate) fn claimed_indexes(&self, candidate: &Candidate) -> Vec<usize> {
+        let turn = turn(candidate);
+        let binding = self.claims.plan.claims.iter().filter(|claim| claim.binds(&turn));
+        binding.flat_map(|claim| &claim.workers).map(|(index, _)| *index).collect()
+    }
+
     /// Puts back what [`Owner::withhold_claimed`] took out. Returns the indexes of the workers on
     /// which claims withhold free capacity from the candidate; none if it has a claim itself.
     pub(crate) fn return_claimed(
--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -18,13 +18,18 @@
 /// by the delay of a round of planning and of a start.
 pub(crate) const MAX_IDLE_WAIT_MS: u64 = 1500;
 
+/// How much longer workers that a gang has claimed are left to it. The claim itself empties the pool, and
+/// the gang would never start if others took its workers just before. Users count a job as lost that is held
+/// back for 3 s beside idle workers.
+const CLAIMED_WAIT_MS: u64 = 1000;
+
 impl Owner {
     /// Starts tasks that the ordinary attempt has held back, if nothing of their job has run for
     /// [`MAX_IDLE_WAIT_MS`] and under half of the pool has been in use for as long; else plans again
     /// when that time is over. Returns whether any started.
     ///
-    /// Only closed workers, capacity, labels, limits per worker, clearance and the isolation of
-    /// suspects still apply. Workers that the tasks avoid and doubtful ones are used if no others
+    /// Only closed workers, capacity, labels, limits per worker, clearance, the isolation of
+    /// suspects and trials that run still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more. Workers that the tasks avoid and doubtful ones are used if no others
     /// hold them, for one task where the tasks may start one by one.
     pub(crate) fn start_idle_job(
         &mut self,
@@ -44,8 +49,17 @@
             self.schedule_replan(wall + ends_at - now);
             return false;
         }
+        let claims_end_at = ends_at + CLAIMED_WAIT_MS;
+        let claimed =
+            if now < claims_end_at { self.claimed_indexes(candidate) } else { Vec::new() };
+        if !claimed.is_empty() {
+            self.schedule_replan(wall + claims_end_at - now);
+        }
         let mut barred = self.uncleared(candidate, snapshot, now);
+        barred.extend(claimed);
         barred.extend(self.excluded_indexes(candidate, snapshot));
+        let standings = snapshot.standings.iter().enumerate();
+        barred.extend(standings.filter(|(_, standing)| standing.on_trial).map(|(index, _)| index));
         let mut unwanted = self.avoided_indexes(candidate, snapshot, now);
         let standings = snapshot.standings.iter().enumerate();
         let doubtful = standings.filter(|(_, standing)| standing.grade == Grade::Doubtful);
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -263,6 +263,7 @@
     pub fn update_settings(&mut self, settings: Settings) {
         let lease = settings.lease.max(self.settings.lease);
         self.settings = Settings { lease, ..settings };
+        self.replan = true;
     }
 
     /// Records that no previous owner can grant leases any more.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -242,8 +242,10 @@
         if self.unplaced_tasks(candidate) > 0
             && self.start_idle_job(candidate, snapshot, (now, wall))
         {
-            // Nothing needs the room any more that the ordinary attempt may have begun to make.
+            // Nothing needs the room any more that the ordinary attempt may have begun to make, or the
+            // next round makes it again.
             self.drop_reservation(candidate);
+            self.replan |= self.unplaced_tasks(candidate) > 0;
         }
         if self.unplaced_tasks(candidate) == 0 {
             return;
