Split the owner's file: its ownership, and the stops and removals of runs

Change: moved without a change of logic to ownership.rs and runs.rs; the function is called `select_clearance_request`.

--- a/crates/dispatch/src/clearance.rs
+++ b/crates/dispatch/src/clearance.rs
@@ -131,11 +131,12 @@
         }
     }
 
-    /// Notes the request that the candidate's step needs, for workers at these indexes. One request
-    /// is sent at a time. Steps for which there is room come first, and of those the one whose last
-    /// request is the oldest: a gang may need clearance for more workers than can be requested before
-    /// its first tickets expire, and no other step would ever be cleared.
-    pub(crate) fn note_clearance_request(
+    /// Selects the request that the candidate's step needs, for workers at these indexes, as the one
+    /// of this round if its turn comes before that of the selected one. Steps for which there is room
+    /// come first, and of those the one whose last request is the oldest: a gang may need clearance
+    /// for more workers than can be requested before its first tickets expire, and no other step
+    /// would ever be cleared.
+    pub(crate) fn select_clearance_request(
         &self,
         candidate: &Candidate,
         indexes: &[usize],
@@ -147,8 +148,8 @@
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let clearance = entry.clearances.get(&(candidate.occurrence, candidate.step));
         let turn = (!has_room, clearance.map_or(0, |clearance| clearance.requested_at));
-        let noted = snapshot.clearance_request.as_ref().map(|(turn, _)| *turn);
-        if self.clearance_pending || noted.is_some_and(|noted| noted <= turn) {
+        let selected = snapshot.clearance_request.as_ref().map(|(turn, _)| *turn);
+        if self.clearance_pending || selected.is_some_and(|selected| selected <= turn) {
             return;
         }
         let needs_request = |worker: &Incarnation| {
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -11,8 +11,7 @@
 use crate::clock::Clock;
 use crate::crashes::SuspectedCrash;
 use crate::dismissal::Dismissal;
-use crate::election::OWNER_TIMEOUT_MS;
-use crate::entry::{Entry, Key, Phase, Placement};
+use crate::entry::{Entry, Key};
 use crate::estimator::Estimator;
 use crate::evacuation::EvacuationState;
 use crate::list::List;
@@ -53,9 +52,9 @@
     /// When the last request was sent whose answer showed that this entry still owns.
     pub(crate) confirmed_at: u64,
     /// When the last successful write of the owner's row was sent.
-    renewed_at: u64,
+    pub(crate) renewed_at: u64,
     /// When this process last went on after it had been suspended.
-    resumed_at: u64,
+    pub(crate) resumed_at: u64,
     /// Whether an agent has said that it follows a later owner.
     pub(crate) superseded: bool,
     pub(crate) config: Config,
@@ -169,14 +168,6 @@
 /// timeout that is checked is 50 ms.
 const AGENT_CHECK_INTERVAL_MS: u64 = 20;
 
-/// A longer time without a tick or a notice means that the process was suspended. The owner ticks
-/// every 100 ms, and agents send pings every second.
-pub(crate) const MAX_TICK_GAP_MS: u64 = 300;
-
-/// An owner cannot have been replaced within this time after it sent a successful write of its
-/// row. The 200 ms below the earliest takeover allow for clock drift.
-const OWNERSHIP_GUARANTEE_MS: u64 = OWNER_TIMEOUT_MS - 200;
-
 impl Owner {
     /// Creates an owner that claimed `epoch` when the table was at `version`.
     pub fn new(settings: Settings, epoch: u64, version: u64, now: u64) -> Owner {
@@ -266,17 +257,6 @@
         self.replan = true;
     }
 
-    /// Records that no previous owner can grant leases any more.
-    ///
-    /// A previous owner that may still run, cut off by the network, must be waited for until a
-    /// majority of agents follows this owner, or for as long as it may grant leases without the
-    /// table. Where all processes were killed and half of the workers are lost, that delays
-    /// older jobs by 14.2 s instead of a lease of 6.2 s.
-    pub fn predecessor_ended(&mut self) {
-        self.majority_since = Some(self.claimed_at);
-        self.predecessor_ended = true;
-    }
-
     /// Returns whether every run that a previous owner may have started is accounted for.
     pub fn is_settled(&self) -> bool {
         self.settled
@@ -337,46 +317,6 @@
         self.end_job(id, State::Cancelled, now);
     }
 
-    /// Records that the table confirmed the ownership in answer to a request sent at `sent`.
-    pub fn confirm_ownership(&mut self, sent: u64) {
-        let waits = self.needs_confirmation();
-        self.confirmed_at = self.confirmed_at.max(sent);
-        self.replan |= waits && !self.needs_confirmation();
-    }
-
-    /// Returns whether work or leases wait for the table to confirm the ownership.
-    pub fn needs_confirmation(&self) -> bool {
-        self.confirmed_at < self.assumed_over_at.max(self.resumed_at)
-    }
-
-    /// Notices that this process was suspended since `self.now`. Other entries may have taken over
-    /// meanwhile, and what agents sent before that may still wait to be processed.
-    fn detect_suspension(&mut self, now: u64) {
-        if now > self.now + MAX_TICK_GAP_MS {
-            self.resumed_at = now;
-        }
-        self.now = now;
-    }
-
-    /// Returns whether what agents send may be taken for news of this owner's time: it has not been
-    /// suspended since the table last confirmed it, and no agent follows a later owner.
-    pub(crate) fn trusts_notices(&self) -> bool {
-        !self.superseded && self.confirmed_at >= self.resumed_at
-    }
-
-    /// Returns whether no other entry can have taken over yet. Every candidate waits for a fixed
-    /// minimum time after the last write of the owner's row that it has seen, and its claim
-    /// succeeds only if that row is unchanged.
-    pub fn holds_ownership(&self, now: u64) -> bool {
-        now < self.renewed_at + OWNERSHIP_GUARANTEE_MS
-    }
-
-    /// Records that a write of the owner's row sent at `sent` succeeded. An earlier attempt of
-    /// the same write must not count, as its effect may be older than `sent`.
-    pub fn renew_ownership(&mut self, sent: u64) {
-        self.renewed_at = self.renewed_at.max(sent);
-    }
-
     /// Handles a notice from the agent on `link`. Notices on unknown connections are ignored.
     pub fn on_notice(&mut self, link: LinkId, notice: Notice, now: u64) {
         self.detect_suspension(now);
@@ -546,64 +486,6 @@
         self.log("job ended", id, detail);
     }
 
-    /// Orders a run's worker to stop it, unless a stop was ordered before.
-    pub(crate) fn stop_run(&mut self, id: &str, key: Key, now: u64) {
-        let Some(placed) = self.jobs.get_mut(id).and_then(|entry| entry.runs.get_mut(&key)) else {
-            return;
-        };
-        if placed.phase == Phase::Stopping {
-            return;
-        }
-        placed.phase = Phase::Stopping;
-        self.repeat_stop(id, key, now);
-    }
-
-    /// Sends the order to stop a run again.
-    pub(crate) fn repeat_stop(&mut self, id: &str, key: Key, now: u64) {
-        let Some(placed) = self.jobs.get_mut(id).and_then(|entry| entry.runs.get_mut(&key)) else {
-            return;
-        };
-        placed.updated_at = now;
-        let (name, worker, run) = (placed.agent.clone(), placed.worker.clone(), placed.run);
-        self.send_to_agent(&name, Order::Stop { worker, task: task(id, key), run });
-    }
-
-    /// Removes a run that is taken for over without a word of its worker or its agent.
-    ///
-    /// If another entry has taken over, the agent may have reported to that one since: its worker's
-    /// lease may have been renewed, and the run may be done. An owner that the table does not answer
-    /// and whose connection to the agent is lost would not know. So the task waits until the table
-    /// has confirmed that there was no other owner up to now.
-    pub(crate) fn assume_over(&mut self, id: &str, key: Key, now: u64) {
-        if let Some(entry) = self.jobs.get_mut(id) {
-            entry.assumed_over_at = now;
-            self.assumed_over_at = now;
-        }
-        self.remove_run(id, key);
-    }
-
-    /// Removes a run that no longer exists, and marks its ended job for a record if this was
-    /// the last one.
-    pub(crate) fn remove_run(&mut self, id: &str, key: Key) {
-        if let Some(entry) = self.jobs.get_mut(id) {
-            entry.remove_run(&key, self.now);
-            self.replan = true;
-            if entry.progress.state.is_final() && entry.runs.is_empty() && !self.dirty.contains(id)
-            {
-                self.mark_dirty(id, false);
-            }
-        }
-    }
-
-    /// Returns the runs of all jobs for which `wanted` returns true.
-    pub(crate) fn runs_where(&self, wanted: impl Fn(&Placement) -> bool) -> Vec<(Id, Key)> {
-        let runs = self
-            .jobs
-            .iter()
-            .flat_map(|(id, entry)| entry.runs.iter().map(move |(key, placed)| (id, *key, placed)));
-        runs.filter(|(_, _, placed)| wanted(placed)).map(|(id, key, _)| (id.clone(), key)).collect()
-    }
-
     /// Marks a job's progress for the next record; `urgent` if clients wait for the change.
     pub(crate) fn mark_dirty(&mut self, id: &str, urgent: bool) {
         self.dirty.insert(id.to_owned());
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -14,7 +14,8 @@
 use crate::entry::{Entry, Phase, Placement, Reservation, Sampled};
 use crate::estimator::Estimator;
 use crate::idle_jobs::MAX_IDLE_WAIT_MS;
-use crate::owner::{MAX_TICK_GAP_MS, Owner, task};
+use crate::owner::{Owner, task};
+use crate::ownership::MAX_TICK_GAP_MS;
 use crate::snapshot::{Exclusions, Snapshot};
 use crate::suspects::{RecentStart, isolate_suspects};
 
@@ -260,7 +261,7 @@
         self.record_wait(candidate, snapshot, &restrictions, now);
         if !excluded.uncleared.is_empty() {
             let uncleared = &excluded.uncleared;
-            self.note_clearance_request(candidate, uncleared, (&step, &pool), snapshot);
+            self.select_clearance_request(candidate, uncleared, (&step, &pool), snapshot);
         }
     }
 
