Send no start under a lease that began after its own had ended

What callers saw: nothing yet; a task could run twice. An agent is suspended with a start that has got no reply, until its lease has ended. Its owner gives the run up and starts the task elsewhere. The agent goes on, connects to the same owner again, gets a new lease, and repeats the start under it.

Cause: each attempt of a start carries the end of the newest lease. Orders are dropped only if a higher epoch claims the agent, so those of an earlier connection to the same owner stay.

Why this works: a start is accepted with more than a fourth of a lease left (1.5 s), and its three attempts take 1.2 s, so only an agent that was suspended is late. It then sends a stop, after which the worker refuses the start. Calls that were made before the suspension carry the former end of the lease, and the worker refuses them as late.

Ruled out: to drop all orders when the same owner claims again. A start without a reply would then be forgotten, and its worker may still carry it out.

--- a/crates/runner/src/orders.rs
+++ b/crates/runner/src/orders.rs
@@ -51,7 +51,9 @@
         let evacuated = self.evacuation.contains(&session.worker.zone);
         let refused = session.worker.draining || evacuated || until.is_none();
         *lease_end = until.unwrap_or(0);
-        let mut pending = Pending { may_take_effect: again, suspect, ..Pending::new(action) };
+        let lease_end = now + self.lease.remaining(now);
+        let mut pending =
+            Pending { may_take_effect: again, suspect, lease_end, ..Pending::new(action) };
         if refused {
             pending.replace_with_stop(now);
         }
--- a/crates/runner/src/pending.rs
+++ b/crates/runner/src/pending.rs
@@ -13,6 +13,8 @@
     pub replaces_start: bool,
     /// The task of the start is suspected of crashing workers.
     pub suspect: bool,
+    /// When the lease ends, on the agent's clock, under which a start was accepted.
+    pub lease_end: u64,
     /// When the next attempt is due; none while a call is in flight.
     pub retry_at: Option<u64>,
 }
@@ -26,6 +28,7 @@
             may_take_effect: false,
             replaces_start: false,
             suspect: false,
+            lease_end: u64::MAX,
             retry_at: Some(0),
         }
     }
--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -317,6 +317,11 @@
             // Each attempt has a call id of its own, so that a late reply to an earlier one is not
             // taken for the reply to this one.
             let Some(mut pending) = session.orders.remove(&id) else { continue };
+            // An agent that was suspended may have a new lease. The owner takes the start for over
+            // since the former one ended, and its task may run elsewhere.
+            if pending.is_start() && now >= pending.lease_end {
+                pending.replace_with_stop(now);
+            }
             pending.retry_at = None;
             if let (Action::Start { lease_end: end, .. }, Some(renewed)) =
                 (&mut pending.action, lease_end)
