End unconfirmed starts with the leases of a disconnected agent

What callers saw: an accepted job stood for 3 s and more beside free workers. Its start had been ordered up to 2.5 s after the worker and its agent were gone.

Cause: a run at an agent that is not connected is given up when the leases granted there have ended, but no earlier than a whole lease (6.2 s) after its order.

Why this is safe, for a start that this owner ordered and nobody has confirmed:

- The owner adds nothing to `leases_expire_at` while there is no connection, and each grant that it sent, also one in flight, is contained in it: a grant counts from the agent's stamp.
- An agent takes orders from the connection of its last claim only, in their order.
It accepts a start under the lease that it has then, and refuses it if less than 1.5 s is left.
An order that waits in a socket is refused, or ignored after a reconnect.
- The worker refuses a start whose lease has ended on its clock, also if it carries it out late, and ends all runs with the lease.
An agent that was suspended and goes on sends a stop.
- An order that is repeated after a reconnect follows from new grants, which count.
- Leases of a previous owner end earlier than the first one that this owner granted in full, since an agent that follows this owner takes no other grants.
An owner that could grant none keeps the former wait; `a_start_under_a_lease_of_the_previous_owner_ends_a_lease_after_its_order` fails without that condition (4200 ms instead of 6200 ms).

Runs that were adopted or confirmed keep the former wait, which costs at most a ping more. So do runs at agents that are connected without a worker: nothing is ordered there since that is known. What the table has to confirm before the task starts elsewhere is as before.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -29,6 +29,9 @@
     pub predecessor_leases: bool,
     /// When the last lease granted through this agent expires.
     pub leases_expire_at: u64,
+    /// Whether this owner has granted a lease that counts from the agent's request. It ends no
+    /// earlier than any that a previous owner granted, since the agent follows this one since.
+    pub has_full_grant: bool,
     /// Since when the agent has had no worker; none while it has one.
     pub no_worker_since: Option<u64>,
     /// Since when the agent has not been connected with a worker that responds within a lease;
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -104,6 +104,7 @@
         let lapse = (now + self.settings.lease + self.settings.lease_margin).saturating_sub(age);
         self.replan |= !agent.has_lease(&self.settings, now);
         agent.leases_expire_at = agent.leases_expire_at.max(lapse);
+        agent.has_full_grant |= age == 0;
         self.send(link, Order::Grant { stamp: stamp.saturating_sub(age) });
     }
 
@@ -132,6 +133,7 @@
     pub(crate) fn expire_leases(&mut self, now: u64) {
         let bound = self.settings.lease + self.settings.lease_margin;
         let mut unresponsive = Vec::new();
+        let mut lapsed = Vec::new();
         for (name, agent) in &self.agents {
             let expired = now >= agent.leases_expire_at;
             let disconnected = agent.link.is_none() && expired;
@@ -141,6 +143,9 @@
             if disconnected || without_worker || agent.silent_ms >= bound {
                 unresponsive.push(name.clone());
             }
+            if disconnected && agent.has_full_grant {
+                lapsed.push(name.clone());
+            }
         }
         self.expire_dismissed(now);
         for name in unresponsive {
@@ -150,8 +155,13 @@
                 Phase::Starting => placed.updated_at,
                 Phase::Running | Phase::Stopping => placed.started_at,
             };
-            let covered =
-                |placed: &Placement| placed.agent == name && now >= ordered_at(placed) + bound;
+            // A start that this owner has ordered without an answer needs no time of its own. The agent
+            // accepts it only under a lease that was granted before, and all of them have ended.
+            let leases_ended = lapsed.contains(&name);
+            let covered = |placed: &Placement| {
+                let unconfirmed = leases_ended && placed.confirmed_at.is_none();
+                placed.agent == name && (unconfirmed || now >= ordered_at(placed) + bound)
+            };
             let lease = self.lease_detail(&name, now);
             let follows = self.follows_owner(&name, now);
             for (id, key) in self.runs_where(covered) {
