Poll at once after a stop of a run that is not listed

What callers saw: a job had nothing running for up to a second longer than needed, after its worker had restarted.

Cause: after a restart under the same id, the owner stops the runs that the former process never listed, since the new one may carry their starts out, and waits for the report of the stop. The agent reports it after the reply to a later poll. If anything else runs at the worker, that reply is held back until a run ends, for up to 1 s, and no end of the stopped run ever comes.

Why this works: the poll after such a stop asks for an immediate reply. What a reply must show is as before: it belongs to a poll that was sent after the stop was confirmed, and does not list the run.

--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -341,7 +341,8 @@
             let settled = session.fenced == self.epoch && session.ended.is_empty();
             let idle = session.running.is_empty() && session.orders.is_empty();
             let acknowledged = session.next_acknowledgement();
-            let waits = settled && !idle && !session.owes_acknowledgement();
+            let answers_at_once = session.owes_acknowledgement() || session.owes_stop_report();
+            let waits = settled && !idle && !answers_at_once;
             let wait = if waits { settings.poll_wait } else { 0 };
             let action = Action::Hold { acknowledged, lease_end, wait };
             let call = session.call(self.epoch, action, wait + settings.call_timeout);
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -132,6 +132,12 @@
         self.recorded > self.acknowledged && !self.has_start_in_flight()
     }
 
+    /// True if a stop is confirmed of a run that the worker did not list last. The next poll then asks
+    /// for an immediate reply: no end of that run would end the wait, and its task waits for the reply.
+    pub fn owes_stop_report(&self) -> bool {
+        self.stop_reports.iter().any(|stop| !self.may_list(stop))
+    }
+
     /// Starts that were sent and got no reply.
     pub fn unanswered(&self) -> Vec<(Task, u64)> {
         let sent = |pending: &&Pending| {
