--- a/crates/runner/src/runner.rs
+++ b/crates/runner/src/runner.rs
@@ -317,6 +317,11 @@
             // Each attempt has a call id of its own, so that a late reply to an earlier one is not
             // taken for the reply to this one.
             let Some(mut pending) = session.orders.remove(&id) else { continue };
+            // An agent that was suspended may have a new lease. The owner takes the start for over
+            // since the former one ended, and its task may run elsewhere.
+            if pending.is_start() && now >= pending.lease_end {
+                pending.replace_with_stop(now);
+            }
             pending.retry_at = None;
             if let (Action::Start { lease_end: end, .. }, Some(renewed)) =
                 (&mut pending.action, lease_end)
@@ -336,7 +341,8 @@
             let settled = session.fenced == self.epoch && session.ended.is_empty();
             let idle = session.running.is_empty() && session.orders.is_empty();
             let acknowledged = session.next_acknowledgement();
-            let waits = settled && !idle && !session.owes_acknowledgement();
+            let answers_at_once = session.owes_acknowledgement() || session.owes_stop_report();
+            let waits = settled && !idle && !answers_at_once;
             let wait = if waits { settings.poll_wait } else { 0 };
             let action = Action::Hold { acknowledged, lease_end, wait };
             let call = session.call(self.epoch, action, wait + settings.call_timeout);
