Try idle jobs before room is made for them

Callers saw work that was stopped for a job that did not need its room.

Cause: `place` preempted as part of the ordinary attempt, and `start_idle_job` then started the job on a worker that this attempt had held back, in the same round. The reservation was dropped, but the stops had been ordered.

Evidence: `nothing_is_stopped_for_a_job_that_starts_as_an_idle_one` failed before with "w0 stop borrowed.0.0.0 run 1, w2 start a.0.0.0 run 1" in one round.

Preemption is now a step of its own in `start_candidate`, after the idle attempt and only if that started nothing. It sees the same limits, claims and hidden workers as before. The reservation need not be dropped there any more: one that is still valid returns earlier.

A stop that was ordered in a former round is not taken back.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -239,13 +239,19 @@
         };
         let claimed = self.return_claimed(candidate, withheld, snapshot);
         snapshot.lift_limits(limits);
-        if self.unplaced_tasks(candidate) > 0
-            && self.start_idle_job(candidate, snapshot, (now, wall))
-        {
-            // Nothing needs the room any more that the ordinary attempt may have begun to make, or the
-            // next round makes it again.
-            self.drop_reservation(candidate);
+        let unplaced = self.unplaced_tasks(candidate);
+        // Before room is made: work would be stopped for tasks that start elsewhere.
+        if unplaced > 0 && self.start_idle_job(candidate, snapshot, (now, wall)) {
             self.replan |= self.unplaced_tasks(candidate) > 0;
+        } else if unplaced > 0 && self.may_make_room(candidate, now) {
+            let limits = snapshot.limit(&admission, &step);
+            let withheld = self.withhold_claimed(candidate, &step, snapshot, now);
+            let hidden = snapshot.hide(&excluded_indexes);
+            let started = candidate.tasks.len() - unplaced;
+            self.preempt_for(candidate, &step, &pool, started, snapshot, (now, wall));
+            snapshot.show(hidden);
+            self.return_claimed(candidate, withheld, snapshot);
+            snapshot.lift_limits(limits);
         }
         if self.unplaced_tasks(candidate) == 0 {
             return;
@@ -264,6 +270,20 @@
         }
     }
 
+    /// Returns whether other work may be stopped for a candidate now.
+    fn may_make_room(&self, candidate: &Candidate, now: u64) -> bool {
+        // Nothing is stopped for a task that may crash the worker that it is given.
+        let may_preempt = candidate.rank.may_preempt() && !candidate.suspect;
+        // A step has one reservation at a time. If its groups replaced each other's, each of them
+        // would stop more work in every round.
+        let entry = self.jobs.get(&candidate.id);
+        let reserved = entry.is_some_and(|entry| {
+            let made_at = entry.reservations.get(&(candidate.occurrence, candidate.step));
+            made_at.is_some_and(|known| now < known.made_at + self.settings.reservation_ttl)
+        });
+        may_preempt && !reserved
+    }
+
     /// Drops the reservation for the candidate's tasks.
     fn drop_reservation(&mut self, candidate: &Candidate) {
         if let Some(entry) = self.jobs.get_mut(&candidate.id) {
@@ -297,9 +317,8 @@
         candidate.tasks.iter().filter(|&&index| !entry.runs.contains_key(&key(index))).count()
     }
 
-    /// Starts as many of a candidate's tasks as it can on the workers that are not hidden, and
-    /// makes room for the others there if it may. Returns the indexes of workers that it keeps free
-    /// for other work.
+    /// Starts as many of a candidate's tasks as it can on the workers that are not hidden. Returns
+    /// the indexes of workers that it keeps free for other work.
     fn place(
         &mut self,
         candidate: &Candidate,
@@ -341,18 +360,6 @@
         let pairs: Vec<(u32, usize)> =
             candidate.tasks.iter().copied().zip(chosen.iter().copied()).collect();
         self.start_tasks(candidate, step, &pairs, snapshot, now);
-        // Nothing is stopped for a task that may crash the worker that it is given.
-        let may_preempt = candidate.rank.may_preempt() && !candidate.suspect;
-        // A step has one reservation at a time. If its groups replaced each other's, each of them
-        // would stop more work in every round.
-        let entry = self.jobs.get(&candidate.id);
-        let reserved = entry.is_some_and(|entry| {
-            let made_at = entry.reservations.get(&(candidate.occurrence, candidate.step));
-            made_at.is_some_and(|known| now < known.made_at + self.settings.reservation_ttl)
-        });
-        if may_preempt && !reserved && started < candidate.tasks.len() {
-            self.preempt_for(candidate, step, pool, started, snapshot, (now, wall));
-        }
         kept_free
     }
 
--- a/crates/dispatch/tests/idle_bound.rs
+++ b/crates/dispatch/tests/idle_bound.rs
@@ -7,7 +7,8 @@
 
 use busy_pool::Pool;
 use harness::{job, run, step};
-use quincewheel_job::{Advice, How, Job, Run, Step, Worker};
+use quincewheel_dispatch::Settings;
+use quincewheel_job::{Advice, Config, How, Job, Run, Step, Team, Worker};
 use quincewheel_wire::Notice;
 use site::Site;
 
@@ -134,6 +135,46 @@
     }
 }
 
+// Work was stopped for nothing: room began to be made for a job in the round in which the job then started
+// on a worker that the ordinary attempt had held back.
+#[test]
+fn nothing_is_stopped_for_a_job_that_starts_as_an_idle_one() {
+    let mut site = Site::new(1, 10);
+    // Borrowed room is reclaimed 1,600 ms before the deadline, when the wait of the idle job is over.
+    let deadline = Settings { reclaim_deadline: 3100, doubt: 10_000, ..Settings::default() };
+    site.harness.owner.update_settings(deadline);
+    let team = |name: &str, guaranteed| {
+        (name.to_owned(), Team { name: name.into(), guaranteed, ..Team::default() })
+    };
+    let teams = [team("t", 8), team("other", 0)].into();
+    site.harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
+    let labelled = |priority, attempts, step: Step| {
+        let mut job = job(priority, vec![Step { label: "r0".into(), ..step }]);
+        job.queue.attempts = attempts;
+        job
+    };
+    let borrowed = labelled(0, 1, Step { estimate: 60_000, ..step(2, 8) });
+    site.add("borrowed", Job { team: "other".into(), ..borrowed });
+    for name in ["x", "y", "z"] {
+        site.add(name, labelled(1, 1, step(1, 8)));
+        while !site.running.iter().any(|(_, task, _)| task.job == name) {
+            site.pass(100);
+            site.take_starts();
+        }
+        site.end(2, How::Failed);
+    }
+    let accepted = site.harness.now;
+    let first = site.add("a", Job { accepted, ..labelled(0, 1, step(1, 8)) });
+    let mut orders = String::new();
+    while !orders.contains("start") && site.harness.now < accepted + 5000 {
+        site.pass(100);
+        orders = site.harness.take_orders();
+        assert!(!orders.contains("stop"), "{orders}");
+    }
+    let waited = site.harness.now - accepted;
+    assert_eq!((first.as_str(), waited), ("nothing", 1500), "{orders}");
+}
+
 // A job stood beside an empty pool: a gang with room, which needs clearance for more workers than can be
 // requested before its first tickets expire, took every request.
 #[test]
