End the wait for a trial once it has outlived its start

Callers saw a job stand beside idle workers for as long as another job's task ran: the only worker with its label was doubtful and had been given one task as a trial, which took an eighth of it.

Cause: the bound on waits of idle jobs bars each doubtful worker at which a trial runs, however long that takes. Only the end of the trial or that of the doubt, 10 to 32 s after the last failure, ended the wait.

A faulty worker fails a run within 500 ms of its start. So a trial bars the worker to idle jobs for 1 s from the confirmation of its start; then one more task may start there, which is a new trial.

--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -13,6 +13,7 @@
 use crate::owner::Owner;
 use crate::plan::tasks_per_worker;
 use crate::snapshot::Snapshot;
+use crate::trust::NEW_TRIAL_MS;
 
 /// How long a job of which nothing runs is held back while under half of its pool is in use. Below 2 s
 /// by the delay of a round of planning and of a start.
@@ -29,8 +30,9 @@
     /// when that time is over. Returns whether any started.
     ///
     /// Only closed workers, capacity, labels, limits per worker, clearance, the isolation of
-    /// suspects and trials that run still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more. Workers that the tasks avoid and doubtful ones are used if no others
-    /// hold them, for one task where the tasks may start one by one.
+    /// suspects and new trials still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more.
+    /// Workers that the tasks avoid and doubtful ones are used if no others hold them, for one task
+    /// where the tasks may start one by one.
     pub(crate) fn start_idle_job(
         &mut self,
         candidate: &Candidate,
@@ -58,8 +60,10 @@
         let mut barred = self.uncleared(candidate, snapshot, now);
         barred.extend(claimed);
         barred.extend(self.excluded_indexes(candidate, snapshot));
-        let standings = snapshot.standings.iter().enumerate();
-        barred.extend(standings.filter(|(_, standing)| standing.on_trial).map(|(index, _)| index));
+        if !snapshot.new_trials.is_empty() {
+            barred.extend(&snapshot.new_trials);
+            self.schedule_replan(wall + NEW_TRIAL_MS);
+        }
         let mut unwanted = self.avoided_indexes(candidate, snapshot, now);
         let standings = snapshot.standings.iter().enumerate();
         let doubtful = standings.filter(|(_, standing)| standing.grade == Grade::Doubtful);
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -31,6 +31,8 @@
     pub levels: Vec<i32>,
     /// The standing of each worker; empty while failures do not count against workers.
     pub standings: Vec<Standing>,
+    /// Doubtful workers, by index, of which a trial has just started.
+    pub new_trials: BTreeSet<usize>,
     /// What is in use of each pool.
     pub loads: BTreeMap<String, Load>,
     /// The clearance to request after this round, with its turn: whether there is no room for its step,
@@ -208,6 +210,7 @@
         let actual_free = workers.iter().map(|worker| worker.free).collect();
         let levels = self.speed_levels(&workers);
         let standings = self.standings(&workers, now);
+        let new_trials = self.new_trials(&workers, &standings, now);
         Snapshot {
             workers,
             actual_free,
@@ -215,6 +218,7 @@
             recent_starts,
             levels,
             standings,
+            new_trials,
             loads,
             clearance_request: None,
         }
--- a/crates/dispatch/src/trust.rs
+++ b/crates/dispatch/src/trust.rs
@@ -3,7 +3,7 @@
 //! The ends of runs are passed to [`quincewheel_trust::Trust`], which grades the workers. A round of
 //! planning asks it which workers the tasks of a candidate may use, by the attempts they have left.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::{End, How, Id, Incarnation, Resources, Step};
 use quincewheel_place::{Protection, Request, WorkerState, pack};
@@ -146,6 +146,26 @@
         standings
     }
 
+    /// Returns the indexes of doubtful workers at which a task started less than [`NEW_TRIAL_MS`]
+    /// ago, or is starting.
+    pub(crate) fn new_trials(
+        &self,
+        workers: &[WorkerState],
+        standings: &[Standing],
+        now: u64,
+    ) -> BTreeSet<usize> {
+        let tried = (standings.iter().zip(workers).enumerate())
+            .filter(|(_, (standing, _))| standing.on_trial)
+            .map(|(index, (_, worker))| (worker.name.as_str(), index));
+        let tried: BTreeMap<&str, usize> = tried.collect();
+        if tried.is_empty() {
+            return BTreeSet::new();
+        }
+        let runs = self.jobs.values().flat_map(|entry| entry.runs.values());
+        let new = runs.filter(|run| now < run.confirmed_at.unwrap_or(now) + NEW_TRIAL_MS);
+        new.filter_map(|run| tried.get(run.agent.as_str()).copied()).collect()
+    }
+
     /// Splits tasks that may start by what they can afford, last attempts first: their siblings
     /// must not take the sound workers from them. A gang counts as one task.
     pub(crate) fn split_attempts(
@@ -384,6 +404,10 @@
     )
 }
 
+/// How long a trial of a doubtful worker counts as new. Faulty workers fail most runs at once, after
+/// 500 ms at most.
+pub(crate) const NEW_TRIAL_MS: u64 = 1000;
+
 /// Returns the request to place a candidate's tasks.
 fn request<'a>(
     candidate: &Candidate,
@@ -448,6 +472,9 @@
     pub fn record_trial(&mut self, index: usize) {
         if let Some(standing) = self.standings.get_mut(index) {
             standing.on_trial |= standing.grade == Grade::Doubtful;
+            if standing.on_trial {
+                self.new_trials.insert(index);
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/idle_waits.rs
@@ -0,0 +1,59 @@
+//! Waits beside idle workers that the bound on waits of idle jobs does not end.
+
+mod harness;
+mod site;
+
+use harness::{job, step};
+use quincewheel_job::{How, Job, Step};
+use site::Site;
+
+/// Longest time for which a job stands beside free workers, in milliseconds.
+const MAX_STANDING_MS: u64 = 3000;
+
+/// A job of one step on workers with this label.
+fn labelled(label: &str, step: Step) -> Job {
+    let mut job = job(1, vec![Step { label: label.into(), ..step }]);
+    job.queue.attempts = 2;
+    job
+}
+
+/// Lets time pass until a task whose name begins so starts, and returns after how long; 60 s at
+/// most.
+fn start_of(site: &mut Site, name: &str) -> u64 {
+    let before = site.harness.now;
+    loop {
+        let starts = site.take_starts();
+        let waited = site.harness.now - before;
+        if starts.contains(name) || waited >= 60_000 {
+            return waited;
+        }
+        site.pass(100);
+    }
+}
+
+/// Lets this many trials fail at once on the only worker with the label `r3`, the last of ten.
+fn fail_trials(site: &mut Site, count: u32) {
+    for number in 0..count {
+        let mut trial = labelled("r3", step(1, 1));
+        trial.queue.attempts = 1;
+        site.add(&format!("x{number}"), trial);
+        while !site.running.iter().any(|(at, ..)| *at == 9) {
+            site.pass(100);
+            site.take_starts();
+        }
+        site.end(9, How::Failed);
+    }
+}
+
+// A job stood beside idle workers until the doubt was over: the only worker with its label was
+// doubtful and ran a long trial, which took an eighth of it.
+#[test]
+fn job_does_not_wait_for_the_end_of_a_long_trial() {
+    let mut site = Site::new(1, 10);
+    fail_trials(&mut site, 3);
+    site.add("trial", labelled("r3", step(1, 1)));
+    start_of(&mut site, "trial.");
+    site.add("a", labelled("r3", step(1, 1)));
+    let waited = start_of(&mut site, "a.");
+    assert!(waited < MAX_STANDING_MS, "{waited} ms");
+}
