Bound the waits of lasting tasks one by one, in any pool

Callers saw a lasting task stand beside free workers for 16 s and more: the only worker with its label was doubtful and in backoff, or a gang that waited for the end of long runs had claimed the free workers, which lasting tasks never give back in time.

Cause: the bound on waits of idle jobs looks at jobs of which nothing runs, and at pools of which under half is in use. The users count each lasting task for itself, also while others of its job run and however full the pool is, from 6 s after its last run on for 3 s.

The bound now applies to lasting tasks whatever else of their job runs, after 1.5 s below half and after 6 s in any pool, counted from when their step began to wait. Workers that a gang has claimed are left to it for 1 s more, so the task starts 7 s after its last run at the latest if there is room.

--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -19,6 +19,10 @@
 /// by the delay of a round of planning and of a start.
 pub(crate) const MAX_IDLE_WAIT_MS: u64 = 1500;
 
+/// How long a perpetual task is held back, however much of its pool is in use. Users count it as lost
+/// 9 s after its last run if there is capacity for it.
+const MAX_LASTING_WAIT_MS: u64 = 6000;
+
 /// How much longer workers that a gang has claimed are left to it. The claim itself empties the pool, and
 /// the gang would never start if others took its workers just before. Users count a job as lost that is held
 /// back for 3 s beside idle workers.
@@ -27,7 +31,8 @@
 impl Owner {
     /// Starts tasks that the ordinary attempt has held back, if nothing of their job has run for
     /// [`MAX_IDLE_WAIT_MS`] and under half of the pool has been in use for as long; else plans again
-    /// when that time is over. Returns whether any started.
+    /// when that time is over. Perpetual tasks are also started if others of their job run, and in
+    /// any pool after [`MAX_LASTING_WAIT_MS`]. Returns whether any started.
     ///
     /// Only closed workers, capacity, labels, limits per worker, clearance, the isolation of
     /// suspects and new trials still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more.
@@ -39,14 +44,14 @@
         snapshot: &mut Snapshot,
         (now, wall): (u64, u64),
     ) -> bool {
-        let Some(waiting_since) = self.idle_waiting_since(candidate, now) else { return false };
         let Some(entry) = self.jobs.get(&candidate.id) else { return false };
         let Some(step) = entry.job.steps.get(candidate.step as usize).cloned() else {
             return false;
         };
         let pool = self.pool_of(entry);
-        let Some(since) = self.under_half_since(&pool, &step, snapshot) else { return false };
-        let ends_at = waiting_since.max(since) + MAX_IDLE_WAIT_MS;
+        let Some(ends_at) = self.idle_wait_ends_at(candidate, (&step, &pool), snapshot, now) else {
+            return false;
+        };
         if now < ends_at {
             self.schedule_replan(wall + ends_at - now);
             return false;
@@ -107,11 +112,30 @@
         load.is_under_half(accelerated).then_some(*since)
     }
 
-    /// Returns since when a candidate's tasks have waited; none while anything of its job runs.
-    fn idle_waiting_since(&self, candidate: &Candidate, now: u64) -> Option<u64> {
-        let entry = self.jobs.get(&candidate.id).filter(|entry| entry.runs.is_empty())?;
+    /// Returns when a candidate's tasks are held back no longer; none while that is not known.
+    fn idle_wait_ends_at(
+        &self,
+        candidate: &Candidate,
+        (step, pool): (&Step, &str),
+        snapshot: &Snapshot,
+        now: u64,
+    ) -> Option<u64> {
+        let since = self.idle_waiting_since(candidate, step, now)?;
+        let under_half = self.under_half_since(pool, step, snapshot);
+        let bound = under_half.map(|from| since.max(from) + MAX_IDLE_WAIT_MS);
+        let lasting_bound = step.perpetual.then_some(since + MAX_LASTING_WAIT_MS);
+        bound.into_iter().chain(lasting_bound).min()
+    }
+
+    /// Returns since when a candidate's tasks have waited; none while anything of its job runs, but
+    /// for perpetual tasks, each of which is worth something by itself.
+    fn idle_waiting_since(&self, candidate: &Candidate, step: &Step, now: u64) -> Option<u64> {
         let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
         let waiting_since = self.waits.waiting_since(&key).unwrap_or(now);
+        if step.perpetual {
+            return Some(waiting_since);
+        }
+        let entry = self.jobs.get(&candidate.id).filter(|entry| entry.runs.is_empty())?;
         Some(entry.idle_since?.max(waiting_since))
     }
 
--- a/crates/dispatch/tests/idle_waits.rs
+++ b/crates/dispatch/tests/idle_waits.rs
@@ -4,11 +4,14 @@
 mod site;
 
 use harness::{job, step};
+use quincewheel_dispatch::Settings;
 use quincewheel_job::{How, Job, Step};
 use site::Site;
 
 /// Longest time for which a job stands beside free workers, in milliseconds.
 const MAX_STANDING_MS: u64 = 3000;
+/// The same for a lasting task, from its last run on.
+const MAX_LASTING_MS: u64 = 6000 + MAX_STANDING_MS;
 
 /// A job of one step on workers with this label.
 fn labelled(label: &str, step: Step) -> Job {
@@ -57,3 +60,35 @@
     let waited = start_of(&mut site, "a.");
     assert!(waited < MAX_STANDING_MS, "{waited} ms");
 }
+
+// A lasting task stood beside idle workers since another one of its job ran: the only worker with its
+// label was doubtful and in backoff, in a pool of which most was in use.
+#[test]
+fn lasting_task_does_not_wait_for_a_trial_while_others_of_its_job_run() {
+    let mut site = Site::new(1, 10);
+    site.add("long", job(1, vec![Step { estimate: 600_000, ..step(6, 8) }]));
+    fail_trials(&mut site, 6);
+    let lasting = |label: &str| Step { label: label.into(), perpetual: true, ..step(1, 1) };
+    site.add("a", job(1, vec![lasting("r2"), lasting("r3")]));
+    let waited = start_of(&mut site, "a.0.1.0");
+    assert!(waited < MAX_LASTING_MS, "{waited} ms");
+}
+
+// A lasting task stood beside idle workers that a gang had claimed, in a pool of which most was in use:
+// the gang waited for the end of a long run.
+#[test]
+fn lasting_task_does_not_wait_for_a_gang_that_claims() {
+    let mut site = Site::new(1, 12);
+    let settings = Settings { claim_after: 1000, ..Settings::default() };
+    site.harness.owner.update_settings(settings);
+    site.harness.logged_events = vec!["claim made", "claim moved", "claim abandoned", "waits"];
+    site.add("long", job(1, vec![Step { estimate: 60_000, ..step(7, 8) }]));
+    let mut gang = job(1, vec![Step { gang: true, ..step(12, 8) }]);
+    gang.queue.slack = 3000;
+    site.add("gang", Job { accepted: site.harness.now, ..gang });
+    site.pass(1200);
+    let first = site.add("a", job(2, vec![Step { perpetual: true, ..step(1, 8) }]));
+    assert_eq!(first, "nothing", "{}", site.harness.take_logs());
+    let waited = start_of(&mut site, "a.");
+    assert!(waited < MAX_LASTING_MS, "{waited} ms");
+}
