Do not begin the bounded wait anew with a start that is refused

Callers saw a job stand beside idle workers for 3 s and more: at the end of its wait of 1.5 s its start was refused, and the next 1.5 s began although nothing of it had run. Each further refusal added as much.

Cause: the bound counts from when the job last had a run in the owner's books, and from when its step began to wait. A start that was ordered and refused ended both.

A run that is removed since its start was refused leaves the time since when the job is idle as it was. The wait of a step that is not perpetual counts from there, or from when its occurrence was due, in place of the wait that the log shows: a step of an idle job becomes ready only by the end of a run or with time. The backoff of the worker that refused still applies. The wait does begin anew for other members of a gang that had been started, for a start that was repeated before it was refused, and for lasting tasks.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -40,8 +40,9 @@
     pub due_at: Vec<u64>,
     /// When the next occurrence was last found not to be due, by the owner's clock.
     not_due_at: Option<u64>,
-    /// Since when the job has had no runs, as of the last round of planning; none if it had any.
-    pub idle_since: Option<u64>,
+    /// When a round of planning first found the job without runs after its last run ended; none if
+    /// no round has since. Starts that were refused are no runs.
+    pub vacant_since: Option<u64>,
     /// When its last run was removed, or when this owner learned of the job.
     pub vacated_at: u64,
     /// The newest checkpoint of each task. A gang has one, at index 0.
@@ -231,7 +232,7 @@
             accepted_at,
             due_at: Vec::new(),
             not_due_at: None,
-            idle_since: None,
+            vacant_since: None,
             vacated_at: 0,
             checkpoints: BTreeMap::new(),
             unrecorded_checkpoints: BTreeSet::new(),
@@ -411,9 +412,22 @@
     pub fn remove_run(&mut self, key: &Key, now: u64) -> Option<Placement> {
         let run = self.runs.remove(key)?;
         self.vacated_at = now;
+        self.vacant_since = None;
         Some(run)
     }
 
+    /// Removes a run whose start was refused.
+    pub fn remove_refused(&mut self, key: &Key, now: u64) {
+        let vacant_since = self.vacant_since;
+        self.remove_run(key, now);
+        self.vacant_since = vacant_since;
+    }
+
+    /// Returns since when the job has had no runs; none if it has any.
+    pub fn idle_since(&self) -> Option<u64> {
+        self.vacant_since.filter(|_| self.runs.is_empty())
+    }
+
     /// Returns whether any run of the step may exist.
     pub fn has_runs(&self, occurrence: u32, step: u32) -> bool {
         let all = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -49,7 +49,9 @@
             return false;
         };
         let pool = self.pool_of(entry);
-        let Some(ends_at) = self.idle_wait_ends_at(candidate, (&step, &pool), snapshot, now) else {
+        let Some(ends_at) =
+            self.idle_wait_ends_at(candidate, (&step, &pool), snapshot, (now, wall))
+        else {
             return false;
         };
         if now < ends_at {
@@ -118,9 +120,9 @@
         candidate: &Candidate,
         (step, pool): (&Step, &str),
         snapshot: &Snapshot,
-        now: u64,
+        (now, wall): (u64, u64),
     ) -> Option<u64> {
-        let since = self.idle_waiting_since(candidate, step, now)?;
+        let since = self.idle_waiting_since(candidate, step, (now, wall))?;
         let under_half = self.under_half_since(pool, step, snapshot);
         let bound = under_half.map(|from| since.max(from) + MAX_IDLE_WAIT_MS);
         let lasting_bound = step.perpetual.then_some(since + MAX_LASTING_WAIT_MS);
@@ -129,14 +131,19 @@
 
     /// Returns since when a candidate's tasks have waited; none while anything of its job runs, but
     /// for perpetual tasks, each of which is worth something by itself.
-    fn idle_waiting_since(&self, candidate: &Candidate, step: &Step, now: u64) -> Option<u64> {
-        let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
-        let waiting_since = self.waits.waiting_since(&key).unwrap_or(now);
+    fn idle_waiting_since(
+        &self,
+        candidate: &Candidate,
+        step: &Step,
+        (now, wall): (u64, u64),
+    ) -> Option<u64> {
         if step.perpetual {
-            return Some(waiting_since);
+            let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
+            return Some(self.waits.waiting_since(&key).unwrap_or(now));
         }
-        let entry = self.jobs.get(&candidate.id).filter(|entry| entry.runs.is_empty())?;
-        Some(entry.idle_since?.max(waiting_since))
+        let entry = self.jobs.get(&candidate.id)?;
+        let overdue = wall.saturating_sub(entry.begins_at(candidate.occurrence));
+        Some(entry.idle_since()?.max(now.saturating_sub(overdue)))
     }
 
     /// Returns a worker for each task of a candidate that fits now, other than the `excluded`. For
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -582,11 +582,17 @@
         self.remove_run(id, key);
     }
 
-    /// Removes a run that no longer exists, and marks its ended job for a record if this was
-    /// the last one.
+    /// Removes a run that no longer exists.
     pub(crate) fn remove_run(&mut self, id: &str, key: Key) {
         if let Some(entry) = self.jobs.get_mut(id) {
             entry.remove_run(&key, self.now);
+        }
+        self.on_run_removed(id);
+    }
+
+    /// Plans again after a run was removed, and marks its ended job for a record if it was the last.
+    pub(crate) fn on_run_removed(&mut self, id: &str) {
+        if let Some(entry) = self.jobs.get(id) {
             self.replan = true;
             if entry.progress.state.is_final() && entry.runs.is_empty() && !self.dirty.contains(id)
             {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -27,7 +27,9 @@
             if entry.job.queue.priority == 0 {
                 entry.update_has_begun(id);
             }
-            entry.idle_since = entry.runs.is_empty().then(|| entry.idle_since.unwrap_or(now));
+            if entry.runs.is_empty() {
+                entry.vacant_since.get_or_insert(now);
+            }
         }
         for agent in self.agents.values_mut() {
             agent.planned_open = agent.accepts_runs(&self.settings, now);
@@ -369,7 +371,7 @@
         (now, wall): (u64, u64),
     ) -> Option<u64> {
         let until = candidate.rank.yields_workers_until().filter(|&until| until > wall)?;
-        let idle = self.jobs.get(&candidate.id).and_then(|entry| entry.idle_since);
+        let idle = self.jobs.get(&candidate.id).and_then(Entry::idle_since);
         match idle.filter(|_| half_free) {
             Some(since) if now >= since + MAX_IDLE_WAIT_MS => None,
             Some(since) => Some(until.min(wall + since + MAX_IDLE_WAIT_MS - now)),
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -347,7 +347,10 @@
             // it then carries out.
             self.stop_run(&task.job, key, now);
         } else {
-            self.remove_run(&task.job, key);
+            if let Some(entry) = self.jobs.get_mut(&task.job) {
+                entry.remove_refused(&key, now);
+            }
+            self.on_run_removed(&task.job);
         }
         let worker_not_at_fault = matches!(
             why,
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -224,7 +224,7 @@
 fn waits_for_suspect(entry: &Entry, step: (u32, u32), now: u64) -> bool {
     let is_running = |slot: &Key| entry.runs.keys().any(|key| entry.slot(*key) == *slot);
     let waiting = |slot: &Key| !entry.exonerated.contains(slot) && !is_running(slot);
-    let within_delay = entry.idle_since.is_none_or(|since| now < since + OTHER_STEPS_DELAY_MS);
+    let within_delay = entry.idle_since().is_none_or(|since| now < since + OTHER_STEPS_DELAY_MS);
     let blocks = |slot: Key| within_delay || (slot.0, slot.1) == step;
     entry.progress.suspected_tasks().into_iter().filter(waiting).any(blocks)
 }
@@ -238,7 +238,7 @@
         RecentStart::of(id, entry, *key, placed, now) == Some(RecentStart::Suspect)
     };
     let isolation = entry.runs.iter().any(is_recent).then_some(START_ISOLATION_MS);
-    let delay = entry.idle_since.map(|since| since + OTHER_STEPS_DELAY_MS);
+    let delay = entry.idle_since().map(|since| since + OTHER_STEPS_DELAY_MS);
     let delay = delay.filter(|until| *until > now).map(|until| until - now);
     isolation.into_iter().chain(delay).min()
 }
--- a/crates/dispatch/tests/idle_waits.rs
+++ b/crates/dispatch/tests/idle_waits.rs
@@ -6,6 +6,7 @@
 use harness::{job, step};
 use quincewheel_dispatch::Settings;
 use quincewheel_job::{How, Job, Step};
+use quincewheel_wire::{Notice, Refused};
 use site::Site;
 
 /// Longest time for which a job stands beside free workers, in milliseconds.
@@ -92,3 +93,23 @@
     let waited = start_of(&mut site, "a.");
     assert!(waited < MAX_LASTING_MS, "{waited} ms");
 }
+
+// A job stood beside idle workers for 3 s: its start was refused at the end of its wait, and the wait
+// began anew although nothing of it had run.
+#[test]
+fn refused_start_does_not_begin_the_wait_anew() {
+    let mut site = Site::new(1, 10);
+    site.add("long", job(1, vec![Step { estimate: 600_000, ..step(6, 8) }]));
+    fail_trials(&mut site, 5);
+    (0..6).for_each(|number| site.end(number, How::Done));
+    site.pass(2000);
+    let before = site.harness.now;
+    site.add("a", labelled("r3", step(1, 1)));
+    start_of(&mut site, "a.");
+    let (_, task, run) = site.running.pop().unwrap();
+    let refused = Notice::Unstarted { task, run, why: Refused::Busy };
+    site.harness.deliver(9, refused);
+    start_of(&mut site, "a.");
+    let waited = site.harness.now - before;
+    assert!(waited < MAX_STANDING_MS, "{waited} ms");
+}
