Start lasting tasks although a suspect of another step finds no worker

Callers saw a lasting task stand beside idle workers for good: a task of another step of its job had just started at a worker that crashed, the only one with its label stayed closed, and further tasks of the job ran.

Cause: tasks of other steps wait for a suspect that has not been retried, 1.5 s from when nothing of their job runs. Of a job with lasting tasks something mostly runs, so that time never began. Users count each lasting task for itself.

Evidence: lasting_task_does_not_wait_for_a_suspect_of_another_step, before: 'suspect_waits.rs:174:5: it stood for 9000 ms', the end of the test.

For steps that are perpetual the 1.5 s count from when a run of the job last ended, which is at the crash at the earliest, whether others run or not. Tasks of the suspect's own step still wait, and so do all while a suspect is within its start.

--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -177,7 +177,8 @@
 /// If a job has a suspect, that task starts first and alone: tasks of one job are alike, so
 /// starting several could cost a worker each. The others wait until the suspect has outlived its
 /// start or another task is found to be the cause. Tasks of other steps may find capacity where the
-/// suspect does not, so they wait no longer than [`OTHER_STEPS_DELAY_MS`].
+/// suspect does not, so they wait no longer than [`OTHER_STEPS_DELAY_MS`] while the job is idle, or
+/// after its last run has ended if they are perpetual.
 pub(crate) fn isolate_suspects(
     id: &str,
     entry: &Entry,
@@ -224,7 +225,9 @@
 fn waits_for_suspect(entry: &Entry, step: (u32, u32), now: u64) -> bool {
     let is_running = |slot: &Key| entry.runs.keys().any(|key| entry.slot(*key) == *slot);
     let waiting = |slot: &Key| !entry.exonerated.contains(slot) && !is_running(slot);
-    let within_delay = entry.idle_since().is_none_or(|since| now < since + OTHER_STEPS_DELAY_MS);
+    let lasts = entry.job.steps.get(step.1 as usize).is_some_and(|step| step.perpetual);
+    let since = if lasts { Some(entry.vacated_at) } else { entry.idle_since() };
+    let within_delay = since.is_none_or(|since| now < since + OTHER_STEPS_DELAY_MS);
     let blocks = |slot: Key| within_delay || (slot.0, slot.1) == step;
     entry.progress.suspected_tasks().into_iter().filter(waiting).any(blocks)
 }
@@ -238,8 +241,10 @@
         RecentStart::of(id, entry, *key, placed, now) == Some(RecentStart::Suspect)
     };
     let isolation = entry.runs.iter().any(is_recent).then_some(START_ISOLATION_MS);
-    let delay = entry.idle_since().map(|since| since + OTHER_STEPS_DELAY_MS);
-    let delay = delay.filter(|until| *until > now).map(|until| until - now);
+    let lasting = entry.job.is_perpetual().then_some(entry.vacated_at);
+    let since = entry.idle_since().into_iter().chain(lasting);
+    let ends = since.map(|since| since + OTHER_STEPS_DELAY_MS);
+    let delay = ends.filter(|until| *until > now).map(|until| until - now).min();
     isolation.into_iter().chain(delay).min()
 }
 
--- a/crates/dispatch/tests/suspect_waits.rs
+++ b/crates/dispatch/tests/suspect_waits.rs
@@ -2,14 +2,16 @@
 
 mod harness;
 
-use harness::{Harness, job, run, step, task, worker};
-use quincewheel_job::{Step, Worker};
+use harness::{Harness, end, job, run, step, task, worker};
+use quincewheel_job::{How, Step, Worker};
 use quincewheel_wire::Notice;
 
 /// Longest time that other steps of an idle job wait for a suspect.
 const OTHER_STEPS_DELAY_MS: u64 = 1500;
 /// Time for which a suspect keeps the other tasks of its job waiting after its start.
 const START_ISOLATION_MS: u64 = 300;
+/// Longest time for which a lasting task stands beside free workers, from its last run on.
+const MAX_LASTING_MS: u64 = 9000;
 /// Time between two ticks.
 const TICK_MS: u64 = 100;
 
@@ -88,3 +90,41 @@
     harness.advance_with_pings(2 * START_ISOLATION_MS + TICK_MS, 4);
     assert_eq!(harness.take_orders(), "w0 start j.0.1.0 run 1 ");
 }
+
+// A lasting task stood beside idle workers for good: another step of its job had crashed its only
+// worker, which stayed closed, and further tasks of the job ran.
+#[test]
+fn lasting_task_does_not_wait_for_a_suspect_of_another_step() {
+    let mut harness = Harness::new(1, 4).with_idle_workers(4);
+    let lasting = |label: &str| Step { label: label.into(), perpetual: true, ..step(1, 8) };
+    let steps = vec![lasting("r1"), lasting(""), lasting("")];
+    harness.owner.add_job("j", job(1, steps), 200, None);
+    harness.tick();
+    for (number, place) in [(3, 0), (0, 1), (1, 2)] {
+        harness.deliver(number, Notice::Started { task: task("j", place, 0), run: 1 });
+    }
+    let runs = [run(task("j", 1, 0), 1), run(task("j", 2, 0), 1)];
+    harness.take_orders();
+    let starts = vec![(task("j", 0, 0), 1)];
+    let broke = worker(3).incarnation();
+    harness.deliver(3, Notice::Broke { worker: broke, starts, possible: Vec::new() });
+    report(&mut harness, 3, Worker { draining: true, ..restarted() });
+    harness.record();
+    for _ in 0..10 {
+        harness.advance(TICK_MS);
+        harness.report_status(0, &runs[..1], &[]);
+        harness.report_status(1, &runs[1..], &[]);
+    }
+    let ended = [end(1, task("j", 2, 0), 1, How::Failed)];
+    harness.report_status(1, &[], &ended);
+    for _ in 0..MAX_LASTING_MS / TICK_MS {
+        harness.advance(TICK_MS);
+        harness.report_status(0, &runs[..1], &[]);
+        harness.report_status(1, &[], &[]);
+        harness.report_status(2, &[], &[]);
+    }
+    assert!(
+        harness.take_orders().contains("start j.0.2.0 run 2"),
+        "it stood for {MAX_LASTING_MS} ms"
+    );
+}
