Let a suspect that has waited for too long start beside other starts

Callers saw a job of one task stand beside a worker of which a quarter was in use: the task might have crashed its former worker, and so starts only where nothing else has just started. At the only worker with its label something started every 200 ms.

Cause: the wait to be kept apart ends 300 ms after the last start at a worker, but each further start there begins it anew, and nothing stops those. The bound on waits of idle jobs keeps it, as it is to keep the isolation of suspects.

Evidence: suspect_starts_at_a_worker_beside_a_stream_of_starts, before: 'suspect_waits.rs:182:5: the suspect stood for 3000 ms', the end of the test.

A suspect whose wait the bound has ended now comes first in a round. If only recent starts keep it from the workers that could hold it, these take no other start in that round. Their last starts are 300 ms old soon after, and the suspect starts there alone, as before.

--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -13,6 +13,7 @@
 use crate::owner::Owner;
 use crate::plan::tasks_per_worker;
 use crate::snapshot::Snapshot;
+use crate::suspects::RecentStart;
 use crate::trust::NEW_TRIAL_MS;
 
 /// How long a job of which nothing runs is held back while under half of its pool is in use. Below 2 s
@@ -37,7 +38,8 @@
     /// Only closed workers, capacity, labels, limits per worker, clearance, the isolation of
     /// suspects and new trials still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more.
     /// Workers that the tasks avoid and doubtful ones are used if no others hold them, for one task
-    /// where the tasks may start one by one.
+    /// where the tasks may start one by one. Workers at which only other starts are too recent for a
+    /// suspect take no more of them in this round.
     pub(crate) fn start_idle_job(
         &mut self,
         candidate: &Candidate,
@@ -66,11 +68,12 @@
         }
         let mut barred = self.uncleared(candidate, snapshot, now);
         barred.extend(claimed);
-        barred.extend(self.excluded_indexes(candidate, snapshot));
         if !snapshot.new_trials.is_empty() {
             barred.extend(&snapshot.new_trials);
             self.schedule_replan(wall + NEW_TRIAL_MS);
         }
+        let without_apart = barred.clone();
+        barred.extend(self.excluded_indexes(candidate, snapshot));
         let mut unwanted = self.avoided_indexes(candidate, snapshot, now);
         let standings = snapshot.standings.iter().enumerate();
         let doubtful = standings.filter(|(_, standing)| standing.grade == Grade::Doubtful);
@@ -85,6 +88,12 @@
             chosen = self.find_room(candidate, (&step, &pool), snapshot, barred);
             chosen.truncate(if step.gang { chosen.len() } else { 1 });
         }
+        if chosen.is_empty() && candidate.suspect {
+            let kept = self.find_room(candidate, (&step, &pool), snapshot, without_apart);
+            for index in kept {
+                RecentStart::Suspect.record(&mut snapshot.recent_starts, index);
+            }
+        }
         for (index, deprioritized) in former.into_iter().rev() {
             snapshot.workers[index].deprioritized = deprioritized;
         }
@@ -93,6 +102,22 @@
         !pairs.is_empty()
     }
 
+    /// Returns whether a candidate is a suspect that is held back no longer.
+    pub(crate) fn is_overdue_suspect(
+        &self,
+        candidate: &Candidate,
+        snapshot: &Snapshot,
+        (now, wall): (u64, u64),
+    ) -> bool {
+        let entry = self.jobs.get(&candidate.id).filter(|_| candidate.suspect);
+        let ends_at = entry.and_then(|entry| {
+            let step = entry.job.steps.get(candidate.step as usize)?;
+            let pool = self.pool_of(entry);
+            self.idle_wait_ends_at(candidate, (step, &pool), snapshot, (now, wall))
+        });
+        ends_at.is_some_and(|at| at <= now)
+    }
+
     /// Records which pools are under half in use, and since when.
     pub(crate) fn update_under_half(&mut self, snapshot: &Snapshot, now: u64) {
         let former = std::mem::take(&mut self.under_half_since);
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -44,9 +44,12 @@
         self.begin_shares(now, wall);
         let mut candidates = self.candidates(wall);
         // Guaranteed work whose capacity is being freed comes first. Otherwise work that ranks
-        // before it would take that capacity, and both would be late in turn.
-        candidates
-            .sort_by_key(|candidate| (!self.has_reserved_guarantee(candidate), candidate.rank));
+        // before it would take that capacity, and both would be late in turn. Before it come suspects
+        // that have waited for too long, as any start at a worker puts them off there.
+        candidates.sort_by_key(|candidate| {
+            let is_overdue_suspect = self.is_overdue_suspect(candidate, &snapshot, (now, wall));
+            (!is_overdue_suspect, !self.has_reserved_guarantee(candidate), candidate.rank)
+        });
         self.waits.begin_round();
         self.plan_claims(&candidates, &snapshot, (now, wall));
         for candidate in &candidates {
--- a/crates/dispatch/tests/suspect_waits.rs
+++ b/crates/dispatch/tests/suspect_waits.rs
@@ -3,13 +3,15 @@
 mod harness;
 
 use harness::{Harness, end, job, run, step, task, worker};
-use quincewheel_job::{How, Step, Worker};
+use quincewheel_job::{End, How, Run, Step, Worker};
 use quincewheel_wire::Notice;
 
 /// Longest time that other steps of an idle job wait for a suspect.
 const OTHER_STEPS_DELAY_MS: u64 = 1500;
 /// Time for which a suspect keeps the other tasks of its job waiting after its start.
 const START_ISOLATION_MS: u64 = 300;
+/// Longest time for which a job stands beside free workers.
+const MAX_STANDING_MS: u64 = 3000;
 /// Longest time for which a lasting task stands beside free workers, from its last run on.
 const MAX_LASTING_MS: u64 = 9000;
 /// Time between two ticks.
@@ -37,11 +39,16 @@
 /// Creates an owner of a job `j` whose first step needs the second rack's only worker and has
 /// crashed it. The second step has not started. All workers drain.
 fn idle_job_with_a_suspect() -> Harness {
+    idle_job_with_a_suspect_of(8)
+}
+
+/// The same with a suspect that needs this many accelerators.
+fn idle_job_with_a_suspect_of(accelerators: u64) -> Harness {
     let mut harness = Harness::new(1, 4).with_idle_workers(4);
     (0..3).for_each(|number| {
         report(&mut harness, number, Worker { draining: true, ..worker(number) });
     });
-    let suspect = Step { label: "r1".into(), ..step(1, 8) };
+    let suspect = Step { label: "r1".into(), ..step(1, accelerators) };
     harness.owner.add_job("j", job(1, vec![suspect, step(1, 8)]), 200, None);
     harness.tick();
     harness.deliver(3, Notice::Started { task: task("j", 0, 0), run: 1 });
@@ -128,3 +135,49 @@
         "it stood for {MAX_LASTING_MS} ms"
     );
 }
+
+// A task that might crash its worker stood beside a worker of which a quarter was in use: something
+// had always just started there.
+#[test]
+fn suspect_starts_at_a_worker_beside_a_stream_of_starts() {
+    let mut harness = idle_job_with_a_suspect_of(1);
+    let mut running: Vec<Run> = Vec::new();
+    let mut started = false;
+    let before = harness.now;
+    while !started && harness.now < before + MAX_STANDING_MS {
+        let number = harness.now;
+        if number.is_multiple_of(200) {
+            let mut other = job(0, vec![Step { label: "r1".into(), ..step(1, 1) }]);
+            other.accepted = number;
+            harness.owner.add_job(&format!("s{number}"), other, 300 + number, None);
+        }
+        harness.advance(TICK_MS);
+        for order in std::mem::take(&mut harness.orders) {
+            let Some(name) = order.strip_prefix("w3 start ") else { continue };
+            let name = name.split('.').next().unwrap_or_default();
+            started |= name == "j";
+            let task = task(name, 0, 0);
+            harness.owner.on_notice(3, Notice::Started { task: task.clone(), run: 1 }, harness.now);
+            running.push(run(task, 1));
+        }
+        let ended: Vec<Run> = match running.len() {
+            0..=2 => Vec::new(),
+            _ => vec![running.remove(0)],
+        };
+        let ended: Vec<End> = ended
+            .into_iter()
+            .map(|run| end(harness.now, run.task, run.number, How::Done))
+            .collect();
+        let notice = Notice::Status {
+            stamp: harness.now,
+            worker: Some(restarted()),
+            fenced: true,
+            listed_at: Some(harness.now),
+            running: running.clone(),
+            ended,
+            truncated: false,
+        };
+        harness.deliver(3, notice);
+    }
+    assert!(started, "the suspect stood for {MAX_STANDING_MS} ms");
+}
