--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -13,11 +13,17 @@
 use crate::owner::Owner;
 use crate::plan::tasks_per_worker;
 use crate::snapshot::Snapshot;
+use crate::suspects::RecentStart;
+use crate::trust::NEW_TRIAL_MS;
 
 /// How long a job of which nothing runs is held back while under half of its pool is in use. Below 2 s
 /// by the delay of a round of planning and of a start.
 pub(crate) const MAX_IDLE_WAIT_MS: u64 = 1500;
 
+/// How long a perpetual task is held back, however much of its pool is in use. Users count it as lost
+/// 9 s after its last run if there is capacity for it.
+const MAX_LASTING_WAIT_MS: u64 = 6000;
+
 /// How much longer workers that a gang has claimed are left to it. The claim itself empties the pool, and
 /// the gang would never start if others took its workers just before. Users count a job as lost that is held
 /// back for 3 s beside idle workers.
@@ -26,25 +32,30 @@
 impl Owner {
     /// Starts tasks that the ordinary attempt has held back, if nothing of their job has run for
     /// [`MAX_IDLE_WAIT_MS`] and under half of the pool has been in use for as long; else plans again
-    /// when that time is over. Returns whether any started.
+    /// when that time is over. Perpetual tasks are also started if others of their job run, and in
+    /// any pool after [`MAX_LASTING_WAIT_MS`]. Returns whether any started.
     ///
     /// Only closed workers, capacity, labels, limits per worker, clearance, the isolation of
-    /// suspects and trials that run still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more. Workers that the tasks avoid and doubtful ones are used if no others
-    /// hold them, for one task where the tasks may start one by one.
+    /// suspects and new trials still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more.
+    /// Workers that the tasks avoid and doubtful ones are used if no others hold them, for one task
+    /// where the tasks may start one by one. Workers at which only other starts are too recent for a
+    /// suspect take no more of them in this round.
     pub(crate) fn start_idle_job(
         &mut self,
         candidate: &Candidate,
         snapshot: &mut Snapshot,
         (now, wall): (u64, u64),
     ) -> bool {
-        let Some(waiting_since) = self.idle_waiting_since(candidate, now) else { return false };
         let Some(entry) = self.jobs.get(&candidate.id) else { return false };
         let Some(step) = entry.job.steps.get(candidate.step as usize).cloned() else {
             return false;
         };
         let pool = self.pool_of(entry);
-        let Some(since) = self.under_half_since(&pool, &step, snapshot) else { return false };
-        let ends_at = waiting_since.max(since) + MAX_IDLE_WAIT_MS;
+        let Some(ends_at) =
+            self.idle_wait_ends_at(candidate, (&step, &pool), snapshot, (now, wall))
+        else {
+            return false;
+        };
         if now < ends_at {
             self.schedule_replan(wall + ends_at - now);
             return false;
@@ -59,9 +70,12 @@
         }
         let mut barred = self.uncleared(candidate, snapshot, now);
         barred.extend(claimed);
+        if !snapshot.new_trials.is_empty() {
+            barred.extend(&snapshot.new_trials);
+            self.schedule_replan(wall + NEW_TRIAL_MS);
+        }
+        let without_apart = barred.clone();
         barred.extend(self.excluded_indexes(candidate, snapshot));
-        let standings = snapshot.standings.iter().enumerate();
-        barred.extend(standings.filter(|(_, standing)| standing.on_trial).map(|(index, _)| index));
         let mut unwanted = self.avoided_indexes(candidate, snapshot, now);
         let standings = snapshot.standings.iter().enumerate();
         let doubtful = standings.filter(|(_, standing)| standing.grade == Grade::Doubtful);
@@ -76,6 +90,12 @@
             chosen = self.find_room(candidate, (&step, &pool), snapshot, barred);
             chosen.truncate(if step.gang { chosen.len() } else { 1 });
         }
+        if chosen.is_empty() && candidate.suspect {
+            let kept = self.find_room(candidate, (&step, &pool), snapshot, without_apart);
+            for index in kept {
+                RecentStart::Suspect.record(&mut snapshot.recent_starts, index);
+            }
+        }
         for (index, deprioritized) in former.into_iter().rev() {
             snapshot.workers[index].deprioritized = deprioritized;
         }
@@ -85,6 +105,22 @@
         !pairs.is_empty()
     }
 
+    /// Returns whether a candidate is a suspect that is held back no longer.
+    pub(crate) fn is_overdue_suspect(
+        &self,
+        candidate: &Candidate,
+        snapshot: &Snapshot,
+        (now, wall): (u64, u64),
+    ) -> bool {
+        let entry = self.jobs.get(&candidate.id).filter(|_| candidate.suspect);
+        let ends_at = entry.and_then(|entry| {
+            let step = entry.job.steps.get(candidate.step as usize)?;
+            let pool = self.pool_of(entry);
+            self.idle_wait_ends_at(candidate, (step, &pool), snapshot, (now, wall))
+        });
+        ends_at.is_some_and(|at| at <= now)
+    }
+
     /// Records which pools are under half in use, and since when.
     pub(crate) fn update_under_half(&mut self, snapshot: &Snapshot, now: u64) {
         let former = std::mem::take(&mut self.under_half_since);
@@ -106,12 +142,36 @@
         load.is_under_half(accelerated).then_some(*since)
     }
 
-    /// Returns since when a candidate's tasks have waited; none while anything of its job runs.
-    fn idle_waiting_since(&self, candidate: &Candidate, now: u64) -> Option<u64> {
-        let entry = self.jobs.get(&candidate.id).filter(|entry| entry.runs.is_empty())?;
-        let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
-        let waiting_since = self.waits.waiting_since(&key).unwrap_or(now);
-        Some(entry.idle_since?.max(waiting_since))
+    /// Returns when a candidate's tasks are held back no longer; none while that is not known.
+    fn idle_wait_ends_at(
+        &self,
+        candidate: &Candidate,
+        (step, pool): (&Step, &str),
+        snapshot: &Snapshot,
+        (now, wall): (u64, u64),
+    ) -> Option<u64> {
+        let since = self.idle_waiting_since(candidate, step, (now, wall))?;
+        let under_half = self.under_half_since(pool, step, snapshot);
+        let bound = under_half.map(|from| since.max(from) + MAX_IDLE_WAIT_MS);
+        let lasting_bound = step.perpetual.then_some(since + MAX_LASTING_WAIT_MS);
+        bound.into_iter().chain(lasting_bound).min()
+    }
+
+    /// Returns since when a candidate's tasks have waited; none while anything of its job runs, but
+    /// for perpetual tasks, each of which is worth something by itself.
+    fn idle_waiting_since(
+        &self,
+        candidate: &Candidate,
+        step: &Step,
+        (now, wall): (u64, u64),
+    ) -> Option<u64> {
+        if step.perpetual {
+            let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
+            return Some(self.waits.waiting_since(&key).unwrap_or(now));
+        }
+        let entry = self.jobs.get(&candidate.id)?;
+        let overdue = wall.saturating_sub(entry.begins_at(candidate.occurrence));
+        Some(entry.idle_since()?.max(now.saturating_sub(overdue)))
     }
 
     /// Returns a worker for each task of a candidate that fits now, other than the `excluded`. For
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -28,7 +28,9 @@
             if entry.job.queue.priority == 0 {
                 entry.update_has_begun(id);
             }
-            entry.idle_since = entry.runs.is_empty().then(|| entry.idle_since.unwrap_or(now));
+            if entry.runs.is_empty() {
+                entry.vacant_since.get_or_insert(now);
+            }
         }
         for agent in self.agents.values_mut() {
             agent.planned_open = agent.accepts_runs(&self.settings, now);
@@ -43,9 +45,12 @@
         self.begin_shares(now, wall);
         let mut candidates = self.candidates(wall);
         // Guaranteed work whose capacity is being freed comes first. Otherwise work that ranks
-        // before it would take that capacity, and both would be late in turn.
-        candidates
-            .sort_by_key(|candidate| (!self.has_reserved_guarantee(candidate), candidate.rank));
+        // before it would take that capacity, and both would be late in turn. Before it come suspects
+        // that have waited for too long, as any start at a worker puts them off there.
+        candidates.sort_by_key(|candidate| {
+            let is_overdue_suspect = self.is_overdue_suspect(candidate, &snapshot, (now, wall));
+            (!is_overdue_suspect, !self.has_reserved_guarantee(candidate), candidate.rank)
+        });
         self.waits.begin_round();
         self.plan_claims(&candidates, &snapshot, (now, wall));
         for candidate in &candidates {
@@ -377,7 +382,7 @@
         (now, wall): (u64, u64),
     ) -> Option<u64> {
         let until = candidate.rank.yields_workers_until().filter(|&until| until > wall)?;
-        let idle = self.jobs.get(&candidate.id).and_then(|entry| entry.idle_since);
+        let idle = self.jobs.get(&candidate.id).and_then(Entry::idle_since);
         match idle.filter(|_| half_free) {
             Some(since) if now >= since + MAX_IDLE_WAIT_MS => None,
             Some(since) => Some(until.min(wall + since + MAX_IDLE_WAIT_MS - now)),
