Start steps that no former owner can have started before the owner is settled

Cause: settling was decided per job. `is_accounted_for` held back all older jobs until each agent was heard or its leases had run out.

Change: a step of an older job may start if it waited for a task that has ended as done with a run that this owner started, or with one that a worker listed as running under this owner's epoch and that is the only run which the task can have had (`unheard_ends.rs`). The entries keep by which version of the table each epoch had been claimed. `is_accounted_for` and its other callers keep their meaning.

Why it is safe: a worker that lists a run under an epoch refuses calls of earlier ones, and its agent tells earlier owners nothing more. So none of them hears that the run is done, and none starts the step. Ends in the first list prove nothing. Cases against the criterion without its conditions, each with a test that fails if the condition is taken out: - an earlier run was taken for over, ended as done nevertheless, and a former owner heard of it and started the step while the later run went on: so the run has the first number of its epoch, and the job was accepted under that epoch; - a copy (`speculative`), or a member of the gang at the silent agent, has ended, which ends the task; - the list is one of a former epoch that the agent repeats.

Refused: to start a task again whose run was listed under this epoch and has failed or is lost. If its machine restarts, its agent follows the first owner that connects. A former one that is cut off from the table drops the run and starts the task at an agent that still follows it. Also refused: occurrences that become due after the claim, as a former owner's clock may be ahead by any amount.

Evidence: `unheard_ends`.

The duration is now divided by the number of steps.

--- a/crates/dispatch/src/diagnosis.rs
+++ b/crates/dispatch/src/diagnosis.rs
@@ -190,10 +190,10 @@
         at: (u32, u32),
         tasks: Vec<u32>,
     ) -> Option<Cause> {
-        if !self.settled && entry.version <= self.claim_version {
+        if self.awaits_predecessors(entry) && !self.is_step_accounted_for(entry, at) {
             return Some(Cause::Unsettled);
         }
-        if !self.is_accounted_for(entry) {
+        if self.awaits_confirmation(entry) {
             return Some(Cause::Unconfirmed);
         }
         let held = !tasks.is_empty() && isolate_suspects(id, entry, at, tasks, self.now).is_empty();
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -29,6 +29,8 @@
     pub recorded_state: Option<State>,
     /// Runs that may exist, by task.
     pub runs: BTreeMap<Key, Placement>,
+    /// Tasks that are done, as no previous owner can have heard. A gang has one, at index 0.
+    pub unheard_ends: BTreeSet<Key>,
     /// When a run was last taken for over at an agent without a connection; 0 for never. Nothing of
     /// the job starts before the table has confirmed the ownership since.
     pub assumed_over_at: u64,
@@ -119,6 +121,8 @@
     pub sampled: Sampled,
     /// The job that it was stopped for.
     pub preempted_by: Option<Id>,
+    /// Whether its end as done would be the first of its task, and no previous owner can hear of it.
+    pub unheard: bool,
 }
 
 impl Placement {
@@ -227,6 +231,7 @@
             unrecorded,
             recorded_state,
             runs: BTreeMap::new(),
+            unheard_ends: BTreeSet::new(),
             assumed_over_at: 0,
             accepted_at,
             due_at: Vec::new(),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -64,6 +64,7 @@
 mod trust;
 mod unanswered_writes;
 mod unconfirmed_jobs;
+mod unheard_ends;
 mod unlisted_runs;
 mod wait_detail;
 mod waits;
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -13,6 +13,9 @@
     split_part,
 };
 
+/// Most epochs of which the claim is kept. A run is rarely older than a few changes of owner.
+const MAX_CLAIMS: usize = 16;
+
 /// A process's in-memory replica of the system's rows.
 #[derive(Debug, Default)]
 pub struct Mirror {
@@ -25,6 +28,8 @@
     node_versions: BTreeMap<String, u64>,
     /// The ownership row and its version; none if there was never an owner.
     pub owner: Option<(Ownership, u64)>,
+    /// The last epochs of owners, each with a version of the table by which it had been claimed.
+    pub claims: BTreeMap<u64, u64>,
     /// The entry that owned last, also after it handed over.
     last_owner: Option<String>,
     /// What owners have learned from runs.
@@ -334,6 +339,10 @@
                 if !owner.holder.is_empty() {
                     self.last_owner = Some(owner.holder.clone());
                 }
+                self.claims.entry(owner.epoch).or_insert(change.version);
+                if self.claims.len() > MAX_CLAIMS {
+                    self.claims.pop_first();
+                }
                 self.owner = Some((owner, change.version));
                 Some(RowEvent::OwnerChanged)
             }
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -50,6 +50,8 @@
     pub(crate) unlisted_checked_at: u64,
     /// The table's version at which the ownership was claimed.
     pub(crate) claim_version: u64,
+    /// Earlier epochs, each with a version of the table by which it had been claimed.
+    pub(crate) earlier_claims: BTreeMap<u64, u64>,
     /// When the last request was sent whose answer showed that this entry still owns.
     pub(crate) confirmed_at: u64,
     /// When the last successful write of the owner's row was sent.
@@ -188,6 +190,7 @@
             agents_checked_at: 0,
             unlisted_checked_at: now,
             claim_version: version,
+            earlier_claims: BTreeMap::new(),
             confirmed_at: now,
             renewed_at: 0,
             resumed_at: now,
@@ -277,6 +280,12 @@
         self.predecessor_ended = true;
     }
 
+    /// Sets by which versions of the table earlier epochs had been claimed. Without them, each step
+    /// of an older job waits until this owner is settled.
+    pub fn set_earlier_claims(&mut self, claims: &BTreeMap<u64, u64>) {
+        self.earlier_claims = claims.clone();
+    }
+
     /// Returns whether every run that a previous owner may have started is accounted for.
     pub fn is_settled(&self) -> bool {
         self.settled
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -69,12 +69,15 @@
         let mut jobs: Vec<(&Id, &Entry)> = self.jobs.iter().collect();
         jobs.sort_by_key(|(_, entry)| entry.version);
         for (id, entry) in jobs {
-            if entry.progress.state.is_final() || !self.is_accounted_for(entry) {
+            if entry.progress.state.is_final() || self.awaits_confirmation(entry) {
                 continue;
             }
             for occurrence in 0..entry.due_occurrences() {
                 let objective = estimator.objective_of(entry, occurrence);
                 for (number, step) in (0u32..).zip(&entry.job.steps) {
+                    if !self.is_step_accounted_for(entry, (occurrence, number)) {
+                        continue;
+                    }
                     let tasks = pending_tasks(entry, occurrence, number, step, id);
                     if tasks.is_empty() {
                         continue;
@@ -113,9 +116,25 @@
     /// previous owner, which is known only once all agents have reported, or by a later one, until
     /// the table confirms that there is none.
     pub(crate) fn is_accounted_for(&self, entry: &Entry) -> bool {
-        let by_predecessor = !self.settled && entry.version <= self.claim_version;
-        let by_successor = self.confirmed_at < entry.assumed_over_at;
-        !by_predecessor && !by_successor
+        !self.awaits_predecessors(entry) && !self.awaits_confirmation(entry)
+    }
+
+    /// Returns whether a previous owner may have started tasks of the job unknown to this one.
+    pub(crate) fn awaits_predecessors(&self, entry: &Entry) -> bool {
+        !self.settled && entry.version <= self.claim_version
+    }
+
+    /// Returns whether a later owner may have started tasks of the job, until the table confirms that
+    /// there is none.
+    pub(crate) fn awaits_confirmation(&self, entry: &Entry) -> bool {
+        self.confirmed_at < entry.assumed_over_at
+    }
+
+    /// Returns whether all runs of a step are known. Those of a job whose tasks may have crashed
+    /// workers are known only with all others of the job.
+    pub(crate) fn is_step_accounted_for(&self, entry: &Entry, at: (u32, u32)) -> bool {
+        let never_started = || !entry.progress.has_suspects() && entry.follows_unheard_end(at);
+        !self.awaits_confirmation(entry) && (!self.awaits_predecessors(entry) || never_started())
     }
 
     /// Returns whether capacity is reserved for the candidate under its team's guarantee.
@@ -450,6 +469,7 @@
                 survived_start: false,
                 sampled: Sampled::default(),
                 preempted_by: None,
+                unheard: true,
             };
             entry.runs.insert(key, placed);
             let task = task(&candidate.id, key);
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -85,7 +85,7 @@
             self.on_end(name, &from, end, now);
         }
         for run in running {
-            self.on_listed_run(name, &from, run, (listed_at, now));
+            self.on_listed_run(name, &from, run, fenced, (listed_at, now));
         }
         if fenced {
             self.clear_suspects(name, &from, running, at);
@@ -201,12 +201,14 @@
         }
     }
 
-    /// Applies one run that a worker listed at `listed_at` by the owner's clock.
+    /// Applies one run that a worker listed at `listed_at` by the owner's clock; `fenced` if it did so
+    /// under this owner's epoch.
     fn on_listed_run(
         &mut self,
         name: &str,
         from: &Incarnation,
         run: &Run,
+        fenced: bool,
         (listed_at, now): (u64, u64),
     ) {
         let key = task_key(&run.task);
@@ -223,12 +225,14 @@
                 format!("{key:?} run {} at {}: a later run is active", earlier.run, earlier.agent);
             self.log("run lost", &run.task.job, detail);
         }
+        let unheard = fenced && self.is_only_run(run);
         let Some(entry) = self.jobs.get_mut(&run.task.job) else { return };
         let mut passes_half = false;
         match entry.runs.get_mut(&key) {
             Some(placed) if placed.worker == *from && placed.run == run.number => {
                 placed.updated_at = placed.updated_at.max(listed_at);
                 placed.confirmed_at.get_or_insert(now);
+                placed.unheard |= unheard;
                 passes_half = placed.update_progress(run.percent, now);
                 if placed.phase == Phase::Starting {
                     placed.phase = Phase::Running;
@@ -262,6 +266,7 @@
                     survived_start: false,
                     sampled: Sampled::default(),
                     preempted_by: None,
+                    unheard,
                 };
                 let unit = entry.runs.range((key.0, key.1, 0)..=(key.0, key.1, u32::MAX));
                 let gang = entry.job.steps.get(key.1 as usize).is_some_and(|step| step.gang);
--- a/crates/runner/tests/owner_change_courses.rs
+++ b/crates/runner/tests/owner_change_courses.rs
@@ -50,7 +50,18 @@
     }
 }
 
-// The same in the courses from `FIRST` to before `LAST`, for hunts by hand. With `LISTED`, workers list so many ends at a time. With `SHRINK`, prints
+// The same where each job is a chain of steps, which go on under the next owner.
+#[test]
+fn no_task_runs_twice_in_courses_with_chains() {
+    for seed in 200..208 {
+        let plan = Plan { stale_versions: 0, steps: 3, ..Plan::draw(seed) };
+        let report = plan.play();
+        assert!(report.is_empty(), "seed {seed}\n{report}");
+    }
+}
+
+// The same in the courses from `FIRST` to before `LAST`, for hunts by hand. With `LISTED`, workers list so
+// many ends at a time. With `STEPS`, each job has so many steps, one after the other. With `SHRINK`, prints
 // the shortened courses that fail, and their logs.
 #[test]
 fn no_task_runs_twice_in_chosen_courses() {
@@ -63,6 +74,7 @@
             plan.stale_versions = 0;
         }
         plan.max_listed_ends = number("LISTED").map(|count: u64| count as usize);
+        plan.steps = number("STEPS").map_or(1, |count| count as u32);
         let report = plan.play();
         if report.is_empty() {
             continue;
--- a/crates/runner/tests/succession/mod.rs
+++ b/crates/runner/tests/succession/mod.rs
@@ -85,6 +85,8 @@
     pub silent_until: u64,
     /// A read of all rows returns rows that are up to this many versions old.
     pub stale_versions: u64,
+    /// Steps of each job of an [`trouble::Event::Job`].
+    pub steps: u32,
     pub audit: Audit,
     /// What entries logged.
     pub lines: Vec<String>,
@@ -122,6 +124,7 @@
             starved_until: 0,
             silent_until: 0,
             stale_versions: 0,
+            steps: 1,
             audit: Audit::default(),
             lines: Vec::new(),
             submissions: BTreeMap::new(),
--- a/crates/runner/tests/succession/trouble.rs
+++ b/crates/runner/tests/succession/trouble.rs
@@ -30,6 +30,8 @@
     pub stale_versions: u64,
     /// The most ends that a worker lists at a time; as the platform's if none.
     pub max_listed_ends: Option<usize>,
+    /// Steps of each job, each of which waits for the one before.
+    pub steps: u32,
 }
 
 /// The entry that owns at that time, or one entry.
@@ -236,7 +238,7 @@
         }
         events.sort_by_key(|(at, _)| *at);
         let stale_versions = if rng.random_bool(0.2) { rng.random_range(1..40) } else { 0 };
-        Plan { seed, events, end: length + 10_000, stale_versions, max_listed_ends: None }
+        Plan { seed, events, end: length + 10_000, stale_versions, max_listed_ends: None, steps: 1 }
     }
 
     /// Plays the course. Returns violations of the rule and jobs that have not ended, with the log;
@@ -244,6 +246,7 @@
     pub fn play(&self) -> String {
         let mut course = Course::new(self.seed);
         course.stale_versions = self.stale_versions;
+        course.steps = self.steps;
         for node in &mut course.nodes {
             if let Some(count) = self.max_listed_ends {
                 node.worker.max_listed_ends = count;
@@ -365,9 +368,12 @@
         let now = self.now;
         match *event {
             Event::Job { entry, count, accelerators, gang, duration } => {
+                // The load is the same for any number of steps.
+                let duration = duration / u64::from(self.steps);
                 self.durations = (duration.min(300), duration);
                 if self.entries[entry].is_up(now) && !self.entries[entry].closing {
-                    self.submit_step(entry, count, accelerators, gang);
+                    let shape = Shape::of_step(count, accelerators, gang);
+                    self.submit_shape(entry, &Shape { steps: self.steps, ..shape });
                 }
             }
             Event::Freeze { target, ms, decides } => {
