--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -49,6 +49,8 @@
     pub(crate) unlisted_checked_at: u64,
     /// The table's version at which the ownership was claimed.
     pub(crate) claim_version: u64,
+    /// Earlier epochs, each with a version of the table by which it had been claimed.
+    pub(crate) earlier_claims: BTreeMap<u64, u64>,
     /// When the last request was sent whose answer showed that this entry still owns.
     pub(crate) confirmed_at: u64,
     /// When the last successful write of the owner's row was sent.
@@ -179,6 +181,7 @@
             agents_checked_at: 0,
             unlisted_checked_at: now,
             claim_version: version,
+            earlier_claims: BTreeMap::new(),
             confirmed_at: now,
             renewed_at: 0,
             resumed_at: now,
--- a/crates/dispatch/src/ownership.rs
+++ b/crates/dispatch/src/ownership.rs
@@ -1,6 +1,8 @@
 //! What an owner knows of its own ownership: that the table has confirmed it, that another entry may
 //! have taken over, or that no previous owner is left.
 
+use std::collections::BTreeMap;
+
 use crate::election::OWNER_TIMEOUT_MS;
 use crate::owner::Owner;
 
@@ -24,6 +26,12 @@
         self.predecessor_ended = true;
     }
 
+    /// Sets by which versions of the table earlier epochs had been claimed. Without them, each step
+    /// of an older job waits until this owner is settled.
+    pub fn set_earlier_claims(&mut self, claims: &BTreeMap<u64, u64>) {
+        self.earlier_claims = claims.clone();
+    }
+
     /// Records that the table confirmed the ownership in answer to a request sent at `sent`.
     pub fn confirm_ownership(&mut self, sent: u64) {
         let waits = self.needs_confirmation();
