Count the room of each rack before tasks are placed in it

A round of planning with many gangs that need one rack took seconds in a debug build, and twice as long on a pool under half in use, where idle jobs are tried a second time.

Cause: `pack` placed the tasks one by one in each rack, and each time went through all workers; and again to learn whether an empty rack could hold them. The second attempt repeated this, also where nothing could have room.

Now one pass over the workers counts what each rack holds. Only racks that hold the gang are tried. The count is exact: tasks of a step are alike, and a worker holds `max_tasks` of them whatever the order. The attempt for idle jobs ends at once if the open workers could not hold the tasks with nothing barred. Decisions do not change.

There is no test of counts, since the owner counts no attempts.

--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -49,6 +49,9 @@
             self.schedule_replan(wall + ends_at - now);
             return false;
         }
+        if !has_room(candidate, (&step, &pool), snapshot) {
+            return false;
+        }
         let claims_end_at = ends_at + CLAIMED_WAIT_MS;
         let (claimed, ends_at) = match now < claims_end_at {
             true => (self.claimed_indexes(candidate), Some(claims_end_at)),
@@ -174,3 +177,27 @@
         chosen
     }
 }
+
+/// Returns whether the open workers could hold tasks of a candidate if nothing were barred: all of a
+/// gang, one of other steps. What follows is expensive with many jobs that wait for room.
+fn has_room(candidate: &Candidate, (step, pool): (&Step, &str), snapshot: &Snapshot) -> bool {
+    let request = Request {
+        step,
+        pool,
+        count: if step.gang { candidate.tasks.len() as u32 } else { 1 },
+        waits_for_rack: false,
+        preempts: Protection::Lower,
+        ignores_ending: false,
+        tasks_by_worker: &[],
+    };
+    let mut left = u64::from(request.count);
+    for (index, worker) in snapshot.workers.iter().enumerate() {
+        if request.is_eligible(worker) {
+            left = left.saturating_sub(request.max_tasks(index, &worker.free));
+        }
+        if left == 0 {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/place/src/pack.rs
+++ b/crates/place/src/pack.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quincewheel_job::Resources;
 
@@ -21,8 +21,9 @@
         return place_tasks(workers, &free, request, |_| true);
     }
     if request.step.same_rack && request.count > 1 {
-        let racks = eligible_racks(workers, request);
-        let candidates = racks.iter().filter_map(|rack| {
+        let room = room_by_rack(workers, request, |worker| &worker.free);
+        let racks = room.iter().filter(|(_, room)| **room >= u64::from(request.count));
+        let candidates = racks.filter_map(|(rack, _)| {
             let chosen = place_tasks(workers, &free, request, |worker| worker.rack == **rack);
             complete(chosen, request)
                 .map(|chosen| (rack_cost(workers, rack, &request.step.near), chosen))
@@ -31,7 +32,7 @@
             return chosen;
         }
         let waits = request.waits_for_rack || !is_half_free(workers, request);
-        if waits && racks.iter().any(|rack| fits_when_empty(workers, request, rack)) {
+        if waits && fits_in_an_empty_rack(workers, request) {
             return Vec::new();
         }
     }
@@ -50,11 +51,27 @@
         .collect()
 }
 
-/// True if all tasks would fit in the rack if nothing ran there.
-pub(crate) fn fits_when_empty(workers: &[WorkerState], request: &Request<'_>, rack: &str) -> bool {
-    let all: Vec<Resources> = workers.iter().map(|worker| worker.capacity).collect();
-    place_tasks(workers, &all, request, |worker| worker.rack == rack).len()
-        == request.count as usize
+/// True if all tasks would fit in one of the racks if nothing ran there.
+pub(crate) fn fits_in_an_empty_rack(workers: &[WorkerState], request: &Request<'_>) -> bool {
+    let room = room_by_rack(workers, request, |worker| &worker.capacity);
+    room.values().any(|room| *room >= u64::from(request.count))
+}
+
+/// The number of tasks that the workers of each eligible rack hold in the part of them that `room`
+/// returns. Most racks are left out by it before tasks are placed one by one, which takes a pass over all
+/// workers for each task.
+fn room_by_rack<'a>(
+    workers: &'a [WorkerState],
+    request: &Request<'_>,
+    room: impl Fn(&WorkerState) -> &Resources,
+) -> BTreeMap<&'a str, u64> {
+    let mut racks: BTreeMap<&str, u64> = BTreeMap::new();
+    for (index, worker) in workers.iter().enumerate() {
+        if request.is_eligible(worker) {
+            *racks.entry(&worker.rack).or_default() += request.max_tasks(index, room(worker));
+        }
+    }
+    racks
 }
 
 /// True if at least half of the accelerators of eligible workers are free.
--- a/crates/place/src/preemption.rs
+++ b/crates/place/src/preemption.rs
@@ -2,7 +2,7 @@
 
 use quincewheel_job::Resources;
 
-use crate::pack::{WorkerIndex, eligible_racks, fits_when_empty};
+use crate::pack::{WorkerIndex, eligible_racks, fits_in_an_empty_rack};
 use crate::request::Request;
 use crate::worker_state::{Preemptible, WorkerState};
 
@@ -29,7 +29,7 @@
     for rack in &racks {
         plans.extend(plan_on(workers, request, |worker| worker.rack == **rack));
     }
-    if !one_rack || !racks.iter().any(|rack| fits_when_empty(workers, request, rack)) {
+    if !one_rack || !fits_in_an_empty_rack(workers, request) {
         plans.extend(plan_on(workers, request, |_| true));
     }
     plans.into_iter().min_by_key(|preemption| preemption.loss)
