Split the attempt to start idle jobs, and name what "half" measures

`start_idle_job` decided when the wait is over, which workers are barred and which are a last choice in one function of 70 lines. It is three functions now. Four functions asked whether half of a pool is free or in use and three shared a name, though they differ in resources, workers and whether exactly half counts. They now say what they measure:

- place, `are_accelerators_half_free`: of the workers with the label;
- `Occupancy::is_any_resource_under_half_used`: of all known workers;
- `Load::is_under_half_used`: what the task needs, of all or the open workers.

None could be shared: each asks another question. Decisions do not change; the tests of dispatch, place, policy and backfill pass as before.

--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -10,7 +10,7 @@
 use quincewheel_backfill::{Claim, Gang, Kept, Plan, Planner, Turn};
 use quincewheel_job::{Id, Resources, Step};
 use quincewheel_place::{Preemptible, Protection, Request, WorkerState};
-use quincewheel_policy::{Lateness, is_half_free};
+use quincewheel_policy::{Lateness, is_any_resource_half_free};
 
 use crate::candidate::Candidate;
 use crate::entry::{Entry, Key, Phase};
@@ -245,7 +245,7 @@
         let mut excluded = self.uncleared(candidate, snapshot, now);
         excluded.extend(self.avoided_indexes(candidate, snapshot, now));
         excluded.sort_unstable();
-        let half_free = is_half_free(&snapshot.workers, pool);
+        let half_free = is_any_resource_half_free(&snapshot.workers, pool);
         let yields_until = self.deferred_until(candidate, half_free, (now, wall));
         let kept = self.claims.of(key).map(|held| held.kept(&snapshot.workers));
         Gang {
@@ -346,8 +346,8 @@
     }
 
     /// Returns the indexes of claimed workers that are kept from the candidate although it is idle,
-    /// and until when: those of gangs before it that have lost workers to idle jobs in former rounds and
-    /// are planned to start within the time of their protection.
+    /// and until when: those of gangs before it that have lost workers to idle jobs in former
+    /// rounds and are planned to start within the time of their protection.
     pub(crate) fn protected_indexes(
         &self,
         candidate: &Candidate,
@@ -367,7 +367,7 @@
         (indexes, ends_at)
     }
 
-    /// Records that an idle job has started on workers, some of which gangs before it may have claimed.
+    /// Records that an idle job starts on the chosen workers, some of which may be claimed.
     pub(crate) fn record_broken_claims(
         &mut self,
         candidate: &Candidate,
--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -3,7 +3,8 @@
 //! The owner holds ready tasks back for several reasons, each of which suits a full pool: a sound
 //! worker or a single rack may become free, other work may need the capacity more, a worker may fail
 //! the task again. Beside idle workers the reasons add up to waits that nobody understands. So there
-//! all of them end together.
+//! all of them end together. Only closed workers, capacity, labels, limits per worker, clearance, the
+//! isolation of suspects and trials that run still apply, and claims of gangs for a while longer.
 
 use quincewheel_job::Step;
 use quincewheel_place::{Protection, Request};
@@ -27,10 +28,6 @@
     /// Starts tasks that the ordinary attempt has held back, if nothing of their job has run for
     /// [`MAX_IDLE_WAIT_MS`] and under half of the pool has been in use for as long; else plans again
     /// when that time is over. Returns whether any started.
-    ///
-    /// Only closed workers, capacity, labels, limits per worker, clearance, the isolation of
-    /// suspects and trials that run still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more. Workers that the tasks avoid and doubtful ones are used if no others
-    /// hold them, for one task where the tasks may start one by one.
     pub(crate) fn start_idle_job(
         &mut self,
         candidate: &Candidate,
@@ -52,6 +49,26 @@
         if !has_room(candidate, (&step, &pool), snapshot) {
             return false;
         }
+        let mut barred = self.claimed_for_now(candidate, ends_at, (now, wall));
+        barred.extend(self.uncleared(candidate, snapshot, now));
+        barred.extend(self.excluded_indexes(candidate, snapshot));
+        let standings = snapshot.standings.iter().enumerate();
+        barred.extend(standings.filter(|(_, standing)| standing.on_trial).map(|(index, _)| index));
+        let chosen = self.find_idle_room(candidate, (&step, &pool), (snapshot, barred), now);
+        self.record_broken_claims(candidate, &chosen, now);
+        let pairs: Vec<(u32, usize)> = candidate.tasks.iter().copied().zip(chosen).collect();
+        self.start_tasks(candidate, &step, &pairs, snapshot, now);
+        !pairs.is_empty()
+    }
+
+    /// Returns the indexes of claimed workers that are left to their gangs, by an idle job that has
+    /// been held back up to `ends_at`, and plans again when they no longer are.
+    fn claimed_for_now(
+        &mut self,
+        candidate: &Candidate,
+        ends_at: u64,
+        (now, wall): (u64, u64),
+    ) -> Vec<usize> {
         let claims_end_at = ends_at + CLAIMED_WAIT_MS;
         let (claimed, ends_at) = match now < claims_end_at {
             true => (self.claimed_indexes(candidate), Some(claims_end_at)),
@@ -60,39 +77,42 @@
         if let Some(at) = ends_at.filter(|_| !claimed.is_empty()) {
             self.schedule_replan(wall + at - now);
         }
-        let mut barred = self.uncleared(candidate, snapshot, now);
-        barred.extend(claimed);
-        barred.extend(self.excluded_indexes(candidate, snapshot));
-        let standings = snapshot.standings.iter().enumerate();
-        barred.extend(standings.filter(|(_, standing)| standing.on_trial).map(|(index, _)| index));
+        claimed
+    }
+
+    /// Returns a worker for each task of an idle candidate that fits now, other than the `barred`.
+    /// Workers that the tasks avoid and doubtful ones are used if no others hold them, for one task
+    /// where the tasks may start one by one.
+    fn find_idle_room(
+        &mut self,
+        candidate: &Candidate,
+        (step, pool): (&Step, &str),
+        (snapshot, barred): (&mut Snapshot, Vec<usize>),
+        now: u64,
+    ) -> Vec<usize> {
         let mut unwanted = self.avoided_indexes(candidate, snapshot, now);
         let standings = snapshot.standings.iter().enumerate();
         let doubtful = standings.filter(|(_, standing)| standing.grade == Grade::Doubtful);
         unwanted.extend(doubtful.map(|(index, _)| index));
         let without_unwanted = [&barred[..], &unwanted].concat();
-        let last_choice =
-            [&self.admission(candidate, (&step, &pool), snapshot, now).excluded[..], &unwanted]
-                .concat();
-        let former = snapshot.deprioritize(&last_choice);
-        let mut chosen = self.find_room(candidate, (&step, &pool), snapshot, without_unwanted);
+        let admission = self.admission(candidate, (step, pool), snapshot, now);
+        let former = snapshot.deprioritize(&[&admission.excluded[..], &unwanted].concat());
+        let mut chosen = self.find_room(candidate, (step, pool), snapshot, without_unwanted);
         if chosen.is_empty() && !unwanted.is_empty() {
-            chosen = self.find_room(candidate, (&step, &pool), snapshot, barred);
+            chosen = self.find_room(candidate, (step, pool), snapshot, barred);
             chosen.truncate(if step.gang { chosen.len() } else { 1 });
         }
         for (index, deprioritized) in former.into_iter().rev() {
             snapshot.workers[index].deprioritized = deprioritized;
         }
-        self.record_broken_claims(candidate, &chosen, now);
-        let pairs: Vec<(u32, usize)> = candidate.tasks.iter().copied().zip(chosen).collect();
-        self.start_tasks(candidate, &step, &pairs, snapshot, now);
-        !pairs.is_empty()
+        chosen
     }
 
     /// Records which pools are under half in use, and since when.
     pub(crate) fn update_under_half(&mut self, snapshot: &Snapshot, now: u64) {
         let former = std::mem::take(&mut self.under_half_since);
         for (pool, load) in &snapshot.loads {
-            for accelerated in [false, true].into_iter().filter(|a| load.is_under_half(*a)) {
+            for accelerated in [false, true].into_iter().filter(|a| load.is_under_half_used(*a)) {
                 let key = (pool.clone(), accelerated);
                 let since = former.get(&key).copied().unwrap_or(now);
                 self.under_half_since.insert(key, since);
@@ -106,7 +126,7 @@
         let accelerated = step.need.accelerators > 0;
         let since = self.under_half_since.get(&(pool.to_owned(), accelerated))?;
         let load = snapshot.loads.get(pool)?;
-        load.is_under_half(accelerated).then_some(*since)
+        load.is_under_half_used(accelerated).then_some(*since)
     }
 
     /// Returns since when a candidate's tasks have waited; none while anything of its job runs.
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -30,7 +30,7 @@
     /// Returns whether under half is in use of the workers, all or the open ones: of the
     /// accelerators for tasks that need any, else of the processors or the memory. Processors are
     /// left over where all accelerators are in use.
-    pub fn is_under_half(&self, accelerated: bool) -> bool {
+    pub fn is_under_half_used(&self, accelerated: bool) -> bool {
         let under_half = |used: &Resources, all: &Resources| match accelerated {
             true => used.accelerators * 2 < all.accelerators,
             false => used.cpu * 2 < all.cpu || used.memory * 2 < all.memory,
--- a/crates/dispatch/src/occupancy.rs
+++ b/crates/dispatch/src/occupancy.rs
@@ -40,7 +40,7 @@
 
 impl Occupancy {
     /// Returns whether less than half of the accelerators, processors or memory is in use.
-    pub fn is_half_free(&self) -> bool {
+    pub fn is_any_resource_under_half_used(&self) -> bool {
         let half = |used: u64, all: u64| used * 2 < all;
         half(self.used.accelerators, self.capacity.accelerators)
             || half(self.used.cpu, self.capacity.cpu)
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -5,8 +5,8 @@
 use quincewheel_job::{Id, Resources, Step};
 use quincewheel_place::{Protection, Request, WorkerState};
 use quincewheel_policy::{
-    Guarantees, Rank, START_ISOLATION_MS, core_weight, is_half_free, release_whole_workers,
-    reserve_whole_workers,
+    Guarantees, Rank, START_ISOLATION_MS, core_weight, is_any_resource_half_free,
+    release_whole_workers, reserve_whole_workers,
 };
 use quincewheel_wire::Order;
 
@@ -342,8 +342,11 @@
             ignores_ending: false,
             tasks_by_worker: &tasks_by_worker,
         };
-        let deferred_until =
-            self.deferred_until(candidate, is_half_free(&snapshot.workers, pool), (now, wall));
+        let deferred_until = self.deferred_until(
+            candidate,
+            is_any_resource_half_free(&snapshot.workers, pool),
+            (now, wall),
+        );
         let kept_free = deferred_until
             .map(|_| reserve_whole_workers(&mut snapshot.workers, pool))
             .unwrap_or_default();
--- a/crates/dispatch/src/standing.rs
+++ b/crates/dispatch/src/standing.rs
@@ -86,7 +86,8 @@
             return Err(Resolution::Started);
         }
         let pool = self.pool_of(entry);
-        let half_free = pools.get_mut(&pool).filter(|occupancy| occupancy.is_half_free());
+        let half_free =
+            pools.get_mut(&pool).filter(|occupancy| occupancy.is_any_resource_under_half_used());
         let occupancy = half_free.ok_or(Resolution::PoolInUse)?;
         let mut resolution = Resolution::NotReady;
         for (occurrence, number, step) in due_steps(entry) {
--- a/crates/place/src/pack.rs
+++ b/crates/place/src/pack.rs
@@ -31,7 +31,7 @@
         if let Some((_, chosen)) = candidates.min_by_key(|(rack_cost, _)| *rack_cost) {
             return chosen;
         }
-        let waits = request.waits_for_rack || !is_half_free(workers, request);
+        let waits = request.waits_for_rack || !are_accelerators_half_free(workers, request);
         if waits && fits_in_an_empty_rack(workers, request) {
             return Vec::new();
         }
@@ -58,8 +58,7 @@
 }
 
 /// The number of tasks that the workers of each eligible rack hold in the part of them that `room`
-/// returns. Most racks are left out by it before tasks are placed one by one, which takes a pass over all
-/// workers for each task.
+/// returns. Leaves most racks out before tasks are placed there, each in a pass over all workers.
 fn room_by_rack<'a>(
     workers: &'a [WorkerState],
     request: &Request<'_>,
@@ -75,7 +74,7 @@
 }
 
 /// True if at least half of the accelerators of eligible workers are free.
-fn is_half_free(workers: &[WorkerState], request: &Request<'_>) -> bool {
+fn are_accelerators_half_free(workers: &[WorkerState], request: &Request<'_>) -> bool {
     let allowed = || workers.iter().filter(|worker| request.is_eligible(worker));
     let free: u64 = allowed().map(|worker| worker.free.accelerators).sum();
     let all: u64 = allowed().map(|worker| worker.capacity.accelerators).sum();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,4 +22,4 @@
     preemption_loss,
 };
 pub use rank::{Lateness, Rank};
-pub use reserve::{is_half_free, release_whole_workers, reserve_whole_workers};
+pub use reserve::{is_any_resource_half_free, release_whole_workers, reserve_whole_workers};
--- a/crates/policy/src/reserve.rs
+++ b/crates/policy/src/reserve.rs
@@ -47,7 +47,7 @@
 }
 
 /// True if at least half of the pool's accelerators, processors or memory is free.
-pub fn is_half_free(workers: &[WorkerState], pool: &str) -> bool {
+pub fn is_any_resource_half_free(workers: &[WorkerState], pool: &str) -> bool {
     let mut all = Resources::default();
     let mut free = Resources::default();
     for worker in workers.iter().filter(|worker| worker.pool == pool) {
--- a/crates/policy/tests/preemption.rs
+++ b/crates/policy/tests/preemption.rs
@@ -4,7 +4,7 @@
 use quincewheel_job::{Resources, Step};
 use quincewheel_place::WorkerState;
 use quincewheel_policy::{
-    Guarantees, borrowed_reclaim_at, core_weight, is_half_free, is_worth_preempting,
+    Guarantees, borrowed_reclaim_at, core_weight, is_any_resource_half_free, is_worth_preempting,
     preemption_loss, release_whole_workers, reserve_whole_workers, rounds,
 };
 
@@ -38,7 +38,10 @@
     let back: Vec<u64> = workers.iter().map(|worker| worker.free.accelerators).collect();
     assert_eq!(back, free);
     let other = reserve_whole_workers(&mut workers, "another").len();
-    assert_snapshot!(format!("{indices:?}\n{left:?}\n{other}, {}", is_half_free(&workers, "p")));
+    assert_snapshot!(format!(
+        "{indices:?}\n{left:?}\n{other}, {}",
+        is_any_resource_half_free(&workers, "p")
+    ));
 }
 
 // An urgent job of three whole workers arrives in a pool full of long jobs, some with
