--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -36,10 +36,8 @@
     /// any pool after [`MAX_LASTING_WAIT_MS`]. Returns whether any started.
     ///
     /// Only closed workers, capacity, labels, limits per worker, clearance, the isolation of
-    /// suspects and new trials still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more.
-    /// Workers that the tasks avoid and doubtful ones are used if no others hold them, for one task
-    /// where the tasks may start one by one. Workers at which only other starts are too recent for a
-    /// suspect take no more of them in this round.
+    /// suspects and new trials still apply, and claims of gangs for [`CLAIMED_WAIT_MS`] more, or as
+    /// long as they are protected.
     pub(crate) fn start_idle_job(
         &mut self,
         candidate: &Candidate,
@@ -60,6 +58,49 @@
             self.schedule_replan(wall + ends_at - now);
             return false;
         }
+        if !has_room(candidate, (&step, &pool), snapshot) {
+            return false;
+        }
+        let candidate = &self.due_part(candidate, (&step, &pool), snapshot, now);
+        let mut barred = self.claimed_for_now(candidate, ends_at, (now, wall));
+        barred.extend(self.uncleared(candidate, snapshot, now));
+        if !snapshot.new_trials.is_empty() {
+            barred.extend(&snapshot.new_trials);
+            self.schedule_replan(wall + NEW_TRIAL_MS);
+        }
+        let chosen = self.find_idle_room(candidate, (&step, &pool), (snapshot, barred), now);
+        self.record_broken_claims(candidate, &chosen, now);
+        let pairs: Vec<(u32, usize)> = candidate.tasks.iter().copied().zip(chosen).collect();
+        self.start_tasks(candidate, &step, &pairs, snapshot, now);
+        !pairs.is_empty()
+    }
+
+    /// Returns a candidate with those of its tasks that are held back no longer: of perpetual ones
+    /// that may start one by one, each waits for itself.
+    fn due_part(
+        &self,
+        candidate: &Candidate,
+        (step, pool): (&Step, &str),
+        snapshot: &Snapshot,
+        now: u64,
+    ) -> Candidate {
+        let mut part = candidate.clone();
+        if step.perpetual && !step.gang {
+            let under_half = self.under_half_since(pool, step, snapshot);
+            let since = |index: &u32| self.lasting_since(candidate, *index, now);
+            part.tasks.retain(|index| idle_bound(step, since(index), under_half) <= Some(now));
+        }
+        part
+    }
+
+    /// Returns the indexes of claimed workers that are left to their gangs, by an idle job that has
+    /// been held back up to `ends_at`, and plans again when they no longer are.
+    fn claimed_for_now(
+        &mut self,
+        candidate: &Candidate,
+        ends_at: u64,
+        (now, wall): (u64, u64),
+    ) -> Vec<usize> {
         let claims_end_at = ends_at + CLAIMED_WAIT_MS;
         let (claimed, ends_at) = match now < claims_end_at {
             true => (self.claimed_indexes(candidate), Some(claims_end_at)),
@@ -68,41 +109,43 @@
         if let Some(at) = ends_at.filter(|_| !claimed.is_empty()) {
             self.schedule_replan(wall + at - now);
         }
-        let mut barred = self.uncleared(candidate, snapshot, now);
-        barred.extend(claimed);
-        if !snapshot.new_trials.is_empty() {
-            barred.extend(&snapshot.new_trials);
-            self.schedule_replan(wall + NEW_TRIAL_MS);
-        }
-        let without_apart = barred.clone();
-        barred.extend(self.excluded_indexes(candidate, snapshot));
+        claimed
+    }
+
+    /// Returns a worker for each task of an idle candidate that fits now, other than the `barred`.
+    /// Workers that the tasks avoid and doubtful ones are used if no others hold them, for one task
+    /// where the tasks may start one by one. If only recent starts keep a suspect from workers, these
+    /// take no more of them in this round.
+    fn find_idle_room(
+        &mut self,
+        candidate: &Candidate,
+        (step, pool): (&Step, &str),
+        (snapshot, barred): (&mut Snapshot, Vec<usize>),
+        now: u64,
+    ) -> Vec<usize> {
+        let apart = self.excluded_indexes(candidate, snapshot);
+        let without_apart = [&barred[..], &apart].concat();
         let mut unwanted = self.avoided_indexes(candidate, snapshot, now);
         let standings = snapshot.standings.iter().enumerate();
         let doubtful = standings.filter(|(_, standing)| standing.grade == Grade::Doubtful);
         unwanted.extend(doubtful.map(|(index, _)| index));
-        let without_unwanted = [&barred[..], &unwanted].concat();
-        let last_choice =
-            [&self.admission(candidate, (&step, &pool), snapshot, now).excluded[..], &unwanted]
-                .concat();
-        let former = snapshot.deprioritize(&last_choice);
-        let mut chosen = self.find_room(candidate, (&step, &pool), snapshot, without_unwanted);
+        let without_unwanted = [&without_apart[..], &unwanted].concat();
+        let admission = self.admission(candidate, (step, pool), snapshot, now);
+        let former = snapshot.deprioritize(&[&admission.excluded[..], &unwanted].concat());
+        let mut chosen = self.find_room(candidate, (step, pool), snapshot, without_unwanted);
         if chosen.is_empty() && !unwanted.is_empty() {
-            chosen = self.find_room(candidate, (&step, &pool), snapshot, barred);
+            chosen = self.find_room(candidate, (step, pool), snapshot, without_apart);
             chosen.truncate(if step.gang { chosen.len() } else { 1 });
         }
         if chosen.is_empty() && candidate.suspect {
-            let kept = self.find_room(candidate, (&step, &pool), snapshot, without_apart);
-            for index in kept {
+            for index in self.find_room(candidate, (step, pool), snapshot, barred) {
                 RecentStart::Suspect.record(&mut snapshot.recent_starts, index);
             }
         }
         for (index, deprioritized) in former.into_iter().rev() {
             snapshot.workers[index].deprioritized = deprioritized;
         }
-        self.record_broken_claims(candidate, &chosen, now);
-        let pairs: Vec<(u32, usize)> = candidate.tasks.iter().copied().zip(chosen).collect();
-        self.start_tasks(candidate, &step, &pairs, snapshot, now);
-        !pairs.is_empty()
+        chosen
     }
 
     /// Returns whether a candidate is a suspect that is held back no longer.
@@ -125,7 +168,7 @@
     pub(crate) fn update_under_half(&mut self, snapshot: &Snapshot, now: u64) {
         let former = std::mem::take(&mut self.under_half_since);
         for (pool, load) in &snapshot.loads {
-            for accelerated in [false, true].into_iter().filter(|a| load.is_under_half(*a)) {
+            for accelerated in [false, true].into_iter().filter(|a| load.is_under_half_used(*a)) {
                 let key = (pool.clone(), accelerated);
                 let since = former.get(&key).copied().unwrap_or(now);
                 self.under_half_since.insert(key, since);
@@ -139,10 +182,11 @@
         let accelerated = step.need.accelerators > 0;
         let since = self.under_half_since.get(&(pool.to_owned(), accelerated))?;
         let load = snapshot.loads.get(pool)?;
-        load.is_under_half(accelerated).then_some(*since)
+        load.is_under_half_used(accelerated).then_some(*since)
     }
 
-    /// Returns when a candidate's tasks are held back no longer; none while that is not known.
+    /// Returns when a candidate's tasks are held back no longer, the first of them if they are
+    /// perpetual; none while that is not known.
     fn idle_wait_ends_at(
         &self,
         candidate: &Candidate,
@@ -150,30 +194,34 @@
         snapshot: &Snapshot,
         (now, wall): (u64, u64),
     ) -> Option<u64> {
-        let since = self.idle_waiting_since(candidate, step, (now, wall))?;
-        let under_half = self.under_half_since(pool, step, snapshot);
-        let bound = under_half.map(|from| since.max(from) + MAX_IDLE_WAIT_MS);
-        let lasting_bound = step.perpetual.then_some(since + MAX_LASTING_WAIT_MS);
-        bound.into_iter().chain(lasting_bound).min()
+        let since = match step.perpetual {
+            true => {
+                let tasks = candidate.tasks.iter();
+                let since = tasks.map(|index| self.lasting_since(candidate, *index, now));
+                if step.gang { since.max() } else { since.min() }
+            }
+            false => self.idle_waiting_since(candidate, (now, wall)),
+        };
+        idle_bound(step, since?, self.under_half_since(pool, step, snapshot))
     }
 
-    /// Returns since when a candidate's tasks have waited; none while anything of its job runs, but
-    /// for perpetual tasks, each of which is worth something by itself.
-    fn idle_waiting_since(
-        &self,
-        candidate: &Candidate,
-        step: &Step,
-        (now, wall): (u64, u64),
-    ) -> Option<u64> {
-        if step.perpetual {
-            let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
-            return Some(self.waits.waiting_since(&key).unwrap_or(now));
-        }
+    /// Returns since when a candidate's tasks have waited; none while anything of its job runs.
+    fn idle_waiting_since(&self, candidate: &Candidate, (now, wall): (u64, u64)) -> Option<u64> {
         let entry = self.jobs.get(&candidate.id)?;
         let overdue = wall.saturating_sub(entry.begins_at(candidate.occurrence));
         Some(entry.idle_since()?.max(now.saturating_sub(overdue)))
     }
 
+    /// Returns since when a perpetual task of a candidate has waited, whatever else of its job runs:
+    /// each of them is worth something by itself.
+    fn lasting_since(&self, candidate: &Candidate, index: u32, now: u64) -> u64 {
+        let step_key = (candidate.id.clone(), candidate.occurrence, candidate.step);
+        let key = (candidate.occurrence, candidate.step, index);
+        let entry = self.jobs.get(&candidate.id);
+        let vacated_at = entry.and_then(|entry| entry.lasting_vacated_at.get(&key).copied());
+        vacated_at.or_else(|| self.waits.waiting_since(&step_key)).unwrap_or(now)
+    }
+
     /// Returns a worker for each task of a candidate that fits now, other than the `excluded`. For
     /// a suspect these are as few of the least used workers as can hold it.
     fn find_room(
@@ -234,3 +282,35 @@
         chosen
     }
 }
+
+/// Returns when tasks of a step that have waited since then are held back no longer, in a pool of
+/// which under half has been in use since `under_half`; none while that is not known.
+fn idle_bound(step: &Step, since: u64, under_half: Option<u64>) -> Option<u64> {
+    let bound = under_half.map(|from| since.max(from) + MAX_IDLE_WAIT_MS);
+    let lasting_bound = step.perpetual.then_some(since + MAX_LASTING_WAIT_MS);
+    bound.into_iter().chain(lasting_bound).min()
+}
+
+/// Returns whether the open workers could hold tasks of a candidate if nothing were barred: all of a
+/// gang, one of other steps. What follows is expensive with many jobs that wait for room.
+fn has_room(candidate: &Candidate, (step, pool): (&Step, &str), snapshot: &Snapshot) -> bool {
+    let request = Request {
+        step,
+        pool,
+        count: if step.gang { candidate.tasks.len() as u32 } else { 1 },
+        waits_for_rack: false,
+        preempts: Protection::Lower,
+        ignores_ending: false,
+        tasks_by_worker: &[],
+    };
+    let mut left = u64::from(request.count);
+    for (index, worker) in snapshot.workers.iter().enumerate() {
+        if request.is_eligible(worker) {
+            left = left.saturating_sub(request.max_tasks(index, &worker.free));
+        }
+        if left == 0 {
+            return true;
+        }
+    }
+    false
+}
