Count the waits of lasting tasks one by one

Callers would have seen a lasting task that fails at once started nine times a second at a doubtful worker, while another task of its step found no room.

The owner keeps when the last run of each lasting task was removed, and only tasks whose own wait has lasted long enough are started by the bound. A start that is refused also ends a run there, so the wait of a lasting task still begins anew with it if the task had run before.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -45,6 +45,8 @@
     pub vacant_since: Option<u64>,
     /// When its last run was removed, or when this owner learned of the job.
     pub vacated_at: u64,
+    /// When the last run of each perpetual task was removed.
+    pub lasting_vacated_at: BTreeMap<Key, u64>,
     /// The newest checkpoint of each task. A gang has one, at index 0.
     pub checkpoints: BTreeMap<Key, String>,
     /// Parts of the checkpoints that have changed since they were last recorded.
@@ -234,6 +236,7 @@
             not_due_at: None,
             vacant_since: None,
             vacated_at: 0,
+            lasting_vacated_at: BTreeMap::new(),
             checkpoints: BTreeMap::new(),
             unrecorded_checkpoints: BTreeSet::new(),
             checkpoints_recorded_at: 0,
@@ -413,6 +416,9 @@
         let run = self.runs.remove(key)?;
         self.vacated_at = now;
         self.vacant_since = None;
+        if self.step(*key).is_some_and(|step| step.perpetual) {
+            self.lasting_vacated_at.insert(*key, now);
+        }
         Some(run)
     }
 
--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -60,6 +60,15 @@
             self.schedule_replan(wall + ends_at - now);
             return false;
         }
+        let mut candidate = candidate.clone();
+        if step.perpetual && !step.gang {
+            let under_half = self.under_half_since(&pool, &step, snapshot);
+            let since = |index: &u32| self.lasting_since(&candidate, *index, now);
+            let is_due = |index: &u32| idle_bound(&step, since(index), under_half) <= Some(now);
+            let due: Vec<u32> = candidate.tasks.iter().copied().filter(is_due).collect();
+            candidate.tasks = due;
+        }
+        let candidate = &candidate;
         let claims_end_at = ends_at + CLAIMED_WAIT_MS;
         let claimed =
             if now < claims_end_at { self.claimed_indexes(candidate) } else { Vec::new() };
@@ -139,7 +148,8 @@
         load.is_under_half(accelerated).then_some(*since)
     }
 
-    /// Returns when a candidate's tasks are held back no longer; none while that is not known.
+    /// Returns when a candidate's tasks are held back no longer, the first of them if they are
+    /// perpetual; none while that is not known.
     fn idle_wait_ends_at(
         &self,
         candidate: &Candidate,
@@ -147,30 +157,34 @@
         snapshot: &Snapshot,
         (now, wall): (u64, u64),
     ) -> Option<u64> {
-        let since = self.idle_waiting_since(candidate, step, (now, wall))?;
-        let under_half = self.under_half_since(pool, step, snapshot);
-        let bound = under_half.map(|from| since.max(from) + MAX_IDLE_WAIT_MS);
-        let lasting_bound = step.perpetual.then_some(since + MAX_LASTING_WAIT_MS);
-        bound.into_iter().chain(lasting_bound).min()
+        let since = match step.perpetual {
+            true => {
+                let tasks = candidate.tasks.iter();
+                let since = tasks.map(|index| self.lasting_since(candidate, *index, now));
+                if step.gang { since.max() } else { since.min() }
+            }
+            false => self.idle_waiting_since(candidate, (now, wall)),
+        };
+        idle_bound(step, since?, self.under_half_since(pool, step, snapshot))
     }
 
-    /// Returns since when a candidate's tasks have waited; none while anything of its job runs, but
-    /// for perpetual tasks, each of which is worth something by itself.
-    fn idle_waiting_since(
-        &self,
-        candidate: &Candidate,
-        step: &Step,
-        (now, wall): (u64, u64),
-    ) -> Option<u64> {
-        if step.perpetual {
-            let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
-            return Some(self.waits.waiting_since(&key).unwrap_or(now));
-        }
+    /// Returns since when a candidate's tasks have waited; none while anything of its job runs.
+    fn idle_waiting_since(&self, candidate: &Candidate, (now, wall): (u64, u64)) -> Option<u64> {
         let entry = self.jobs.get(&candidate.id)?;
         let overdue = wall.saturating_sub(entry.begins_at(candidate.occurrence));
         Some(entry.idle_since()?.max(now.saturating_sub(overdue)))
     }
 
+    /// Returns since when a perpetual task of a candidate has waited, whatever else of its job runs:
+    /// each of them is worth something by itself.
+    fn lasting_since(&self, candidate: &Candidate, index: u32, now: u64) -> u64 {
+        let step_key = (candidate.id.clone(), candidate.occurrence, candidate.step);
+        let key = (candidate.occurrence, candidate.step, index);
+        let entry = self.jobs.get(&candidate.id);
+        let vacated_at = entry.and_then(|entry| entry.lasting_vacated_at.get(&key).copied());
+        vacated_at.or_else(|| self.waits.waiting_since(&step_key)).unwrap_or(now)
+    }
+
     /// Returns a worker for each task of a candidate that fits now, other than the `excluded`. For
     /// a suspect these are as few of the least used workers as can hold it.
     fn find_room(
@@ -231,3 +245,11 @@
         chosen
     }
 }
+
+/// Returns when tasks of a step that have waited since then are held back no longer, in a pool of
+/// which under half has been in use since `under_half`; none while that is not known.
+fn idle_bound(step: &Step, since: u64, under_half: Option<u64>) -> Option<u64> {
+    let bound = under_half.map(|from| since.max(from) + MAX_IDLE_WAIT_MS);
+    let lasting_bound = step.perpetual.then_some(since + MAX_LASTING_WAIT_MS);
+    bound.into_iter().chain(lasting_bound).min()
+}
--- a/crates/dispatch/tests/idle_waits.rs
+++ b/crates/dispatch/tests/idle_waits.rs
@@ -113,3 +113,22 @@
     let waited = site.harness.now - before;
     assert!(waited < MAX_STANDING_MS, "{waited} ms");
 }
+
+// A lasting task that failed at once was started several times a second at a doubtful worker, since
+// another one of its step had no room and waited all the while.
+#[test]
+fn lasting_task_that_fails_at_once_waits_between_its_runs() {
+    let mut site = Site::new(1, 10);
+    let label = "r3".into();
+    let lasting = Step { label, perpetual: true, per_worker: 1, ..step(2, 1) };
+    site.add("a", job(1, vec![lasting]));
+    let mut starts = 0;
+    for _ in 0..100 {
+        starts += site.running.iter().filter(|(_, task, _)| task.index == 0).count();
+        site.end(9, How::Failed);
+        site.pass(100);
+        site.take_starts();
+    }
+    // One each 1.5 s, and the first.
+    assert!(starts <= 7, "{starts} starts in 10 s");
+}
