Show that small jobs stand beside an idle pool while others are cleared

Callers see a job of one task stand for 3 s and more in an idle pool if many such jobs need clearance at the same time. The service answers one call at a time, each step is requested for by itself, and each request names twelve workers, of which a job of one task uses one.

Not mended: requests for fewer workers are shorter, but steps that are refused at most workers need more of them.

--- a/crates/dispatch/tests/idle_waits.rs
+++ b/crates/dispatch/tests/idle_waits.rs
@@ -5,7 +5,7 @@
 
 use harness::{job, step};
 use quincewheel_dispatch::Settings;
-use quincewheel_job::{How, Job, Step};
+use quincewheel_job::{Advice, How, Job, Run, Step};
 use quincewheel_wire::{Notice, Refused};
 use site::Site;
 
@@ -132,3 +132,43 @@
     // One each 1.5 s, and the first.
     assert!(starts <= 7, "{starts} starts in 10 s");
 }
+
+/// Number of jobs that need clearance at the same time.
+const CLEARED_JOBS: u64 = 30;
+/// Time that the clearance service takes for a request for twelve workers, in milliseconds.
+const CLEARANCE_MS: u64 = 220;
+
+// Jobs of one task each stood beside an idle pool: their requests for clearance go one after the other,
+// each for twelve workers.
+#[test]
+fn many_small_jobs_are_cleared_in_time() {
+    let mut site = Site::new(1, 60);
+    for number in 0..CLEARED_JOBS {
+        let mut small = job(1, vec![step(1, 1)]);
+        small.queue.advice = Some(Advice { decide: 100, each: 10, valid: 5000 });
+        site.add(&format!("a{number}"), small);
+    }
+    let (before, mut sent, mut started) = (site.harness.now, None, 0);
+    while started < CLEARED_JOBS {
+        let now = site.harness.now;
+        assert!(now < before + MAX_STANDING_MS, "{started} of {CLEARED_JOBS} run after 3 s");
+        if !site.harness.advice_requests.is_empty() {
+            sent.get_or_insert(now);
+        }
+        if let Some(at) = sent.take_if(|at| now >= *at + CLEARANCE_MS) {
+            let request = site.harness.advice_requests.remove(0);
+            let tickets = request.workers.iter().map(|worker| (worker.id.clone(), "t".to_owned()));
+            let tickets: Vec<(String, String)> = tickets.collect();
+            site.harness.owner.on_clearance(&request, Some((&tickets, 5000)), at, now);
+        }
+        site.harness.advance(20);
+        site.take_starts();
+        started = site.running.len() as u64;
+        for number in 0..site.workers {
+            let here = site.running.iter().filter(|(worker, ..)| *worker == number);
+            let listed: Vec<Run> =
+                here.map(|(_, task, at)| harness::run(task.clone(), *at)).collect();
+            site.harness.report_status(number, &listed, &[]);
+        }
+    }
+}
