Do not begin the wait of a lasting task anew with a start that is refused

Callers saw a lasting task stand beside idle workers for 12 s, in a pool of which most was in use: at the end of its wait of 6 s its start was refused, and the next 6 s began.

Cause: the bound counts from the last run of the task in the owner's books, or from when its step began to wait. A start that was ordered and refused ended both.

Evidence: refused_start_does_not_begin_the_wait_of_a_lasting_task_anew, before: 'idle_waits.rs:151:5: 12000 ms', against a bound of 9 s.

The owner keeps since when the task has waited as the bound starts it, and a refused start leaves that as it was. The backoff of the worker that refused still applies.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -45,7 +45,8 @@
     pub vacant_since: Option<u64>,
     /// When its last run was removed, or when this owner learned of the job.
     pub vacated_at: u64,
-    /// When the last run of each perpetual task was removed.
+    /// When the last run of each perpetual task was removed, or since when it had waited for its first
+    /// start.
     pub lasting_vacated_at: BTreeMap<Key, u64>,
     /// The newest checkpoint of each task. A gang has one, at index 0.
     pub checkpoints: BTreeMap<Key, String>,
@@ -425,8 +426,12 @@
     /// Removes a run whose start was refused.
     pub fn remove_refused(&mut self, key: &Key, now: u64) {
         let vacant_since = self.vacant_since;
+        let lasting_vacated_at = self.lasting_vacated_at.get(key).copied();
         self.remove_run(key, now);
         self.vacant_since = vacant_since;
+        if let Some(at) = lasting_vacated_at {
+            self.lasting_vacated_at.insert(*key, at);
+        }
     }
 
     /// Returns since when the job has had no runs; none if it has any.
--- a/crates/dispatch/tests/idle_waits.rs
+++ b/crates/dispatch/tests/idle_waits.rs
@@ -133,6 +133,24 @@
     assert!(starts <= 7, "{starts} starts in 10 s");
 }
 
+// A lasting task stood beside idle workers for 12 s: its start was refused at the end of its wait, and
+// the wait began anew.
+#[test]
+fn refused_start_does_not_begin_the_wait_of_a_lasting_task_anew() {
+    let mut site = Site::new(1, 10);
+    site.add("long", job(1, vec![Step { estimate: 600_000, ..step(6, 8) }]));
+    fail_trials(&mut site, 6);
+    let lasting = |label: &str| Step { label: label.into(), perpetual: true, ..step(1, 1) };
+    let before = site.harness.now;
+    site.add("a", job(1, vec![lasting("r2"), lasting("r3")]));
+    start_of(&mut site, "a.0.1.0");
+    let (_, task, run) = site.running.pop().unwrap();
+    site.harness.deliver(9, Notice::Unstarted { task, run, why: Refused::Busy });
+    start_of(&mut site, "a.0.1.0");
+    let waited = site.harness.now - before;
+    assert!(waited < MAX_LASTING_MS, "{waited} ms");
+}
+
 /// Number of jobs that need clearance at the same time.
 const CLEARED_JOBS: u64 = 30;
 /// Time that the clearance service takes for a request for twelve workers, in milliseconds.
