--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -71,6 +71,9 @@
         let chosen = self.find_idle_room(candidate, (&step, &pool), (snapshot, barred), now);
         self.record_broken_claims(candidate, &chosen, now);
         let pairs: Vec<(u32, usize)> = candidate.tasks.iter().copied().zip(chosen).collect();
+        if step.perpetual {
+            self.keep_lasting_since(candidate, &pairs, now);
+        }
         self.start_tasks(candidate, &step, &pairs, snapshot, now);
         !pairs.is_empty()
     }
@@ -222,6 +225,17 @@
         vacated_at.or_else(|| self.waits.waiting_since(&step_key)).unwrap_or(now)
     }
 
+    /// Keeps since when perpetual tasks have waited that start now, as a start may be refused.
+    fn keep_lasting_since(&mut self, candidate: &Candidate, pairs: &[(u32, usize)], now: u64) {
+        for (index, _) in pairs {
+            let since = self.lasting_since(candidate, *index, now);
+            if let Some(entry) = self.jobs.get_mut(&candidate.id) {
+                let key = (candidate.occurrence, candidate.step, *index);
+                entry.lasting_vacated_at.insert(key, since);
+            }
+        }
+    }
+
     /// Returns a worker for each task of a candidate that fits now, other than the `excluded`. For
     /// a suspect these are as few of the least used workers as can hold it.
     fn find_room(
