Count a start that found an idle worker gone as a possible crash only

Cause: an unconfirmed start whose call breaks within 50 ms counts as the likely cause unless the worker was presumed gone. An idle worker is not polled, so nothing tells its agent that it has ended until the next call, which is the start.

Now such a start is a likely cause only if the worker was being polled when it was sent (a poll in flight breaks with the process), or had sent a heartbeat or a reply in the 50 ms before, or confirms it. Otherwise it is a possible one: four are needed. Tasks that crash workers are still named each time, and what they confirm counts as before.

Evidence: the new test failed before with

-i1 broke: j.0.0.0 run 1, perhaps +i1 broke: j.0.0.0 run 1

Failed try: only the last 50 ms, without the poll. It took a worker that was being polled for gone (a_start_sent_after_a_reply_since_the_break_is_a_likely_cause was red).

Left: four such starts in a row still give up a task that began nowhere.

--- a/crates/runner/src/incarnations.rs
+++ b/crates/runner/src/incarnations.rs
@@ -39,6 +39,7 @@
                 let changed = drains || cooled || session.worker.eligibility_differs(worker);
                 session.worker = worker.clone();
                 session.last_seen = now;
+                session.last_sign = now;
                 address.clone_into(&mut session.address);
                 self.lease.set_worker_clock(clock, now);
                 if changed {
--- a/crates/runner/src/recent_start.rs
+++ b/crates/runner/src/recent_start.rs
@@ -24,8 +24,9 @@
     suspect: bool,
     /// When it was first sent.
     sent_at: u64,
-    /// The worker had shown a sign that it had ended, and had not replied to a call sent since.
-    worker_presumed_gone: bool,
+    /// When it was first sent, the worker had shown a sign that it had ended and had not replied to a
+    /// call sent since, or was not being polled and had given no sign of life just before.
+    worker_may_be_gone: bool,
     /// The id of the call in flight, if the worker cannot have received an earlier one. Orders do
     /// not show this for long: those of a former owner are dropped.
     first_call: Option<u64>,
@@ -52,13 +53,13 @@
 }
 
 impl RecentStart {
-    pub fn new((task, run): (Task, u64), suspect: bool, presumed_gone: bool, now: u64) -> Self {
+    pub fn new((task, run): (Task, u64), suspect: bool, may_be_gone: bool, now: u64) -> Self {
         RecentStart {
             task,
             run,
             suspect,
             sent_at: now,
-            worker_presumed_gone: presumed_gone,
+            worker_may_be_gone: may_be_gone,
             first_call: None,
             sent_again: false,
             confirmed: None,
@@ -135,9 +136,9 @@
     }
 
     /// Returns whether it is the probable cause of a crash that is noticed now. A start that was
-    /// sent when the worker was presumed gone, and never confirmed, is not.
+    /// sent when the worker may have been gone, and never confirmed, is not.
     pub fn is_likely_cause(&self, now: u64) -> bool {
-        let reached = self.confirmed.is_some() || !self.worker_presumed_gone;
+        let reached = self.confirmed.is_some() || !self.worker_may_be_gone;
         reached && now <= self.sent_at + CRASH_DELAY_MS
     }
 
--- a/crates/runner/src/session.rs
+++ b/crates/runner/src/session.rs
@@ -9,6 +9,10 @@
 use crate::recent_start::{Evidence, RecentStart};
 use crate::stop_report::StopReport;
 
+/// How long a sign of life shows that an idle worker is up, in milliseconds. It is not polled, so it
+/// may end unnoticed between two heartbeats; the end of another breaks the poll in flight.
+const SIGN_VALIDITY_MS: u64 = 50;
+
 /// The state of one incarnation of the worker, as far as the agent knows it.
 pub(crate) struct Session {
     pub worker: Worker,
@@ -44,6 +48,8 @@
     pub heartbeat: u64,
     /// When the worker last sent a heartbeat or replied to a poll.
     pub last_seen: u64,
+    /// When the worker last sent a heartbeat or carried out a call and replied.
+    pub last_sign: u64,
     /// The worker's state has changed, or may have, since the last poll was sent.
     pub changed: bool,
     /// Confirmed stops that have not been reported. Only the reply to a later poll shows that the
@@ -86,6 +92,7 @@
             no_failed_calls: false,
             heartbeat: 0,
             last_seen: now,
+            last_sign: now,
             changed: false,
             stop_reports: Vec::new(),
             orders: BTreeMap::new(),
@@ -147,8 +154,9 @@
         if let Some(start) = self.recent_starts.iter_mut().find(|start| start.is(&task, run)) {
             return start.record_call(id, again);
         }
-        let presumed_gone = self.presumed_gone_since.is_some();
-        let mut start = RecentStart::new((task, run), pending.suspect, presumed_gone, now);
+        let unseen = self.poll.is_none() && now > self.last_sign + SIGN_VALIDITY_MS;
+        let may_be_gone = self.presumed_gone_since.is_some() || unseen;
+        let mut start = RecentStart::new((task, run), pending.suspect, may_be_gone, now);
         start.record_call(id, again);
         self.recent_starts.push(start);
     }
@@ -179,6 +187,7 @@
     /// Records that the worker carried out a call and replied.
     pub fn record_reply(&mut self, id: u64, now: u64) {
         self.last_reply = now;
+        self.last_sign = now;
         self.presumed_gone_since.take_if(|first| id >= *first);
     }
 
--- a/crates/runner/tests/broken_connections.rs
+++ b/crates/runner/tests/broken_connections.rs
@@ -301,6 +301,29 @@
     ");
 }
 
+// Idle workers restarted unnoticed, and the start that found one gone was blamed as the likely cause.
+// After three of them a sound task was given up, though it had started at no worker.
+#[test]
+fn a_start_sent_to_an_idle_worker_without_a_recent_sign_of_life_is_no_likely_cause() {
+    let mut harness = Harness::new();
+    harness.advance(60);
+    harness.order_start(0);
+    harness.reply(harness.start, closed());
+    assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1, perhaps");
+}
+
+// A worker that confirmed a start was up, however long it had given no sign of life before.
+#[test]
+fn a_confirmed_start_at_a_worker_that_was_idle_is_the_likely_cause() {
+    let mut harness = Harness::new();
+    harness.advance(60);
+    harness.order_start(0);
+    harness.confirm_start();
+    harness.advance(10);
+    harness.reply(harness.poll, closed());
+    assert_snapshot!(harness.breaks.join("\n"), @"i1 broke: j.0.0.0 run 1");
+}
+
 // A worker without running starts is not asked for its runs again and again.
 #[test]
 fn probes_end_once_the_start_is_survived() {
