Leave an idle suspect a worker on a pool under half in use

Callers saw a job with nothing running beside a worker with room for it. One of its tasks was suspected of a crash, and was kept apart from each start at the only worker of its label. Shorter work started there again and again, and each start began the time anew. The wait had no end: it ended only when others stopped starting.

Evidence: `suspect_starts_beside_a_stream_of_starts` failed before with "the suspect does not start within 3 s" (suspect_waits.rs:110): one task each 100 ms, 500 ms each, beside a suspect that was accepted before.

When the bound for idle jobs is over and only isolation bars a suspect, the owner now keeps the worker that it would take from other starts, for 600 ms or until the next round finds it waiting again. No start there is recent 300 ms after the last one was confirmed, and the suspect starts. Suspects are still never started beside a recent start.

Costs: other work does not start there for 0.3 s to 0.6 s. A start that is never confirmed keeps the worker until it lapses. In a pool of which half or more is in use nothing changes: there a suspect may still be kept waiting by a stream of starts.

--- a/crates/dispatch/src/idle_jobs.rs
+++ b/crates/dispatch/src/idle_jobs.rs
@@ -51,10 +51,18 @@
         }
         let mut barred = self.claimed_for_now(candidate, ends_at, (now, wall));
         barred.extend(self.uncleared(candidate, snapshot, now));
-        barred.extend(self.excluded_indexes(candidate, snapshot));
         let standings = snapshot.standings.iter().enumerate();
         barred.extend(standings.filter(|(_, standing)| standing.on_trial).map(|(index, _)| index));
-        let chosen = self.find_idle_room(candidate, (&step, &pool), (snapshot, barred), now);
+        let apart = self.excluded_indexes(candidate, snapshot);
+        let all_barred = [&barred[..], &apart].concat();
+        let chosen = self.find_idle_room(candidate, (&step, &pool), (snapshot, all_barred), now);
+        if chosen.is_empty() && candidate.suspect && !apart.is_empty() {
+            let others = snapshot.kept_for_suspects.iter();
+            let others = others.filter(|(_, job)| **job != candidate.id).map(|(index, _)| *index);
+            barred.extend(others);
+            let kept = self.find_idle_room(candidate, (&step, &pool), (snapshot, barred), now);
+            self.keep_for_suspect(candidate, snapshot, (kept, now));
+        }
         self.record_broken_claims(candidate, &chosen, now);
         let pairs: Vec<(u32, usize)> = candidate.tasks.iter().copied().zip(chosen).collect();
         self.start_tasks(candidate, &step, &pairs, snapshot, now);
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -26,6 +26,7 @@
 use crate::settlement::SettlementLog;
 use crate::speeds::Speeds;
 use crate::standstills::Standstills;
+use crate::suspects::KeptForSuspect;
 use crate::times::Times;
 use crate::trust::Doubts;
 use crate::wait_detail::list;
@@ -121,6 +122,8 @@
     pub(crate) planned_at: Option<u64>,
     /// Since when under half of each pool is in use: of its accelerators, or of the rest.
     pub(crate) under_half_since: BTreeMap<(String, bool), u64>,
+    /// Workers that others leave to a suspect, by their agents.
+    pub(crate) kept_for_suspects: BTreeMap<String, KeptForSuspect>,
     /// Claims of waiting gangs on capacity.
     pub(crate) claims: Claims,
     /// Requests to the platform for its list of machines.
@@ -226,6 +229,7 @@
             standstills: Standstills::default(),
             planned_at: None,
             under_half_since: BTreeMap::new(),
+            kept_for_suspects: BTreeMap::new(),
             claims: Claims::default(),
             listing: Listing::default(),
             suspect_groups: Vec::new(),
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -38,6 +38,9 @@
         let mut snapshot = self.snapshot(now);
         self.update_room(&snapshot);
         self.update_under_half(&snapshot, now);
+        let kept = std::mem::take(&mut self.kept_for_suspects);
+        self.kept_for_suspects =
+            kept.into_iter().filter(|(_, kept)| kept.is_wanted(self, now)).collect();
         self.prune_sound_waits();
         self.begin_shares(now, wall);
         let mut candidates = self.candidates(wall);
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -27,6 +27,8 @@
     pub units: BTreeMap<u64, Vec<(Id, Key)>>,
     /// Workers that have just started a task, by index in `workers`.
     pub recent_starts: BTreeMap<usize, RecentStart>,
+    /// Workers that others leave to a suspect of a job, by index in `workers`.
+    pub kept_for_suspects: BTreeMap<usize, Id>,
     /// How slow each worker is, as [`quincewheel_speed::Spread::level`]; empty if no pool is uneven.
     pub levels: Vec<i32>,
     /// The standing of each worker; empty while failures do not count against workers.
@@ -158,6 +160,12 @@
                 speed_cost: 0,
             });
         }
+        let kept = self.kept_for_suspects.iter().filter(|(_, kept)| kept.is_wanted(self, now));
+        let kept_for_suspects = kept
+            .filter_map(|(agent, kept)| {
+                Some((*index_by_agent.get(agent.as_str())?, kept.job.clone()))
+            })
+            .collect();
         let borrowed = self.borrowed_units();
         let mut stopped = BTreeMap::new();
         let mut units: BTreeMap<u64, Vec<(Id, Key)>> = BTreeMap::new();
@@ -213,6 +221,7 @@
             actual_free,
             units,
             recent_starts,
+            kept_for_suspects,
             levels,
             standings,
             loads,
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Incarnation, Run, Step, Task};
+use quincewheel_job::{Id, Incarnation, Run, Step, Task};
 use quincewheel_policy::START_ISOLATION_MS;
 
 use crate::candidate::Candidate;
@@ -133,10 +133,47 @@
     ) -> Vec<usize> {
         let excluded = |start: RecentStart| candidate.suspect || start == RecentStart::Suspect;
         let recent = snapshot.recent_starts.iter().filter(|(_, start)| excluded(**start));
-        recent.map(|(index, _)| *index).collect()
+        let others = snapshot.kept_for_suspects.iter().filter(|(_, job)| **job != candidate.id);
+        recent.map(|(index, _)| index).chain(others.map(|(index, _)| index)).copied().collect()
+    }
+
+    /// Lets others leave the workers at these indexes to a suspect, until no start there is recent.
+    pub(crate) fn keep_for_suspect(
+        &mut self,
+        candidate: &Candidate,
+        snapshot: &mut Snapshot,
+        (indexes, now): (Vec<usize>, u64),
+    ) {
+        for index in indexes {
+            let (job, until) = (candidate.id.clone(), now + KEPT_FOR_SUSPECT_MS);
+            let agent = snapshot.workers[index].name.clone();
+            self.kept_for_suspects.insert(agent, KeptForSuspect { job, until });
+            snapshot.kept_for_suspects.insert(index, candidate.id.clone());
+        }
     }
 }
 
+/// A worker that others leave to a suspect. Without it, other starts there could keep the suspect
+/// waiting without end.
+#[derive(Debug)]
+pub(crate) struct KeptForSuspect {
+    /// The job of the suspect.
+    pub job: Id,
+    /// Until when, unless a round of planning finds the suspect waiting again.
+    until: u64,
+}
+
+impl KeptForSuspect {
+    /// Returns whether the suspect may still wait for the worker.
+    pub fn is_wanted(&self, owner: &Owner, now: u64) -> bool {
+        let entry = owner.jobs.get(&self.job);
+        now < self.until && entry.is_some_and(|entry| entry.runs.is_empty())
+    }
+}
+
+/// Longer than the time between two rounds of planning while a suspect is kept apart.
+const KEPT_FOR_SUSPECT_MS: u64 = 2 * START_ISOLATION_MS;
+
 /// What was recently started at a worker.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum RecentStart {
--- a/crates/dispatch/tests/suspect_waits.rs
+++ b/crates/dispatch/tests/suspect_waits.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::{Harness, job, run, step, task, worker};
-use quincewheel_job::{Step, Worker};
+use quincewheel_job::{How, Run, Step, Worker};
 use quincewheel_wire::Notice;
 
 /// Longest time that other steps of an idle job wait for a suspect.
@@ -88,3 +88,54 @@
     harness.advance_with_pings(2 * START_ISOLATION_MS + TICK_MS, 4);
     assert_eq!(harness.take_orders(), "w0 start j.0.1.0 run 1 ");
 }
+
+// A suspect stood beside a worker with room: shorter work started there again and again, and each start
+// kept the suspect apart from it.
+#[test]
+fn suspect_starts_beside_a_stream_of_starts() {
+    let mut harness = Harness::new(1, 4).with_idle_workers(4);
+    let small = || Step { label: "r1".into(), ..step(1, 1) };
+    harness.owner.add_job("j", job(1, vec![small()]), 200, None);
+    harness.tick();
+    harness.deliver(3, Notice::Started { task: task("j", 0, 0), run: 1 });
+    let starts = vec![(task("j", 0, 0), 1)];
+    let broke = worker(3).incarnation();
+    harness.deliver(3, Notice::Broke { worker: broke, starts, possible: Vec::new() });
+    report(&mut harness, 3, restarted());
+    harness.take_orders();
+    let began = harness.now;
+    let (mut starts, mut number, mut ended) = (String::new(), 0, 0);
+    let mut running: Vec<(u64, Run)> = Vec::new();
+    while !starts.contains("start j") {
+        assert!(harness.now < began + 3000, "the suspect does not start within 3 s");
+        number += 1;
+        let name = format!("s{number}");
+        harness.owner.add_job(&name, job(1, vec![small()]), 300 + number, None);
+        harness.tick();
+        starts = harness.take_orders();
+        if starts.contains(&format!("start {name}.")) {
+            harness.deliver(3, Notice::Started { task: task(&name, 0, 0), run: 1 });
+            running.push((harness.now, run(task(&name, 0, 0), 1)));
+        }
+        harness.record();
+        harness.advance_with_pings(100, 4);
+        let now = harness.now;
+        let over = running.extract_if(.., |(at, _)| now >= *at + 500);
+        let ends = over.map(|(_, run)| {
+            ended += 1;
+            harness::end(ended, run.task, run.number, How::Done)
+        });
+        let ended = ends.collect();
+        let notice = Notice::Status {
+            stamp: now,
+            worker: Some(restarted()),
+            fenced: true,
+            listed_at: Some(now),
+            running: running.iter().map(|(_, run)| run.clone()).collect(),
+            ended,
+            truncated: false,
+        };
+        harness.deliver(3, notice);
+        starts += &harness.take_orders();
+    }
+}
