--- a/crates/runner/tests/owner_change_courses.rs
+++ b/crates/runner/tests/owner_change_courses.rs
@@ -60,7 +60,14 @@
     }
 }
 
-// The same in the courses from `FIRST` to before `LAST`, for hunts by hand. With `LISTED`, workers list so
+// Guards against a job that has not ended a minute after the last trouble, in a course of one-step jobs.
+#[test]
+fn seed_7421765_every_job_ends_within_a_minute() {
+    let report = Plan { stale_versions: 0, ..Plan::draw(7_421_765) }.play();
+    assert!(report.is_empty(), "{report}");
+}
+
+// The same as the first three in the courses from `FIRST` to before `LAST`, for hunts by hand. With `LISTED`, workers list so
 // many ends at a time. With `STEPS`, each job has so many steps, one after the other. With `SHRINK`, prints
 // the shortened courses that fail, and their logs.
 #[test]
