Name the claims of epochs and the record of unheard ends more plainly

Cause: `Mirror::claims` could be taken for the claims of gangs, `note_unheard_end` does not say that it records, and a constant told of its tuning. No change of logic; the tests of runner's owner_change_courses run as before.

--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -112,7 +112,7 @@
 /// For how long a gang keeps the workers that it claims after idle jobs have taken some of them. It
 /// doubles each time: where a pool stays under half in use, the gang would otherwise never start.
 const FIRST_PROTECTION_MS: u64 = 2000;
-/// The longest protection. With 8 s, gangs never started beside work of 8 s.
+/// The longest protection. A gang whose workers take longer to become free may still lose them.
 const MAX_PROTECTION_MS: u64 = 16_000;
 /// Shortest time between two log lines about the claim of one gang that moves.
 const MIN_LINE_INTERVAL_MS: u64 = 1000;
--- a/crates/dispatch/src/ends.rs
+++ b/crates/dispatch/src/ends.rs
@@ -47,7 +47,7 @@
         match end.how {
             How::Done => {
                 if let Some(run) = run {
-                    self.note_unheard_end(&end.task, &run);
+                    self.record_unheard_end(&end.task, &run);
                     self.record_run_time(&end.task, &run, now);
                 }
                 self.on_done(name, &end.task, now);
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -14,7 +14,7 @@
 };
 
 /// Most epochs of which the claim is kept. A run is rarely older than a few changes of owner.
-const MAX_CLAIMS: usize = 16;
+const MAX_EPOCH_CLAIMS: usize = 16;
 
 /// A process's in-memory replica of the system's rows.
 #[derive(Debug, Default)]
@@ -29,7 +29,7 @@
     /// The ownership row and its version; none if there was never an owner.
     pub owner: Option<(Ownership, u64)>,
     /// The last epochs of owners, each with a version of the table by which it had been claimed.
-    pub claims: BTreeMap<u64, u64>,
+    pub epoch_claims: BTreeMap<u64, u64>,
     /// The entry that owned last, also after it handed over.
     last_owner: Option<String>,
     /// What owners have learned from runs.
@@ -339,9 +339,9 @@
                 if !owner.holder.is_empty() {
                     self.last_owner = Some(owner.holder.clone());
                 }
-                self.claims.entry(owner.epoch).or_insert(change.version);
-                if self.claims.len() > MAX_CLAIMS {
-                    self.claims.pop_first();
+                self.epoch_claims.entry(owner.epoch).or_insert(change.version);
+                if self.epoch_claims.len() > MAX_EPOCH_CLAIMS {
+                    self.epoch_claims.pop_first();
                 }
                 self.owner = Some((owner, change.version));
                 Some(RowEvent::OwnerChanged)
--- a/crates/dispatch/src/unheard_ends.rs
+++ b/crates/dispatch/src/unheard_ends.rs
@@ -27,11 +27,11 @@
         !speculative && first && claimed.is_some_and(|claimed| entry.version > *claimed)
     }
 
-    /// Notes that a run has ended as done, if no previous owner can know its task as done.
+    /// Records that a run has ended as done, if no previous owner can know its task as done.
     ///
     /// It must be this run's end. A previous owner may hear from a worker that has been replaced since,
     /// start the task again, and with its end the next step.
-    pub(crate) fn note_unheard_end(&mut self, task: &Task, run: &Placement) {
+    pub(crate) fn record_unheard_end(&mut self, task: &Task, run: &Placement) {
         let Some(entry) = self.jobs.get_mut(&task.job) else { return };
         let key = task_key(task);
         if run.unheard && !entry.progress.is_done(task) && entry.members_are_unheard(key, run) {
--- a/crates/entry/src/site/ownership.rs
+++ b/crates/entry/src/site/ownership.rs
@@ -147,7 +147,7 @@
     for (name, _) in mirror.nodes.iter().filter(|(_, node)| !node.entry) {
         owner.add_agent(name, now);
     }
-    owner.set_earlier_claims(&mirror.claims);
+    owner.set_earlier_claims(&mirror.epoch_claims);
     owner.restore_learned(&mirror.learned);
     for (id, view) in &mirror.jobs {
         if let Some((job, version)) = &view.job {
--- a/crates/runner/tests/succession/ownership.rs
+++ b/crates/runner/tests/succession/ownership.rs
@@ -126,7 +126,7 @@
         for (name, _) in entry.mirror.nodes.iter().filter(|(_, node)| !node.entry) {
             owner.add_agent(name, now);
         }
-        owner.set_earlier_claims(&entry.mirror.claims);
+        owner.set_earlier_claims(&entry.mirror.epoch_claims);
         owner.restore_learned(&entry.mirror.learned);
         for (id, view) in &entry.mirror.jobs {
             if let Some((job, version)) = &view.job {
