--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A lasting task fails at once for half a minute; the owner is killed; the task is not started again."""
+"""A queue is removed and added again, with advice: a job accepted before never goes on."""
 
 import asyncio
 import os
@@ -8,56 +8,53 @@
 import standin_2 as s
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-FAILS_S = 35  # how long each run of the task fails
-FAIL_MS = 5  # after its start
-DOWN_S = 3.5
-WATCH_S = 25
-SINCE_LAST_RUN_MS, STANDS_MS, CALM_MS = 6000, 3000, 4000
+DECIDE_MS, PERIOD_MS, VALID_MS = 100, 10, 3000
+FINISH_S, STANDS_S = 14, 3
 TENANTS = [("t1", ["key-1"], 0)]
-JOB = {"spec": "lasts", "steps": [{"count": 1, "cpu": 100, "memMb": 100, "gpu": 1, "perpetual": True}]}
-
-
-class World(s.World):
-    fails = True
-
-    def course(self, worker, task, run):
-        return (FAIL_MS, "failed") if self.fails else (None, "stopped")
-
-
-s.World = World
+OTHER = ("/other/", {})
+JOB = {
+    "spec": "two steps",
+    "steps": [
+        {"count": 1, "cpu": 1000, "memMb": 100, "gpu": 1, "estimateMs": 4000},
+        {"count": 1, "cpu": 1000, "memMb": 100, "gpu": 1, "estimateMs": 500, "after": [0]},
+    ],
+}
 
 
 async def scenario(w):
-    await w.open(s.config(1, [("/lasting/", {})], TENANTS))
-    job = await w.submit("/lasting/", JOB)
+    w.tickets = s.Tickets(w, DECIDE_MS, PERIOD_MS, VALID_MS)
+    needs_ticket = w.tickets.valid
+    w.tickets.valid = lambda *_: True  # until the queue has advice
+    await w.open(s.config(1, [("/batch/", {}), OTHER], TENANTS))
+    job = await w.submit("/batch/", JOB)
     if job is None:
         raise s.Unready("the job was not accepted")
-    notes = [worker.note for worker in w.workers]
-    for worker in w.workers:  # thousands of starts and ends; the counts are noted below
-        worker.note = lambda *_: None
-    for _ in range(FAILS_S // 5):
-        await asyncio.sleep(5)
-        w.note("workers", "so far", f"{len(w.starts)} starts, the last is run {w.starts[-1][3] if w.starts else 0}")
-    for worker, note in zip(w.workers, notes):
-        worker.note = note
-    owner = w.owner()
-    if w.trouble:
-        w.kill(owner)
-    w.fails = False
-    w.note("workers", "healthy", "the task would run from now on")
-    before = len(w.starts)
+    await asyncio.sleep(1)
     if w.trouble:
-        await asyncio.sleep(DOWN_S)
-        w.restart(owner)
-    calm_from = s.now_ms() + CALM_MS
-    await asyncio.sleep(WATCH_S)
-    status, state = await w.get("/lasting/", job)
-    highest = {worker.id: max(worker.highest.values(), default=0) for worker in w.workers}
-    w.note("CHECK", "seen", f"{len(w.starts) - before} starts since, {len(w.running)} runs, state {status} {state}, highest runs {highest}")
-    last = max(at for at, *_ in w.ends)
-    stood = s.now_ms() - max(calm_from, last + SINCE_LAST_RUN_MS)
-    if not w.running and stood >= STANDS_MS:
-        w.fail(f"LOST: the lasting task of {job} has not run for {s.now_ms() - last:.0f} ms beside idle workers")
-
-
-s.main(FOLDER, scenario, workers=3)
+        w.store.put("op", "config", s.config(2, [OTHER], TENANTS))
+        w.note("operator", "confirmed", "version 2 removes /batch/")
+        await asyncio.sleep(0.5)
+        advice = {"advice": {"decideMs": DECIDE_MS, "periodMs": PERIOD_MS, "validMs": VALID_MS}}
+        w.store.put("op", "config", s.config(3, [("/batch/", advice), OTHER], TENANTS))
+        w.tickets.valid = needs_ticket
+        w.note("operator", "confirmed", "version 3 adds /batch/ with advice")
+    await asyncio.sleep(1)
+    w.note("traffic", "ends", "")
+    await asyncio.sleep(FINISH_S + STANDS_S + 2)
+    status, state = await w.get("/batch/", job)
+    started = [task for _, _, task, _ in w.starts if task.startswith(f"{job}.0.1.")]
+    w.note("CHECK", "seen", f"{job}: {state}, {len(started)} starts of step 1, {w.refused} starts refused, {w.tickets.calls} calls for advice")
+    if status != 200:
+        raise s.Unready(f"the state was answered with {status}")
+    first = any(task.startswith(f"{job}.0.0.") and how == "done" for _, _, task, _, how in w.ends)
+    if not first:
+        raise s.Unready("the first step did not end")
+    # A new job of the same queue shows that the queue itself is served.
+    other = await w.submit("/batch/", {"spec": "later", "steps": [dict(JOB["steps"][1], after=[])]})
+    await asyncio.sleep(4)
+    w.note("CHECK", "later job", f"{other}: {(await w.get('/batch/', other))[1]}")
+    if not started:
+        w.fail(f"LOST: {job} is {state}; its step 1 never ran, {FINISH_S + STANDS_S} s beside idle workers")
+
+
+s.main(FOLDER, scenario, workers=6)
--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -22,6 +22,7 @@
 HOST = "jobs.example"
 STOP_TIMEOUT_MS = 200
 GANG_TIMEOUT_MS = 3000
+BEAT_MS = 1500
 
 
 class Unready(Exception):
@@ -135,7 +136,6 @@
         self.changed = asyncio.Event()
         self.before = None  # async hook (method, path, headers, body), may raise NoAnswer or Reset
         self.tx_ms = 3.0
-        self.rewrites = {}  # addresses in the rows of processes, by those of the proxies before them
 
     def put(self, table, key, value):
         """A write of the operator."""
@@ -161,10 +161,6 @@
 
     def _row(self, table, part, key, ver, value):
         row = {"table": table, "part": part, "key": key, "ver": ver}
-        if value is not None and key.startswith("node/") and self.rewrites:
-            node = json.loads(base64.b64decode(value))
-            node["address"] = self.rewrites.get(node["address"], node["address"])
-            value = base64.b64encode(json.dumps(node).encode()).decode()
         row.update({"deleted": True} if value is None else {"value": value})
         return row
 
@@ -225,55 +221,12 @@
         return 404, {}
 
 
-class Link:
-    """A proxy before a process. While it is cut, it holds all bytes back, in both directions."""
-
-    def __init__(self, target):
-        self.target = target
-        self.open = asyncio.Event()
-        self.open.set()
-
-    def cut(self):
-        self.open.clear()
-
-    def heal(self):
-        self.open.set()
-
-    async def serve(self, reader, writer):
-        out = None
-        try:
-            await self.open.wait()
-            host, port = self.target.rsplit(":", 1)
-            back, out = await asyncio.open_connection(host, int(port))
-            await asyncio.wait(
-                [asyncio.create_task(self.pump(reader, out)), asyncio.create_task(self.pump(back, writer))],
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        except (OSError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-            if out:
-                out.close()
-
-    async def pump(self, reader, writer):
-        try:
-            while data := await reader.read(65536):
-                await self.open.wait()
-                writer.write(data)
-                await writer.drain()
-            await self.open.wait()
-        except OSError:
-            pass
-
-
 class Worker:
     """One worker on the machine of an agent."""
 
     def __init__(self, world, index):
         self.world, self.index = world, index
         self.life = 0
-        self.beat_ms = 500
         self.cpu, self.mem, self.gpu = 64000, 262144, 8
         self.labels = ["a", f"r{index // 3}"]
         self.up = True
@@ -316,7 +269,7 @@
         while True:
             if self.up:
                 await call(self.world.address(self.index, CONTROL), "PUT", f"/v1/instances/{self.id}", self.report(), timeout=1.0)
-            await asyncio.sleep(self.beat_ms / 1000)
+            await asyncio.sleep(BEAT_MS / 1000)
 
     def end(self, task, how):
         run = self.runs.pop(task, None)
@@ -465,7 +418,7 @@
 class World:
     """A small deployment: the processes, their stand-ins and the record."""
 
-    def __init__(self, folder, entries=3, workers=6, hold_ms=6000, bounds=None):
+    def __init__(self, folder, entries=3, workers=6, hold_ms=6000):
         self.folder = folder
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.entries, self.workers_count, self.hold_ms = entries, workers, hold_ms
@@ -474,8 +427,6 @@
         self.tmp = tempfile.mkdtemp(prefix="review-2-")
         self.block = None
         self.procs = {}
-        self.links = {}
-        self.proxied = ()  # agents that get a proxy
         self.jobs = {}
         self.running = {}
         self.starts, self.ends, self.twice = [], [], []
@@ -483,7 +434,6 @@
         self.refused = 0
         self.tickets = None
         self.cloud_handler = None
-        self.courses = {}
         self.bounds = dict(
             seedLagS=3, reuseAfterS=2, stableWindowMs=3000, ackMs=4000, catchUpS=4, drainMs=2000, graceS=6,
             lossSlackMs=200, configApplyMs=2000, rollbackSlackMs=250, maxSkewMs=5000, strictRevoke="true",
@@ -492,7 +442,6 @@
             status_s=120, remoteFactor=3, checkpointIntervalS=0.5, restoreMs=600, noticeMs=4500, moveS=1.5,
             upkeepS=2, enforceFencing="true", leaseMs=3000, thawMs=300, paceMs=100, harmMs=4000, reclaimMs=2700,
         )
-        self.bounds.update(bounds or {})
 
     def ms(self):
         return int(now_ms() - self.began)
@@ -550,22 +499,21 @@
 
     # Processes
 
-    def settings(self, name, host, entry, changes=None):
+    def settings(self, name, host, entry):
         listen = (
             f'front = "{self.address(host, FRONT)}"\nready = "{self.address(host, READY)}"'
             if entry else f'control = "{self.address(host, CONTROL)}"'
         )
-        bounds = dict(self.bounds, **(changes or {}))
         text = (
             f'node = "{name}"\nrole = "{"entry" if entry else "agent"}"\nclass = "{"front" if entry else "side"}"\n'
             f'serves = ["{"front" if entry else "side"}"]\nip = "{self.ip(host)}"\nzone = "z"\nregion = "r"\n'
             f'portRange = [{PEERS},{PEERS}]\nseeds = []\nbootstrap = true\nlossCounts = false\ndiscovery = "local"\n'
-            f'entry = "vip"\nheartbeatMs = 500\ncontracts = ["base","drain","config","cost","recover","sched","tenants","platform","advice","upkeep","sharing"]\n'
+            f'entry = "vip"\nheartbeatMs = {BEAT_MS}\ncontracts = ["base","drain","config","cost","recover","sched","tenants","platform","advice","upkeep","sharing"]\n'
             f'orders = "rpc"\nadvice = "{self.address(202, ADVICE)}"\n[zones]\nz = "r"\n[listen]\n{listen}\n'
             f'[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n'
             f'[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\n'
-            + "".join(f"{k} = {v}\n" for k, v in bounds.items())
-            + f'[platform]\naddress = "{self.store_address(name)}"\nform = "table"\nwritesPerS = 800\nreadsPerS = 2000\n'
+            + "".join(f"{k} = {v}\n" for k, v in self.bounds.items())
+            + f'[platform]\naddress = "{self.address(200, STORE)}"\nform = "table"\nwritesPerS = 800\nreadsPerS = 2000\n'
             f'txMs = 3.0\nappendsPerS = 300\nrowBytes = 65536\nacross = true\nhistoryS = 20\n'
             f'[cloud]\naddress = "{self.address(201, CLOUD)}"\nratePerS = 60.0\ndutyPerS = 60.0\n'
         )
@@ -575,22 +523,11 @@
         os.replace(path + ".new", path)
         return path
 
-    def store_address(self, name):
-        return self.address(200, STORE)
-
-    async def proxy(self, name, host):
-        """Puts a proxy before the port at which a process takes the connections of the others."""
-        listen = f"127.{self.block[0]}.{self.block[1] + 1}.{host + 1}"
-        link = Link(self.address(host, PEERS))
-        self.servers.append(await asyncio.start_server(link.serve, listen, PEERS))
-        self.links[name] = link
-        self.store.rewrites[self.address(host, PEERS)] = f"{listen}:{PEERS}"
-
-    def spawn(self, name, host, entry, settings=None):
+    def spawn(self, name, host, entry):
         program = "quincewheel-entry" if entry else "quincewheel-agent"
         env = {
             "PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
-            "QUINCEWHEEL_CONFIG": settings or self.settings(name, host, entry),
+            "QUINCEWHEEL_CONFIG": self.settings(name, host, entry),
             "QUINCEWHEEL_FLEET_KEY": "replace-this-fleet-key",
         }
         log = open(os.path.join(self.tmp, f"{name}.log"), "a")
@@ -653,8 +590,6 @@
             self.servers.append(await serve(self.address(202, ADVICE), self.tickets.handle))
         for w in self.workers:
             self.servers.append(await serve(self.address(w.index, APP), w.handle))
-        for i in self.proxied:
-            await self.proxy(f"agent-{i}", i)
         self.store.put("op", "config", config)
         self.tasks = [asyncio.create_task(w.beat()) for w in self.workers]
         self.tasks.append(asyncio.create_task(self.ticking()))
