Let the configuration in force decide where older jobs run and what they need

Cause: a job's record holds its queue as it was at acceptance, and each reader chose by itself between this copy and the configuration in force. Clearance, reservations, the time limit of a call and estimates read the copy.

Ruled out: a lost answer, a version not read.

Change: `queues.rs` answers for all readers. Pool and advice are those in force, or the last ones known of a queue that is removed; priority, attempts, stretch and slack stay as accepted (docs/design/queues.md says why). What was learned of clearance is forgotten when the queue changes. The owner records definitions that differ from the copies of unfinished jobs in the row `queues`, for a later owner that has not seen them; an older version neither reads nor writes it, and without it the copy holds as before. As workers and the service learn of a version at other times, a worker that demands a ticket, and a service that gives none, go before what the owner believes.

On related paths: advice that goes (a service was asked for ever), a queue that moves and is then removed (a new owner waited for the pool of the copy), the limit of a call after its times have changed, estimates.

--- a/crates/dispatch/src/clearance.rs
+++ b/crates/dispatch/src/clearance.rs
@@ -11,6 +11,7 @@
 use quincewheel_place::WorkerState;
 
 use crate::candidate::Candidate;
+use crate::entry::Key;
 use crate::output::Output;
 use crate::owner::Owner;
 use crate::snapshot::Snapshot;
@@ -45,6 +46,8 @@
     pub step: u32,
     /// The workers.
     pub workers: Vec<Incarnation>,
+    /// Time limit for the call, in milliseconds.
+    pub timeout_ms: u64,
 }
 
 /// Most workers in one request. Enough for most steps; a call's time grows with each worker.
@@ -52,6 +55,8 @@
 /// Shortest remaining validity of a ticket that is used. A start may be tried three times, 400 ms
 /// apart.
 const MIN_TICKET_VALIDITY_MS: u64 = 1300;
+/// Time limit for a request beyond the time that the service states for its answer.
+const EXTRA_TIMEOUT_MS: u64 = 1500;
 /// Delay before the next request after one that got no answer.
 const REQUEST_RETRY_DELAY_MS: u64 = 300;
 
@@ -119,6 +124,15 @@
         let clearance = entry.clearances.entry((request.occurrence, request.step)).or_default();
         match answer {
             Some((tickets, valid)) => {
+                let job = &entry.job;
+                if tickets.is_empty() && self.queues.record_no_tickets(job) {
+                    self.log(
+                        "clearance waived",
+                        &request.job,
+                        "the service clears no worker".to_owned(),
+                    );
+                    return;
+                }
                 clearance.record_answer(request, tickets, sent + valid);
                 let detail = format!("{} of {} workers", tickets.len(), request.workers.len());
                 self.log("cleared", &request.job, detail);
@@ -126,11 +140,31 @@
             None => {
                 clearance.retry_at = now + REQUEST_RETRY_DELAY_MS;
                 self.clearance_retry_at = Some(now + REQUEST_RETRY_DELAY_MS);
+                let waived = self.queues.record_no_tickets(&entry.job);
                 self.log("not cleared", &request.job, "no answer".to_owned());
+                if waived {
+                    self.log(
+                        "clearance waived",
+                        &request.job,
+                        "the queue may need none".to_owned(),
+                    );
+                }
             }
         }
     }
 
+    /// Handles a start that its worker refused for want of a ticket.
+    pub(crate) fn on_ticket_refused(&mut self, id: &str, key: Key, worker: &Incarnation) {
+        let Some(entry) = self.jobs.get_mut(id) else { return };
+        if let Some(clearance) = entry.clearances.get_mut(&(key.0, key.1)) {
+            clearance.drop_ticket(worker);
+        }
+        if self.queues.record_demand(&entry.job) {
+            let detail = format!("queue {}: a worker demands a ticket", entry.job.queue.name);
+            self.log("clearance demanded", id, detail);
+        }
+    }
+
     /// Selects the request that the candidate's step needs, for workers at these indexes, as the one
     /// of this round if its turn comes before that of the selected one. Steps for which there is room
     /// come first, and of those the one whose last request is the oldest: a gang may need clearance
@@ -161,7 +195,9 @@
             workers.filter(needs_request).take(MAX_REQUESTED_WORKERS).collect();
         if !workers.is_empty() {
             let (job, occurrence, step) = key;
-            let request = ClearanceRequest { job, occurrence, step, workers };
+            let advice = self.queues.advice(&entry.job).unwrap_or_default();
+            let timeout_ms = advice.call_ms(workers.len()) + EXTRA_TIMEOUT_MS;
+            let request = ClearanceRequest { job, occurrence, step, workers, timeout_ms };
             snapshot.clearance_request = Some((turn, request));
         }
     }
@@ -188,7 +224,7 @@
         now: u64,
     ) -> Vec<usize> {
         let Some(entry) = self.jobs.get(&candidate.id) else { return Vec::new() };
-        if entry.job.queue.advice.is_none() {
+        if !self.queues.needs_tickets(&entry.job) {
             return Vec::new();
         }
         let key = (candidate.occurrence, candidate.step, 0);
--- a/crates/dispatch/src/estimator.rs
+++ b/crates/dispatch/src/estimator.rs
@@ -4,6 +4,7 @@
 use quincewheel_policy::{Objective, rounds};
 
 use crate::entry::Entry;
+use crate::queues::Queues;
 use crate::times::Times;
 
 /// Estimates run times and objectives from learned run times and the size of the pools.
@@ -12,6 +13,8 @@
     pub times: &'a Times,
     /// Total capacity of the workers of each pool.
     pub pools: &'a BTreeMap<String, Resources>,
+    /// The queues, which tell the pool of a job.
+    pub queues: &'a Queues,
 }
 
 impl Estimator<'_> {
@@ -33,7 +36,7 @@
     /// Returns the expected run time of a step of the job, in milliseconds. Tasks that do not fit
     /// into the pool at once run in several rounds.
     pub fn estimate(&self, entry: &Entry, number: u32, step: &Step) -> u64 {
-        let pool = self.pools.get(&entry.job.queue.pool);
+        let pool = self.pools.get(self.queues.pool(&entry.job));
         run_time(self.times, entry, number, step) * rounds(step, pool)
     }
 }
--- a/crates/dispatch/src/learned.rs
+++ b/crates/dispatch/src/learned.rs
@@ -1,3 +1,6 @@
+use std::collections::BTreeMap;
+
+use quincewheel_job::Queue;
 use quincewheel_share::Usage;
 use quincewheel_speed::Speed;
 use quincewheel_trust::Trust;
@@ -17,16 +20,22 @@
     pub speed: Option<Speed>,
     /// Usage of teams.
     pub usage: Option<Usage>,
+    /// Queues that have changed since unfinished jobs were accepted, as they were last.
+    pub queues: Option<BTreeMap<String, Queue>>,
 }
 
 impl Owner {
     /// Loads what a previous owner has learned.
     pub fn restore_learned(&mut self, learned: &Learned) {
-        let Learned { times, trust, speed, usage } = learned.clone();
+        let Learned { times, trust, speed, usage, queues } = learned.clone();
         times.into_iter().for_each(|times| self.times.restore(times));
         trust.into_iter().for_each(|trust| self.trust.restore(trust));
         speed.into_iter().for_each(|speed| self.speed.restore(speed));
         usage.into_iter().for_each(|usage| self.usage.restore(usage));
+        if let Some(queues) = queues {
+            self.queues.restore(&queues);
+            self.changed_queues.restore(queues);
+        }
     }
 
     /// Returns what is to be recorded now.
@@ -37,6 +46,7 @@
             trust: self.due_trust(),
             speed: self.speed.take_due(now),
             usage: self.usage.take_due(now),
+            queues: self.changed_queues.take_due(now),
         }
     }
 
@@ -46,5 +56,6 @@
         learned.trust.iter().for_each(|_| self.trust.retry());
         learned.speed.iter().for_each(|_| self.speed.retry());
         learned.usage.iter().for_each(|_| self.usage.retry());
+        learned.queues.iter().for_each(|_| self.changed_queues.retry());
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -39,6 +39,7 @@
 mod persisted;
 mod plan;
 mod preemption;
+mod queues;
 mod record;
 mod refusals;
 mod releases;
--- a/crates/dispatch/src/mirror.rs
+++ b/crates/dispatch/src/mirror.rs
@@ -9,8 +9,8 @@
 use crate::checkpoints::Checkpoints;
 use crate::learned::Learned;
 use crate::rows::{
-    self, Node, OWNER_KEY, Ownership, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY, WaveRecord,
-    split_part,
+    self, Node, OWNER_KEY, Ownership, QUEUES_KEY, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY,
+    WaveRecord, split_part,
 };
 
 /// Most epochs of which the claim is kept. A run is rarely older than a few changes of owner.
@@ -196,6 +196,7 @@
             TRUST_KEY => return apply_learned(change, &mut learned.trust),
             SPEED_KEY => return apply_learned(change, &mut learned.speed),
             USAGE_KEY => return apply_learned(change, &mut learned.usage),
+            QUEUES_KEY => return apply_learned(change, &mut learned.queues),
             _ => {}
         }
         let (kind, name) = change.key.split_once('/')?;
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Config, Id, Job, Progress, State, Task};
+use quincewheel_job::{Config, Id, Job, Progress, Queue, State, Task};
 use quincewheel_share::{Shares, Usage};
 use quincewheel_speed::Speed;
 use quincewheel_trust::Trust;
@@ -12,13 +12,13 @@
 use crate::crashes::SuspectedCrash;
 use crate::dismissal::Dismissal;
 use crate::entry::{Entry, Key};
-use crate::estimator::Estimator;
 use crate::evacuation::EvacuationState;
 use crate::list::List;
 use crate::listing::Listing;
 use crate::maintenance::Maintenance;
 use crate::output::Output;
 use crate::persisted::Persisted;
+use crate::queues::Queues;
 use crate::review::Review;
 use crate::round::Round;
 use crate::settings::Settings;
@@ -60,6 +60,10 @@
     /// Whether an agent has said that it follows a later owner.
     pub(crate) superseded: bool,
     pub(crate) config: Config,
+    /// The queues of that configuration and of earlier ones.
+    pub(crate) queues: Queues,
+    /// Queues that have changed since unfinished jobs were accepted, as they are to be recorded.
+    pub(crate) changed_queues: Persisted<BTreeMap<String, Queue>>,
     pub(crate) jobs: BTreeMap<Id, Entry>,
     /// Jobs that ended under this owner and whose rows are still in the table.
     pub(crate) ended_jobs: BTreeSet<Id>,
@@ -191,6 +195,8 @@
             resumed_at: now,
             superseded: false,
             config: Config::default(),
+            queues: Queues::default(),
+            changed_queues: Persisted::new(0),
             jobs: BTreeMap::new(),
             ended_jobs: BTreeSet::new(),
             loaded_version: 0,
@@ -254,6 +260,7 @@
     pub fn configure(&mut self, config: &Config) {
         if config.version > self.config.version {
             self.config = config.clone();
+            self.update_queues();
             self.replan = true;
         }
     }
@@ -291,6 +298,7 @@
         let ended = entry.progress.state.is_final();
         let changed = !entry.unrecorded.is_empty() || (ended && recorded_state.is_some());
         self.jobs.insert(id.to_owned(), entry);
+        self.record_changed_queue(id);
         let max_age = if self.loaded_version > 0 { MAX_ARRIVAL_AGE_MS } else { u64::MAX };
         self.added_jobs.push((id.to_owned(), max_age));
         self.replan = true;
@@ -484,7 +492,7 @@
     pub(crate) fn log_job_end(&mut self, id: &str, state: State) {
         let Some(entry) = self.jobs.get(id) else { return };
         let pools = self.pools();
-        let estimator = Estimator { times: self.times.get(), pools: &pools };
+        let estimator = self.estimator(&pools);
         let detail = match entry.job.schedule {
             Some(_) => format!("{state:?}, scheduled"),
             None => {
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -12,7 +12,6 @@
 
 use crate::candidate::Candidate;
 use crate::entry::{Entry, Phase, Placement, Reservation, Sampled};
-use crate::estimator::Estimator;
 use crate::idle_jobs::MAX_IDLE_WAIT_MS;
 use crate::owner::{Owner, task};
 use crate::ownership::MAX_TICK_GAP_MS;
@@ -71,7 +70,7 @@
         let mut guarantees = self.guaranteed_usage();
         let mut found = Vec::new();
         let pools = self.pools();
-        let estimator = Estimator { times: self.times.get(), pools: &pools };
+        let estimator = self.estimator(&pools);
         let mut jobs: Vec<(&Id, &Entry)> = self.jobs.iter().collect();
         jobs.sort_by_key(|(_, entry)| entry.version);
         for (id, entry) in jobs {
@@ -417,11 +416,9 @@
         self.replan_at = Some(self.replan_at.map_or(at, |due| due.min(at)));
     }
 
-    /// Returns the pool that runs a job under the present configuration, which may differ from the
-    /// one at its submission.
+    /// Returns the pool that runs a job.
     pub(crate) fn pool_of(&self, entry: &Entry) -> String {
-        let queue = self.config.queues.get(&entry.job.queue.name);
-        queue.unwrap_or(&entry.job.queue).pool.clone()
+        self.queues.pool(&entry.job).to_owned()
     }
 
     /// Orders the start of tasks on the chosen workers. `pairs` holds the index of each task and
--- a/crates/dispatch/src/preemption.rs
+++ b/crates/dispatch/src/preemption.rs
@@ -36,7 +36,7 @@
         let cleared = |index: &usize| {
             let worker = &snapshot.workers[*index].incarnation;
             let key = (candidate.occurrence, candidate.step, 0);
-            entry.job.queue.advice.is_none() || entry.ticket(key, worker, now).is_some()
+            !self.queues.needs_tickets(&entry.job) || entry.ticket(key, worker, now).is_some()
         };
         let until = reservation.made_at + self.settings.reservation_ttl;
         // A reservation stays valid while its worker is in backoff after a refusal. If it were
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -15,7 +15,7 @@
 use crate::learned::Learned;
 use crate::owner::Owner;
 use crate::room::Room;
-use crate::rows::{self, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY};
+use crate::rows::{self, QUEUES_KEY, SPEED_KEY, TIMES_KEY, TRUST_KEY, USAGE_KEY};
 
 /// Most rows of progress in one transaction.
 const MAX_BATCH_PROGRESS_ROWS: usize = 50;
@@ -103,6 +103,7 @@
         found.extend(learned.trust.iter().map(|trust| row(TRUST_KEY.to_owned(), trust)));
         found.extend(learned.speed.iter().map(|speed| row(SPEED_KEY.to_owned(), speed)));
         found.extend(learned.usage.iter().map(|usage| row(USAGE_KEY.to_owned(), usage)));
+        found.extend(learned.queues.iter().map(|queues| row(QUEUES_KEY.to_owned(), queues)));
         let limit = self.settings.limits.row_bytes;
         for row in &found {
             if row.value.len() > limit {
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -322,13 +322,11 @@
             self.replan |= agent.refusals.until > 0;
             agent.refusals = Refusals::default();
         }
+        entry.refused_starts.remove(&(task.occurrence, task.step));
         if entry.progress.state == State::Queued {
             entry.progress.state = State::Running;
             self.mark_dirty(&task.job, false);
         }
-        if let Some(entry) = self.jobs.get_mut(&task.job) {
-            entry.refused_starts.remove(&(task.occurrence, task.step));
-        }
     }
 
     /// Handles a start that was refused with the reason `why`.
@@ -340,17 +338,15 @@
         why: Refused,
         now: u64,
     ) {
-        let Some(entry) = self.jobs.get_mut(&task.job) else { return };
+        let Some(entry) = self.jobs.get(&task.job) else { return };
         let key = task_key(task);
         let Some(placed) = entry.runs.get(&key).filter(|placed| placed.run == run) else { return };
         let (worker, repeated) = (placed.worker.clone(), placed.start_repeated);
         let ordered_at = placed.started_at;
-        if let Some(clearance) = entry.clearances.get_mut(&(key.0, key.1))
-            && why == Refused::Ticket
-        {
-            clearance.drop_ticket(&worker);
-        }
         self.log("start refused", &task.job, format!("{task} run {run} {why:?} at {name}"));
+        if why == Refused::Ticket {
+            self.on_ticket_refused(&task.job, key, &worker);
+        }
         if repeated {
             // The agent may have refused the first order before it received the repeated one, which
             // it then carries out.
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -3,7 +3,7 @@
 //! An entry writes `job/ID` when it accepts a job and `stop/ID` when a client cancels it. The
 //! owner writes `run/ID`, a job's progress; `save/ID`, its checkpoints; where these would outgrow a
 //! row, their further parts as `run/ID/PART` and `save/ID/PART`; `times`, `trust`, `speed`
-//! and `usage`, what it learned from runs; and `wave/N`, when it first saw a wave of maintenance. Every process writes
+//! and `usage`, what it learned from runs; `queues`, how queues of unfinished jobs have changed; and `wave/N`, when it first saw a wave of maintenance. Every process writes
 //! `node/NAME`. The owner and the entry that replaces it write `owner`.
 
 use quincewheel_store::{Commit, Put};
@@ -24,6 +24,9 @@
 /// Key of the row that holds the usage of teams.
 pub const USAGE_KEY: &str = "usage";
 
+/// Key of the row that holds queues of unfinished jobs that have changed since these were accepted.
+pub const QUEUES_KEY: &str = "queues";
+
 /// Parts of the table over which job and cancellation rows are distributed.
 ///
 /// A part processes its transactions one at a time. A slow table takes 180 ms for each, so a
--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -53,7 +53,7 @@
     /// Returns the level of a job's steps that are not covered by a guarantee.
     pub(crate) fn share_level(&self, entry: &Entry) -> u8 {
         let queue = &entry.job.queue;
-        self.shares.level(self.share_pool(entry), queue.priority, &entry.job.team)
+        self.shares.level(self.queues.pool(&entry.job), queue.priority, &entry.job.team)
     }
 
     /// Returns the cause of a candidate's wait, which is its team's share if others that wait for
@@ -62,7 +62,7 @@
         let Some(entry) = self.jobs.get(&candidate.id) else { return cause };
         let put_back = || {
             let (priority, team) = (entry.job.queue.priority, &entry.job.team);
-            self.shares.is_put_back(self.share_pool(entry), priority, team)
+            self.shares.is_put_back(self.queues.pool(&entry.job), priority, team)
         };
         let is_shared = cause == Cause::Room && !candidate.guaranteed();
         if is_shared && put_back() { Cause::Share } else { cause }
@@ -70,7 +70,7 @@
 
     /// Formats how the usage of a job's team compares with its share.
     pub(crate) fn share_detail(&self, entry: &Entry) -> String {
-        let (pool, priority) = (self.share_pool(entry), entry.job.queue.priority);
+        let (pool, priority) = (self.queues.pool(&entry.job), entry.job.queue.priority);
         let standing = self.shares.standing(pool, &entry.job.team).copied().unwrap_or_default();
         let waiting = self.shares.waiting_teams(pool, priority);
         format!("{} {}", entry.job.team, standing_detail(&standing, waiting))
@@ -86,7 +86,7 @@
             .collect();
         let borrowed = self.borrowed_units();
         for entry in self.jobs.values().filter(|entry| !entry.runs.is_empty()) {
-            let Some(pool) = pools.get_mut(self.share_pool(entry)) else { continue };
+            let Some(pool) = pools.get_mut(self.queues.pool(&entry.job)) else { continue };
             let priority = entry.job.queue.priority;
             let charged =
                 entry.runs.iter().filter(|(_, run)| priority > 0 || borrowed.contains(&run.unit));
@@ -99,18 +99,12 @@
         for (id, ..) in self.waits.waiting_for_room() {
             let open = self.jobs.get(id).filter(|entry| !entry.progress.state.is_final());
             let Some(entry) = open else { continue };
-            let Some(pool) = pools.get_mut(self.share_pool(entry)) else { continue };
+            let Some(pool) = pools.get_mut(self.queues.pool(&entry.job)) else { continue };
             let waiting = &mut pool.team(&entry.job.team).waiting;
             *waiting.entry(entry.job.queue.priority).or_default() += 1;
         }
         pools
     }
-
-    /// Returns the pool that runs a job under the present configuration.
-    fn share_pool<'a>(&'a self, entry: &'a Entry) -> &'a str {
-        let queue = self.config.queues.get(&entry.job.queue.name);
-        &queue.unwrap_or(&entry.job.queue).pool
-    }
 }
 
 /// Formats a standing for the log.
--- a/crates/entry/src/explain.rs
+++ b/crates/entry/src/explain.rs
@@ -19,6 +19,7 @@
     "operators not heard",
     "operators heard",
     "zone evacuated",
+    "queue changed",
     "evacuation over",
     "zone empty",
 ];
--- a/crates/entry/src/site/clearance.rs
+++ b/crates/entry/src/site/clearance.rs
@@ -9,10 +9,6 @@
 use super::ownership::tick;
 use super::state::{Shared, Site};
 
-/// Time limit for a request beyond the time that the service states for its reply, in
-/// milliseconds.
-const EXTRA_TIMEOUT_MS: u64 = 1500;
-
 /// Sends the owner's requests to the service.
 pub(crate) async fn run(shared: Shared) {
     let address = shared.settings.advisor_address.as_deref().unwrap_or_default();
@@ -30,8 +26,8 @@
     let sent_at = quincewheel_clock::boot();
     let step_name = (request.job.as_str(), request.occurrence, request.step);
     let workers: Vec<&str> = request.workers.iter().map(|worker| worker.id.as_str()).collect();
-    let reply =
-        advisor.request_clearance(step_name, &workers, request_timeout(shared, request)).await;
+    let timeout = Duration::from_millis(request.timeout_ms);
+    let reply = advisor.request_clearance(step_name, &workers, timeout).await;
     let now = quincewheel_clock::boot();
     if let Err(error) = &reply {
         log::warn!(event = "advice", job = request.job.as_str(), ms = now - sent_at; "{error}");
@@ -43,13 +39,3 @@
     }
     tick(shared);
 }
-
-/// Time limit for a request: the time that the queue's settings state for the service, plus a
-/// margin.
-fn request_timeout(shared: &Site, request: &ClearanceRequest) -> Duration {
-    let mirror = shared.mirror.borrow();
-    let job = mirror.jobs.get(&request.job).and_then(|view| view.job.as_ref());
-    let advice = job.and_then(|(job, _)| job.queue.advice).unwrap_or_default();
-    let workers = request.workers.len() as u64;
-    Duration::from_millis(advice.decide + advice.each * workers + EXTRA_TIMEOUT_MS)
-}
--- a/crates/job/src/advice.rs
+++ b/crates/job/src/advice.rs
@@ -12,3 +12,11 @@
     /// Milliseconds for which a ticket is valid.
     pub valid: u64,
 }
+
+impl Advice {
+    /// Returns how long the service takes to answer a call that names this many workers, in
+    /// milliseconds.
+    pub fn call_ms(&self, workers: usize) -> u64 {
+        self.each.saturating_mul(workers as u64).saturating_add(self.decide)
+    }
+}
--- a/crates/job/src/queue.rs
+++ b/crates/job/src/queue.rs
@@ -2,8 +2,8 @@
 
 use crate::advice::Advice;
 
-/// A queue of the configuration. A job keeps a copy, so that later changes of its queue do not
-/// affect it.
+/// A queue of the configuration. A job keeps a copy: the terms under which it was accepted. Its pool
+/// and its clearance follow the configuration in force, and the copy only until that is known.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct Queue {
