Request the tickets that a placement lacks, and use them for as long as they last

Cause: constants of our own against figures that the configuration sets. The validity counted from when the call was sent, none under 1,300 ms was used, and a call named up to 12 workers however long that takes. And one record for two facts, that a worker may run a step and that a ticket is valid: both ended together.

Evidence: in the service's record each call names 11 workers and is answered after 1,821 ms, so that 1,179 ms remain by that count; the next begins in the same millisecond. Ruled out by it: a call that is cut off, a gang, calls of other jobs.

Reservations, preemption and claims go by which workers may run the step, not by which tickets are valid at the moment.

Why it works: for any three figures some call brings tickets that are valid when they arrive, as that call is made; each call that leads to no start tells of a worker that it is barred.

--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -242,7 +242,7 @@
             ignores_ending: false,
             tasks_by_worker: &[],
         };
-        let mut excluded = self.uncleared(candidate, snapshot, now);
+        let mut excluded = self.unapproved(candidate, snapshot);
         excluded.extend(self.avoided_indexes(candidate, snapshot, now));
         excluded.sort_unstable();
         let half_free = is_any_resource_half_free(&snapshot.workers, pool);
--- a/crates/dispatch/src/clearance.rs
+++ b/crates/dispatch/src/clearance.rs
@@ -1,252 +1,183 @@
-//! Clearance of steps for workers.
-//!
-//! An external service decides which workers may run a step. It answers one call at a time, and a
-//! call's time grows with its number of workers. So a step requests clearance for a few workers,
-//! those with the most free capacity first, and for more only while tasks have no worker. A refusal
-//! is final, and an expired ticket is requested again.
-
 use std::collections::{BTreeMap, BTreeSet};
 
-use quincewheel_job::{Id, Incarnation, Step};
-use quincewheel_place::WorkerState;
+use quincewheel_job::Incarnation;
 
-use crate::candidate::Candidate;
-use crate::entry::Key;
-use crate::output::Output;
-use crate::owner::Owner;
-use crate::snapshot::Snapshot;
+use crate::clearance_request::ClearanceRequest;
 
-/// The clearance of one step.
+/// What is known of the workers that may run one step.
+///
+/// Which workers may is decided once and for all, while a ticket is valid for a time that may be
+/// shorter than anything else here. So the two are kept apart.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Clearance {
     /// Workers that may not run the step.
     barred: BTreeSet<Incarnation>,
-    /// Tickets by worker. A ticket is valid only for the incarnation that it was issued for.
-    tickets: BTreeMap<Incarnation, Ticket>,
-    /// No request is sent before this time.
-    retry_at: u64,
+    /// Workers that may, with the newest ticket of each, if there is one. A ticket is valid only for
+    /// the incarnation that it was issued for.
+    approved: BTreeMap<Incarnation, Option<Ticket>>,
     /// When clearance was last requested; 0 if it never was.
-    requested_at: u64,
+    pub requested_at: u64,
+    /// No request is sent before this time.
+    pub retry_at: u64,
+    /// Requests in a row that got no answer.
+    failures: u32,
+    /// Requests in a row that told nothing new and after which no start was accepted.
+    pub fruitless: u32,
+    /// Whether a ticket was refused before it was taken for too old. It may be valid from the beginning of
+    /// the call on.
+    counts_from_call: bool,
+    /// How often barred workers were asked about again.
+    revisits: u32,
+    /// When barred workers may be asked about again, if the step fits nowhere else.
+    pub revisit_at: u64,
+    /// Whether the tickets of a gang come from several requests, so that each is used to its end.
+    pub several_requests: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Ticket {
     text: String,
-    expires_at: u64,
+    received_at: u64,
+    /// For how long it is valid, in milliseconds. The service counts from its answer.
+    valid_ms: u64,
+    /// How long ago the call was sent when the answer arrived, in milliseconds, ...
+    took_ms: u64,
+    /// ... and how long the answer may have been under way.
+    transit_ms: u64,
 }
 
-/// A request to the service: which of these workers may run a step.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ClearanceRequest {
-    /// The job.
-    pub job: Id,
-    /// The occurrence of a scheduled job.
-    pub occurrence: u32,
-    /// The step.
-    pub step: u32,
-    /// The workers.
-    pub workers: Vec<Incarnation>,
-    /// Time limit for the call, in milliseconds.
-    pub timeout_ms: u64,
-}
-
-/// Most workers in one request. Enough for most steps; a call's time grows with each worker.
-const MAX_REQUESTED_WORKERS: usize = 12;
-/// Shortest remaining validity of a ticket that is used. A start may be tried three times, 400 ms
-/// apart.
-const MIN_TICKET_VALIDITY_MS: u64 = 1300;
-/// Time limit for a request beyond the time that the service states for its answer.
-const EXTRA_TIMEOUT_MS: u64 = 1500;
-/// Delay before the next request after one that got no answer.
-const REQUEST_RETRY_DELAY_MS: u64 = 300;
+/// Longest remaining validity that a ticket must have to be used. A start may be tried three times,
+/// 400 ms apart.
+const MAX_RESERVE_MS: u64 = 1300;
+/// The reserve is this part of the validity at most, so that short tickets are of use, too.
+const RESERVE_DIVISOR: u64 = 4;
+/// A ticket is used for so long after its arrival in any case: no other would be newer.
+const NEW_TICKET_MS: u64 = 20;
+/// Delay before the next request after one that got no answer. Doubled with each in a row.
+const FAILURE_DELAY_MS: u64 = 300;
+/// Delay before the next request after one that led to no start. Doubled with each in a row.
+const FRUITLESS_DELAY_MS: u64 = 50;
+/// Delay before workers that were barred are asked about again. Doubled with each time.
+const REVISIT_DELAY_MS: u64 = 1000;
+/// Most doublings of the first delay, to 4.8 s, ...
+const MAX_FAILURE_DOUBLINGS: u32 = 4;
+/// ... of the second, to 1.6 s, ...
+const MAX_FRUITLESS_DOUBLINGS: u32 = 5;
+/// ... and of the third, to 64 s.
+const MAX_REVISIT_DOUBLINGS: u32 = 6;
 
 impl Clearance {
-    /// Returns the ticket for a worker, if it is valid for long enough.
-    pub fn ticket(&self, worker: &Incarnation, now: u64) -> Option<&str> {
-        let held = self
-            .tickets
-            .get(worker)
-            .filter(|ticket| ticket.expires_at >= now + MIN_TICKET_VALIDITY_MS);
-        held.map(|ticket| ticket.text.as_str())
+    /// Returns the ticket for a worker, if it will be usable at the time `at`.
+    pub fn ticket(&self, worker: &Incarnation, at: u64) -> Option<&str> {
+        let held = self.approved.get(worker)?.as_ref();
+        let usable = held.filter(|ticket| self.is_usable(ticket, at));
+        usable.map(|ticket| ticket.text.as_str())
+    }
+
+    /// Returns whether the worker may run the step.
+    pub fn is_approved(&self, worker: &Incarnation) -> bool {
+        self.approved.contains_key(worker)
+    }
+
+    /// Returns whether the worker may not run the step.
+    pub fn is_barred(&self, worker: &Incarnation) -> bool {
+        self.barred.contains(worker)
+    }
+
+    /// Formats how many workers may not run the step, for how many there is a usable ticket, and how
+    /// many requests were of no use.
+    pub fn detail(&self, now: u64) -> String {
+        let held = self.approved.keys().filter(|worker| self.ticket(worker, now).is_some());
+        let counts = format!("may not run at {}, cleared for {}", self.barred.len(), held.count());
+        if !self.is_repeated() {
+            return counts;
+        }
+        let requests = self.fruitless + self.failures;
+        let next = self.retry_at.saturating_sub(now);
+        let together = match self.several_requests {
+            true => "; a gang needs tickets of several calls at the same time",
+            false => "",
+        };
+        format!("{counts}; {requests} requests in a row of no use, next in {next} ms{together}")
     }
 
-    /// Returns the number of workers that may not run the step, and of those with a usable ticket.
-    pub fn counts(&self, now: u64) -> (usize, usize) {
-        let held = self.tickets.keys().filter(|worker| self.ticket(worker, now).is_some());
-        (self.barred.len(), held.count())
+    /// Returns whether the last request got no answer, or told nothing new and led to no start.
+    pub fn is_repeated(&self) -> bool {
+        self.fruitless + self.failures > 0
     }
 
-    /// Drops a ticket that its worker refused.
+    /// Records that a worker refused its ticket.
     pub fn drop_ticket(&mut self, worker: &Incarnation) {
-        self.tickets.remove(worker);
+        let held = self.approved.get_mut(worker).and_then(Option::take);
+        self.counts_from_call |= held.is_some();
+    }
+
+    /// Records that a start of the step was accepted.
+    pub fn record_start(&mut self) {
+        (self.fruitless, self.retry_at) = (0, 0);
     }
 
-    /// Returns whether clearance for the worker may be requested now.
-    fn needs_request(&self, worker: &Incarnation, now: u64) -> bool {
-        now >= self.retry_at && !self.barred.contains(worker) && self.ticket(worker, now).is_none()
+    /// Records that a request got no answer.
+    pub fn record_failure(&mut self, now: u64) {
+        let doublings = self.failures.min(MAX_FAILURE_DOUBLINGS);
+        self.retry_at = now + (FAILURE_DELAY_MS << doublings);
+        self.failures += 1;
     }
 
-    /// Records the answer to a request. `tickets` are pairs of a worker's id and its ticket; the
-    /// other workers of the request may not run the step.
-    fn record_answer(
+    /// Records the answer to a request. `tickets` are pairs of a worker's id and its ticket, which are
+    /// valid for `valid_ms`; the other workers of the request may not run the step. The call was sent
+    /// `took_ms` ago, and by what is known of the service it was answered in `stated_ms`.
+    pub fn record_answer(
         &mut self,
         request: &ClearanceRequest,
-        tickets: &[(String, String)],
-        expires_at: u64,
+        (tickets, valid_ms): (&[(String, String)], u64),
+        (took_ms, stated_ms): (u64, u64),
+        now: u64,
     ) {
+        self.failures = 0;
+        let transit_ms = took_ms.saturating_sub(stated_ms);
+        let ticket = |text: &String| {
+            let text = text.clone();
+            Some(Ticket { text, received_at: now, valid_ms, took_ms, transit_ms })
+        };
+        let mut news = false;
         for worker in &request.workers {
             match tickets.iter().find(|(id, _)| *id == worker.id) {
                 Some((_, text)) => {
-                    let ticket = Ticket { text: text.clone(), expires_at };
-                    self.tickets.insert(worker.clone(), ticket);
+                    news |= self.approved.insert(worker.clone(), ticket(text)).is_none();
+                    self.barred.remove(worker);
                 }
                 None => {
-                    self.barred.insert(worker.clone());
+                    self.approved.remove(worker);
+                    news |= self.barred.insert(worker.clone());
                 }
             }
         }
-    }
-}
-
-impl Owner {
-    /// Handles the answer to a request that was sent at `sent`: tickets by worker id, and for how
-    /// many milliseconds they are valid; none if no answer arrived.
-    pub fn on_clearance(
-        &mut self,
-        request: &ClearanceRequest,
-        answer: Option<(&[(String, String)], u64)>,
-        sent: u64,
-        now: u64,
-    ) {
-        self.clearance_pending = false;
-        self.replan = true;
-        let Some(entry) = self.jobs.get_mut(&request.job) else { return };
-        let clearance = entry.clearances.entry((request.occurrence, request.step)).or_default();
-        match answer {
-            Some((tickets, valid)) => {
-                let job = &entry.job;
-                if tickets.is_empty() && self.queues.record_no_tickets(job) {
-                    self.log(
-                        "clearance waived",
-                        &request.job,
-                        "the service clears no worker".to_owned(),
-                    );
-                    return;
-                }
-                clearance.record_answer(request, tickets, sent + valid);
-                let detail = format!("{} of {} workers", tickets.len(), request.workers.len());
-                self.log("cleared", &request.job, detail);
-            }
-            None => {
-                clearance.retry_at = now + REQUEST_RETRY_DELAY_MS;
-                self.clearance_retry_at = Some(now + REQUEST_RETRY_DELAY_MS);
-                let waived = self.queues.record_no_tickets(&entry.job);
-                self.log("not cleared", &request.job, "no answer".to_owned());
-                if waived {
-                    self.log(
-                        "clearance waived",
-                        &request.job,
-                        "the queue may need none".to_owned(),
-                    );
-                }
-            }
+        self.revisit_at = now + (REVISIT_DELAY_MS << self.revisits.min(MAX_REVISIT_DOUBLINGS));
+        if news {
+            (self.fruitless, self.retry_at) = (0, 0);
+        } else {
+            let doublings = self.fruitless.min(MAX_FRUITLESS_DOUBLINGS);
+            self.retry_at = now + (FRUITLESS_DELAY_MS << doublings);
+            self.fruitless += 1;
         }
     }
 
-    /// Handles a start that its worker refused for want of a ticket.
-    pub(crate) fn on_ticket_refused(&mut self, id: &str, key: Key, worker: &Incarnation) {
-        let Some(entry) = self.jobs.get_mut(id) else { return };
-        if let Some(clearance) = entry.clearances.get_mut(&(key.0, key.1)) {
-            clearance.drop_ticket(worker);
-        }
-        if self.queues.record_demand(&entry.job) {
-            let detail = format!("queue {}: a worker demands a ticket", entry.job.queue.name);
-            self.log("clearance demanded", id, detail);
-        }
+    /// Forgets which workers are barred. The answer does not change, but a service that has not read a
+    /// new queue yet clears nobody.
+    pub fn revisit(&mut self) {
+        self.barred.clear();
+        self.revisits += 1;
     }
 
-    /// Selects the request that the candidate's step needs, for workers at these indexes, as the one
-    /// of this round if its turn comes before that of the selected one. Steps for which there is room
-    /// come first, and of those the one whose last request is the oldest: a gang may need clearance
-    /// for more workers than can be requested before its first tickets expire, and no other step
-    /// would ever be cleared.
-    pub(crate) fn select_clearance_request(
-        &self,
-        candidate: &Candidate,
-        indexes: &[usize],
-        (step, pool): (&Step, &str),
-        snapshot: &mut Snapshot,
-    ) {
-        let key = (candidate.id.clone(), candidate.occurrence, candidate.step);
-        let has_room = self.waits.cause(&key).is_some_and(|cause| !cause.is_lack_of_capacity());
-        let Some(entry) = self.jobs.get(&candidate.id) else { return };
-        let clearance = entry.clearances.get(&(candidate.occurrence, candidate.step));
-        let turn = (!has_room, clearance.map_or(0, |clearance| clearance.requested_at));
-        let selected = snapshot.clearance_request.as_ref().map(|(turn, _)| *turn);
-        if self.clearance_pending || selected.is_some_and(|selected| selected <= turn) {
-            return;
-        }
-        let needs_request = |worker: &Incarnation| {
-            clearance.is_none_or(|clearance| clearance.needs_request(worker, self.now))
+    /// Returns whether a ticket may be used at the time `at`.
+    fn is_usable(&self, ticket: &Ticket, at: u64) -> bool {
+        let reserve = match self.several_requests {
+            true => 0,
+            false => MAX_RESERVE_MS.min(ticket.valid_ms / RESERVE_DIVISOR),
         };
-        // The workers with the most free capacity come first.
-        let workers = most_free(indexes, snapshot, pool, &step.label).into_iter();
-        let workers: Vec<Incarnation> =
-            workers.filter(needs_request).take(MAX_REQUESTED_WORKERS).collect();
-        if !workers.is_empty() {
-            let (job, occurrence, step) = key;
-            let advice = self.queues.advice(&entry.job).unwrap_or_default();
-            let timeout_ms = advice.call_ms(workers.len()) + EXTRA_TIMEOUT_MS;
-            let request = ClearanceRequest { job, occurrence, step, workers, timeout_ms };
-            snapshot.clearance_request = Some((turn, request));
-        }
+        let aged = if self.counts_from_call { ticket.took_ms } else { ticket.transit_ms };
+        let usable_ms = ticket.valid_ms.saturating_sub(aged + reserve);
+        at < ticket.received_at + usable_ms.max(NEW_TICKET_MS)
     }
-
-    /// Sends the request that was noted in a round of planning.
-    pub(crate) fn request_clearance(&mut self, snapshot: &mut Snapshot) {
-        if let Some((_, request)) = snapshot.clearance_request.take() {
-            self.clearance_pending = true;
-            let entry = self.jobs.get_mut(&request.job);
-            let step = (request.occurrence, request.step);
-            if let Some(clearance) = entry.map(|entry| entry.clearances.entry(step).or_default()) {
-                clearance.requested_at = self.now;
-            }
-            self.outputs.push(Output::RequestClearance { request });
-        }
-    }
-
-    /// Returns the indexes of workers that the step is not cleared for. Empty on a queue that needs
-    /// no clearance.
-    pub(crate) fn uncleared(
-        &self,
-        candidate: &Candidate,
-        snapshot: &Snapshot,
-        now: u64,
-    ) -> Vec<usize> {
-        let Some(entry) = self.jobs.get(&candidate.id) else { return Vec::new() };
-        if !self.queues.needs_tickets(&entry.job) {
-            return Vec::new();
-        }
-        let key = (candidate.occurrence, candidate.step, 0);
-        let cleared = |worker: &WorkerState| entry.ticket(key, &worker.incarnation, now).is_some();
-        let workers = snapshot.workers.iter().enumerate();
-        workers.filter(|(_, worker)| !cleared(worker)).map(|(index, _)| index).collect()
-    }
-}
-
-/// Returns the workers at these indexes that could run a step, those with the most free
-/// accelerators first.
-fn most_free(
-    indexes: &[usize],
-    snapshot: &Snapshot,
-    pool: &str,
-    label: &String,
-) -> Vec<Incarnation> {
-    let fits = |worker: &&WorkerState| {
-        worker.pool == pool && (label.is_empty() || worker.labels.contains(label))
-    };
-    let mut workers: Vec<&WorkerState> =
-        indexes.iter().map(|&index| &snapshot.workers[index]).filter(fits).collect();
-    workers.sort_by_key(|worker| std::cmp::Reverse(worker.free.accelerators));
-    workers.into_iter().map(|worker| worker.incarnation.clone()).collect()
 }
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -448,6 +448,14 @@
         self.vacant_since.filter(|_| self.runs.is_empty())
     }
 
+    /// Records that a worker has accepted a start: what held the step's starts up is over.
+    pub fn record_accepted_start(&mut self, (occurrence, step, _): Key) {
+        self.refused_starts.remove(&(occurrence, step));
+        if let Some(clearance) = self.clearances.get_mut(&(occurrence, step)) {
+            clearance.record_start();
+        }
+    }
+
     /// Returns whether a step is not started for a while since its starts were refused.
     pub fn is_step_refused(&self, at: (u32, u32), now: u64) -> bool {
         self.refused_starts.get(&at).is_some_and(|refusals| now < refusals.until)
--- a/crates/dispatch/src/output.rs
+++ b/crates/dispatch/src/output.rs
@@ -1,6 +1,6 @@
 use quincewheel_wire::{LinkId, Order};
 
-use crate::clearance::ClearanceRequest;
+use crate::clearance_request::ClearanceRequest;
 
 /// An action that the owner's process must carry out.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/dispatch/src/owner.rs
+++ b/crates/dispatch/src/owner.rs
@@ -8,6 +8,7 @@
 
 use crate::agent::Agent;
 use crate::claims::Claims;
+use crate::clearance_service::ClearanceService;
 use crate::clock::Clock;
 use crate::crashes::SuspectedCrash;
 use crate::dismissal::Dismissal;
@@ -96,8 +97,8 @@
     pub(crate) usage: Persisted<Usage>,
     /// Levels of teams above their shares.
     pub(crate) shares: Shares,
-    /// Whether a request to the service that clears steps for workers is in flight.
-    pub(crate) clearance_pending: bool,
+    /// The service that clears steps for workers.
+    pub(crate) service: ClearanceService,
     /// When the next task may return to a worker at which it failed.
     pub(crate) avoidance_ends_at: Option<u64>,
     /// When the next reservation expires.
@@ -106,7 +107,7 @@
     pub(crate) refused_until: Option<u64>,
     /// How many starts were refused, by cause.
     pub(crate) refused_counts: BTreeMap<Refused, u64>,
-    /// When a clearance request that got no answer may be retried.
+    /// When the next clearance request may be due that time alone delays.
     pub(crate) clearance_retry_at: Option<u64>,
     /// Whether a batch from [`Owner::record`] has not been acknowledged yet.
     pub(crate) record_in_flight: bool,
@@ -215,7 +216,7 @@
             speeds: Speeds::default(),
             usage: Persisted::new(USAGE_RECORD_INTERVAL_MS),
             shares: Shares::default(),
-            clearance_pending: false,
+            service: ClearanceService::default(),
             avoidance_ends_at: None,
             reservation_ends_at: None,
             refused_until: None,
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -270,7 +270,9 @@
         } else if unplaced > 0 && self.may_make_room(candidate, now) {
             let limits = snapshot.limit(&admission, &step);
             let withheld = self.withhold_claimed(candidate, &step, snapshot, now);
-            let hidden = snapshot.hide(&excluded_indexes);
+            // A ticket may be requested while the room is made.
+            let uncleared = self.unapproved(candidate, snapshot);
+            let hidden = snapshot.hide(&Exclusions { uncleared, ..excluded.clone() }.indexes());
             let started = candidate.tasks.len() - unplaced;
             self.preempt_for(candidate, &step, &pool, started, snapshot, (now, wall));
             snapshot.show(hidden);
@@ -289,8 +291,8 @@
         let restrictions = snapshot.restrictions((&kept_free, &claimed), &excluded);
         self.record_wait(candidate, snapshot, &restrictions, now);
         if !excluded.uncleared.is_empty() {
-            let uncleared = &excluded.uncleared;
-            self.select_clearance_request(candidate, uncleared, (&step, &pool), snapshot);
+            let restrictions = (&excluded, &admission);
+            self.select_clearance_request(candidate, (&step, &pool), restrictions, snapshot);
         }
     }
 
@@ -302,8 +304,8 @@
         // would stop more work in every round.
         let entry = self.jobs.get(&candidate.id);
         let reserved = entry.is_some_and(|entry| {
-            let made_at = entry.reservations.get(&(candidate.occurrence, candidate.step));
-            made_at.is_some_and(|known| now < known.made_at + self.settings.reservation_ttl)
+            let known = entry.reservations.get(&(candidate.occurrence, candidate.step));
+            known.is_some_and(|known| now < self.reserved_until(entry, known))
         });
         may_preempt && !reserved
     }
--- a/crates/dispatch/src/preemption.rs
+++ b/crates/dispatch/src/preemption.rs
@@ -7,7 +7,7 @@
 use quincewheel_policy::{borrowed_reclaim_at, guaranteed_reclaim_at, is_worth_preempting};
 
 use crate::candidate::Candidate;
-use crate::entry::Reservation;
+use crate::entry::{Entry, Reservation};
 use crate::owner::Owner;
 use crate::plan::tasks_per_worker;
 use crate::snapshot::Snapshot;
@@ -33,12 +33,11 @@
             .iter()
             .filter_map(|name| snapshot.workers.iter().position(|worker| worker.name == *name))
             .collect();
-        let cleared = |index: &usize| {
-            let worker = &snapshot.workers[*index].incarnation;
-            let key = (candidate.occurrence, candidate.step, 0);
-            !self.queues.needs_tickets(&entry.job) || entry.ticket(key, worker, now).is_some()
-        };
-        let until = reservation.made_at + self.settings.reservation_ttl;
+        let until = self.reserved_until(entry, reservation);
+        let unapproved = self.unapproved(candidate, snapshot);
+        let approved = |index: &usize| !unapproved.contains(index);
+        let uncleared = self.uncleared(candidate, snapshot, now);
+        let is_cleared = !indexes.iter().any(|index| uncleared.contains(index));
         // A reservation stays valid while its worker is in backoff after a refusal. If it were
         // void, work on yet another worker would be stopped as well.
         let backoff =
@@ -50,7 +49,7 @@
             return true;
         }
         let valid = indexes.len() == candidate.tasks.len()
-            && indexes.iter().all(cleared)
+            && indexes.iter().all(approved)
             && now < until
             && !self.is_doubted(candidate, &step, &indexes, snapshot, now);
         if !valid {
@@ -63,7 +62,10 @@
             actual_free[index].subtract(&need);
             fits
         });
-        if !fits_now {
+        if !is_cleared {
+            self.request_reserved_clearance(candidate, &indexes, snapshot);
+        }
+        if !fits_now || !is_cleared {
             let mut workers = snapshot.workers.clone();
             let fits_soon = indexes.iter().all(|&index| {
                 let fits = need.fits(&workers[index].available_soon(false));
@@ -85,6 +87,15 @@
         true
     }
 
+    /// Returns when a reservation ends: later where the start needs tickets, which may have expired
+    /// when the capacity is free.
+    pub(crate) fn reserved_until(&self, entry: &Entry, reservation: &Reservation) -> u64 {
+        let advice =
+            self.queues.advice(&entry.job).filter(|_| self.queues.needs_tickets(&entry.job));
+        let call = advice.map_or(0, |advice| advice.call_ms(reservation.agents.len()));
+        reservation.made_at + self.settings.reservation_ttl + call
+    }
+
     /// Ensures that the next round of planning is no later than the end of a reservation.
     fn track_reservation_end(&mut self, until: u64) {
         self.reservation_ends_at =
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -322,7 +322,7 @@
             self.replan |= agent.refusals.until > 0;
             agent.refusals = Refusals::default();
         }
-        entry.refused_starts.remove(&(task.occurrence, task.step));
+        entry.record_accepted_start(task_key(task));
         if entry.progress.state == State::Queued {
             entry.progress.state = State::Running;
             self.mark_dirty(&task.job, false);
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -8,7 +8,7 @@
 use quincewheel_trust::Standing;
 
 use crate::agent::Agent;
-use crate::clearance::ClearanceRequest;
+use crate::clearance_request::ClearanceRequest;
 use crate::entry::{Key, Phase};
 use crate::load::Load;
 use crate::owner::Owner;
--- a/crates/dispatch/src/wait_detail.rs
+++ b/crates/dispatch/src/wait_detail.rs
@@ -95,11 +95,9 @@
 
     /// Formats for how many workers the step is cleared, and whether a request is in flight.
     fn clearance_detail(&self, entry: &Entry, (_, occurrence, step): &StepKey, now: u64) -> String {
-        let asking =
-            if self.clearance_pending { "a question is out" } else { "no question is out" };
-        let known = entry.clearances.get(&(*occurrence, *step));
-        let (barred, cleared) = known.map_or((0, 0), |clearance| clearance.counts(now));
-        format!("{asking}; may not run at {barred}, cleared for {cleared}")
+        let asking = if self.service.pending { "a question is out" } else { "no question is out" };
+        let known = entry.clearances.get(&(*occurrence, *step)).cloned().unwrap_or_default();
+        format!("{asking}; {}", known.detail(now))
     }
 }
 
--- a/crates/dispatch/tests/clearance_site/mod.rs
+++ b/crates/dispatch/tests/clearance_site/mod.rs
@@ -19,6 +19,7 @@
 #[derive(Clone, Debug)]
 enum Event {
     Start { worker: u64, task: Task, run: u64, ticket: String },
+    Stop { worker: u64, task: Task, run: u64 },
     Notice(u64, Notice),
     Call(ClearanceRequest, u64),
     Answer { request: ClearanceRequest, tickets: Vec<(String, String)>, sent: u64 },
@@ -36,6 +37,8 @@
     pub barred: BTreeSet<u64>,
     /// Whether the service answers.
     pub answers: bool,
+    /// Whether tickets are valid from the beginning of a call on, instead of from its answer.
+    pub counts_from_begin: bool,
     /// Whether the workers demand tickets.
     pub demands: bool,
     /// How long each run lasts, in milliseconds.
@@ -64,6 +67,7 @@
             advice,
             barred: BTreeSet::new(),
             answers: true,
+            counts_from_begin: false,
             demands: true,
             run_ms: 200,
             events: VecDeque::new(),
@@ -128,6 +132,15 @@
         self.started.len() >= count
     }
 
+    /// Lets time pass until `count` tasks run at the same time, for `ms` at most. Returns whether they do.
+    pub fn pass_until_running(&mut self, count: usize, ms: u64) -> bool {
+        let until = self.harness.now + ms;
+        while self.running.len() < count && self.harness.now < until {
+            self.pass(STEP_MS);
+        }
+        self.running.len() >= count
+    }
+
     fn step(&mut self) {
         let now = self.harness.now;
         self.end_runs(now);
@@ -146,18 +159,22 @@
     fn send(&mut self) {
         let at = self.harness.now + self.delay;
         for order in std::mem::take(&mut self.harness.orders) {
-            let Some((worker, rest)) = order.split_once(" start ") else { continue };
-            let words: Vec<&str> = rest.split_whitespace().collect();
-            let parts: Vec<&str> = words[0].split('.').collect();
+            let words: Vec<&str> = order.split_whitespace().collect();
+            if !["start", "stop"].contains(&words[1]) {
+                continue;
+            }
+            let worker = words[0][1..].parse().unwrap();
+            let parts: Vec<&str> = words[2].split('.').collect();
             let number = |index: usize| parts[index].parse().unwrap();
+            let task = harness::task(parts[0], number(2), number(3));
+            let run = words[4].parse().unwrap();
             let ticket = words.iter().skip_while(|word| **word != "with").nth(1);
-            let start = Event::Start {
-                worker: worker[1..].parse().unwrap(),
-                task: harness::task(parts[0], number(2), number(3)),
-                run: words[2].parse().unwrap(),
-                ticket: ticket.map(ToString::to_string).unwrap_or_default(),
+            let ticket = ticket.map(ToString::to_string).unwrap_or_default();
+            let event = match words[1] {
+                "start" => Event::Start { worker, task, run, ticket },
+                _ => Event::Stop { worker, task, run },
             };
-            self.events.push_back((at, start));
+            self.events.push_back((at, event));
         }
         for request in std::mem::take(&mut self.harness.advice_requests) {
             self.events.push_back((at, Event::Call(request, self.harness.now)));
@@ -167,6 +184,15 @@
     fn deliver(&mut self, event: Event, now: u64) {
         match event {
             Event::Start { worker, task, run, ticket } => self.start(worker, task, run, &ticket),
+            Event::Stop { worker, task, run } => {
+                self.end_where(How::Stopped, |(at, known, number, _)| {
+                    (*at, known, *number) == (worker, &task, run)
+                });
+                self.events.push_back((
+                    now + self.delay,
+                    Event::Notice(worker, Notice::Stopped { task, run }),
+                ));
+            }
             Event::Notice(worker, notice) => self.harness.deliver(worker, notice),
             Event::Call(request, sent) => self.call(request, sent),
             Event::Answer { request, tickets, sent } => {
@@ -188,19 +214,25 @@
             return self.events.push_back((now + self.delay, Event::NoAnswer { request, sent }));
         }
         let takes = self.advice.decide + self.advice.each * request.workers.len() as u64;
-        let at = self.service_free_at.max(now) + takes;
+        let begun_at = self.service_free_at.max(now);
+        let at = begun_at + takes;
         self.service_free_at = at;
+        let issued_at = if self.counts_from_begin { begun_at } else { at };
         let mut tickets = Vec::new();
         for worker in &request.workers {
             let number: u64 = worker.id[1..].parse().unwrap();
             if !self.barred.contains(&number) {
                 self.tickets += 1;
                 let text = format!("t{}", self.tickets);
-                self.issued.insert(text.clone(), (worker.id.clone(), at));
+                self.issued.insert(text.clone(), (worker.id.clone(), issued_at));
                 tickets.push((worker.id.clone(), text));
             }
         }
-        self.events.push_back((at + self.delay, Event::Answer { request, tickets, sent }));
+        let event = match sent + request.timeout_ms < at + self.delay {
+            true => (sent + request.timeout_ms, Event::NoAnswer { request, sent }),
+            false => (at + self.delay, Event::Answer { request, tickets, sent }),
+        };
+        self.events.push_back(event);
     }
 
     fn start(&mut self, worker: u64, task: Task, run: u64, ticket: &str) {
@@ -221,12 +253,16 @@
     }
 
     fn end_runs(&mut self, now: u64) {
+        self.end_where(How::Done, |(.., until)| *until <= now);
+    }
+
+    fn end_where(&mut self, how: How, over: impl Fn(&(u64, Task, u64, u64)) -> bool) {
         let over: Vec<(u64, Task, u64, u64)> =
-            self.running.extract_if(.., |(.., until)| *until <= now).collect();
+            self.running.extract_if(.., |run| over(run)).collect();
         for (worker, task, run, _) in over {
             let number = self.ends.entry(worker).or_default();
             *number += 1;
-            let end = End { number: *number, task, run, how: How::Done, saved: String::new() };
+            let end = End { number: *number, task, run, how, saved: String::new() };
             self.report(worker, &[end]);
         }
     }
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
-use quincewheel_dispatch::{Cause, Grade};
+use quincewheel_dispatch::{Cause, ClearanceCalls, Grade};
 use quincewheel_job::Answer;
 use quincewheel_share::Account;
 use quincewheel_wire::Refused;
@@ -24,6 +24,7 @@
     waits: Family<Wait, Gauge>,
     standing_jobs: Family<Wait, Gauge>,
     refused_starts: Family<Wait, Gauge>,
+    clearance_calls: Family<ClearanceCall, Gauge>,
     workers: Family<Trust, Gauge>,
     unlisted_runs: Gauge,
     claims: Gauge,
@@ -70,6 +71,11 @@
     cause: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ClearanceCall {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Trust {
     grade: &'static str,
@@ -97,6 +103,7 @@
             waits: Family::default(),
             standing_jobs: Family::default(),
             refused_starts: Family::default(),
+            clearance_calls: Family::default(),
             workers: Family::default(),
             unlisted_runs: Gauge::default(),
             claims: Gauge::default(),
@@ -134,6 +141,9 @@
         registry.register("standing_jobs", help, self.standing_jobs.clone());
         let help = "Starts that workers refused under this owner, by cause";
         registry.register("refused_starts", help, self.refused_starts.clone());
+        let help = "Calls to the clearance service under this owner: all, those for a step whose last \
+                    call was of no use, and those without an answer";
+        registry.register("clearance_calls", help, self.clearance_calls.clone());
         let help = "Workers by what the ends of their runs say about them, at the owner";
         registry.register("workers", help, self.workers.clone());
         let help = "Entries of the platform's lists that could not be read and were left out";
@@ -225,6 +235,15 @@
         }
     }
 
+    /// Sets the number of calls to the clearance service.
+    pub fn set_clearance_calls(&self, calls: ClearanceCalls) {
+        let ClearanceCalls { sent, repeated, unanswered } = calls;
+        for (kind, count) in [("all", sent), ("repeated", repeated), ("unanswered", unanswered)] {
+            let call = ClearanceCall { kind };
+            self.clearance_calls.get_or_create(&call).set(count as i64);
+        }
+    }
+
     /// Sets the number of jobs that stand beside free workers for each cause.
     pub fn set_standing_jobs(&self, counts: &BTreeMap<Cause, usize>) {
         for cause in Cause::ALL {
--- a/crates/entry/src/site/state.rs
+++ b/crates/entry/src/site/state.rs
@@ -232,6 +232,7 @@
             .set_standing_jobs(&owner.as_ref().map(Owner::standing_jobs).unwrap_or_default());
         if let Some(owner) = owner.as_ref() {
             self.metrics.set_refused_starts(owner.refused_starts());
+            self.metrics.set_clearance_calls(owner.clearance_calls());
         }
         self.metrics
             .set_worker_grades(&owner.as_ref().map(Owner::worker_grades).unwrap_or_default());
