Keep the time limit of a clearance call in proportion, and test a reservation beside short tickets

Cause: the limit doubled up to three times after calls that reached it, so that a call on a dead connection was waited for up to 17 s (8 times the limit of a call that takes 0.6 s), by arithmetic, no run. What made it necessary was a call that was cut off and that the service finishes first: twice the stated time and 1.5 s allow for one. Figures of any size saturate instead of wrapping.

--- a/crates/dispatch/src/clearance.rs
+++ b/crates/dispatch/src/clearance.rs
@@ -177,7 +177,7 @@
             false => MAX_RESERVE_MS.min(ticket.valid_ms / RESERVE_DIVISOR),
         };
         let aged = if self.counts_from_call { ticket.took_ms } else { ticket.transit_ms };
-        let usable_ms = ticket.valid_ms.saturating_sub(aged + reserve);
-        at < ticket.received_at + usable_ms.max(NEW_TICKET_MS)
+        let usable_ms = ticket.valid_ms.saturating_sub(aged.saturating_add(reserve));
+        at < ticket.received_at.saturating_add(usable_ms.max(NEW_TICKET_MS))
     }
 }
--- a/crates/dispatch/src/clearance_request.rs
+++ b/crates/dispatch/src/clearance_request.rs
@@ -8,7 +8,7 @@
 use crate::candidate::Candidate;
 use crate::cause::Cause;
 use crate::clearance::Clearance;
-use crate::clearance_service::ClearanceCalls;
+use crate::clearance_service::{ClearanceCalls, call_timeout_ms};
 use crate::entry::Key;
 use crate::output::Output;
 use crate::owner::Owner;
@@ -45,8 +45,8 @@
         let advice = self.jobs.get(&request.job).and_then(|entry| self.queues.advice(&entry.job));
         let stated = advice.unwrap_or_default().call_ms(request.workers.len());
         match answer {
-            Some(_) => self.service.record_answer(took, stated),
-            None => self.service.record_failure(took >= request.timeout_ms, now),
+            Some(_) => self.service.record_answer(),
+            None => self.service.record_failure(now),
         }
         let Some(entry) = self.jobs.get_mut(&request.job) else { return };
         let clearance = entry.clearances.entry((request.occurrence, request.step)).or_default();
@@ -158,7 +158,7 @@
     ) {
         let Some(entry) = self.jobs.get(&candidate.id) else { return };
         let advice = self.queues.advice(&entry.job).unwrap_or_default();
-        let timeout_ms = self.service.timeout_ms(advice, workers.len());
+        let timeout_ms = call_timeout_ms(advice, workers.len());
         let requested_at = self.clearance_of(candidate).map_or(0, |known| known.requested_at);
         let (job, occurrence, step) = (candidate.id.clone(), candidate.occurrence, candidate.step);
         let request = ClearanceRequest { job, occurrence, step, workers, timeout_ms };
--- a/crates/dispatch/src/clearance_service.rs
+++ b/crates/dispatch/src/clearance_service.rs
@@ -2,11 +2,11 @@
 
 use quincewheel_job::Advice;
 
-/// Time limit for a call beyond the time that the service states for its answer.
+/// Time limit for a call, as a multiple of the time that the service states for its answer: it may have
+/// to finish a call first that was cut off ...
+const STATED_TIMES: u64 = 2;
+/// ... and an allowance beyond that.
 const EXTRA_TIMEOUT_MS: u64 = 1500;
-/// Most doublings of the time limit after calls that reached it: the service may be slower than the
-/// configuration read says.
-const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
 /// Delay before the next call of any step after one that got no answer. Doubled with each in a row, ...
 const SERVICE_RETRY_DELAY_MS: u64 = 100;
 /// ... this often at most, to 1.6 s.
@@ -21,8 +21,6 @@
     pub retry_at: u64,
     /// Calls in a row without an answer.
     failures: u32,
-    /// Calls that reached their time limit, since one was answered in the stated time.
-    timeouts: u32,
     /// Its calls under this owner.
     pub calls: ClearanceCalls,
 }
@@ -39,26 +37,21 @@
 }
 
 impl ClearanceService {
-    /// Returns the time limit of a call for this many workers, in milliseconds.
-    pub fn timeout_ms(&self, advice: Advice, workers: usize) -> u64 {
-        let base = advice.call_ms(workers).saturating_add(EXTRA_TIMEOUT_MS);
-        base.saturating_mul(1 << self.timeouts.min(MAX_TIMEOUT_DOUBLINGS))
-    }
-
-    /// Records that a call was answered after `took` milliseconds, for which `stated` were announced.
-    pub fn record_answer(&mut self, took: u64, stated: u64) {
+    /// Records that a call was answered.
+    pub fn record_answer(&mut self) {
         self.failures = 0;
-        if took <= stated + EXTRA_TIMEOUT_MS {
-            self.timeouts = 0;
-        }
     }
 
     /// Records that a call got no answer.
-    pub fn record_failure(&mut self, timed_out: bool, now: u64) {
+    pub fn record_failure(&mut self, now: u64) {
         let doublings = self.failures.min(MAX_SERVICE_DOUBLINGS);
         self.retry_at = now + (SERVICE_RETRY_DELAY_MS << doublings);
         self.failures += 1;
-        self.timeouts += u32::from(timed_out);
         self.calls.unanswered += 1;
     }
 }
+
+/// Returns the time limit of a call for this many workers, in milliseconds.
+pub(crate) fn call_timeout_ms(advice: Advice, workers: usize) -> u64 {
+    advice.call_ms(workers).saturating_mul(STATED_TIMES).saturating_add(EXTRA_TIMEOUT_MS)
+}
--- a/crates/dispatch/src/clearance_workers.rs
+++ b/crates/dispatch/src/clearance_workers.rs
@@ -147,7 +147,7 @@
         let mut lacking = lacking_at(now);
         while together && !lacking.is_empty() {
             let named = lacking.len().min(MAX_CALL_WORKERS);
-            let then = lacking_at(now + advice.call_ms(named) + TRANSIT_MS);
+            let then = lacking_at(now.saturating_add(advice.call_ms(named) + TRANSIT_MS));
             if then.len() == lacking.len() {
                 break;
             }
@@ -176,8 +176,8 @@
         let advice = self.queues.advice(&entry.job).unwrap_or_default();
         let none = Clearance::default();
         let clearance = self.clearance_of(candidate).unwrap_or(&none);
-        let interval = advice.valid.max(MIN_PREFETCH_INTERVAL_MS)
-            << clearance.fruitless.min(MAX_PREFETCH_DOUBLINGS);
+        let doublings = clearance.fruitless.min(MAX_PREFETCH_DOUBLINGS);
+        let interval = advice.valid.max(MIN_PREFETCH_INTERVAL_MS).saturating_mul(1 << doublings);
         if self.now < clearance.retry_at {
             return None;
         }
@@ -186,7 +186,7 @@
             .into_iter()
             .filter(|worker| !clearance.is_barred(worker))
             .partition(|worker| !clearance.is_approved(worker));
-        let is_due = self.now >= clearance.requested_at + interval;
+        let is_due = self.now >= clearance.requested_at.saturating_add(interval);
         let mut workers = match unknown.is_empty() {
             false => unknown,
             true if is_due => known,
--- a/crates/dispatch/src/preemption.rs
+++ b/crates/dispatch/src/preemption.rs
@@ -93,7 +93,7 @@
         let advice =
             self.queues.advice(&entry.job).filter(|_| self.queues.needs_tickets(&entry.job));
         let call = advice.map_or(0, |advice| advice.call_ms(reservation.agents.len()));
-        reservation.made_at + self.settings.reservation_ttl + call
+        (reservation.made_at + self.settings.reservation_ttl).saturating_add(call)
     }
 
     /// Ensures that the next round of planning is no later than the end of a reservation.
--- a/crates/dispatch/tests/clearance.rs
+++ b/crates/dispatch/tests/clearance.rs
@@ -2,9 +2,9 @@
 
 mod harness;
 
-use harness::{Harness, job, step, task};
+use harness::{Harness, end, job, run, step, task};
 use insta::assert_snapshot;
-use quincewheel_job::{Advice, Job, Step};
+use quincewheel_job::{Advice, Config, How, Job, Step, Team};
 use quincewheel_wire::{Notice, Refused};
 
 fn job_needing_clearance(steps: Vec<Step>) -> Job {
@@ -13,12 +13,17 @@
     job
 }
 
-/// Answers the oldest request: these workers may run the step.
+/// Answers the oldest request: these workers may run the step, with tickets for 5 s.
 fn answer_oldest(harness: &mut Harness, cleared_workers: &[&str]) {
+    answer_for(harness, cleared_workers, 5000);
+}
+
+/// Answers the oldest request with tickets that are valid for `valid_ms`.
+fn answer_for(harness: &mut Harness, cleared_workers: &[&str], valid_ms: u64) {
     let question = harness.advice_requests.remove(0);
     let ticket = |worker: &&str| ((*worker).to_owned(), format!("ticket-{worker}"));
     let tickets: Vec<(String, String)> = cleared_workers.iter().map(ticket).collect();
-    harness.owner.on_clearance(&question, Some((&tickets, 5000)), harness.now, harness.now);
+    harness.owner.on_clearance(&question, Some((&tickets, valid_ms)), harness.now, harness.now);
     harness.tick();
 }
 
@@ -100,3 +105,40 @@
     ask i0
     ");
 }
+
+// Work was stopped for a step that then did not start: its ticket expired before the capacity was free, which
+// made the reservation void.
+#[test]
+fn reservation_outlasts_the_ticket_it_was_made_with() {
+    let mut harness = Harness::new(1, 1).with_idle_workers(1);
+    let team = Team { name: "t".into(), guaranteed: 8, ..Team::default() };
+    let teams = [("t".to_owned(), team)].into();
+    harness.owner.configure(&Config { version: 1, teams, ..Config::default() });
+    harness.owner.add_job("low", job(1, vec![step(1, 8)]), 150, None);
+    harness.tick();
+    harness.report_status(0, &[run(task("low", 0, 0), 1)], &[]);
+    harness.take_orders();
+    let mut urgent = job_needing_clearance(vec![step(1, 8)]);
+    urgent.queue.priority = 0;
+    urgent.accepted = harness.now;
+    harness.owner.add_job("high", urgent, 200, None);
+    harness.tick();
+    answer_for(&mut harness, &["i0"], 300);
+    let made = harness.take_orders();
+    harness.advance(400);
+    let expired = harness.take_orders();
+    harness.report_status(0, &[], &[end(1, task("low", 0, 0), 1, How::Stopped)]);
+    let free = harness.take_orders();
+    answer_for(&mut harness, &["i0"], 300);
+    let cleared = harness.take_orders();
+    assert_snapshot!([made, expired, free, cleared].join("\n-- then\n"), @r"
+    ask i0
+    w0 stop low.0.0.0 run 1
+    -- then
+    nothing
+    -- then
+    ask i0
+    -- then
+    w0 start high.0.0.0 run 1 with ticket-i0
+    ");
+}
