Check whether a clearance request is due before its workers are chosen

Cause: with many waiting jobs each round computed a placement, or sorted and copied all workers, for requests that were then put off. Change: the delay is checked first, and workers are copied only for a request that is made.

--- a/crates/dispatch/src/clearance_workers.rs
+++ b/crates/dispatch/src/clearance_workers.rs
@@ -38,6 +38,12 @@
         (excluded, admission): (&Exclusions, &Admission),
         snapshot: &mut Snapshot,
     ) -> Option<Vec<Incarnation>> {
+        let clearance = self.clearance_of(candidate);
+        let paused = clearance.filter(|it| self.now < it.retry_at && !it.several_requests);
+        if let Some(retry_at) = paused.map(|clearance| clearance.retry_at) {
+            self.schedule_clearance(retry_at);
+            return None;
+        }
         let chosen = self.wanted_workers(candidate, (step, pool), (excluded, admission), snapshot);
         if chosen.is_empty() {
             self.revisit_barred(candidate, snapshot);
@@ -181,17 +187,19 @@
         if self.now < clearance.retry_at {
             return None;
         }
-        let workers = most_free(&excluded.uncleared, snapshot, (step, pool));
-        let (unknown, known): (Vec<Incarnation>, Vec<Incarnation>) = workers
-            .into_iter()
-            .filter(|worker| !clearance.is_barred(worker))
-            .partition(|worker| !clearance.is_approved(worker));
-        let is_due = self.now >= clearance.requested_at.saturating_add(interval);
-        let mut workers = match unknown.is_empty() {
-            false => unknown,
-            true if is_due => known,
-            true => return None,
+        let is_unknown = |index: &usize| {
+            let worker = &snapshot.workers[*index];
+            could_run(worker, (step, pool))
+                && !clearance.is_barred(&worker.incarnation)
+                && !clearance.is_approved(&worker.incarnation)
         };
+        let mut indexes: Vec<usize> =
+            excluded.uncleared.iter().copied().filter(is_unknown).collect();
+        if indexes.is_empty() && self.now >= clearance.requested_at.saturating_add(interval) {
+            indexes = excluded.uncleared.clone();
+        }
+        let mut workers = most_free(&indexes, snapshot, (step, pool));
+        workers.retain(|worker| !clearance.is_barred(worker));
         workers.truncate(self.search_limit(candidate));
         (!workers.is_empty()).then_some(workers)
     }
@@ -297,6 +305,11 @@
     }
 }
 
+/// Returns whether a worker is in the pool and has the label of the step.
+fn could_run(worker: &WorkerState, (step, pool): (&Step, &str)) -> bool {
+    worker.pool == pool && (step.label.is_empty() || worker.labels.contains(&step.label))
+}
+
 /// Returns the workers at these indexes that could run a step: those with room for it first, and of
 /// these those with the most free accelerators.
 fn most_free(
@@ -305,11 +318,9 @@
     (step, pool): (&Step, &str),
 ) -> Vec<Incarnation> {
     let need = step.resources();
-    let could_run = |worker: &&WorkerState| {
-        worker.pool == pool && (step.label.is_empty() || worker.labels.contains(&step.label))
-    };
+    let workers = indexes.iter().map(|&index| &snapshot.workers[index]);
     let mut workers: Vec<&WorkerState> =
-        indexes.iter().map(|&index| &snapshot.workers[index]).filter(could_run).collect();
+        workers.filter(|worker| could_run(worker, (step, pool))).collect();
     workers.sort_by_key(|worker| {
         (!need.fits(&worker.free), std::cmp::Reverse(worker.free.accelerators))
     });
