Split the run's record and the orders to start from the files of entries and planning

Change: placement.rs with Placement::starting and Placement::adopted, starts.rs with start_tasks and start_order; moved without a change of logic.

--- a/crates/dispatch/src/claims.rs
+++ b/crates/dispatch/src/claims.rs
@@ -13,9 +13,10 @@
 use quincewheel_policy::{Lateness, is_any_resource_half_free};
 
 use crate::candidate::Candidate;
-use crate::entry::{Entry, Key, Phase};
+use crate::entry::{Entry, Key};
 use crate::estimator::run_time;
 use crate::owner::{Owner, task};
+use crate::placement::Phase;
 use crate::releases::{Running, index_of};
 use crate::snapshot::Snapshot;
 use crate::wait_detail::list;
--- a/crates/dispatch/src/maintenance.rs
+++ b/crates/dispatch/src/maintenance.rs
@@ -10,9 +10,9 @@
 use quincewheel_job::{Condition, Machine, Wave};
 
 use crate::agent::Agent;
-use crate::entry::Placement;
 use crate::output::Output;
 use crate::owner::Owner;
+use crate::placement::Placement;
 use crate::rows::WaveRecord;
 
 /// The state of all waves and machines.
--- a/crates/dispatch/src/members.rs
+++ b/crates/dispatch/src/members.rs
@@ -3,9 +3,9 @@
 use quincewheel_wire::{LinkId, Order};
 
 use crate::agent::Agent;
-use crate::entry::{Phase, Placement};
 use crate::output::Output;
 use crate::owner::Owner;
+use crate::placement::{Phase, Placement};
 
 impl Owner {
     /// Adds an agent that has a row in the table.
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -8,15 +8,14 @@
     Guarantees, Rank, START_ISOLATION_MS, core_weight, is_any_resource_half_free,
     release_whole_workers, reserve_whole_workers,
 };
-use quincewheel_wire::Order;
 
 use crate::candidate::Candidate;
-use crate::entry::{Entry, Phase, Placement, Reservation, Sampled};
+use crate::entry::{Entry, Reservation};
 use crate::idle_jobs::MAX_IDLE_WAIT_MS;
 use crate::owner::{Owner, task};
 use crate::ownership::MAX_TICK_GAP_MS;
 use crate::snapshot::{Exclusions, Snapshot};
-use crate::suspects::{RecentStart, isolate_suspects};
+use crate::suspects::isolate_suspects;
 
 impl Owner {
     /// Runs one round of planning: starts what fits in order of rank, makes room where that is
@@ -422,87 +421,8 @@
     pub(crate) fn pool_of(&self, entry: &Entry) -> String {
         self.queues.pool(&entry.job).to_owned()
     }
-
-    /// Orders the start of tasks on the chosen workers. `pairs` holds the index of each task and
-    /// that of its worker in the snapshot.
-    pub(crate) fn start_tasks(
-        &mut self,
-        candidate: &Candidate,
-        step: &Step,
-        pairs: &[(u32, usize)],
-        snapshot: &mut Snapshot,
-        now: u64,
-    ) {
-        let need = step.resources();
-        let gang_unit = self.next_unit;
-        for &(index, worker_index) in pairs {
-            let state = &mut snapshot.workers[worker_index];
-            state.free.subtract(&need);
-            let name = state.name.clone();
-            snapshot.actual_free[worker_index].subtract(&need);
-            snapshot.record_use(worker_index, &need);
-            let recent_start =
-                if candidate.suspect { RecentStart::Suspect } else { RecentStart::Any };
-            recent_start.record(&mut snapshot.recent_starts, worker_index);
-            snapshot.record_trial(worker_index);
-            let Some(worker) = self.agents.get(&name).and_then(|agent| agent.worker.as_ref())
-            else {
-                continue;
-            };
-            let worker = worker.incarnation();
-            let key = (candidate.occurrence, candidate.step, index);
-            let unit = if step.gang { gang_unit } else { self.next_unit };
-            self.next_unit = self.next_unit.max(unit) + 1;
-            let first = pairs.first().is_some_and(|pair| pair.0 == index);
-            let Some(entry) = self.jobs.get_mut(&candidate.id) else { return };
-            let slot = entry.slot(key);
-            let base = (self.epoch - 1) * RUNS_PER_EPOCH;
-            let number = entry.run_numbers.entry(slot).or_insert(base);
-            *number = (*number).max(base);
-            if first || !step.gang {
-                *number += 1;
-            }
-            let run = *number;
-            let saved = entry.checkpoints.get(&slot).cloned().unwrap_or_default();
-            let spec = entry.job.spec.clone();
-            let ticket = entry.ticket(key, &worker, now).unwrap_or_default().to_owned();
-            let placed = Placement {
-                agent: name.clone(),
-                worker: worker.clone(),
-                run,
-                phase: Phase::Starting,
-                updated_at: now,
-                started_at: now,
-                unit,
-                start_repeated: false,
-                percent: 0,
-                confirmed_at: None,
-                progressed_at: now,
-                pace: 100,
-                from_scratch: saved.is_empty(),
-                first_listed_at: None,
-                survived_start: false,
-                sampled: Sampled::default(),
-                preempted_by: None,
-                unheard: true,
-            };
-            entry.runs.insert(key, placed);
-            let task = task(&candidate.id, key);
-            self.log("start", &candidate.id, format!("{task} run {run} at {name}"));
-            let (again, suspect) = (false, candidate.suspect);
-            self.send_to_agent(
-                &name,
-                Order::Start { worker, task, run, spec, saved, ticket, again, suspect },
-            );
-        }
-    }
 }
 
-/// Run numbers available to each epoch for one task. An owner numbers runs from a base derived
-/// from its epoch, so that they increase across takeovers without a record of each start. No task
-/// starts this often under one owner.
-pub(crate) const RUNS_PER_EPOCH: u64 = 1000;
-
 /// Returns the tasks of a step that are ready and have no run: of a gang all or none.
 pub(crate) fn pending_tasks(
     entry: &Entry,
--- a/crates/dispatch/src/releases.rs
+++ b/crates/dispatch/src/releases.rs
@@ -6,9 +6,10 @@
 use quincewheel_job::Resources;
 use quincewheel_place::WorkerState;
 
-use crate::entry::{Key, Phase, Placement};
+use crate::entry::Key;
 use crate::estimator::run_time;
 use crate::owner::Owner;
+use crate::placement::{Phase, Placement};
 use crate::snapshot::Snapshot;
 
 /// A run whose end releases resources.
--- a/crates/dispatch/src/reports.rs
+++ b/crates/dispatch/src/reports.rs
@@ -3,10 +3,12 @@
 use quincewheel_job::{Incarnation, Run, State, Task, Worker};
 use quincewheel_wire::{Order, Refused};
 
-use crate::entry::{Key, Phase, Placement, Sampled};
+use crate::entry::Key;
 use crate::list::List;
 use crate::owner::{Owner, task};
+use crate::placement::{Phase, Placement};
 use crate::refusals::Refusals;
+use crate::starts::start_order;
 
 impl Owner {
     /// Applies an agent's status: its worker, what runs there, and ends not yet acknowledged.
@@ -188,13 +190,8 @@
                 Phase::Running => continue,
                 Phase::Stopping => Order::Stop { worker, task: task(&job, key), run },
                 Phase::Starting => {
-                    let spec = entry.job.spec.clone();
-                    let saved =
-                        entry.checkpoints.get(&entry.slot(key)).cloned().unwrap_or_default();
-                    let ticket = entry.ticket(key, from, now).unwrap_or_default().to_owned();
                     let suspect = entry.consecutive_crashes(&job, key) > 0;
-                    let task = task(&job, key);
-                    Order::Start { worker, task, run, spec, saved, ticket, again: true, suspect }
+                    start_order((&job, entry), key, (from, run), (true, suspect), now)
                 }
             };
             self.send_to_agent(name, order);
@@ -248,30 +245,12 @@
                 // A previous owner started it.
                 let unit = self.next_unit;
                 self.next_unit += 1;
-                let placed = Placement {
-                    agent: name.to_owned(),
-                    worker: from.clone(),
-                    run: run.number,
-                    phase: Phase::Running,
-                    updated_at: now,
-                    started_at: now,
-                    confirmed_at: Some(now),
-                    unit,
-                    start_repeated: false,
-                    percent: run.percent,
-                    progressed_at: now,
-                    pace: 100,
-                    from_scratch: false,
-                    first_listed_at: None,
-                    survived_start: false,
-                    sampled: Sampled::default(),
-                    preempted_by: None,
-                    unheard,
-                };
-                let unit = entry.runs.range((key.0, key.1, 0)..=(key.0, key.1, u32::MAX));
+                let runs = entry.runs.range((key.0, key.1, 0)..=(key.0, key.1, u32::MAX));
                 let gang = entry.job.steps.get(key.1 as usize).is_some_and(|step| step.gang);
-                let unit = unit.map(|(_, other)| other.unit).next().filter(|_| gang);
-                let placed = Placement { unit: unit.unwrap_or(placed.unit), ..placed };
+                let unit_of_gang = runs.map(|(_, other)| other.unit).next().filter(|_| gang);
+                let unit = unit_of_gang.unwrap_or(unit);
+                let placed =
+                    Placement { unheard, ..Placement::adopted(name, from, run, unit, now) };
                 entry.runs.insert(key, placed);
                 let number = entry.run_numbers.entry(slot).or_default();
                 *number = run.number.max(*number);
--- a/crates/dispatch/src/runs.rs
+++ b/crates/dispatch/src/runs.rs
@@ -3,8 +3,9 @@
 use quincewheel_job::Id;
 use quincewheel_wire::Order;
 
-use crate::entry::{Key, Phase, Placement};
+use crate::entry::Key;
 use crate::owner::{Owner, task};
+use crate::placement::{Phase, Placement};
 
 impl Owner {
     /// Orders a run's worker to stop it, unless a stop was ordered before.
--- a/crates/dispatch/src/snapshot.rs
+++ b/crates/dispatch/src/snapshot.rs
@@ -9,9 +9,10 @@
 
 use crate::agent::Agent;
 use crate::clearance_request::ClearanceRequest;
-use crate::entry::{Key, Phase};
+use crate::entry::Key;
 use crate::load::Load;
 use crate::owner::Owner;
+use crate::placement::Phase;
 use crate::reports::task_key;
 use crate::suspects::RecentStart;
 use crate::tally::Restriction;
--- a/crates/dispatch/src/speed_samples.rs
+++ b/crates/dispatch/src/speed_samples.rs
@@ -5,8 +5,9 @@
 use quincewheel_job::{Step, Task};
 use quincewheel_speed::{Sample, compare, is_uniform};
 
-use crate::entry::{Entry, Key, Phase, Placement};
+use crate::entry::{Entry, Key};
 use crate::owner::Owner;
+use crate::placement::{Phase, Placement};
 use crate::reports::task_key;
 use crate::waits::StepKey;
 
--- a/crates/dispatch/src/speeds.rs
+++ b/crates/dispatch/src/speeds.rs
@@ -11,8 +11,9 @@
 use quincewheel_speed::{Estimate, Spread};
 
 use crate::candidate::Candidate;
-use crate::entry::{Entry, Placement};
+use crate::entry::Entry;
 use crate::owner::Owner;
+use crate::placement::Placement;
 use crate::reports::task_key;
 use crate::snapshot::Snapshot;
 use crate::speed_samples::Ends;
--- a/crates/dispatch/src/stalled_runs.rs
+++ b/crates/dispatch/src/stalled_runs.rs
@@ -5,8 +5,9 @@
 use quincewheel_job::Step;
 use quincewheel_policy as policy;
 
-use crate::entry::{Key, Phase, Placement};
+use crate::entry::Key;
 use crate::owner::Owner;
+use crate::placement::{Phase, Placement};
 
 impl Owner {
     /// Stops runs on a worker that had stalled when it listed them at `listed_at`, so that they start
--- a/crates/dispatch/src/standing.rs
+++ b/crates/dispatch/src/standing.rs
@@ -13,10 +13,11 @@
 use crate::entry::Entry;
 use crate::occupancy::Occupancy;
 use crate::owner::Owner;
-use crate::plan::{RUNS_PER_EPOCH, pending_tasks};
+use crate::plan::pending_tasks;
 use crate::resolution::Resolution;
 use crate::standstill::Standstill;
 use crate::standstills::MAX_LINES_PER_SCAN;
+use crate::starts::RUNS_PER_EPOCH;
 use crate::wait_detail::list;
 use crate::waits::{StepKey, Wait};
 
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -9,8 +9,9 @@
 use quincewheel_policy::START_ISOLATION_MS;
 
 use crate::candidate::Candidate;
-use crate::entry::{Entry, Key, Placement};
+use crate::entry::{Entry, Key};
 use crate::owner::Owner;
+use crate::placement::Placement;
 use crate::reports::task_key;
 use crate::snapshot::Snapshot;
 
--- a/crates/dispatch/src/throttle.rs
+++ b/crates/dispatch/src/throttle.rs
@@ -8,8 +8,9 @@
 use quincewheel_policy::next_pace;
 use quincewheel_wire::Order;
 
-use crate::entry::{Key, Phase};
+use crate::entry::Key;
 use crate::owner::Owner;
+use crate::placement::Phase;
 use crate::reports::task_key;
 
 impl Owner {
--- a/crates/dispatch/src/trust.rs
+++ b/crates/dispatch/src/trust.rs
@@ -11,10 +11,12 @@
 use quincewheel_trust::{Record, Trust};
 
 use crate::candidate::Candidate;
-use crate::entry::{Entry, Key, Placement};
+use crate::entry::{Entry, Key};
 use crate::owner::Owner;
-use crate::plan::{RUNS_PER_EPOCH, tasks_per_worker};
+use crate::placement::Placement;
+use crate::plan::tasks_per_worker;
 use crate::snapshot::{Exclusions, Snapshot};
+use crate::starts::RUNS_PER_EPOCH;
 use crate::wait_detail::list;
 use crate::waits::StepKey;
 
--- a/crates/dispatch/src/unheard_ends.rs
+++ b/crates/dispatch/src/unheard_ends.rs
@@ -6,10 +6,11 @@
 
 use quincewheel_job::{Run, Task};
 
-use crate::entry::{Entry, Key, Placement};
+use crate::entry::{Entry, Key};
 use crate::owner::Owner;
-use crate::plan::RUNS_PER_EPOCH;
+use crate::placement::Placement;
 use crate::reports::task_key;
+use crate::starts::RUNS_PER_EPOCH;
 
 impl Owner {
     /// Returns whether a run that a worker lists as running is the only one that its task can have had.
--- a/crates/dispatch/src/unlisted_runs.rs
+++ b/crates/dispatch/src/unlisted_runs.rs
@@ -2,8 +2,9 @@
 
 use quincewheel_job::Id;
 
-use crate::entry::{Key, Phase, Placement};
+use crate::entry::Key;
 use crate::owner::{Owner, task};
+use crate::placement::{Phase, Placement};
 
 /// Shortest time between two scans for such runs. Each scan covers all runs.
 const RUN_SCAN_INTERVAL_MS: u64 = 1000;
