Ask about a reserved worker once for all its tasks

What callers would see: a guaranteed gang of several tasks on one worker starts late where its tickets expire while room is made: the call named the worker once for each task, and each costs periodMs.

Cause: a reservation lists a worker for each task, and the request took the list as it was. Evidence: reserved_worker_is_asked_about_once_for_all_its_tasks asked about i0 four times before, once now.

--- a/crates/dispatch/src/clearance_request.rs
+++ b/crates/dispatch/src/clearance_request.rs
@@ -129,8 +129,11 @@
         indexes: &[usize],
         snapshot: &mut Snapshot,
     ) {
+        let mut indexes = indexes.to_vec();
+        indexes.sort_unstable();
+        indexes.dedup();
         if self.has_clearance_turn(candidate, true, snapshot)
-            && let Some(workers) = self.lacking_tickets(candidate, indexes, true, snapshot)
+            && let Some(workers) = self.lacking_tickets(candidate, &indexes, true, snapshot)
         {
             self.set_clearance_request(candidate, (workers, true), snapshot);
         }
--- a/crates/dispatch/tests/clearance.rs
+++ b/crates/dispatch/tests/clearance.rs
@@ -110,6 +110,29 @@
 // made the reservation void.
 #[test]
 fn reservation_outlasts_the_ticket_it_was_made_with() {
+    let (orders, _) = reserve_beside_short_tickets(step(1, 8));
+    assert_snapshot!(orders, @r"
+    ask i0
+    w0 stop low.0.0.0 run 1
+    -- then
+    nothing
+    -- then
+    ask i0
+    -- then
+    w0 start high.0.0.0 run 1 with ticket-i0
+    ");
+}
+
+// A call for reserved workers took several times as long: it named a worker once for each task there.
+#[test]
+fn reserved_worker_is_asked_about_once_for_all_its_tasks() {
+    let (_, asked) = reserve_beside_short_tickets(Step { gang: true, ..step(4, 2) });
+    assert_eq!(asked, "ask i0");
+}
+
+/// Reserves a worker for an urgent step whose ticket expires before the worker is free. Returns the orders,
+/// and those when it is free.
+fn reserve_beside_short_tickets(urgent: Step) -> (String, String) {
     let mut harness = Harness::new(1, 1).with_idle_workers(1);
     let team = Team { name: "t".into(), guaranteed: 8, ..Team::default() };
     let teams = [("t".to_owned(), team)].into();
@@ -118,7 +141,7 @@
     harness.tick();
     harness.report_status(0, &[run(task("low", 0, 0), 1)], &[]);
     harness.take_orders();
-    let mut urgent = job_needing_clearance(vec![step(1, 8)]);
+    let mut urgent = job_needing_clearance(vec![urgent]);
     urgent.queue.priority = 0;
     urgent.accepted = harness.now;
     harness.owner.add_job("high", urgent, 200, None);
@@ -131,14 +154,5 @@
     let free = harness.take_orders();
     answer_for(&mut harness, &["i0"], 300);
     let cleared = harness.take_orders();
-    assert_snapshot!([made, expired, free, cleared].join("\n-- then\n"), @r"
-    ask i0
-    w0 stop low.0.0.0 run 1
-    -- then
-    nothing
-    -- then
-    ask i0
-    -- then
-    w0 start high.0.0.0 run 1 with ticket-i0
-    ");
+    ([made, expired, free.clone(), cleared].join("\n-- then\n"), free)
 }
