Test that crowds of clients leave a process within its machine's limits

What callers saw: in the users' trial, clients that sent many large bodies, most of them unfinished, ended a process, which ran out of memory.

Each test starts the shipped programs on a machine with few MB or descriptors and lets a crowd of 60 to 1,000 connections call one address of one process: clients, readiness, metrics, peers, reports, the product's own interface and pages. It checks that the process lives, that its resident memory and what its connections hold unread stay below the machine's memory, that descriptors stay below the machine's less 200, and that an ordinary call is answered before, beside and after the crowd. Bodies of legal size in pieces and in chunks of 1 byte to the whole are served in calm. Nothing depends on the machine's speed.

--- a/crates/stand-in/src/fleet.rs
+++ b/crates/stand-in/src/fleet.rs
@@ -55,6 +55,8 @@
     processes: Vec<Process>,
     record: Record,
     quiet: bool,
+    /// Variables that all processes get.
+    variables: Vec<(String, String)>,
 }
 
 /// First of the ports that deployments use: below those that the kernel gives
@@ -88,6 +90,16 @@
     /// Starts the platform, `entries` entries and `workers` workers, three to
     /// a rack, racks spread over four availability zones.
     pub fn spawn(entries: usize, workers: usize, quiet: bool) -> io::Result<Fleet> {
+        Fleet::spawn_with(entries, workers, quiet, &[])
+    }
+
+    /// Starts a deployment as [`Fleet::spawn`] does, with these environment variables.
+    pub fn spawn_with(
+        entries: usize,
+        workers: usize,
+        quiet: bool,
+        variables: &[(&str, &str)],
+    ) -> io::Result<Fleet> {
         let mut bin = std::env::current_exe()?;
         bin.pop();
         if bin.ends_with("deps") {
@@ -103,6 +115,10 @@
             processes: Vec::new(),
             record: Record::default(),
             quiet,
+            variables: variables
+                .iter()
+                .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+                .collect(),
         };
         let platform = fleet.platform.clone();
         fleet.start("platform", "stand-in-platform", &[&platform], false)?;
@@ -187,6 +203,7 @@
     fn start(&mut self, name: &str, bin: &str, args: &[&str], events: bool) -> io::Result<()> {
         let mut command = Command::new(self.bin.join(bin));
         command.args(args).env("QUINCEWHEEL_FLEET_KEY", FLEET_KEY).stdin(Stdio::null());
+        command.envs(self.variables.iter().map(|(name, value)| (name, value)));
         command.stdout(if events { self.record.output()?.into() } else { Stdio::null() });
         if self.quiet {
             let output = Output::open()?;
@@ -269,6 +286,12 @@
         Ok(String::from_utf8_lossy(&logs?.concat()).into_owned())
     }
 
+    /// Process id of a process by its name.
+    pub fn id(&self, name: &str) -> Option<u32> {
+        let process = self.processes.iter().rev().find(|process| process.name == name)?;
+        Some(process.child.id())
+    }
+
     /// Processor time of a process so far, in clock ticks.
     pub fn ticks(&self, name: &str) -> Option<u64> {
         let process = self.processes.iter().rev().find(|p| p.name == name)?;
--- a/crates/stand-in/tests/soak/cut_off.rs
+++ b/crates/stand-in/tests/soak/cut_off.rs
@@ -29,7 +29,7 @@
 pub fn run() -> Vec<String> {
     let folder = std::env::temp_dir().join(format!("soak-{}-cut-off", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let deployment = Deployment::open(&folder, Kind::Faults, Size::SMALL, None);
+    let deployment = Deployment::open(&folder, Kind::Faults, Size::SMALL, None, None);
     let entries = deployment.entries();
     deployment.check_bad_calls(&entries);
     thread::sleep(CONNECT_TIME);
--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -19,7 +19,7 @@
 use crate::net::{self, Net};
 use crate::process::{Process, Signal};
 use crate::proxy::{Mode, Proxy};
-use crate::settings::{name, program, settings};
+use crate::settings::{Machine, name, program, settings};
 use crate::size::Size;
 use crate::table::{self, Table, TableFault};
 use crate::worker;
@@ -102,7 +102,7 @@
             fs::create_dir_all(logs).unwrap();
         }
         let wall_origin = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default().as_millis() as u64;
-        let mut deployment = Deployment::open(&folder, kind, size, logs.as_deref());
+        let mut deployment = Deployment::open(&folder, kind, size, None, logs.as_deref());
         let watch = deployment.spawn_standing_watch();
         let jobs = deployment.run(course);
         let accepted = jobs.len();
@@ -130,7 +130,14 @@
         Outcome { violations, line }
     }
 
-    pub fn open(folder: &Path, kind: Kind, size: Size, logs: Option<&Path>) -> Deployment {
+    /// Starts the processes, each on a machine that gives it what `machine` says, if that is set.
+    pub fn open(
+        folder: &Path,
+        kind: Kind,
+        size: Size,
+        machine: Option<Machine>,
+        logs: Option<&Path>,
+    ) -> Deployment {
         let mut fleet = Fleet::new(size, kind);
         if let Some(folder) = logs {
             fleet.log = WorkerLog::open(folder).unwrap();
@@ -166,7 +173,8 @@
                 servers.push(server.unwrap());
             }
             let file = folder.join(format!("{}.toml", name(index, size)));
-            fs::write(&file, settings(net, index, host, list.as_deref(), kind, size)).unwrap();
+            let text = settings(net, index, host, list.as_deref(), kind, size, machine);
+            fs::write(&file, text).unwrap();
             deployment.add(net, index, host, &file, logs, &address);
         }
         deployment._servers = servers;
@@ -277,6 +285,21 @@
         owner.is_some()
     }
 
+    /// Returns the id of a process.
+    pub fn process_id(&self, process: usize) -> u32 {
+        self.processes[process].id().expect("it was started")
+    }
+
+    /// Returns whether a process exited without a signal from this run.
+    pub fn has_ended(mut self, process: usize) -> bool {
+        self.processes[process].died()
+    }
+
+    /// Returns the IP address of a process.
+    pub fn ip(&self, process: usize) -> String {
+        self.net.ip(1 + process as u8)
+    }
+
     /// Returns the current key.
     pub fn key(&self) -> String {
         self.keys.lock().unwrap().current.clone()
--- a/crates/stand-in/tests/soak/killed_agents.rs
+++ b/crates/stand-in/tests/soak/killed_agents.rs
@@ -38,7 +38,8 @@
     if let Some(logs) = &logs {
         std::fs::create_dir_all(logs).unwrap();
     }
-    let mut deployment = Deployment::open(&folder, Kind::Departures, Size::SMALL, logs.as_deref());
+    let mut deployment =
+        Deployment::open(&folder, Kind::Departures, Size::SMALL, None, logs.as_deref());
     deployment.fleet.lock().unwrap().delays_former_heartbeats = true;
     let entries = deployment.entries();
     deployment.check_bad_calls(&entries);
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -28,6 +28,8 @@
 mod checker_test;
 mod client;
 mod course;
+mod crowd;
+mod crowd_cases;
 mod cut_off;
 mod deployment;
 mod fault;
@@ -39,6 +41,7 @@
 mod machines;
 mod net;
 mod paused_agents;
+mod payload;
 mod process;
 mod proxy;
 mod refused_polls;
@@ -49,6 +52,7 @@
 mod standing_test;
 mod table;
 mod trouble;
+mod watch;
 mod worker;
 mod worker_log;
 
@@ -202,6 +206,11 @@
     if runs_ci_seeds && chosen(SILENT_AGENT_TEST) {
         report(SILENT_AGENT_TEST, &silent_agent::run(logs.as_deref()), &mut failed);
     }
+    if runs_ci_seeds {
+        crowd_cases::run(logs.as_deref(), chosen, |name, violations| {
+            report(name, violations, &mut failed);
+        });
+    }
     for course in courses {
         let Course { seed, kind, size, is_light, .. } = course;
         let name = format!("soak_{}_seed_{seed}", kind.name());
--- a/crates/stand-in/tests/soak/paused_agents.rs
+++ b/crates/stand-in/tests/soak/paused_agents.rs
@@ -43,7 +43,8 @@
     if let Some(logs) = &logs {
         std::fs::create_dir_all(logs).unwrap();
     }
-    let deployment = Deployment::open(&folder, Kind::Departures, Size::SMALL, logs.as_deref());
+    let deployment =
+        Deployment::open(&folder, Kind::Departures, Size::SMALL, None, logs.as_deref());
     let entries = deployment.entries();
     deployment.check_bad_calls(&entries);
     let stop = Arc::new(AtomicBool::new(false));
--- a/crates/stand-in/tests/soak/process.rs
+++ b/crates/stand-in/tests/soak/process.rs
@@ -66,6 +66,11 @@
         let _ = Command::new("kill").args([number, &child.id().to_string()]).status();
     }
 
+    /// Returns its process id while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Changes a bound in its settings file, and adds an unknown field.
     pub fn change_settings(&self) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
--- a/crates/stand-in/tests/soak/settings.rs
+++ b/crates/stand-in/tests/soak/settings.rs
@@ -8,6 +8,13 @@
 use crate::net::{self, Net};
 use crate::size::Size;
 
+/// What the machine of each process gives it.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    pub memory_mb: u64,
+    pub max_fds: u64,
+}
+
 /// Returns the path of a program, in the folder of the test binary.
 pub fn program(name: &str) -> PathBuf {
     let mut folder = std::env::current_exe().unwrap();
@@ -35,11 +42,17 @@
     machine_list: Option<&str>,
     kind: Kind,
     size: Size,
+    machine: Option<Machine>,
 ) -> String {
     let name = name(index, size);
     let cloud = machine_list
         .map(|machine_list| format!("[cloud]\naddress = \"{machine_list}\"\n"))
         .unwrap_or_default();
+    let limits = machine
+        .map(|Machine { memory_mb, max_fds }| {
+            format!("[limits]\nmemoryMb = {memory_mb}\nmaxFds = {max_fds}\n")
+        })
+        .unwrap_or_default();
     let evacuate = match kind.evacuates() {
         true => format!("evacuateMs = {EVACUATION_DEADLINE_MS}\n"),
         false => String::new(),
@@ -56,7 +69,7 @@
         "node = \"{name}\"\nip = \"{}\"\nzone = \"z\"\nportRange = [{}, {}]\n\
          [listen]\n{listen}\n\
          [bounds]\ngraceS = {SHUTDOWN_GRACE_S}\nrevokeMs = {}\nmaxHoldMs = 6000\nstopTimeoutMs = 50\n\
-         reclaimMs = 2700\nstatus_s = 120\n{evacuate}\
+         reclaimMs = 2700\nstatus_s = 120\n{evacuate}{limits}\
          [platform]\naddress = \"{}\"\n{cloud}",
         net.ip(host),
         net::PEERS,
--- a/crates/stand-in/tests/soak/silent_agent.rs
+++ b/crates/stand-in/tests/soak/silent_agent.rs
@@ -36,7 +36,8 @@
     if let Some(logs) = &logs {
         std::fs::create_dir_all(logs).unwrap();
     }
-    let mut deployment = Deployment::open(&folder, Kind::Faults, Size::SMALL, logs.as_deref());
+    let mut deployment =
+        Deployment::open(&folder, Kind::Faults, Size::SMALL, None, logs.as_deref());
     let entries = deployment.entries();
     deployment.check_bad_calls(&entries);
     let stop = Arc::new(AtomicBool::new(false));
