Limit handshakes, and the frames of peers that have not proved themselves

What callers saw: a crowd that connects to the port for the system's other processes takes descriptors without a limit, and memory for frames that never end: 836 descriptors of 500 and 86 to 107 MB of 48 in a debug build.

Cause: only authenticated connections were counted. Before, each could stay for the two seconds of a handshake and begin a frame of 1 MiB.

Change: at most 128 handshakes at a time, of which the oldest gives way, since a process of the system needs milliseconds; it is counted in peer_handshakes_displaced and logged with limit=handshakes. A frame of the handshake has at most 4 KiB; the full size applies once the dialer has proved that it has the key. The dialer sends nothing between its proof and the reply, so that no bytes are lost when the limit changes.

--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -25,6 +25,11 @@
             traffic.received() as i64,
         ),
         ("peer_frames", "Frames both ways since the start", traffic.frames() as i64),
+        (
+            "peer_handshakes_displaced",
+            "Handshakes of other processes that were ended for newer ones",
+            traffic.displaced() as i64,
+        ),
         (
             "peer_refused",
             "Connections refused or closed for their frames",
--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -72,7 +72,7 @@
     let key = Key::new(own.fleet_key.as_bytes());
     let hub: Hub<Notice> = Hub::bind(&config.peer_address, key, hello, peers, |event| event)
         .map_err(io::Error::other)?;
-    let metrics = Arc::new(Metrics::build());
+    let metrics = Arc::new(Metrics::build(hub.traffic()));
     let page_metrics = Arc::clone(&metrics);
     let metrics_address = format!("{}:{}", config.ip, own.metrics_port);
     Server::bind_all("reports", &[&listener.reports, &metrics_address], move |request| {
--- a/crates/agent/src/site/metrics.rs
+++ b/crates/agent/src/site/metrics.rs
@@ -1,4 +1,4 @@
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 use quincewheel_log::Limit;
+use quincewheel_peer::Traffic;
 use quincewheel_runner::{Action, Fault, Reply};
 
 /// The metrics of an agent on the platform.
@@ -18,6 +19,8 @@
     latency: Histogram,
     invalid_reports: Counter,
     log_limit: Limit,
+    traffic: Arc<Traffic>,
+    displaced_handshakes: Gauge,
     /// The epoch of the owner that the agent follows.
     pub epoch: Gauge,
 }
@@ -33,7 +36,8 @@
 const LATENCY_BUCKETS: (f64, u16) = (0.0005, 12);
 
 impl Metrics {
-    pub fn build() -> Metrics {
+    /// Creates the metrics, with those of the connections to other processes.
+    pub fn build(traffic: Arc<Traffic>) -> Metrics {
         let mut registry = Registry::with_prefix("quincewheel_agent");
         let calls = Family::<Call, Counter>::default();
         registry.register(
@@ -50,8 +54,20 @@
         let invalid_reports = Counter::default();
         let help = "Reports of workers that could not be read and were left out";
         registry.register("reports_left_out", help, invalid_reports.clone());
+        let displaced_handshakes = Gauge::default();
+        let help = "Handshakes of other processes that were ended for newer ones";
+        registry.register("peer_handshakes_displaced", help, displaced_handshakes.clone());
         let (registry, log_limit) = (Mutex::new(registry), Limit::default());
-        Metrics { registry, calls, latency, invalid_reports, log_limit, epoch }
+        Metrics {
+            registry,
+            calls,
+            latency,
+            invalid_reports,
+            log_limit,
+            traffic,
+            displaced_handshakes,
+            epoch,
+        }
     }
 
     /// Counts a call to the worker. The duration `ms`, in milliseconds, is observed for starts and
@@ -87,6 +103,7 @@
 
     /// Renders the metrics page in the OpenMetrics text format.
     pub fn page(&self) -> String {
+        self.displaced_handshakes.set(self.traffic.displaced() as i64);
         let registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
         let mut text = String::new();
         encode(&mut text, &registry).expect("writing to a string cannot fail");
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -40,6 +40,7 @@
     received: Gauge,
     frames: Gauge,
     refused: Gauge,
+    displaced: Gauge,
 }
 
 impl Metrics {
@@ -60,6 +61,11 @@
             ("peer_received_bytes", "Bytes of frames received since the start", &gauges.received),
             ("peer_frames", "Frames both ways since the start", &gauges.frames),
             ("peer_refused", "Connections refused or closed for their frames", &gauges.refused),
+            (
+                "peer_handshakes_displaced",
+                "Handshakes of other processes that were ended for newer ones",
+                &gauges.displaced,
+            ),
         ];
         for (name, help, gauge) in listed {
             registry.register(name, help, gauge.clone());
@@ -85,6 +91,7 @@
         self.gauges.received.set(self.traffic.received() as i64);
         self.gauges.frames.set(self.traffic.frames() as i64);
         self.gauges.refused.set(self.traffic.refused() as i64);
+        self.gauges.displaced.set(self.traffic.displaced() as i64);
         let mut text = String::new();
         let registry = self.registry.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         encode(&mut text, &registry).expect("writing to a string cannot fail");
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -76,7 +76,7 @@
         .map_err(io::Error::other)?;
     let gate = Arc::new(Gate::default());
     let call_gate = Arc::clone(&gate);
-    let metrics = Arc::new(Metrics::new());
+    let metrics = Arc::new(Metrics::new(hub.traffic()));
     let served_metrics = Arc::clone(&metrics);
     let metrics_address = format!("{}:{}", site.ip, own.metrics_port);
     let addresses = [&entry.clients, &entry.ready, &metrics_address].map(String::as_str);
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -11,6 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use quincewheel_dispatch::{Cause, ClearanceCalls, Grade};
 use quincewheel_job::Answer;
+use quincewheel_peer::Traffic;
 use quincewheel_share::Account;
 use quincewheel_wire::Refused;
 
@@ -32,6 +33,8 @@
     evacuated_zones: Gauge,
     evacuated_busy: Gauge,
     skipped_entries: Family<List, Counter>,
+    traffic: Arc<Traffic>,
+    displaced_handshakes: Gauge,
     known_speeds: Gauge,
     uneven_machines: Gauge,
     team_usage: Family<Team, Seconds>,
@@ -93,7 +96,8 @@
 const LATENCY_BUCKETS: (f64, u16) = (0.0005, 15);
 
 impl Metrics {
-    pub fn new() -> Metrics {
+    /// Creates the metrics, with those of the connections to other processes.
+    pub fn new(traffic: Arc<Traffic>) -> Metrics {
         let (smallest, count) = LATENCY_BUCKETS;
         let metrics = Metrics {
             registry: Mutex::new(Registry::with_prefix("quincewheel_entry")),
@@ -111,6 +115,8 @@
             evacuated_zones: Gauge::default(),
             evacuated_busy: Gauge::default(),
             skipped_entries: Family::default(),
+            traffic,
+            displaced_handshakes: Gauge::default(),
             known_speeds: Gauge::default(),
             uneven_machines: Gauge::default(),
             team_usage: Family::default(),
@@ -194,6 +200,11 @@
                 "Milliseconds since the table proved the configuration current",
                 &self.config_age,
             ),
+            (
+                "peer_handshakes_displaced",
+                "Handshakes of other processes that were ended for newer ones",
+                &self.displaced_handshakes,
+            ),
             ("table_lost", "1 while the table does not answer", &self.table_lost),
         ];
         for (name, help, gauge) in gauges {
@@ -303,6 +314,7 @@
 
     /// Encodes the metrics in the OpenMetrics text format.
     pub fn page(&self) -> String {
+        self.displaced_handshakes.set(self.traffic.displaced() as i64);
         let registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
         let mut text = String::new();
         encode(&mut text, &registry).expect("writing to a string cannot fail");
--- a/crates/peer/src/hub.rs
+++ b/crates/peer/src/hub.rs
@@ -6,13 +6,16 @@
 use std::thread;
 use std::time::Duration;
 
+use quincewheel_log::Limit;
 use quincewheel_ring as ring;
 use quincewheel_wire::{Error, Hello, Key, Link, LinkId};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
+use crate::handshakes::Handshakes;
 use crate::traffic::Traffic;
 
 /// A command to the hub.
@@ -119,6 +122,8 @@
                     wrap,
                     traffic: thread_traffic,
                     links: RefCell::default(),
+                    handshakes: Handshakes::default(),
+                    displaced_limit: Limit::default(),
                     next_id: Cell::new(1),
                 };
                 runtime.block_on(run(Rc::new(state), listener, incoming));
@@ -158,6 +163,9 @@
     wrap: fn(Event<R>) -> T,
     traffic: Arc<Traffic>,
     links: RefCell<BTreeMap<LinkId, Outgoing<S>>>,
+    handshakes: Handshakes,
+    /// Rate limit of the log lines about handshakes that gave way.
+    displaced_limit: Limit,
     next_id: Cell<LinkId>,
 }
 
@@ -223,13 +231,7 @@
                 acceptor.traffic.add_refused();
                 continue;
             }
-            let state = Rc::clone(&acceptor);
-            actix_rt::spawn(async move {
-                match quincewheel_wire::accept(stream, &state.key, &state.me).await {
-                    Ok(link) => serve(state, link, String::new()).await,
-                    Err(error) => record_rejected(&state, "accept", &error),
-                }
-            });
+            actix_rt::spawn(accept(Rc::clone(&acceptor), stream));
         }
     });
     while let Some(command) = commands.recv().await {
@@ -248,6 +250,35 @@
     }
 }
 
+/// Authenticates an incoming connection and serves it.
+async fn accept<T: 'static, S: Serialize + 'static, R: DeserializeOwned + 'static>(
+    state: Rc<State<T, S, R>>,
+    stream: TcpStream,
+) {
+    let (handshake, has_displaced) = state.handshakes.begin();
+    if has_displaced {
+        record_displaced(&state);
+    }
+    let accepted = tokio::select! {
+        accepted = quincewheel_wire::accept(stream, &state.key, &state.me) => Some(accepted),
+        () = handshake.is_displaced() => None,
+    };
+    state.handshakes.end(&handshake);
+    match accepted {
+        Some(Ok(link)) => serve(state, link, String::new()).await,
+        Some(Err(error)) => record_rejected(&state, "accept", &error),
+        None => {}
+    }
+}
+
+/// Counts and logs a handshake that gave way.
+fn record_displaced<T, S, R>(state: &State<T, S, R>) {
+    state.traffic.add_displaced();
+    if let Some(untold) = state.displaced_limit.allow(quincewheel_clock::boot()) {
+        log::warn!(step = "accept", limit = "handshakes", untold = untold; "the oldest gave way");
+    }
+}
+
 /// Queues a frame on a connection. If many are queued and the peer takes none, closes
 /// the connection: dropping the queue's sender ends it.
 fn send<T, S, R>(state: &State<T, S, R>, link: LinkId, frame: S) {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,6 +6,7 @@
 //! a bounded queue per connection; a connection whose queue is full is closed, so
 //! that a slow peer cannot block this process or grow its memory.
 
+mod handshakes;
 mod hub;
 mod traffic;
 
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -7,6 +7,7 @@
     received: AtomicU64,
     frames: AtomicU64,
     refused: AtomicU64,
+    displaced: AtomicU64,
 }
 
 impl Traffic {
@@ -31,6 +32,15 @@
         self.refused.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of handshakes that were ended for newer ones.
+    pub fn displaced(&self) -> u64 {
+        self.displaced.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn add_displaced(&self) {
+        self.displaced.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn add_sent(&self, bytes: usize) {
         self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
         self.frames.fetch_add(1, Ordering::Relaxed);
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::{Role as WebSocketRole, WebSocketConfig};
 
 use crate::error::Error;
 use crate::hello::Hello;
@@ -18,6 +18,9 @@
 /// inventory of several hundred attempts.
 pub const MAX_FRAME: usize = 1 << 20;
 
+/// Maximum size of a frame of the handshake, in bytes. Anyone who connects may send one.
+const MAX_HANDSHAKE_FRAME: usize = 4 << 10;
+
 /// Time limit for the whole handshake. Without it, a peer that connects and sends
 /// nothing would occupy a connection slot indefinitely.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -55,10 +58,13 @@
         let stream = TcpStream::connect(address).await.map_err(|e| io_error(step, address, &e))?;
         let _ = stream.set_nodelay(true);
         let url = format!("ws://{address}/");
-        let (socket, _) =
-            tokio_tungstenite::client_async_with_config(url, stream, Some(websocket_config()))
-                .await
-                .map_err(|e| socket_error(step, address, &e))?;
+        let (socket, _) = tokio_tungstenite::client_async_with_config(
+            url,
+            stream,
+            Some(websocket_config(MAX_FRAME)),
+        )
+        .await
+        .map_err(|e| socket_error(step, address, &e))?;
         authenticate_dialer(socket, address, key, me).await
     };
     timeout(HANDSHAKE_TIMEOUT, handshake).await.unwrap_or_else(|_| Err(timed_out(step, address)))
@@ -72,7 +78,8 @@
     let peer = stream.peer_addr().map_or_else(|_| "unknown".to_owned(), |addr| addr.to_string());
     let _ = stream.set_nodelay(true);
     let handshake = async {
-        let socket = tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config()))
+        let config = websocket_config(MAX_HANDSHAKE_FRAME);
+        let socket = tokio_tungstenite::accept_async_with_config(stream, Some(config))
             .await
             .map_err(|e| socket_error(step, &peer, &e))?;
         authenticate_acceptor(socket, &peer, key, me).await
@@ -116,6 +123,10 @@
         return Err(Error::Stranger { step, peer: peer.to_owned() });
     }
     let hello = decode(&reply.hello, step, peer)?;
+    // The dialer sends nothing more before it has the proof, so that nothing is left unread here.
+    let config = Some(websocket_config(MAX_FRAME));
+    let stream = socket.into_inner();
+    let mut socket = WebSocketStream::from_raw_socket(stream, WebSocketRole::Server, config).await;
     let own_hello = encode(me);
     let proof = key.prove(Side::Acceptor, nonces, &own_hello);
     send(&mut socket, step, peer, &Proof { nonce: Vec::new(), hello: own_hello, proof }).await?;
@@ -192,10 +203,10 @@
     }
 }
 
-fn websocket_config() -> WebSocketConfig {
+fn websocket_config(max_frame: usize) -> WebSocketConfig {
     WebSocketConfig::default()
-        .max_message_size(Some(MAX_FRAME))
-        .max_frame_size(Some(MAX_FRAME))
+        .max_message_size(Some(max_frame))
+        .max_frame_size(Some(max_frame))
         // The default buffers take 128 KiB per connection. With 500 agents that
         // exceeds the 32 MB that a daemon may use.
         .read_buffer_size(4 << 10)
