Bound connections by the machine, and let the slowest give way

What callers saw: with 4,500 connections that send nothing, or one byte of a body each, no ordinary call was answered, and the process stood at the machine's 4,100 descriptors, which its own connections need too.

Cause: up to 4,096 connections were accepted, whatever the machine; clients, readiness and metrics shared them; none gave way, and one with an unfinished request stayed for ever. The machine's memory and descriptors were not read.

Change: a server accepts in its own loop. An Intake holds its Budget, a plain struct without sockets and clock. Connections for calls are at most half of the sockets that the machine gives, and what fits three eighths of its memory at 96 KiB each; each address for pages has a sixteenth of that number of its own, 8 to 64. If there are too many, the one that has not done its part for longest gives way: it is silent, or its request or reply falls behind 16 bytes a millisecond. One that waits for the server never does. Clients that are turned away are counted in clients_turned_away and logged, by limit. The kernel holds 16 KiB of a connection that is not read.

Four clients in each order of arrivals, stalls and ends (248,832 courses): never over, all given back, and a caller that makes progress gets in.

--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -4,13 +4,15 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use quincewheel_http::Intake;
 use quincewheel_peer::Traffic;
 
 use crate::grantor_thread::Status;
 
 /// Renders the metrics page in the OpenMetrics text format.
-pub(crate) fn page(status: &Status, traffic: &Arc<Traffic>) -> String {
+pub(crate) fn page(status: &Status, traffic: &Arc<Traffic>, intake: &Intake) -> String {
     let mut registry = Registry::with_prefix("quincewheel_agent");
+    intake.register(&mut registry);
     let attached = i64::from(status.has_owner.load(Ordering::Relaxed));
     let configuration = status.configuration_version.load(Ordering::Relaxed) as i64;
     let granted = status.granted_accelerators.load(Ordering::Relaxed) as i64;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -6,7 +6,7 @@
 
 use quincewheel_conf::LocalSettings;
 use quincewheel_grant::{self as grant, Grantor, Input};
-use quincewheel_http::{Reply, Server};
+use quincewheel_http::{Intake, Limits, Listener, Purpose, Reply, Server};
 use quincewheel_peer::{Hub, Traffic};
 use quincewheel_ring as ring;
 use quincewheel_store::Service;
@@ -76,8 +76,12 @@
     let inbox = Inbox { peers: peers_in, reads: reads_in, inputs: inputs_in };
     GrantorThread::spawn(grantor, hub, service, endpoint, Arc::clone(&status), events, inbox)?;
     let page_status = Arc::clone(&status);
-    let _pages = Server::bind("pages", &settings.pages_address, move |request| {
-        let reply = serve_page(request.path(), &page_status, &traffic);
+    let machine = settings.machine;
+    let intake = Intake::new(Limits::of_machine(machine.memory_bytes(), machine.descriptors()));
+    let page_intake = intake.clone();
+    let listener = Listener { address: &settings.pages_address, purpose: Purpose::Pages };
+    let _pages = Server::bind_all("pages", &[listener], &intake, move |request| {
+        let reply = serve_page(request.path(), &page_status, &traffic, &page_intake);
         async move { reply }
     })?;
     log::info!(step = "start", peer = settings.member.address.as_str(); "serving");
@@ -109,7 +113,7 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
 }
 
-fn serve_page(path: &str, status: &Status, traffic: &Arc<Traffic>) -> Reply {
+fn serve_page(path: &str, status: &Status, traffic: &Arc<Traffic>, intake: &Intake) -> Reply {
     let text = "text/plain; charset=utf-8";
     match path {
         "/healthz" => quincewheel_http::reply(200, text, "alive\n"),
@@ -119,7 +123,7 @@
         "/readyz" => quincewheel_http::reply(503, text, "not ready: no owner is connected\n"),
         "/metrics" => {
             let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-            quincewheel_http::reply(200, kind, metrics::page(status, traffic))
+            quincewheel_http::reply(200, kind, metrics::page(status, traffic, intake))
         }
         _ => quincewheel_http::reply(404, text, "no such page\n"),
     }
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -2,7 +2,8 @@
 
 use log::LevelFilter;
 use quincewheel_conf::{
-    Definition, EVENTS, Error, FLEET_KEY, LISTEN, LOG_LEVEL, METRICS_PORT, PLATFORM,
+    Definition, EVENTS, Error, FLEET_KEY, LISTEN, LOG_LEVEL, MAX_FDS, MEMORY_MB, METRICS_PORT,
+    Machine, PLATFORM,
 };
 use quincewheel_conf::{Program, Resolver, Values};
 use quincewheel_wire::Member;
@@ -53,6 +54,8 @@
     DRAIN,
     LOG_LEVEL,
     METRICS_PORT,
+    MEMORY_MB,
+    MAX_FDS,
     EVENTS,
 ];
 
@@ -86,6 +89,8 @@
     pub log_level: LevelFilter,
     /// Whether events are written to standard output.
     pub events: bool,
+    /// What the machine gives the process.
+    pub machine: Machine,
 }
 
 impl Settings {
@@ -109,6 +114,7 @@
             drain_timeout: r.millis(&DRAIN, 0, 86_400_000),
             log_level: r.level(&LOG_LEVEL),
             events: r.switch(&EVENTS),
+            machine: Machine::resolve(&mut r),
         };
         r.finish(settings)
     }
--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -16,7 +16,7 @@
 
 use quincewheel_conf::LocalSettings;
 use quincewheel_dispatch::rows::{self, Node};
-use quincewheel_http::{Body, Reply, Request, Server};
+use quincewheel_http::{Body, Intake, Limits, Listener, Purpose, Reply, Request, Server};
 use quincewheel_log::Limit;
 use quincewheel_peer::{Command, Event, Hub};
 use quincewheel_platform::{self as platform, Bounds, Report, SkippedEntry, Table};
@@ -72,10 +72,16 @@
     let key = Key::new(own.fleet_key.as_bytes());
     let hub: Hub<Notice> = Hub::bind(&config.peer_address, key, hello, peers, |event| event)
         .map_err(io::Error::other)?;
-    let metrics = Arc::new(Metrics::build(hub.traffic()));
+    let machine = own.machine.overridden(config.limits.memory_mb, config.limits.max_fds);
+    let intake = Intake::new(Limits::of_machine(machine.memory_bytes(), machine.descriptors()));
+    let metrics = Arc::new(Metrics::build(&intake, hub.traffic()));
     let page_metrics = Arc::clone(&metrics);
     let metrics_address = format!("{}:{}", config.ip, own.metrics_port);
-    Server::bind_all("reports", &[&listener.reports, &metrics_address], move |request| {
+    let listeners = [
+        Listener { address: &listener.reports, purpose: Purpose::Calls },
+        Listener { address: &metrics_address, purpose: Purpose::Pages },
+    ];
+    Server::bind_all("reports", &listeners, &intake, move |request| {
         receive_report(request, reports.clone(), Arc::clone(&page_metrics))
     })?;
     log::info!(event = "start", zone = config.zone.as_str(), peers = config.peer_address.as_str(); "agent");
--- a/crates/agent/src/site/metrics.rs
+++ b/crates/agent/src/site/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use quincewheel_http::Intake;
 use quincewheel_log::Limit;
 use quincewheel_peer::Traffic;
 use quincewheel_runner::{Action, Fault, Reply};
@@ -36,9 +37,10 @@
 const LATENCY_BUCKETS: (f64, u16) = (0.0005, 12);
 
 impl Metrics {
-    /// Creates the metrics, with those of the connections to other processes.
-    pub fn build(traffic: Arc<Traffic>) -> Metrics {
+    /// Creates the metrics, with those of `intake` and of the connections to other processes.
+    pub fn build(intake: &Intake, traffic: Arc<Traffic>) -> Metrics {
         let mut registry = Registry::with_prefix("quincewheel_agent");
+        intake.register(&mut registry);
         let calls = Family::<Call, Counter>::default();
         registry.register(
             "worker_calls",
--- a/crates/conf/src/common.rs
+++ b/crates/conf/src/common.rs
@@ -44,3 +44,21 @@
     "9464",
     "Port on which a process on the users' platform shows its metrics, 1 to 65535",
 );
+
+/// Memory of the machine, of which clients may take a part.
+pub const MEMORY_MB: Definition = Definition::optional(
+    "memory-mb",
+    "MB",
+    "256",
+    "Memory that the machine gives this process, in MB; three eighths are for connections of \
+     clients, two for large bodies. The platform's settings go first; 32 to 1048576",
+);
+
+/// File descriptors of the machine, of which clients may take a part.
+pub const MAX_FDS: Definition = Definition::optional(
+    "max-fds",
+    "COUNT",
+    "4096",
+    "File descriptors that the machine gives this process; 200 are for files, half of the others \
+     for clients. The platform's settings go first; 256 to 1048576",
+);
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -9,15 +9,19 @@
 mod definition;
 mod error;
 mod local_settings;
+mod machine;
 mod parse;
 mod resolver;
 mod shutdown;
 mod values;
 
-pub use common::{EVENTS, FLEET_KEY, LISTEN, LOG_LEVEL, METRICS_PORT, PLATFORM};
+pub use common::{
+    EVENTS, FLEET_KEY, LISTEN, LOG_LEVEL, MAX_FDS, MEMORY_MB, METRICS_PORT, PLATFORM,
+};
 pub use definition::Definition;
 pub use error::Error;
 pub use local_settings::LocalSettings;
+pub use machine::Machine;
 pub use parse::{Command, Program, parse};
 pub use resolver::Resolver;
 pub use shutdown::wait_for_shutdown;
--- a/crates/conf/src/local_settings.rs
+++ b/crates/conf/src/local_settings.rs
@@ -2,6 +2,7 @@
 
 use crate::common::{FLEET_KEY, LOG_LEVEL, METRICS_PORT};
 use crate::error::Error;
+use crate::machine::Machine;
 use crate::resolver::Resolver;
 use crate::values::Values;
 
@@ -15,6 +16,8 @@
     pub log_level: LevelFilter,
     /// Port of the metrics page.
     pub metrics_port: u16,
+    /// What the machine gives the process, unless the platform tells.
+    pub machine: Machine,
 }
 
 impl LocalSettings {
@@ -25,6 +28,7 @@
             fleet_key: r.secret(&FLEET_KEY, 16),
             log_level: r.level(&LOG_LEVEL),
             metrics_port: r.number(&METRICS_PORT, 1, u16::MAX),
+            machine: Machine::resolve(&mut r),
         };
         r.finish(settings)
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use quincewheel_http::Intake;
 use quincewheel_peer::Traffic;
 
 use crate::driver::Status;
@@ -44,8 +45,10 @@
 }
 
 impl Metrics {
-    pub fn new(status: Arc<Status>, traffic: Arc<Traffic>) -> Metrics {
+    /// Creates the metrics, with those of `intake`.
+    pub fn new(status: Arc<Status>, traffic: Arc<Traffic>, intake: &Intake) -> Metrics {
         let mut registry = Registry::with_prefix("quincewheel");
+        intake.register(&mut registry);
         let calls = Family::<Labels, Counter>::default();
         registry.register("calls", "Calls by method and outcome", calls.clone());
         let latency = Histogram::new(exponential_buckets(0.001, 2.0, 16));
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, SystemTime};
 
 use quincewheel_conf::LocalSettings;
-use quincewheel_http::Server;
-use quincewheel_peer::{Hub, Traffic};
+use quincewheel_http::{Intake, Limits, Listener, Purpose, Server};
+use quincewheel_peer::Hub;
 use quincewheel_ring as ring;
 use quincewheel_shard::{self as shard, Node};
 use quincewheel_store::Service;
@@ -140,12 +140,17 @@
     let inbox = Inbox { store_results: results_in, peer_events: peers_in, commands: commands_in };
     Driver::spawn(node, hub, service, Arc::clone(&status), events, inbox)?;
     let draining = Arc::new(AtomicBool::new(false));
-    let routes = routes(&settings, &commands, &status, traffic, &draining, start);
-    let server = Server::bind("rpc", &settings.rpc, move |request| routes.clone().serve(request))
-        .map_err(|error| {
-        let text = format!("listen for callers on {}: {error}", settings.rpc);
-        io::Error::new(error.kind(), text)
-    })?;
+    let machine = settings.machine;
+    let intake = Intake::new(Limits::of_machine(machine.memory_bytes(), machine.descriptors()));
+    let metrics = Arc::new(Metrics::new(Arc::clone(&status), traffic, &intake));
+    let routes = routes(&settings, &commands, &status, metrics, &draining, start);
+    let listener = Listener { address: &settings.rpc, purpose: Purpose::Calls };
+    let server =
+        Server::bind_all("rpc", &[listener], &intake, move |request| routes.clone().serve(request))
+            .map_err(|error| {
+                let text = format!("listen for callers on {}: {error}", settings.rpc);
+                io::Error::new(error.kind(), text)
+            })?;
     log::info!(step = "start", peer = settings.rpc.as_str(); "serving");
     let runtime = actix_rt::Runtime::new()?;
     runtime.block_on(async {
@@ -162,7 +167,7 @@
     settings: &Settings,
     commands: &ring::Sender<Command>,
     status: &Arc<Status>,
-    traffic: Arc<Traffic>,
+    metrics: Arc<Metrics>,
     draining: &Arc<AtomicBool>,
     start: Instant,
 ) -> Routes {
@@ -170,7 +175,7 @@
         name: settings.name.clone(),
         commands: commands.clone(),
         status: Arc::clone(status),
-        metrics: Arc::new(Metrics::new(Arc::clone(status), traffic)),
+        metrics,
         burn: Arc::new(Mutex::new(Burn::default())),
         draining: Arc::clone(draining),
         start,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,7 +2,8 @@
 
 use log::LevelFilter;
 use quincewheel_conf::{
-    Definition, EVENTS, Error, FLEET_KEY, LISTEN, LOG_LEVEL, METRICS_PORT, PLATFORM,
+    Definition, EVENTS, Error, FLEET_KEY, LISTEN, LOG_LEVEL, MAX_FDS, MEMORY_MB, METRICS_PORT,
+    Machine, PLATFORM,
 };
 use quincewheel_conf::{Program, Resolver, Values};
 use quincewheel_pool::Limits;
@@ -99,6 +100,8 @@
     RETENTION,
     LOG_LEVEL,
     METRICS_PORT,
+    MEMORY_MB,
+    MAX_FDS,
     EVENTS,
     CLAIM_AFTER,
     DOUBT,
@@ -150,6 +153,8 @@
     pub log_level: LevelFilter,
     /// Whether audit events are written.
     pub events: bool,
+    /// What the machine gives the process.
+    pub machine: Machine,
 }
 
 impl Settings {
@@ -176,6 +181,7 @@
             retention: Duration::from_secs(r.number(&RETENTION, 60, 2_592_000)),
             log_level: r.level(&LOG_LEVEL),
             events: r.switch(&EVENTS),
+            machine: Machine::resolve(&mut r),
         };
         let settings = r.finish(settings);
         match (settings, Scheduling::resolve(values)) {
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -32,7 +32,7 @@
 use std::time::Duration;
 
 use quincewheel_conf::LocalSettings;
-use quincewheel_http::{Reply, Request, Server};
+use quincewheel_http::{Intake, Limits, Listener, Purpose, Reply, Request, Server};
 use quincewheel_job::Answer;
 use quincewheel_peer::{Event, Hub};
 use quincewheel_platform as platform;
@@ -76,11 +76,17 @@
         .map_err(io::Error::other)?;
     let gate = Arc::new(Gate::default());
     let call_gate = Arc::clone(&gate);
-    let metrics = Arc::new(Metrics::new(hub.traffic()));
+    let machine = own.machine.overridden(site.limits.memory_mb, site.limits.max_fds);
+    let intake = Intake::new(Limits::of_machine(machine.memory_bytes(), machine.descriptors()));
+    let metrics = Arc::new(Metrics::new(&intake, hub.traffic()));
     let served_metrics = Arc::clone(&metrics);
     let metrics_address = format!("{}:{}", site.ip, own.metrics_port);
-    let addresses = [&entry.clients, &entry.ready, &metrics_address].map(String::as_str);
-    Server::bind_all("callers", &addresses, move |request| {
+    let listeners = [
+        Listener { address: &entry.clients, purpose: Purpose::Calls },
+        Listener { address: &entry.ready, purpose: Purpose::Pages },
+        Listener { address: &metrics_address, purpose: Purpose::Pages },
+    ];
+    Server::bind_all("callers", &listeners, &intake, move |request| {
         serve_request(request, calls.clone(), Arc::clone(&call_gate), Arc::clone(&served_metrics))
     })?;
     log::info!(event = "start", zone = site.zone.as_str(), peers = site.peer_address.as_str(); "entry");
--- a/crates/entry/src/site/metrics.rs
+++ b/crates/entry/src/site/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 use quincewheel_dispatch::{Cause, ClearanceCalls, Grade};
+use quincewheel_http::Intake;
 use quincewheel_job::Answer;
 use quincewheel_peer::Traffic;
 use quincewheel_share::Account;
@@ -96,8 +97,8 @@
 const LATENCY_BUCKETS: (f64, u16) = (0.0005, 15);
 
 impl Metrics {
-    /// Creates the metrics, with those of the connections to other processes.
-    pub fn new(traffic: Arc<Traffic>) -> Metrics {
+    /// Creates the metrics, with those of `intake` and of the connections to other processes.
+    pub fn new(intake: &Intake, traffic: Arc<Traffic>) -> Metrics {
         let (smallest, count) = LATENCY_BUCKETS;
         let metrics = Metrics {
             registry: Mutex::new(Registry::with_prefix("quincewheel_entry")),
@@ -128,12 +129,13 @@
             config_age: Gauge::default(),
             table_lost: Gauge::default(),
         };
-        metrics.register();
+        metrics.register(intake);
         metrics
     }
 
-    fn register(&self) {
+    fn register(&self, intake: &Intake) {
         let mut registry = self.registry.lock().unwrap_or_else(|lock| lock.into_inner());
+        intake.register(&mut registry);
         registry.register("calls", "Clients' calls by method and outcome", self.calls.clone());
         let help = "Time from a call's arrival to its answer";
         registry.register_with_unit("call_duration", help, Unit::Seconds, self.latency.clone());
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -2,6 +2,8 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 
+use crate::connection::Connection;
+
 /// The result of reading a request's body.
 #[derive(Debug, Eq, PartialEq)]
 pub enum Body {
@@ -19,6 +21,7 @@
 
 /// Reads a body of at most `limit` bytes.
 pub async fn read(request: &mut Request, limit: usize) -> Body {
+    let connection = Connection::of(request);
     let mut payload = request.take_payload();
     let mut bytes = BytesMut::new();
     let mut skipped = 0;
@@ -34,5 +37,8 @@
         }
         bytes.extend_from_slice(&chunk);
     }
+    if let Some(connection) = connection {
+        connection.end_body();
+    }
     if skipped > 0 { Body::Oversized } else { Body::Whole(bytes.freeze()) }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,12 +2,30 @@
 //!
 //! It uses `actix-http` without a web framework, as the system has a single table
 //! of routes, which a framework would only obscure.
+//!
+//! Clients may send anything at any pace, and leave replies unread. The number of their
+//! connections is bounded by an [`Intake`].
 
 mod body;
+mod budget;
+mod connection;
+mod connections;
+mod intake;
+mod limit;
+mod limits;
+mod listener;
+mod phase;
 mod server;
+mod stream;
 
 pub use actix_http::{HttpMessage, Request, Response, StatusCode};
 pub use body::{Body, read};
+pub use budget::{Budget, Charge, Full, Group, Id};
+pub use intake::Intake;
+pub use limit::Limit;
+pub use limits::{BODY_ALLOWANCE, Limits};
+pub use listener::{Listener, Purpose};
+pub use phase::Phase;
 pub use server::Server;
 
 /// A response whose body is in memory.
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -64,8 +64,13 @@
 }
 
 /// Log targets of the crates of this system.
-const OWN_TARGETS: &[&str] =
-    &["quincewheel_agent", "quincewheel_conf", "quincewheel_entry", "quincewheel_peer"];
+const OWN_TARGETS: &[&str] = &[
+    "quincewheel_agent",
+    "quincewheel_conf",
+    "quincewheel_entry",
+    "quincewheel_http",
+    "quincewheel_peer",
+];
 
 /// Adds the process's name to every line, so that the logs of several processes can
 /// be merged.
