Bound the bytes of all bodies, and refuse announced bodies far over the limit

What callers saw: a process ran out of memory under many large bodies of legal size, whole or in pieces, announced or chunked, most of which stopped short of their end; and under bodies far over the limit.

Cause: each connection could hold a body of 1 MiB (4 MiB at an agent) for ever. There was no limit over all of them. A body over the limit was read on up to 16 times the limit, and its buffer kept what it had, as clearing frees nothing.

Change: a connection may always hold 16 KiB of a body, which is part of what each connection is reckoned at, so that ordinary calls get in beside any crowd. What a body holds beyond is charged to a quarter of the machine's memory, until the call that has it is executed, also if the client is gone by then. If that is full, the body that makes the least progress gives way; if none makes less than the new one, that is refused: 503, or 504 where an earlier attempt with the same id may have been stored. A body announced at over twice the limit is refused at once and the connection closed after the refusal; up to that it is read and discarded, without a buffer, and the connection stays usable.

Refused, cut and answered bodies give their bytes back.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -142,8 +142,12 @@
     }
     let method = request.method().as_str().to_owned();
     let path = request.path().to_owned();
-    let Body::Whole(body) = quincewheel_http::read(&mut request, MAX_REPORT_BYTES).await else {
-        return quincewheel_http::reply(413, "application/json", "{}");
+    let body = match quincewheel_http::read(&mut request, MAX_REPORT_BYTES).await {
+        Body::Whole(body) => body,
+        Body::Refused => return quincewheel_http::reply(503, "application/json", "{}"),
+        Body::Oversized | Body::Cut => {
+            return quincewheel_http::reply(413, "application/json", "{}");
+        }
     };
     let status = match platform::decode_report(&method, &path, &body) {
         None => 404,
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -108,6 +108,10 @@
                 return Err(fault);
             }
             Body::Cut => return Err(Fault::invalid("body", "the body ended early")),
+            Body::Refused => {
+                let message = "this entry receives too many large bodies; nothing was done";
+                return Err(Fault::new(Code::Unavailable, message).retry_after(RETRY_AFTER));
+            }
         };
         let Some(key) = bearer.strip_prefix("Bearer ").filter(|key| !key.is_empty()) else {
             let mut fault = Fault::new(Code::Unauthenticated, "give a key as bearer token");
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -83,6 +83,7 @@
         Call::Submit { id } => match &call.body {
             Body::Cut => Answer::Invalid("the body ended early".to_owned()),
             Body::Oversized => Answer::Oversized,
+            Body::Refused => unavailable(shared),
             Body::Whole(body) => match call.protocol.job(target, body, quincewheel_clock::wall()) {
                 Ok(job) => submit(shared, target, id, job).await,
                 Err(text) => Answer::Invalid(text),
--- a/crates/entry/src/site/rpc.rs
+++ b/crates/entry/src/site/rpc.rs
@@ -24,6 +24,8 @@
     let Body::Whole(body) = body else {
         return Err(match body {
             Body::Oversized => Answer::Oversized,
+            // The job's id is not known, so an earlier attempt may have been stored.
+            Body::Refused => Answer::Unclear,
             _ => Answer::Invalid("the body ended early".to_owned()),
         });
     };
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -54,6 +54,18 @@
         self.publish();
     }
 
+    /// Charges a connection for bytes of a body. Returns whether it may hold them.
+    pub fn charge(&self, id: Id, bytes: usize) -> bool {
+        let charge = self.intake.budget().charge(id, bytes, self.intake.now());
+        for displaced in charge.displaced {
+            self.end(displaced, Limit::BodyBytes);
+        }
+        if !charge.is_granted {
+            self.intake.turn_away(Limit::BodyBytes);
+        }
+        charge.is_granted
+    }
+
     /// Ends connections whose request or reply takes too long, for as long as the server runs.
     pub async fn watch(&self) {
         loop {
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -25,6 +25,12 @@
     log_limit: quincewheel_log::Limit,
 }
 
+/// Part of the budget that a body takes, which is given back when this is dropped.
+pub(crate) struct Share {
+    intake: Intake,
+    bytes: usize,
+}
+
 impl Intake {
     /// Creates an intake without clients.
     pub fn new(limits: Limits) -> Intake {
@@ -81,4 +87,15 @@
         self.0.connections.set(connections as i64);
         self.0.body_bytes.set(self.budget().body_bytes() as i64);
     }
+
+    /// Takes over bytes that were detached from a connection.
+    pub(crate) fn share(&self, bytes: usize) -> Share {
+        Share { intake: self.clone(), bytes }
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.intake.budget().release(self.bytes);
+    }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,8 +3,8 @@
 //! It uses `actix-http` without a web framework, as the system has a single table
 //! of routes, which a framework would only obscure.
 //!
-//! Clients may send anything at any pace, and leave replies unread. The number of their
-//! connections is bounded by an [`Intake`], and each connection is read only as far as its request
+//! Clients may send anything at any pace, and leave replies unread. What they can make the process
+//! hold is bounded by an [`Intake`], and each connection is read only as far as its request
 //! allows.
 
 mod body;
@@ -20,7 +20,7 @@
 mod stream;
 
 pub use actix_http::{HttpMessage, Request, Response, StatusCode};
-pub use body::{Body, read};
+pub use body::{Body, may_be_large, read};
 pub use budget::{Budget, Charge, Full, Group, Id};
 pub use intake::Intake;
 pub use limit::Limit;
--- a/crates/http/tests/requests.rs
+++ b/crates/http/tests/requests.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use quincewheel_http::{Body, Intake, Limits, Listener, Purpose, Reply, Request, Server};
@@ -10,6 +11,9 @@
 const MAX_BODY: usize = 100_000;
 /// A client waits at most so long for an answer.
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// A client whose large body is refused tries again so often, and after such a pause.
+const MAX_TRIES: usize = 100;
+const RETRY_DELAY: Duration = Duration::from_millis(10);
 
 fn serve(limits: Limits) -> Server {
     let listener = Listener { address: "127.0.0.1:0", purpose: Purpose::Calls };
@@ -22,6 +26,7 @@
         Body::Whole(body) => (200, body.len().to_string()),
         Body::Oversized => (413, "oversized".to_owned()),
         Body::Cut => (400, "cut".to_owned()),
+        Body::Refused => (503, "refused".to_owned()),
     };
     quincewheel_http::reply(status, "text/plain", text)
 }
@@ -107,6 +112,41 @@
     assert_eq!(answers(&exchange(&server, &[&bytes])).len(), 2001);
 }
 
+/// Guards against a refusal that the client cannot read, because its connection is reset while it
+/// still sends, and against a connection that is lost for a body that is a little too large.
+#[test]
+fn a_refused_body_is_answered() {
+    let server = serve(roomy());
+    let far = exchange(&server, &[&sized(500_000)]);
+    let near = exchange(&server, &[&sized(MAX_BODY + 1), CLOSE]);
+    let chunks = exchange(&server, &[&chunked(500_000, 8192)]);
+    assert_eq!(answers(&far), ["413 oversized"]);
+    assert_eq!(answers(&near), ["413 oversized", "200 0"]);
+    assert_eq!(answers(&chunks), ["413 oversized"]);
+}
+
+/// Guards against a budget that large bodies keep after they were answered, refused or cut off.
+#[test]
+fn large_bodies_give_their_bytes_back() {
+    let server = serve(Limits { body_bytes: 100_000, ..roomy() });
+    for _ in 0..20 {
+        let refused = exchange(&server, &[&chunked(MAX_BODY, 1000)]);
+        let mut cut = TcpStream::connect(server.address()).unwrap();
+        cut.write_all(&sized(90_000)[..50_000]).unwrap();
+        drop(cut);
+        // A buffer of unknown length doubles, beyond this budget.
+        assert_eq!(answers(&refused), ["503 refused"]);
+    }
+    let mut whole = sized(MAX_BODY);
+    whole.extend_from_slice(CLOSE);
+    // The server takes a moment to notice the last connection that was cut.
+    let is_served = (0..MAX_TRIES).any(|_| {
+        thread::sleep(RETRY_DELAY);
+        answers(&exchange(&server, &[&whole])) == ["200 100000", "200 0"]
+    });
+    assert!(is_served, "the budget is not given back");
+}
+
 /// Guards against a head without an end.
 #[test]
 fn a_long_head_ends_the_connection() {
