Refuse a large body before it is received where the call is refused anyway

Cause: the path, the key and the limit in force were looked at after the body.

Change: before a body that may exceed what its connection may always hold, the decision thread is asked whether the call can be served at all: the path and key of the users' interface, the procedure and key of the product's own. It answers with the limit in force or with the refusal, which is counted and logged as any other; the connection is closed after it. Smaller bodies take the way that they took. The own interface without the platform refuses a large body without a key. A call that the decision thread does not see, as its queue is full, is answered 504 rather than 503 if it is a submission: an earlier attempt may have been stored. A request in flight is counted by a guard: one whose client left was counted for ever, and stopping waited for it.

--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -85,7 +85,13 @@
         };
         let content_type = header("content-type");
         let bearer = header("authorization");
-        // The body is read before any check, so that the connection can be reused after an error.
+        let key = bearer.strip_prefix("Bearer ").filter(|key| !key.is_empty());
+        // A large body of a call without a key is not received; the connection is closed.
+        if key.is_none() && quincewheel_http::may_be_large(request) {
+            return Err(unauthenticated());
+        }
+        // Else the body is read before any check, so that the connection can be reused after an
+        // error.
         let body = quincewheel_http::read(request, MAX_BODY).await;
         if request.method().as_str() != "POST" {
             return Err(Fault::new(Code::Unimplemented, "use POST for calls"));
@@ -113,11 +119,7 @@
                 return Err(Fault::new(Code::Unavailable, message).retry_after(RETRY_AFTER));
             }
         };
-        let Some(key) = bearer.strip_prefix("Bearer ").filter(|key| !key.is_empty()) else {
-            let mut fault = Fault::new(Code::Unauthenticated, "give a key as bearer token");
-            fault.detail.field = "authorization".to_owned();
-            return Err(fault);
-        };
+        let key = key.ok_or_else(unauthenticated)?;
         let key_digest = quincewheel_wire::sha256(key.as_bytes());
         if method == "GetBurn" {
             return self.burn(codec, &body, key_digest).await;
@@ -259,6 +261,12 @@
     codec.decode(body)
 }
 
+fn unauthenticated() -> Fault {
+    let mut fault = Fault::new(Code::Unauthenticated, "give a key as bearer token");
+    fault.detail.field = "authorization".to_owned();
+    fault
+}
+
 fn plain_text(status: u16, body: &'static str) -> Reply {
     quincewheel_http::reply(status, "text/plain; charset=utf-8", body)
 }
--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod clearance;
 mod client_call;
+mod clients;
 mod evacuation;
 mod follow;
 mod forward;
@@ -32,17 +33,16 @@
 use std::time::Duration;
 
 use quincewheel_conf::LocalSettings;
-use quincewheel_http::{Intake, Limits, Listener, Purpose, Reply, Request, Server};
-use quincewheel_job::Answer;
+use quincewheel_http::{Intake, Limits, Listener, Purpose, Server};
 use quincewheel_peer::{Event, Hub};
 use quincewheel_platform as platform;
 use quincewheel_ring as ring;
 use quincewheel_wire::{Hello, Key, Notice, Role, Sent};
-use tokio::sync::oneshot;
 
 use crate::scheduling::Scheduling;
 
-use self::client_call::{ClientCall, Protocol};
+use self::client_call::{Demand, Inquiry};
+use self::clients::Clients;
 use self::gate::Gate;
 use self::metrics::Metrics;
 use self::state::{Shared, Site};
@@ -51,8 +51,6 @@
 const MAX_QUEUED_CALLS: usize = 4096;
 /// Capacity of the queue of frames from other processes to the decision thread.
 const MAX_QUEUED_FRAMES: usize = 4096;
-/// Upper bound on a request body in bytes; the configuration may set a lower one.
-const MAX_BODY_BYTES: usize = 1 << 20;
 
 /// Serves until the process receives a signal to terminate.
 pub(crate) fn serve(
@@ -68,26 +66,25 @@
     };
     quincewheel_log::open_lines(&site.name, own.log_level).map_err(io::Error::other)?;
     let incarnation: u64 = rand::random();
-    let (calls, calls_in) = ring::open::<ClientCall>(MAX_QUEUED_CALLS);
+    let (calls, calls_in) = ring::open::<Demand>(MAX_QUEUED_CALLS);
     let (peers, peers_in) = ring::open::<Event<Notice>>(MAX_QUEUED_FRAMES);
     let hello = Hello { role: Role::Entry, name: site.name.clone(), incarnation };
     let key = Key::new(own.fleet_key.as_bytes());
     let hub: Hub<Sent> = Hub::bind(&site.peer_address, key, hello, peers, |event| event)
         .map_err(io::Error::other)?;
     let gate = Arc::new(Gate::default());
-    let call_gate = Arc::clone(&gate);
     let machine = own.machine.overridden(site.limits.memory_mb, site.limits.max_fds);
     let intake = Intake::new(Limits::of_machine(machine.memory_bytes(), machine.descriptors()));
     let metrics = Arc::new(Metrics::new(&intake, hub.traffic()));
-    let served_metrics = Arc::clone(&metrics);
     let metrics_address = format!("{}:{}", site.ip, own.metrics_port);
     let listeners = [
         Listener { address: &entry.clients, purpose: Purpose::Calls },
         Listener { address: &entry.ready, purpose: Purpose::Pages },
         Listener { address: &metrics_address, purpose: Purpose::Pages },
     ];
+    let clients = Clients { calls, gate: Arc::clone(&gate), metrics: Arc::clone(&metrics) };
     Server::bind_all("callers", &listeners, &intake, move |request| {
-        serve_request(request, calls.clone(), Arc::clone(&call_gate), Arc::clone(&served_metrics))
+        clients.clone().serve(request)
     })?;
     log::info!(event = "start", zone = site.zone.as_str(), peers = site.peer_address.as_str(); "entry");
     let path = settings.to_owned();
@@ -112,48 +109,21 @@
     })
 }
 
-/// Answers an HTTP request: the metrics and readiness pages directly, a call through the decision
-/// thread.
-async fn serve_request(
-    mut request: Request,
-    calls: ring::Sender<ClientCall>,
-    gate: Arc<Gate>,
-    metrics: Arc<Metrics>,
-) -> Reply {
-    if request.path() == quincewheel_http::METRICS {
-        return quincewheel_http::metrics(metrics.page());
-    }
-    if request.path() == platform::READY_PATH {
-        let status = if gate.ready() { 200 } else { 503 };
-        return quincewheel_http::reply(status, "text/plain", "");
-    }
-    gate.enter();
-    let mut reply = execute(&mut request, &calls).await;
-    gate.leave();
-    if gate.closing() {
-        quincewheel_http::close(&mut reply);
-    }
-    reply
-}
-
-async fn execute(request: &mut Request, calls: &ring::Sender<ClientCall>) -> Reply {
-    let protocol = Protocol::from_request(request);
-    let (reply, answer) = oneshot::channel();
-    let body = quincewheel_http::read(request, MAX_BODY_BYTES).await;
-    if calls.try_send(ClientCall { protocol: protocol.clone(), body, reply }).is_err() {
-        return protocol.encode(&Answer::Unavailable(1000));
-    }
-    protocol.encode(&answer.await.unwrap_or(Answer::Unclear))
-}
-
-async fn serve_calls(shared: Shared, calls: ring::Receiver<ClientCall>) {
-    while let Some(call) = calls.recv().await {
-        let shared = Rc::clone(&shared);
-        actix_rt::spawn(async move {
-            let answer = calls::execute(&shared, &call).await;
-            // The receiver is dropped if the client has disconnected.
-            let _ = call.reply.send(answer);
-        });
+async fn serve_calls(shared: Shared, demands: ring::Receiver<Demand>) {
+    while let Some(demand) = demands.recv().await {
+        // The receiver of a reply is dropped if the client has disconnected.
+        match demand {
+            Demand::Inquiry(Inquiry { protocol, reply }) => {
+                let _ = reply.send(calls::check(&shared, &protocol));
+            }
+            Demand::Call(call) => {
+                let shared = Rc::clone(&shared);
+                actix_rt::spawn(async move {
+                    let answer = calls::execute(&shared, &call).await;
+                    let _ = call.reply.send(answer);
+                });
+            }
+        }
     }
 }
 
--- a/crates/entry/src/site/calls.rs
+++ b/crates/entry/src/site/calls.rs
@@ -10,7 +10,7 @@
 use quincewheel_store::{Change, Commit, Error, Read};
 use quincewheel_wire::{Peer, Verdict};
 
-use super::client_call::ClientCall;
+use super::client_call::{ClientCall, Protocol};
 use super::forward;
 use super::job_events;
 use super::job_state;
@@ -35,16 +35,35 @@
         Ok(target) => resolve_answer(shared, &target.call, dispatch(shared, call, &target).await),
         Err(answer) => resolve_rejected(shared, call, answer),
     };
+    let id = executed.as_ref().and_then(Call::id).unwrap_or_default();
+    record(shared, &call.protocol, id, &answer, started_at);
+    answer
+}
+
+/// Checks what can be known of a call before its body is received. Returns the largest body, in
+/// bytes, or the answer.
+pub(crate) fn check(shared: &Site, protocol: &Protocol) -> Result<usize, Answer> {
+    let started_at = quincewheel_clock::boot();
+    let checked = match shared.config.borrow().as_ref() {
+        None => Err(unavailable(shared)),
+        Some(config) => protocol.check(config).map(|()| config.body),
+    };
+    if let Err(answer) = &checked {
+        record(shared, protocol, "", answer, started_at);
+    }
+    checked
+}
+
+/// Counts a call, and logs it if it was not successful.
+fn record(shared: &Site, protocol: &Protocol, id: &str, answer: &Answer, started_at: u64) {
     let ms = quincewheel_clock::boot() - started_at;
-    let method = call.protocol.method();
-    shared.metrics.count_call(method, &answer, ms);
+    let method = protocol.method();
+    shared.metrics.count_call(method, answer, ms);
     if !answer.is_success() {
-        let id = executed.as_ref().and_then(Call::id).unwrap_or_default();
         let age = started_at.saturating_sub(shared.config_confirmed_at.get());
         let version = shared.config.borrow().as_ref().map_or(0, |config| config.version);
         log::info!(event = "refused", job = id, method = method, ms = ms, config = version, age = age; "{answer:?}");
     }
-    answer
 }
 
 /// Checks a call that was refused before it was executed: an earlier attempt may have written the
--- a/crates/entry/src/site/client_call.rs
+++ b/crates/entry/src/site/client_call.rs
@@ -14,6 +14,22 @@
     pub reply: oneshot::Sender<Answer>,
 }
 
+/// A question whether the body of a call may be received.
+pub(crate) struct Inquiry {
+    pub protocol: Protocol,
+    /// Takes the largest body in bytes, or why the call is refused whatever its body is.
+    pub reply: oneshot::Sender<Result<usize, Answer>>,
+}
+
+/// What the decision thread is asked for a client.
+pub(crate) enum Demand {
+    Inquiry(Inquiry),
+    Call(ClientCall),
+}
+
+/// Delay after which a client may retry a call that the decision thread has not seen.
+const RETRY_AFTER_MS: u64 = 1000;
+
 /// How a call was made. Both protocols lead to the same jobs.
 #[derive(Clone, Debug)]
 pub(crate) enum Protocol {
@@ -62,6 +78,24 @@
         }
     }
 
+    /// Checks what can be known of a call before its body.
+    pub fn check(&self, config: &Config) -> Result<(), Answer> {
+        match self {
+            Protocol::Path { .. } => self.target(config, &Body::Cut).map(drop),
+            Protocol::Procedure { name, key, .. } => rpc::check(config, name, key),
+        }
+    }
+
+    /// Returns the answer to a call that the decision thread has not seen. An earlier attempt of
+    /// a submission may have been stored, so that it is not refused.
+    pub fn unseen(&self) -> Answer {
+        let is_submission = match self {
+            Protocol::Path { method, .. } => method == "POST",
+            Protocol::Procedure { name, .. } => name == rpc::SUBMIT,
+        };
+        if is_submission { Answer::Unclear } else { Answer::Unavailable(RETRY_AFTER_MS) }
+    }
+
     /// Decodes the job of a submission.
     pub fn job(&self, target: &Target, body: &[u8], accepted: u64) -> Result<Job, String> {
         match self {
--- a/crates/entry/src/site/gate.rs
+++ b/crates/entry/src/site/gate.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 /// State shared by the thread that accepts calls and the decision thread.
@@ -9,6 +10,9 @@
     active: AtomicUsize,
 }
 
+/// A request in flight, until it is dropped.
+pub(crate) struct Active(Arc<Gate>);
+
 impl Gate {
     /// True if the platform should route clients to this entry.
     pub fn ready(&self) -> bool {
@@ -42,11 +46,15 @@
         self.closing.store(true, Ordering::Relaxed);
     }
 
-    pub fn enter(&self) {
+    /// Counts a request in flight.
+    pub fn enter(self: &Arc<Gate>) -> Active {
         self.active.fetch_add(1, Ordering::Relaxed);
+        Active(Arc::clone(self))
     }
+}
 
-    pub fn leave(&self) {
-        self.active.fetch_sub(1, Ordering::Relaxed);
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/entry/src/site/rpc.rs
+++ b/crates/entry/src/site/rpc.rs
@@ -13,6 +13,18 @@
 /// Path under which the procedures are served.
 pub(crate) const PREFIX: &str = "/quincewheel.jobs.v1.Jobs/";
 
+/// Name of the procedure that submits a job.
+pub(crate) const SUBMIT: &str = "Submit";
+const PROCEDURES: [&str; 4] = [SUBMIT, "GetState", "Cancel", "CountWaiting"];
+
+/// Checks what can be known of a call before its body.
+pub(crate) fn check(config: &Config, name: &str, key: &str) -> Result<(), Answer> {
+    if !PROCEDURES.contains(&name) {
+        return Err(Answer::Refused(Refusal::Path));
+    }
+    config.team_of_key(key).map(drop).ok_or(Answer::Refused(Refusal::Key))
+}
+
 /// Resolves a call against the configuration.
 pub(crate) fn target(
     config: &Config,
@@ -31,7 +43,7 @@
     };
     let invalid = |fault: Fault| Answer::Invalid(fault.message);
     let (queue, call) = match name {
-        "Submit" => {
+        SUBMIT => {
             let request: schema::SubmitRequest = codec.decode(body).map_err(invalid)?;
             (request.queue, Call::Submit { id: request.id })
         }
