Bound the calls that are executed, whose clients may be gone

Cause: calls left the queue of 4,096 at once and were executed side by side without a limit. A client that sends a whole body, leaves and comes again leaves one behind for as long as the table takes, two seconds at most.

Change: a ticket is held until a call is executed, also if its client has left. There are as many as connections for calls; beyond that a submission is answered 504, as an earlier attempt may have been stored, another call 503 with Retry-After. Counted and logged as limit=calls.

Two more: jobs of as many empty steps as a body holds.

--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -82,7 +82,12 @@
         Listener { address: &entry.ready, purpose: Purpose::Pages },
         Listener { address: &metrics_address, purpose: Purpose::Pages },
     ];
-    let clients = Clients { calls, gate: Arc::clone(&gate), metrics: Arc::clone(&metrics) };
+    let clients = Clients {
+        calls,
+        gate: Arc::clone(&gate),
+        metrics: Arc::clone(&metrics),
+        intake: intake.clone(),
+    };
     Server::bind_all("callers", &listeners, &intake, move |request| {
         clients.clone().serve(request)
     })?;
--- a/crates/entry/src/site/client_call.rs
+++ b/crates/entry/src/site/client_call.rs
@@ -3,6 +3,7 @@
 use quincewheel_platform as platform;
 use tokio::sync::oneshot;
 
+use super::gate::Ticket;
 use super::rpc;
 use crate::connect::Codec;
 
@@ -12,6 +13,8 @@
     pub protocol: Protocol,
     pub body: Body,
     pub reply: oneshot::Sender<Answer>,
+    /// Held until the call is executed.
+    pub _ticket: Ticket,
 }
 
 /// A question whether the body of a call may be received.
--- a/crates/entry/src/site/clients.rs
+++ b/crates/entry/src/site/clients.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use quincewheel_http::{Reply, Request};
+use quincewheel_http::{Intake, Limit, Reply, Request};
 use quincewheel_job::Answer;
 use quincewheel_platform as platform;
 use quincewheel_ring as ring;
@@ -19,6 +19,7 @@
     pub calls: ring::Sender<Demand>,
     pub gate: Arc<Gate>,
     pub metrics: Arc<Metrics>,
+    pub intake: Intake,
 }
 
 impl Clients {
@@ -51,8 +52,12 @@
             }
         }
         let body = quincewheel_http::read(request, max_bytes).await;
+        let Some(ticket) = self.gate.admit(self.intake.limits().calls) else {
+            self.intake.turn_away(Limit::Calls);
+            return protocol.unseen();
+        };
         let (reply, answer) = oneshot::channel();
-        let call = ClientCall { protocol: protocol.clone(), body, reply };
+        let call = ClientCall { protocol: protocol.clone(), body, reply, _ticket: ticket };
         if self.calls.try_send(Demand::Call(call)).is_err() {
             return protocol.unseen();
         }
--- a/crates/entry/src/site/gate.rs
+++ b/crates/entry/src/site/gate.rs
@@ -8,11 +8,15 @@
     draining: AtomicBool,
     closing: AtomicBool,
     active: AtomicUsize,
+    executing: AtomicUsize,
 }
 
 /// A request in flight, until it is dropped.
 pub(crate) struct Active(Arc<Gate>);
 
+/// A call that the decision thread executes, until it is dropped. The client may be gone before.
+pub(crate) struct Ticket(Arc<Gate>);
+
 impl Gate {
     /// True if the platform should route clients to this entry.
     pub fn ready(&self) -> bool {
@@ -51,6 +55,13 @@
         self.active.fetch_add(1, Ordering::Relaxed);
         Active(Arc::clone(self))
     }
+
+    /// Admits a call to the decision thread unless it executes `max` calls.
+    pub fn admit(self: &Arc<Gate>, max: usize) -> Option<Ticket> {
+        let ticket = Ticket(Arc::clone(self));
+        let executing = self.executing.fetch_add(1, Ordering::Relaxed);
+        (executing < max).then_some(ticket)
+    }
 }
 
 impl Drop for Active {
@@ -58,3 +69,9 @@
         self.0.active.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.0.executing.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/stand-in/tests/soak/crowd.rs
+++ b/crates/stand-in/tests/soak/crowd.rs
@@ -30,6 +30,7 @@
     stream: Option<TcpStream>,
     sent: usize,
     reopenings: u32,
+    visits: u32,
 }
 
 impl Crowd {
@@ -40,8 +41,9 @@
             (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
         let (stopping, settling) = (Arc::clone(&stopped), Arc::clone(&settled));
         let thread = thread::spawn(move || {
-            let mut members: Vec<Member> =
-                (0..size).map(|_| Member { stream: None, sent: 0, reopenings: 0 }).collect();
+            let mut members: Vec<Member> = (0..size)
+                .map(|_| Member { stream: None, sent: 0, reopenings: 0, visits: 0 })
+                .collect();
             while !stopping.load(Ordering::Relaxed) {
                 let mut has_settled = true;
                 for member in &mut members {
@@ -89,6 +91,12 @@
             return false;
         };
         let rest = &payload.bytes[self.sent..];
+        if rest.is_empty() && self.visits < payload.visits {
+            self.visits += 1;
+            self.reopenings = 0;
+            self.stream = None;
+            return false;
+        }
         if rest.is_empty() {
             if is_closed(stream) {
                 self.stream = None;
--- a/crates/stand-in/tests/soak/crowd_cases.rs
+++ b/crates/stand-in/tests/soak/crowd_cases.rs
@@ -10,13 +10,15 @@
 
 use quincewheel_stand_in::fleet::Fleet;
 
+use crate::client::SUBMIT_PATH;
 use crate::crowd::{Crowd, call};
 use crate::deployment::Deployment;
 use crate::kind::Kind;
 use crate::net;
-use crate::payload::Payload;
+use crate::payload::{JOB_PATH, Payload};
 use crate::settings::Machine;
 use crate::size::Size;
+use crate::table::TableFault;
 use crate::watch::Watch;
 
 /// A crowd, the address that it calls, and the machine of the process that listens there.
@@ -46,6 +48,12 @@
 
 /// The body size that the configuration allows.
 const BODY: usize = 262_144;
+/// A body that connections may hold without being charged.
+const SMALL_BODY: usize = 15_000;
+/// How often each client that leaves comes again.
+const VISITS: u32 = 30;
+/// Milliseconds that a slow table takes.
+const TABLE_DELAY_MS: u64 = 600;
 /// The body size that the product's own interface allows.
 const OWN_BODY: usize = 131_072;
 /// Memory of the machines, in MB.
@@ -76,7 +84,7 @@
 const SMALL: Machine = Machine { memory_mb: SMALL_MEMORY_MB, max_fds: MANY_FDS };
 const FEW: Machine = Machine { memory_mb: MEMORY_MB, max_fds: FEW_FDS };
 
-const CASES: [Case; 23] = [
+const CASES: [Case; 25] = [
     case("unfinished_bodies", Target::Clients, 400, |key| Payload::announced(key, BODY, BODY - 1)),
     case("unfinished_bodies_in_pieces", Target::Clients, 400, |key| {
         Payload::announced(key, BODY, BODY - 1).in_turns_of(4096)
@@ -96,8 +104,14 @@
         Payload::announced_to("/none/1", &format!("Token {key}"), BODY, BODY)
     }),
     case("unfinished_procedures", Target::Clients, 400, |key| {
-        let path = "/quincewheel.jobs.v1.Jobs/Submit";
-        Payload::announced_to(path, &format!("Bearer {key}"), BODY, BODY - 1)
+        Payload::announced_to(SUBMIT_PATH, &format!("Bearer {key}"), BODY, BODY - 1)
+    }),
+    case("many_steps", Target::Clients, 400, |key| {
+        Payload::many_steps(JOB_PATH, &format!("Token {key}"), "", BODY)
+    }),
+    case("many_steps_of_procedures", Target::Clients, 400, |key| {
+        let start = r#""queue":"calm","id":"00000000000000fe","#;
+        Payload::many_steps(SUBMIT_PATH, &format!("Bearer {key}"), start, BODY)
     }),
     case("long_heads", Target::Clients, 1000, |_| Payload::long_head(120_000)),
     case("unread_answers", Target::Clients, 60, |_| Payload::requests("/none/1", 60_000)),
@@ -142,8 +156,30 @@
     Case { name, target, members: FEW_FDS as usize + 100, machine: FEW, payload }
 }
 
+/// What replaces the sizes of the cases when they are run by hand.
+#[derive(Clone, Copy, Debug)]
+pub struct Scale {
+    pub members: Option<usize>,
+    pub memory_mb: Option<u64>,
+    pub max_fds: Option<u64>,
+}
+
+impl Scale {
+    fn apply(self, case: &Case) -> Case {
+        Case {
+            members: self.members.unwrap_or(case.members),
+            machine: Machine {
+                memory_mb: self.memory_mb.unwrap_or(case.machine.memory_mb),
+                max_fds: self.max_fds.unwrap_or(case.machine.max_fds),
+            },
+            ..*case
+        }
+    }
+}
+
 /// Runs the chosen cases one after the other. `report` takes each one's name and violations.
 pub fn run(
+    scale: Scale,
     logs: Option<&Path>,
     chosen: impl Fn(&str) -> bool,
     mut report: impl FnMut(&str, &[String]),
@@ -151,15 +187,18 @@
     for case in &CASES {
         let name = format!("crowd_{}", case.name);
         if chosen(&name) {
-            report(&name, &on_platform(case, logs));
+            report(&name, &on_platform(&scale.apply(case), logs));
         }
     }
     for case in &OWN_CASES {
         let name = format!("crowd_{}", case.name);
         if chosen(&name) {
-            report(&name, &without_platform(case));
+            report(&name, &without_platform(&scale.apply(case)));
         }
     }
+    if chosen("crowd_leaving_clients") {
+        report("crowd_leaving_clients", &leaving_clients(scale, logs));
+    }
     if chosen("crowd_calm_bodies") {
         report("crowd_calm_bodies", &calm_bodies(logs));
     }
@@ -248,6 +287,29 @@
     violations
 }
 
+/// Clients submit jobs and leave without the answer, while the table is slow.
+fn leaving_clients(scale: Scale, logs: Option<&Path>) -> Vec<String> {
+    let case = scale.apply(&case("leaving_clients", Target::Clients, 400, |key| {
+        Payload::job(key, SMALL_BODY).with_visits(VISITS)
+    }));
+    let deployment = open(case.name, case.machine, logs);
+    let (ip, key) = (deployment.ip(ENTRY), deployment.key());
+    let address = format!("{ip}:{}", net::CLIENTS);
+    // Answered without the table.
+    let request = |_| {
+        let head = "GET /calm/ HTTP/1.1\r\nHost: soak.example\r\nAuthorization: Token";
+        format!("{head} {key}\r\n\r\n").into_bytes()
+    };
+    if !is_answered(&address, 200, request) {
+        return vec!["not ready".to_owned()];
+    }
+    deployment.set_table_fault(TableFault::Slow(TABLE_DELAY_MS));
+    let id = deployment.process_id(ENTRY);
+    let found = press(&case, id, &ip, &address, (&address, 200), request);
+    let ended = deployment.has_ended(ENTRY);
+    found.into_iter().chain(ended.then(|| "the process ended".to_owned())).collect()
+}
+
 /// Bodies of legal size, in pieces and in chunks of many sizes, are served when there is no crowd.
 fn calm_bodies(logs: Option<&Path>) -> Vec<String> {
     let deployment = open("calm_bodies", ROOMY, logs);
--- a/crates/stand-in/tests/soak/deployment.rs
+++ b/crates/stand-in/tests/soak/deployment.rs
@@ -285,6 +285,11 @@
         owner.is_some()
     }
 
+    /// Sets what the table does to each call.
+    pub fn set_table_fault(&self, fault: TableFault) {
+        self.table.lock().unwrap().fault = fault;
+    }
+
     /// Returns the id of a process.
     pub fn process_id(&self, process: usize) -> u32 {
         self.processes[process].id().expect("it was started")
--- a/crates/stand-in/tests/soak/main.rs
+++ b/crates/stand-in/tests/soak/main.rs
@@ -21,6 +21,7 @@
 //! cargo test -p quincewheel-stand-in --test soak -- --fresh 50 --seconds 15
 //! cargo test -p quincewheel-stand-in --test soak -- --seed 7 --logs /tmp/soak
 //! cargo test -p quincewheel-stand-in --test soak -- --fresh 3 --kind load --entries 12 --workers 80
+//! cargo test -p quincewheel-stand-in --test soak -- crowd_ --members 1500 --memory 260 --fds 4100
 //! ```
 
 mod bad_calls;
@@ -129,6 +130,9 @@
     options.optopt("", "seconds", "how long faults come", "S");
     options.optopt("", "entries", "how many entries; drawn by the seed unless set", "N");
     options.optopt("", "workers", "how many workers; drawn by the seed unless set", "N");
+    options.optopt("", "members", "connections of each crowd, in place of the case's", "N");
+    options.optopt("", "memory", "MB of the machines of crowds, in place of the case's", "MB");
+    options.optopt("", "fds", "descriptors of the machines of crowds, as well", "N");
     options.optflag("", "light", "clients use under half of the capacity");
     options.optflag(
         "",
@@ -207,7 +211,12 @@
         report(SILENT_AGENT_TEST, &silent_agent::run(logs.as_deref()), &mut failed);
     }
     if runs_ci_seeds {
-        crowd_cases::run(logs.as_deref(), chosen, |name, violations| {
+        let scale = crowd_cases::Scale {
+            members: number("members").map(|members| members as usize),
+            memory_mb: number("memory"),
+            max_fds: number("fds"),
+        };
+        crowd_cases::run(scale, logs.as_deref(), chosen, |name, violations| {
             report(name, violations, &mut failed);
         });
     }
--- a/crates/stand-in/tests/soak/payload.rs
+++ b/crates/stand-in/tests/soak/payload.rs
@@ -6,10 +6,12 @@
     pub bytes: Vec<u8>,
     /// Bytes that a member sends in one turn.
     pub turn: usize,
+    /// How often a member leaves once it has sent all, and comes again.
+    pub visits: u32,
 }
 
 /// Path of a job that nobody submitted.
-const JOB_PATH: &str = "/calm/00000000000000fe";
+pub const JOB_PATH: &str = "/calm/00000000000000fe";
 /// Frame types of HTTP/2.
 const H2_DATA: u8 = 0;
 const H2_HEADERS: u8 = 1;
@@ -19,7 +21,7 @@
 
 impl Payload {
     fn whole(bytes: Vec<u8>) -> Payload {
-        Payload { turn: bytes.len(), bytes }
+        Payload { turn: bytes.len(), bytes, visits: 0 }
     }
 
     /// Sends at most `turn` bytes at a time.
@@ -27,6 +29,19 @@
         Payload { turn, ..self }
     }
 
+    /// Leaves after each of so many requests and comes again.
+    pub fn with_visits(self, visits: u32) -> Payload {
+        Payload { visits, ..self }
+    }
+
+    /// A submission of a valid job in `size` bytes.
+    pub fn job(key: &str, size: usize) -> Payload {
+        let job = br#"{"steps":[{"count":1,"gpu":1,"estimateMs":10}]}"#;
+        let mut payload = Payload::announced(key, size, size - job.len());
+        payload.bytes.extend_from_slice(job);
+        Payload::whole(payload.bytes)
+    }
+
     /// A submission that announces `announced` bytes and sends `sent`, to the platform's interface.
     pub fn announced(key: &str, announced: usize, sent: usize) -> Payload {
         Payload::announced_to(JOB_PATH, &format!("Token {key}"), announced, sent)
@@ -40,6 +55,19 @@
         Payload::whole(bytes)
     }
 
+    /// A submission to `path` of a job with as many empty steps as `size` bytes hold.
+    pub fn many_steps(path: &str, authorization: &str, start: &str, size: usize) -> Payload {
+        let mut body = format!("{{{start}\"steps\":[{{}}").into_bytes();
+        while body.len() + ",{}]}".len() <= size {
+            body.extend_from_slice(b",{}");
+        }
+        body.extend_from_slice(b"]}");
+        let mut bytes =
+            head("POST", path, authorization, &format!("Content-Length: {}", body.len()));
+        bytes.extend_from_slice(&body);
+        Payload::whole(bytes)
+    }
+
     /// A submission of `count` chunks of `size` bytes without an end.
     pub fn chunked(key: &str, size: usize, count: usize) -> Payload {
         let authorization = format!("Token {key}");
@@ -66,7 +94,7 @@
 
     /// Nothing at all.
     pub fn silent() -> Payload {
-        Payload { bytes: Vec::new(), turn: 1 }
+        Payload { bytes: Vec::new(), turn: 1, visits: 0 }
     }
 
     /// An HTTP/2 connection of `streams` submissions, each with `size` bytes and without an end.
