Count the entries of lists before they are decoded

Cause: lists were decoded whole and then checked.

The steps of the remote procedures are counted first, in JSON and in protobuf.

--- a/crates/entry/src/site.rs
+++ b/crates/entry/src/site.rs
@@ -19,6 +19,7 @@
 mod links;
 mod machines;
 mod metrics;
+mod outline;
 mod ownership;
 mod queries;
 mod record;
--- a/crates/entry/src/site/rpc.rs
+++ b/crates/entry/src/site/rpc.rs
@@ -4,12 +4,15 @@
 
 use quincewheel_http::{Body, Reply};
 use quincewheel_job::{
-    Answer, Call, Config, Job, Refusal, Resources, Schedule, State, Step, Target, is_job_id,
+    Answer, Call, Config, Job, MAX_STEPS, Refusal, Resources, Schedule, State, Step, Target,
+    is_job_id,
 };
 use quincewheel_schema::jobs as schema;
 
 use crate::connect::{Code, Codec, Fault};
 
+use super::outline;
+
 /// Path under which the procedures are served.
 pub(crate) const PREFIX: &str = "/quincewheel.jobs.v1.Jobs/";
 
@@ -44,6 +47,9 @@
     let invalid = |fault: Fault| Answer::Invalid(fault.message);
     let (queue, call) = match name {
         SUBMIT => {
+            if outline::count_steps(codec, body).is_some_and(|count| count > MAX_STEPS) {
+                return Err(Answer::Invalid(format!("steps must have 1 to {MAX_STEPS} entries")));
+            }
             let request: schema::SubmitRequest = codec.decode(body).map_err(invalid)?;
             (request.queue, Call::Submit { id: request.id })
         }
--- a/crates/job/src/job.rs
+++ b/crates/job/src/job.rs
@@ -26,7 +26,7 @@
 /// Maximum length of `spec`, in bytes.
 pub const MAX_SPEC_BYTES: usize = 4000;
 /// Maximum number of steps in a job. 64 steps take a fifth of a row, which holds 64 KiB.
-const MAX_STEPS: usize = 64;
+pub const MAX_STEPS: usize = 64;
 /// Maximum number of tasks in all steps of a job.
 pub(crate) const MAX_TASKS: u64 = 10_000;
 /// Maximum number of times that a scheduled job may run.
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -33,7 +33,7 @@
 pub use error::Error;
 pub use evacuation::Evacuation;
 pub use incarnation::Incarnation;
-pub use job::Job;
+pub use job::{Job, MAX_STEPS};
 pub use layout::Layout;
 pub use machine::{Condition, Machine};
 pub use progress::{CrashCount, Progress, State};
