Receive a body only once it is asked for, and let the oldest of equals give way

What callers saw: nothing yet; found while reading the change.

Cause: a large body was let in while the decision thread was still asked whether its call can be served. The HTTP library reads on without a reader: 172,032 bytes of one body on one connection (4,014,080 sent, of which the kernel held 3,842,048). Among connections with the same lag the newest gave way.

Change: nothing of a body is read before its handler asks for it.

A regression is not ruled out.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -50,6 +50,9 @@
         return Body::Oversized;
     }
     let mut content = Content::new(Connection::of(request), length);
+    if let Some(connection) = &content.connection {
+        connection.begin_body(length);
+    }
     let mut payload = request.take_payload();
     let mut received = 0;
     let mut is_oversized = length.is_some_and(|length| length > limit);
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::phase::Phase;
@@ -193,9 +194,11 @@
         self.body_bytes
     }
 
-    /// Returns the connection with the longest lag among those that `is_meant` selects.
+    /// Returns the connection with the longest lag, of several the oldest, among those that `is_meant` selects.
     fn slowest(&self, now: u64, is_meant: impl Fn(&Held) -> bool) -> Option<(Id, u64)> {
         let meant = self.connections.iter().filter(|(_, held)| is_meant(held));
-        meant.filter_map(|(id, held)| Some((*id, held.lag(now)?))).max_by_key(|(_, lag)| *lag)
+        meant
+            .filter_map(|(id, held)| Some((*id, held.lag(now)?)))
+            .min_by_key(|(_, lag)| Reverse(*lag))
     }
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -35,6 +35,8 @@
 enum Reading {
     /// The head of a request, of which this many bytes were received.
     Head(usize),
+    /// Nothing, until the body of the request is asked for. The HTTP library would take it in at once.
+    Unread,
     /// A body of which so many bytes are left.
     Sized(usize),
     /// A body of unknown length.
@@ -110,6 +112,7 @@
             Reading::Head(MAX_HEAD_BYTES..) => return Err(Limit::HeadBytes),
             Reading::Refused(MAX_REFUSED_BYTES..) => return Err(Limit::RefusedBytes),
             Reading::Head(received) => HEAD_STEP.min(MAX_HEAD_BYTES - received),
+            Reading::Unread => 0,
             Reading::Sized(left) => SIZED_STEP.min(left),
             Reading::Chunked => CHUNKED_STEP,
             Reading::Ahead => MAX_AHEAD_BYTES.saturating_sub(self.ahead.get()),
@@ -124,7 +127,7 @@
         match self.reading.get() {
             Reading::Head(0) => self.enter(Phase::Receiving),
             Reading::Head(_) | Reading::Sized(_) | Reading::Chunked => self.progress(bytes),
-            Reading::Ahead | Reading::Refused(_) => {}
+            Reading::Unread | Reading::Ahead | Reading::Refused(_) => {}
         }
         match self.reading.get() {
             Reading::Head(received) => {
@@ -133,7 +136,7 @@
             }
             Reading::Ahead => self.ahead.set(self.ahead.get() + bytes),
             Reading::Refused(received) => self.reading.set(Reading::Refused(received + bytes)),
-            Reading::Sized(_) | Reading::Chunked => {}
+            Reading::Unread | Reading::Sized(_) | Reading::Chunked => {}
         }
     }
 
@@ -165,16 +168,16 @@
 
     /// Begins a request with a body of `length` bytes, or of unknown length.
     pub fn begin(&self, length: Option<usize>) {
-        match length {
-            Some(0) => self.end_body(),
-            Some(length) => self.begin_body(Reading::Sized(length)),
-            None => self.begin_body(Reading::Chunked),
+        if length == Some(0) {
+            return self.end_body();
         }
+        self.enter(Phase::Receiving);
+        self.read(Reading::Unread);
     }
 
-    fn begin_body(&self, reading: Reading) {
-        self.enter(Phase::Receiving);
-        self.read(reading);
+    /// Lets the body of the request be received.
+    pub fn begin_body(&self, length: Option<usize>) {
+        self.read(length.map_or(Reading::Chunked, Reading::Sized));
     }
 
     /// Records that part of the body was taken from the HTTP library.
