--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -63,8 +63,12 @@
     """The connection is closed without an answer."""
 
 
-async def serve(host, port, handler):
+async def serve(host, port, handler, opened=None):
+    """Serves HTTP. `opened` takes the writers of the open connections."""
+    opened = set() if opened is None else opened
+
     async def connection(reader, writer):
+        opened.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
@@ -79,6 +83,7 @@
         except asyncio.CancelledError:
             pass  # the script ends
         finally:
+            opened.discard(writer)
             writer.close()
     return await asyncio.start_server(connection, host, port, limit=1 << 20, backlog=512)
 
@@ -239,6 +244,7 @@
         self.machine = "m%d" % number
         self.ip = deployment.ip(100 + number)
         self.life = 0
+        self.machine_state, self.machine_fence, self.waves, self.beat = "up", 0, set(), asyncio.Event()
         self.reborn()
 
     def reborn(self):
@@ -247,6 +253,20 @@
         self.born, self.seq, self.fence, self.ends = int(time.time() * 1000), 0, 0, 0
         self.running, self.ended, self.past, self.lease = {}, [], {}, None
         self.ended_event = asyncio.Event()
+        self.beat.set()  # a new worker reports at once
+
+    async def listen(self):
+        self.opened = set()
+        self.server = await serve(self.ip, APP, self.handle, self.opened)
+
+    def gone(self):
+        """The worker's life ends with its machine's: its connections break, and nothing listens."""
+        self.server.close()
+        for writer in list(self.opened):
+            writer.transport.abort()
+        for task, run in self.running.items():
+            self.deployment.on_end(self, task, run["run"], "lost")
+        self.running, self.id = {}, None
 
     def report(self, state="ready"):
         self.seq += 1
@@ -256,9 +276,14 @@
 
     async def heartbeats(self):
         while True:
-            await request("%s:%d" % (self.deployment.ip(50 + self.number), CONTROL), "PUT",
-                          "/v1/instances/" + self.id, self.report(), timeout=1.0)
-            await asyncio.sleep(1.5)
+            if self.id:
+                await request("%s:%d" % (self.deployment.ip(50 + self.number), CONTROL), "PUT",
+                              "/v1/instances/" + self.id, self.report(), timeout=1.0)
+            self.beat.clear()
+            try:
+                await asyncio.wait_for(self.beat.wait(), 1.5)
+            except asyncio.TimeoutError:
+                pass
 
     def end(self, task, how):
         run = self.running.pop(task)
@@ -288,6 +313,8 @@
             self.lease = max(self.lease or 0, min(int(deadline), clock_ms() + 6000))
 
     async def handle(self, method, path, headers, body):
+        if self.id is None:
+            raise Drop()
         said = json.loads(body or b"{}")
         clock = {"clockMs": clock_ms(), "born": self.born}
         expected = headers.get("x-quincewheel-expect-instance")
@@ -334,7 +361,7 @@
         if any(self.used(name) + need.get(name, 0) > self.room[name] for name in self.room):
             return 409, {**clock, "reason": "room"}
         begun = clock_ms()
-        percent = (lambda: 100) if ms is None else (lambda: min(99, int(100 * (clock_ms() - begun) / max(ms, 1))))
+        percent = (lambda: 100 if clock_ms() > begun + 300 else 0) if ms is None else (lambda: min(99, int(100 * (clock_ms() - begun) / max(ms, 1))))
         self.running[task] = {"run": run, "need": need, "until": None if ms is None else begun + ms, "how": how,
                               "percent": percent}
         self.deployment.on_start(self, task, run, said)
@@ -356,6 +383,7 @@
         self.processes, self.tasks, self.servers = {}, [], []
         self.jobs, self.starts, self.ends = {}, [], []
         self.exits = []
+        self.waves, self.upkeep_s = {}, 2
         self.root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
     @staticmethod
@@ -466,7 +494,7 @@
         self.servers.append(await serve(self.ip(2), TABLE, self.machine_list))
         self.workers = [Worker(self, number) for number in range(self.count)]
         for worker in self.workers:
-            self.servers.append(await serve(worker.ip, APP, worker.handle))
+            await worker.listen()
             self.tasks.append(asyncio.ensure_future(worker.work()))
         for number in range(self.entries):
             self.start_process("entry-%d" % number)
@@ -484,10 +512,44 @@
         raise RuntimeError("the entries were not ready within 15 s")
 
     async def machine_list(self, method, path, headers, body):
-        machines = [{"machine": w.machine, "pool": "pool", "state": "up", "zone": "z1",
-                     "labels": ["a", "r%d" % (w.number // 3)], "capacity": w.room, "id": w.id} for w in self.workers]
+        if path == "/v1/machine-upkeep":
+            return await self.upkeep(json.loads(body), headers)
+        machines = [{"machine": w.machine, "pool": "pool", "state": w.machine_state, "zone": "z1",
+                     "labels": ["a", "r%d" % (w.number // 3)], "capacity": w.room, "id": w.id if w.machine_state == "up" else ""} for w in self.workers]
         return 200, {"machines": machines, "nextToken": ""}
 
+    async def upkeep(self, said, headers):
+        """Takes a machine down for its upkeep: what runs there ends, and a new worker joins after `upkeepS`."""
+        worker = next((w for w in self.workers if w.machine == said["machine"]), None)
+        fence = int(headers.get("x-quincewheel-fencing-token", 0))
+        if worker is None:
+            return 400, {}
+        if fence < worker.machine_fence:
+            return 409, {"reason": "fence"}
+        worker.machine_fence = fence
+        if said["machine"] not in self.waves.get(said["wave"], ()):
+            return 409, {"reason": "wave"}
+        if said["wave"] in worker.waves:
+            return 200, {}
+        if worker.machine_state != "up":
+            return 409, {"reason": "busy"}
+        worker.waves.add(said["wave"])
+        self.on_upkeep(worker)
+        worker.machine_state = "upkeep"
+        worker.gone()
+
+        async def back():
+            await asyncio.sleep(self.upkeep_s)
+            worker.reborn()
+            await worker.listen()
+            worker.machine_state = "up"
+            self.record.line("machine %s is up again" % worker.machine)
+        self.tasks.append(asyncio.ensure_future(back()))
+        return 200, {}
+
+    def on_upkeep(self, worker):
+        self.record.line("machine %s is taken down, with %s" % (worker.machine, sorted(worker.running)))
+
     def address(self, number, port=FRONT):
         return "%s:%d" % (self.ip(10 + number), port)
 
@@ -591,7 +653,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
-        for server in self.servers:
+        for server in self.servers + [worker.server for worker in getattr(self, "workers", [])]:
             server.close()
         if os.environ.get("KEEP_LOGS"):
             print("logs in", self.folder)
