--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -249,7 +249,10 @@
 
     def reborn(self):
         self.life += 1
-        self.id = "i-%02d%02d%08x" % (self.number, self.life, random.getrandbits(32))
+        if self.life == 1 or not self.deployment.keeps_ids:
+            self.own_id = "i-%02d%02d%08x" % (self.number, self.life, random.getrandbits(32))
+        self.id = self.own_id
+        self.begun = clock_ms()
         self.born, self.seq, self.fence, self.ends = int(time.time() * 1000), 0, 0, 0
         self.running, self.ended, self.past, self.lease = {}, [], {}, None
         self.ended_event = asyncio.Event()
@@ -268,11 +271,24 @@
             self.deployment.on_end(self, task, run["run"], "lost")
         self.running, self.id = {}, None
 
+    def clock(self):
+        """The worker's own steady clock; it starts anew with each life."""
+        return clock_ms() - self.begun + 1000
+
+    async def crash(self, seconds):
+        """The worker's process ends, and another starts at the same address after some seconds."""
+        self.gone()
+        self.machine_state = "down"
+        await asyncio.sleep(seconds)
+        self.reborn()
+        await self.listen()
+        self.machine_state = "up"
+
     def report(self, state="ready"):
         self.seq += 1
         return {"service": "pool", "address": "%s:%d" % (self.ip, APP), "zone": "z1", "version": "v1", "slots": 8,
                 "state": state, "coldLeftMs": 0, "capacity": self.room, "labels": ["a", "r%d" % (self.number // 3)],
-                "clockMs": clock_ms(), "seq": self.seq, "born": self.born}
+                "clockMs": self.clock(), "seq": self.seq, "born": self.born}
 
     async def heartbeats(self):
         while True:
@@ -297,7 +313,7 @@
     async def work(self):
         while True:
             await asyncio.sleep(0.02)
-            now = clock_ms()
+            now = self.clock()
             for task in list(self.running):
                 run = self.running[task]
                 if self.lease is not None and now > self.lease:
@@ -310,13 +326,13 @@
 
     def extend(self, deadline):
         if deadline:
-            self.lease = max(self.lease or 0, min(int(deadline), clock_ms() + 6000))
+            self.lease = max(self.lease or 0, min(int(deadline), self.clock() + 6000))
 
     async def handle(self, method, path, headers, body):
         if self.id is None:
             raise Drop()
         said = json.loads(body or b"{}")
-        clock = {"clockMs": clock_ms(), "born": self.born}
+        clock = {"clockMs": self.clock(), "born": self.born}
         expected = headers.get("x-quincewheel-expect-instance")
         if expected and expected != self.id:
             return 421, clock
@@ -331,7 +347,7 @@
             self.past[task] = max(self.past.get(task, 0), run)
             held = self.running.get(task)
             if held and held["run"] <= run and held["how"] != "stopped":
-                held["until"], held["how"] = clock_ms() + 50, "stopped"
+                held["until"], held["how"] = self.clock() + 50, "stopped"
             return 200, clock
         if path == "/v1/hold":
             self.extend(said.get("deadlineMs"))
@@ -343,7 +359,7 @@
                     pass
             running = [[task, run["run"], "", run["percent"](), run["need"].get("cpu", 0) / 1000]
                        for task, run in self.running.items()]
-            return 200, {"clockMs": clock_ms(), "born": self.born, "running": running, "ended": self.ended[:500]}
+            return 200, {"clockMs": self.clock(), "born": self.born, "running": running, "ended": self.ended[:500]}
         if path == "/v1/pace":
             return 200, clock
         return 404, clock
@@ -355,13 +371,13 @@
         self.extend(said.get("deadlineMs"))
         if run <= self.past.get(task, 0) or task in self.running:
             return 409, {**clock, "reason": "old"}
-        if said.get("deadlineMs", 0) <= clock_ms():
+        if said.get("deadlineMs", 0) <= self.clock():
             return 409, {**clock, "reason": "late"}
         need, ms, how = self.deployment.known(task)
         if any(self.used(name) + need.get(name, 0) > self.room[name] for name in self.room):
             return 409, {**clock, "reason": "room"}
-        begun = clock_ms()
-        percent = (lambda: 100 if clock_ms() > begun + 300 else 0) if ms is None else (lambda: min(99, int(100 * (clock_ms() - begun) / max(ms, 1))))
+        begun = self.clock()
+        percent = (lambda: 100 if self.clock() > begun + 300 else 0) if ms is None else (lambda: min(99, int(100 * (self.clock() - begun) / max(ms, 1))))
         self.running[task] = {"run": run, "need": need, "until": None if ms is None else begun + ms, "how": how,
                               "percent": percent}
         self.deployment.on_start(self, task, run, said)
@@ -373,9 +389,10 @@
 class Deployment:
     """The project's programs as separate processes, between stand-ins."""
 
-    def __init__(self, record, entries=3, workers=4, memory_mb=260, cpu_share=0.25):
+    def __init__(self, record, entries=3, workers=4, memory_mb=260, cpu_share=0.25, keeps_ids=False):
         self.record = record
         self.entries, self.count = entries, workers
+        self.keeps_ids = keeps_ids
         self.memory_mb, self.cpu_share = memory_mb, cpu_share
         self.folder = tempfile.mkdtemp(prefix="review-3-")
         self.block = self.free_block()
@@ -669,6 +686,9 @@
 
     async def play():
         deployment = Deployment(record, **options)
+        # Whoever ends the script ends what it started.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             await deployment.open()
             return 0 if await case(deployment, trouble) else 1
@@ -677,7 +697,7 @@
 
     try:
         code = asyncio.run(asyncio.wait_for(play(), limit))
-    except (RuntimeError, OSError, asyncio.TimeoutError) as error:
+    except (RuntimeError, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         record.line("could not run: %r" % error)
         print("could not run: %r" % error)
         code = 2
